Add authenticated sessions and datagrams between processes

Cause: entries and agents need calls, orders and heartbeats. Change: yamux sessions with a mutual handshake under the fleet key, protobuf streams in both directions, a gnet UDP plane with tagged datagrams. Conclusion: other keys and altered datagrams are refused (tests).

--- /dev/null
+++ b/wire/errors.go
@@ -0,0 +1,56 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrSessionClosed reports a session that ended.
+var ErrSessionClosed = eris.New("session is closed")
+
+// ErrBadTag reports a datagram whose authentication tag does not match.
+var ErrBadTag = eris.New("authentication tag does not match")
+
+// HandshakeError reports a peer that did not prove that it holds the fleet
+// key.
+type HandshakeError struct {
+	Peer  string
+	Cause error
+}
+
+// Error implements error.
+func (e *HandshakeError) Error() string {
+	return fmt.Sprintf("handshake with %s failed: %v", e.Peer, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *HandshakeError) Unwrap() error {
+	return e.Cause
+}
+
+// DialError reports a peer that cannot be reached.
+type DialError struct {
+	Addr  string
+	Cause error
+}
+
+// Error implements error.
+func (e *DialError) Error() string {
+	return fmt.Sprintf("peer %s cannot be reached: %v", e.Addr, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error {
+	return e.Cause
+}
+
+// DatagramSizeError reports a datagram over MaxDatagramSize.
+type DatagramSizeError struct {
+	Size int // Bytes.
+}
+
+// Error implements error.
+func (e *DatagramSizeError) Error() string {
+	return fmt.Sprintf("datagram of %d bytes exceeds %d", e.Size, MaxDatagramSize)
+}
--- /dev/null
+++ b/wire/handshake.go
@@ -0,0 +1,98 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+)
+
+const (
+	nonceSize        = 16 // Bytes.
+	handshakeTimeout = 5 * time.Second
+	maxHelloSize     = 1 << 10 // Bytes.
+)
+
+// The sides of a session; each signs with its own label so that a proof
+// cannot be reflected.
+const (
+	labelDialler  = "snipestep dialler"
+	labelAcceptor = "snipestep acceptor"
+)
+
+// handshake authenticates both sides of conn. It returns the peer's greeting,
+// or *HandshakeError.
+func handshake(conn net.Conn, self Identity, dialler bool) (*Hello, error) {
+	peer, err := exchangeHello(conn, self, dialler)
+	if err != nil {
+		return nil, &HandshakeError{Peer: conn.RemoteAddr().String(), Cause: err}
+	}
+	return peer, nil
+}
+
+func exchangeHello(conn net.Conn, self Identity, dialler bool) (*Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return nil, err
+	}
+	nonce := make([]byte, nonceSize)
+	if _, err := rand.Read(nonce); err != nil {
+		return nil, err
+	}
+	hello := &Hello{Instance: string(self.Instance), Incarnation: self.Incarnation, Nonce: nonce}
+	if _, err := protodelim.MarshalTo(conn, hello); err != nil {
+		return nil, err
+	}
+	in := byteReader{conn}
+	peer := &Hello{}
+	if err := unmarshalHello(in, peer); err != nil {
+		return nil, err
+	}
+	own, other := labelDialler, labelAcceptor
+	if !dialler {
+		own, other = other, own
+	}
+	proof := &Hello{Proof: sessionProof(self.Key, own, hello, peer)}
+	if _, err := protodelim.MarshalTo(conn, proof); err != nil {
+		return nil, err
+	}
+	answer := &Hello{}
+	if err := unmarshalHello(in, answer); err != nil {
+		return nil, err
+	}
+	if !hmac.Equal(answer.Proof, sessionProof(self.Key, other, peer, hello)) {
+		return nil, ErrBadTag
+	}
+	return peer, conn.SetDeadline(time.Time{})
+}
+
+func unmarshalHello(r protodelim.Reader, h *Hello) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxHelloSize}.UnmarshalFrom(r, h)
+}
+
+// sessionProof signs the identity of from and the nonces of both sides.
+func sessionProof(key []byte, label string, from, to *Hello) []byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write([]byte(label))
+	mac.Write([]byte{0})
+	mac.Write([]byte(from.Instance))
+	mac.Write([]byte{0})
+	mac.Write(from.Nonce)
+	mac.Write(to.Nonce)
+	return mac.Sum(nil)
+}
+
+// byteReader reads single bytes without reading ahead, so that nothing of
+// the session that follows is lost.
+type byteReader struct {
+	net.Conn
+}
+
+// ReadByte implements io.ByteReader.
+func (r byteReader) ReadByte() (byte, error) {
+	var b [1]byte
+	_, err := r.Read(b[:])
+	return b[0], err
+}
--- /dev/null
+++ b/wire/plane.go
@@ -0,0 +1,114 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+)
+
+// Plane sends and receives authenticated datagrams over UDP. Received ones go
+// to the handler on gnet's event loop, which must not block.
+type Plane struct {
+	gnet.BuiltinEventEngine
+
+	key     []byte
+	handler func(*Datagram)
+	out     *net.UDPConn
+	engine  gnet.Engine
+	booted  chan struct{}
+	failed  chan error
+
+	sentBytes atomic.Int64
+	dropped   atomic.Int64
+}
+
+// ListenPlane receives datagrams on addr until Close. It blocks until the
+// socket is bound.
+func ListenPlane(addr string, key []byte, handler func(*Datagram)) (*Plane, error) {
+	out, err := net.ListenUDP("udp", &net.UDPAddr{})
+	if err != nil {
+		return nil, eris.Wrap(err, "open the sending socket")
+	}
+	p := &Plane{
+		key:     key,
+		handler: handler,
+		out:     out,
+		booted:  make(chan struct{}),
+		failed:  make(chan error, 1),
+	}
+	go p.run(addr)
+	select {
+	case <-p.booted:
+		return p, nil
+	case err := <-p.failed:
+		out.Close()
+		return nil, eris.Wrapf(err, "listen for datagrams on %s", addr)
+	}
+}
+
+func (p *Plane) run(addr string) {
+	quiet := logging.Logger(zap.NewNop().Sugar())
+	err := gnet.Run(p, "udp://"+addr, gnet.WithNumEventLoop(1), gnet.WithLogger(quiet))
+	p.failed <- err
+}
+
+// OnBoot implements gnet.EventHandler.
+func (p *Plane) OnBoot(e gnet.Engine) gnet.Action {
+	p.engine = e
+	close(p.booted)
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler. It drops and counts datagrams that
+// fail authentication.
+func (p *Plane) OnTraffic(c gnet.Conn) gnet.Action {
+	raw, err := c.Next(-1)
+	if err != nil {
+		p.dropped.Add(1)
+		return gnet.None
+	}
+	d, err := DecodeDatagram(p.key, raw)
+	if err != nil {
+		p.dropped.Add(1)
+		return gnet.None
+	}
+	p.handler(d)
+	return gnet.None
+}
+
+// Send sends a datagram to addr (IP:port). It does not wait for its arrival.
+func (p *Plane) Send(addr string, d *Datagram) error {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return eris.Wrapf(err, "datagram address %q", addr)
+	}
+	raw, err := EncodeDatagram(p.key, d)
+	if err != nil {
+		return err
+	}
+	n, err := p.out.WriteToUDPAddrPort(raw, to)
+	p.sentBytes.Add(int64(n))
+	return err
+}
+
+// SentBytes returns the bytes sent so far.
+func (p *Plane) SentBytes() int64 {
+	return p.sentBytes.Load()
+}
+
+// Dropped returns the number of datagrams that failed authentication.
+func (p *Plane) Dropped() int64 {
+	return p.dropped.Load()
+}
+
+// Close stops receiving and sending.
+func (p *Plane) Close(ctx context.Context) error {
+	p.out.Close()
+	return p.engine.Stop(ctx)
+}
--- /dev/null
+++ b/wire/stream.go
@@ -0,0 +1,48 @@
+package wire
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxMessageSize bounds one message on a stream, in bytes.
+const MaxMessageSize = 4 << 20
+
+const streamReadBuffer = 1 << 10 // Bytes.
+
+// Stream carries length-delimited protobuf messages both ways. One goroutine
+// may send while another receives.
+type Stream struct {
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func newStream(conn net.Conn) *Stream {
+	return &Stream{conn: conn, in: bufio.NewReaderSize(conn, streamReadBuffer)}
+}
+
+// Send writes one message. It blocks while the peer's window is full.
+func (s *Stream) Send(m proto.Message) error {
+	_, err := protodelim.MarshalTo(s.conn, m)
+	return err
+}
+
+// Recv reads one message into m. It blocks until one arrives or the stream
+// ends; then it returns io.EOF or the session's error.
+func (s *Stream) Recv(m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: MaxMessageSize}.UnmarshalFrom(s.in, m)
+}
+
+// SetDeadline bounds the calls that follow; the zero time removes the bound.
+func (s *Stream) SetDeadline(t time.Time) error {
+	return s.conn.SetDeadline(t)
+}
+
+// Close ends the stream in both directions.
+func (s *Stream) Close() error {
+	return s.conn.Close()
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,89 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var testKey = []byte("0123456789abcdef")
+
+func plainDial(ctx context.Context, network, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, addr)
+}
+
+func echoStatus(_ context.Context, s *Session, st *Stream, _ *StreamHeader) {
+	_ = st.Send(&AgentStatus{Instance: string(s.Peer)})
+}
+
+func TestSessionCarriesRequestsBothWays(t *testing.T) {
+	opened := make(chan *Session, 1)
+	l, err := Listen("127.0.0.1:0", Identity{Instance: "b", Key: testKey}, echoStatus, func(s *Session) { opened <- s })
+	assert.NilError(t, err)
+	defer l.Close()
+	out, err := Dial(t.Context(), plainDial, l.Addr(), Identity{Instance: "a", Key: testKey}, echoStatus)
+	assert.NilError(t, err)
+	defer out.Close()
+	in := <-opened
+	ask := &StreamHeader{Request: &StreamHeader_Status{Status: &StatusRequest{}}}
+	var fromB, fromA AgentStatus
+	assert.NilError(t, out.Ask(t.Context(), ask, &fromB))
+	assert.NilError(t, in.Ask(t.Context(), ask, &fromA))
+	assert.Equal(t, fromB.GetInstance(), "a")
+	assert.Equal(t, fromA.GetInstance(), "b")
+}
+
+func TestSessionRefusesOtherKey(t *testing.T) {
+	l, err := Listen("127.0.0.1:0", Identity{Instance: "b", Key: testKey}, echoStatus, nil)
+	assert.NilError(t, err)
+	defer l.Close()
+	_, err = Dial(t.Context(), plainDial, l.Addr(), Identity{Instance: "a", Key: []byte("other")}, echoStatus)
+	var handshake *HandshakeError
+	assert.Assert(t, errors.As(err, &handshake))
+	assert.Equal(t, len(l.Sessions()), 0)
+}
+
+func TestDatagramWithBadTagIsDropped(t *testing.T) {
+	raw, err := EncodeDatagram(testKey, &Datagram{Instance: "a", Generation: 7})
+	assert.NilError(t, err)
+	d, err := DecodeDatagram(testKey, raw)
+	assert.NilError(t, err)
+	assert.Equal(t, d.GetGeneration(), uint64(7))
+	for i := range raw {
+		raw[i] ^= 1
+		_, err := DecodeDatagram(testKey, raw)
+		assert.ErrorIs(t, err, ErrBadTag)
+		raw[i] ^= 1
+	}
+}
+
+func TestPlaneDeliversAuthenticDatagramsOnly(t *testing.T) {
+	got := make(chan *Datagram, 4)
+	addr := freeUDPAddr(t)
+	p, err := ListenPlane(addr, testKey, func(d *Datagram) { got <- d })
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	defer p.Close(ctx)
+	conn, err := net.Dial("udp", addr)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("a datagram without a tag, long enough to hold one"))
+	assert.NilError(t, err)
+	assert.NilError(t, p.Send(addr, &Datagram{Instance: "a", Sequence: 1}))
+	d := <-got
+	assert.Equal(t, d.GetInstance(), "a")
+}
+
+func freeUDPAddr(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	defer c.Close()
+	return c.LocalAddr().String()
+}
