--- a/wire/plane.go
+++ b/wire/plane.go
@@ -47,7 +47,7 @@
 	case <-p.booted:
 		return p, nil
 	case err := <-p.failed:
-		out.Close()
+		_ = out.Close()
 		return nil, eris.Wrapf(err, "listen for datagrams on %s", addr)
 	}
 }
@@ -109,6 +109,6 @@
 
 // Close stops receiving and sending.
 func (p *Plane) Close(ctx context.Context) error {
-	p.out.Close()
+	_ = p.out.Close()
 	return p.engine.Stop(ctx)
 }
