--- /dev/null
+++ b/agent/config.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// The policies of a fleet.
+const (
+	PolicySnipestep = "snipestep"
+	PolicyBaseline  = "baseline"
+)
+
+// Config are the settings of an agent. Zero durations and counts get the
+// defaults.
+type Config struct {
+	Instance core.Instance
+	// Incarnation grows with each start of the process; 0 takes the clock.
+	Incarnation uint64
+	FleetKey    []byte
+	// ChecksFencing says whether the endpoint refuses old fencing numbers.
+	ChecksFencing bool
+	// Slots is the number of calls that the endpoint runs at a time.
+	Slots int
+	// MaxWaiting bounds the calls waiting in the queue.
+	MaxWaiting   int
+	OriginRegion string
+	Policy       string
+	// LeaveGrace bounds the wait for running calls at a stop.
+	LeaveGrace time.Duration
+	// Seed fixes the random choices of the swarm.
+	Seed uint64
+}
+
+const (
+	defaultSlots      = 8
+	defaultMaxWaiting = 128
+	defaultLeaveGrace = 30 * time.Second
+)
+
+func (c Config) withDefaults(now time.Time) Config {
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(now.UnixNano())
+	}
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.MaxWaiting == 0 {
+		c.MaxWaiting = defaultMaxWaiting
+	}
+	if c.LeaveGrace == 0 {
+		c.LeaveGrace = defaultLeaveGrace
+	}
+	if c.Policy == "" {
+		c.Policy = PolicySnipestep
+	}
+	return c
+}
--- /dev/null
+++ b/agent/creditset.go
@@ -0,0 +1,8 @@
+package agent
+
+import "github.com/snipestep/snipestep/core"
+
+// creditSet is the number of calls by rank that one entry may send.
+type creditSet struct {
+	byRank [core.RankCount]int
+}
--- /dev/null
+++ b/agent/job.go
@@ -0,0 +1,66 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/wire"
+)
+
+// refusal is the final answer to a job that does not go on.
+type refusal struct {
+	code       string
+	retryAfter time.Duration
+	detail     string
+}
+
+// job is one attempt of a call at this endpoint. The scheduler owns call; the
+// goroutine that serves the stream owns the rest.
+type job struct {
+	call routing.Call
+	req  *wire.CallRequest
+	// started and refused hold at most one signal each.
+	started chan struct{}
+	refused chan refusal
+	// interrupt ends the running endpoint call; the scheduler calls it.
+	interrupt atomic.Pointer[context.CancelCauseFunc]
+	// begun says whether the endpoint may have begun.
+	begun bool
+	// produced are the tokens made here so far.
+	produced []string
+}
+
+func newJob(id uint64, req *wire.CallRequest, now time.Time) *job {
+	return &job{
+		call:    jobCall(id, req, now),
+		req:     req,
+		started: make(chan struct{}, 1),
+		refused: make(chan refusal, 1),
+	}
+}
+
+func jobCall(id uint64, req *wire.CallRequest, now time.Time) routing.Call {
+	weight := req.GetWeight()
+	if weight <= 0 {
+		weight = 1
+	}
+	return routing.Call{
+		ID:             id,
+		Rank:           rankOf(req),
+		Organisation:   organisationOf(req),
+		Weight:         weight,
+		ExpectedTokens: max(1, int(req.GetMaxTokens())),
+		Deadline:       now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
+		Resumable:      req.GetService() == "",
+		Suspect:        req.GetSuspect(),
+	}
+}
+
+// stop interrupts the endpoint call of a running job.
+func (j *job) stop(cause error) {
+	if cancel := j.interrupt.Load(); cancel != nil {
+		(*cancel)(cause)
+	}
+}
--- /dev/null
+++ b/agent/message.go
@@ -0,0 +1,6 @@
+package agent
+
+import "google.golang.org/protobuf/proto"
+
+// message is any protobuf message.
+type message = proto.Message
--- /dev/null
+++ b/agent/modelrunner.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const engineCancelTimeout = 2 * time.Second
+
+// modelRunner runs model calls at the engine.
+type modelRunner struct {
+	engine endpoint.Engine
+	state  *endpointState
+	sched  *scheduler
+}
+
+// run implements runner.
+func (m *modelRunner) run(ctx context.Context, j *job, send sendFunc) *wire.CallEvent {
+	serving := m.state.serving()
+	if !m.serves(serving, j.req) {
+		return refusedEvent(j, refusal{code: CodeWrongModel})
+	}
+	stream, err := m.engine.Generate(ctx, generateRequest(j, serving))
+	if err != nil {
+		return m.failure(ctx, j, err)
+	}
+	defer stream.Close()
+	j.begun = true
+	end := m.forward(ctx, j, stream, send)
+	if ctx.Err() != nil {
+		m.cancelAtEngine(j)
+	}
+	return end
+}
+
+func (m *modelRunner) serves(serving core.ModelRef, req *wire.CallRequest) bool {
+	return !serving.IsZero() && serving == core.ModelRef{
+		Model:    req.GetModel(),
+		Version:  req.GetVersion(),
+		Manifest: wire.ToDigest(req.GetManifest()),
+	}
+}
+
+func generateRequest(j *job, serving core.ModelRef) endpoint.GenerateRequest {
+	return endpoint.GenerateRequest{
+		Attempt:      j.req.GetAttempt(),
+		Prompt:       j.req.GetPrompt(),
+		MaxTokens:    int(j.req.GetMaxTokens()),
+		PrefixTokens: slices.Concat(j.req.GetPrefixTokens(), j.produced),
+		Priority:     int(j.call.Rank),
+		CacheHandle:  j.req.GetKvHandle(),
+		Model:        serving,
+	}
+}
+
+// forward sends the stream's tokens in order. Tokens of another attempt are
+// dropped; a token out of order breaks the attempt.
+func (m *modelRunner) forward(ctx context.Context, j *job, stream endpoint.TokenStream, send sendFunc) *wire.CallEvent {
+	next := len(j.req.GetPrefixTokens()) + len(j.produced)
+	for {
+		token, err := stream.Next()
+		var foreign *endpoint.ForeignAnswerError
+		if errors.As(err, &foreign) {
+			continue
+		}
+		if err != nil {
+			return m.failure(ctx, j, unexpectedEnd(err))
+		}
+		if token.Done {
+			return m.finish(j, token, next)
+		}
+		if token.Index != next {
+			return brokenEvent(j, CodeUnknown, "", "engine sent a token out of order")
+		}
+		if ctx.Err() != nil {
+			return brokenEvent(j, CodeMoved, "", context.Cause(ctx).Error())
+		}
+		if err := send(tokenEvent(j, next, token.Text)); err != nil {
+			return brokenEvent(j, CodeUnknown, "", err.Error())
+		}
+		j.produced = append(j.produced, token.Text)
+		next++
+		m.sched.post(usedEvent{id: j.call.ID, tokens: 1})
+	}
+}
+
+func unexpectedEnd(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func (m *modelRunner) finish(j *job, token endpoint.Token, count int) *wire.CallEvent {
+	if token.Version != j.req.GetVersion() {
+		return brokenEvent(j, CodeWrongModel, "", "engine answered with another version")
+	}
+	return doneEventOf(j, &wire.CallDone{Tokens: uint32(count), ModelVersion: token.Version})
+}
+
+// failure turns an engine's error into the attempt's final event.
+func (m *modelRunner) failure(ctx context.Context, j *job, err error) *wire.CallEvent {
+	var notStarted *endpoint.NotStartedError
+	if errors.As(err, &notStarted) && !j.begun {
+		if ctx.Err() == nil {
+			m.state.suspect()
+		}
+		return refusedEvent(j, refusal{code: CodeNotStarted, detail: err.Error()})
+	}
+	j.begun = true
+	if ctx.Err() != nil {
+		return brokenEvent(j, CodeMoved, "", context.Cause(ctx).Error())
+	}
+	crash := m.state.suspect()
+	return brokenEvent(j, CodeCrash, "", crash)
+}
+
+// cancelAtEngine frees the engine's slot of an interrupted call.
+func (m *modelRunner) cancelAtEngine(j *job) {
+	ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
+	defer cancel()
+	_ = m.engine.Cancel(ctx, j.req.GetAttempt())
+}
--- /dev/null
+++ b/agent/weightkeeper.go
@@ -0,0 +1,195 @@
+package agent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/weights"
+	"github.com/snipestep/snipestep/weights/swarm"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const (
+	swarmAskTimeout   = 3 * time.Second
+	peerRefresh       = 2 * time.Second
+	fetchRetryBackoff = 200 * time.Millisecond
+)
+
+// ErrNoManifest reports a manifest that the agent does not hold.
+var ErrNoManifest = eris.New("manifest is not held")
+
+// weightKeeper fetches the weights that the orders name and keeps the
+// verified chunk sets.
+type weightKeeper struct {
+	node       *swarm.Node
+	entries    *entryTable
+	logger     *slog.Logger
+	background func(func(ctx context.Context))
+
+	mu     sync.Mutex // Guards the fields below.
+	target core.ModelRef
+	cancel context.CancelFunc
+}
+
+// prefetch starts the transfer of a model; a transfer of another one ends.
+func (w *weightKeeper) prefetch(model core.ModelRef) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.target == model {
+		return nil
+	}
+	if w.cancel != nil {
+		w.cancel()
+	}
+	w.target = model
+	if w.complete(model.Manifest) {
+		w.cancel = nil
+		return nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.background(func(stop context.Context) {
+		end := context.AfterFunc(stop, cancel)
+		defer end()
+		defer cancel()
+		w.fetch(ctx, model)
+	})
+	return nil
+}
+
+// fetch tries until the set is complete or ctx ends.
+func (w *weightKeeper) fetch(ctx context.Context, model core.ModelRef) {
+	for ctx.Err() == nil {
+		err := w.fetchOnce(ctx, model)
+		if err == nil {
+			return
+		}
+		w.logger.Warn("transfer failed", "model", model.Model, "version", model.Version, "error", err.Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(fetchRetryBackoff):
+		}
+	}
+}
+
+func (w *weightKeeper) fetchOnce(ctx context.Context, model core.ModelRef) error {
+	answer, err := w.askSwarm(ctx, model.Manifest, true)
+	if err != nil {
+		return eris.Wrap(err, "ask for the manifest")
+	}
+	manifest, err := weights.DecodeManifest(answer.GetManifest(), model.Manifest)
+	if err != nil {
+		return eris.Wrap(err, "decode the manifest")
+	}
+	var peers atomic.Pointer[[]swarm.Peer]
+	peers.Store(swarmPeers(answer))
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go w.refreshPeers(ctx, model.Manifest, &peers)
+	_, err = w.node.Fetch(ctx, manifest, func() []swarm.Peer { return *peers.Load() })
+	return err
+}
+
+func (w *weightKeeper) refreshPeers(ctx context.Context, manifest core.Digest, peers *atomic.Pointer[[]swarm.Peer]) {
+	tick := time.NewTicker(peerRefresh)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		answer, err := w.askSwarm(ctx, manifest, false)
+		if err == nil && len(answer.GetPeers()) > 0 {
+			peers.Store(swarmPeers(answer))
+		}
+	}
+}
+
+func (w *weightKeeper) askSwarm(ctx context.Context, manifest core.Digest, want bool) (*wire.SwarmResponse, error) {
+	session, err := w.entries.session("")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, swarmAskTimeout)
+	defer cancel()
+	answer := &wire.SwarmResponse{}
+	err = session.Ask(ctx, &wire.StreamHeader{Request: &wire.StreamHeader_Swarm{
+		Swarm: &wire.SwarmRequest{Manifest: manifest[:], WantManifest: want},
+	}}, answer)
+	return answer, err
+}
+
+func swarmPeers(answer *wire.SwarmResponse) *[]swarm.Peer {
+	peers := make([]swarm.Peer, 0, len(answer.GetPeers()))
+	for _, p := range answer.GetPeers() {
+		peers = append(peers, swarm.Peer{
+			ID:        core.InstanceID(p.GetInstance()),
+			Location:  core.Location{Region: p.GetRegion(), FailureDomain: p.GetFailureDomain()},
+			ChunkAddr: p.GetChunkAddr(),
+		})
+	}
+	return &peers
+}
+
+// complete reports whether all chunks of a manifest are held and verified.
+func (w *weightKeeper) complete(manifest core.Digest) bool {
+	set, ok := w.node.Set(manifest)
+	return ok && set.Complete()
+}
+
+// stage hands every chunk that the engine does not have yet to it.
+func (w *weightKeeper) stage(ctx context.Context, engine endpoint.Engine, manifest core.Digest) error {
+	set, ok := w.node.Set(manifest)
+	if !ok {
+		return ErrNoManifest
+	}
+	for i := range set.Manifest().Chunks {
+		data, ok := set.Get(i)
+		if !ok {
+			return ErrNoManifest
+		}
+		if err := engine.StageChunk(ctx, manifest, i, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// encodedManifest returns the manifest of a held set, or ErrNoManifest.
+func (w *weightKeeper) encodedManifest(manifest core.Digest) ([]byte, error) {
+	set, ok := w.node.Set(manifest)
+	if !ok {
+		return nil, ErrNoManifest
+	}
+	return set.Manifest().Encode(), nil
+}
+
+// keepOnly drops every set but the one served and the one being fetched.
+func (w *weightKeeper) keepOnly(manifest core.Digest) {
+	w.mu.Lock()
+	target := w.target.Manifest
+	w.mu.Unlock()
+	for _, held := range w.node.Manifests() {
+		if held != manifest && held != target {
+			w.node.Drop(held)
+		}
+	}
+}
+
+// progress returns the model being fetched with the chunks held and the
+// chunks in all.
+func (w *weightKeeper) progress() (model core.ModelRef, have, total int) {
+	w.mu.Lock()
+	model = w.target
+	w.mu.Unlock()
+	have, total = w.node.Progress(model.Manifest)
+	return model, have, total
+}
