Add HTTP clients of the platform and of the endpoints

Cause: entries and agents need the key-value service, the instance list, the weight store, the origin, model engines and plain services. Change: HTTP clients with typed errors that tell a request that was not sent from one whose answer was lost; no proxies, redirects or replays.

--- /dev/null
+++ b/endpoint/enginestatus.go
@@ -0,0 +1,21 @@
+package endpoint
+
+import "github.com/snipestep/snipestep/core"
+
+// EngineStatus says what an engine serves. Serving, Adapters, Role and Fence
+// are exact when the engine answers; the load lags; cache entries come late
+// and with gaps.
+type EngineStatus struct {
+	// Serving is zero while no weights are loaded.
+	Serving  core.ModelRef `json:"serving"`
+	Adapters []string      `json:"adapters,omitempty"`
+	Role     string        `json:"role,omitempty"`
+	// Fence is the highest fencing number seen; 0 from an engine that
+	// ignores fencing or restarted.
+	Fence   core.Fence `json:"fence"`
+	Slots   int        `json:"slots"`
+	Running int        `json:"running"`
+	Queued  int        `json:"queued"`
+	// CachedPrefixes are values of PromptPrefix.
+	CachedPrefixes []uint64 `json:"cached_prefixes,omitempty"`
+}
--- /dev/null
+++ b/endpoint/httpengine.go
@@ -0,0 +1,141 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/httpcall"
+)
+
+const (
+	maxAckBytes    = 64 << 10
+	maxStatusBytes = 1 << 20
+	maxExportBytes = 16 << 20
+)
+
+// HTTPEngine is the HTTP client of a model engine. It is safe for concurrent
+// use.
+type HTTPEngine struct {
+	client *httpcall.Client
+}
+
+var _ Engine = (*HTTPEngine)(nil)
+
+// NewHTTPEngine returns a client of the engine.
+func NewHTTPEngine(config HTTPConfig) *HTTPEngine {
+	return &HTTPEngine{client: httpcall.New(config)}
+}
+
+// Generate implements Engine.
+func (e *HTTPEngine) Generate(ctx context.Context, request GenerateRequest) (TokenStream, error) {
+	body, err := json.Marshal(completion(request))
+	if err != nil {
+		return nil, &NotStartedError{Attempt: request.Attempt, Cause: err}
+	}
+	call := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true}
+	return openStream(ctx, e.client, request.Attempt, call)
+}
+
+// StageChunk implements Engine.
+func (e *HTTPEngine) StageChunk(ctx context.Context, manifest core.Digest, index int, data []byte) error {
+	path := "/v1/staged/" + manifest.String() + "/" + strconv.Itoa(index)
+	return e.send(ctx, "", httpcall.Request{Method: http.MethodPut, Path: path, Body: data})
+}
+
+// Order implements Engine.
+func (e *HTTPEngine) Order(ctx context.Context, order Order) (OrderOutcome, error) {
+	var outcome OrderOutcome
+	body, err := json.Marshal(order)
+	if err != nil {
+		return outcome, &NotStartedError{Cause: err}
+	}
+	request := httpcall.Request{Method: http.MethodPost, Path: "/v1/order", Header: jsonHeader(), Body: body, NoReplay: true}
+	response, err := e.client.Call(ctx, request, maxStatusBytes)
+	if err != nil {
+		return outcome, mapOrder(order, err)
+	}
+	if err := response.Decode(&outcome); err != nil {
+		return outcome, &BrokenError{Cause: err}
+	}
+	return outcome, nil
+}
+
+// Status implements Engine.
+func (e *HTTPEngine) Status(ctx context.Context) (EngineStatus, error) {
+	var status EngineStatus
+	err := e.fetch(ctx, "", httpcall.Request{Method: http.MethodGet, Path: "/v1/status"}, maxStatusBytes, &status)
+	return status, err
+}
+
+// ExportCache implements Engine.
+func (e *HTTPEngine) ExportCache(ctx context.Context, attempt string) (string, error) {
+	var document ExportDocument
+	request := httpcall.Request{Method: http.MethodPost, Path: attemptPath(attempt) + "/export"}
+	err := e.fetch(ctx, attempt, request, maxExportBytes, &document)
+	return document.Handle, err
+}
+
+// Cancel implements Engine.
+func (e *HTTPEngine) Cancel(ctx context.Context, attempt string) error {
+	return e.send(ctx, attempt, httpcall.Request{Method: http.MethodDelete, Path: attemptPath(attempt)})
+}
+
+func (e *HTTPEngine) send(ctx context.Context, attempt string, request httpcall.Request) error {
+	_, err := e.client.Call(ctx, request, maxAckBytes)
+	if err != nil {
+		return mapError(attempt, err)
+	}
+	return nil
+}
+
+func (e *HTTPEngine) fetch(ctx context.Context, attempt string, request httpcall.Request, limit int64, into any) error {
+	response, err := e.client.Call(ctx, request, limit)
+	if err != nil {
+		return mapError(attempt, err)
+	}
+	if err := response.Decode(into); err != nil {
+		return &BrokenError{Attempt: attempt, Cause: err}
+	}
+	return nil
+}
+
+func mapOrder(order Order, err error) error {
+	var status *httpcall.StatusError
+	if errors.As(err, &status) && status.Document.Code == CodeFenced {
+		return &FencedError{Fence: order.Fence, Highest: core.Fence(status.Document.HighestFence)}
+	}
+	return mapError("", err)
+}
+
+func completion(request GenerateRequest) CompletionRequest {
+	return CompletionRequest{
+		Model:        request.Model.Model,
+		Prompt:       request.Prompt,
+		MaxTokens:    request.MaxTokens,
+		Stream:       true,
+		Priority:     request.Priority,
+		Version:      request.Model.Version,
+		Manifest:     request.Model.Manifest,
+		PrefixTokens: request.PrefixTokens,
+		CacheHandle:  request.CacheHandle,
+	}
+}
+
+func attemptPath(attempt string) string {
+	return "/v1/requests/" + url.PathEscape(attempt)
+}
+
+func jsonHeader() http.Header {
+	return http.Header{"Content-Type": {"application/json"}}
+}
+
+func attemptHeader(attempt string) http.Header {
+	header := jsonHeader()
+	header.Set(AttemptHeader, attempt)
+	return header
+}
--- /dev/null
+++ b/endpoint/plainrequest.go
@@ -0,0 +1,19 @@
+package endpoint
+
+// PlainRequest asks a plain service to run one attempt of an operation.
+type PlainRequest struct {
+	// Attempt names the attempt; the answer carries it.
+	Attempt   string
+	Operation string
+	// IdempotencyKey is the caller's key, empty for none.
+	IdempotencyKey string
+	Body           []byte
+}
+
+// PlainResponse is the service's answer. Status is an HTTP status, of errors
+// that the operation itself answers with too.
+type PlainResponse struct {
+	Attempt string
+	Status  int
+	Body    []byte
+}
--- /dev/null
+++ b/internal/httpcall/config.go
@@ -0,0 +1,55 @@
+package httpcall
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	dialTimeout         = 3 * time.Second
+	idleTimeout         = 90 * time.Second
+	maxIdleConnsPerHost = 64
+	maxHeaderBytes      = 64 << 10
+)
+
+// Config says how to reach an HTTP service.
+type Config struct {
+	// BaseURL is scheme, IP and port, e.g. "http://127.0.0.1:8080".
+	BaseURL string
+	// Client sends the requests. A client without proxies is used when it
+	// is nil. Redirects are never followed.
+	Client *http.Client
+	// Timeout limits a call; 0 leaves the limit to the context.
+	Timeout time.Duration
+}
+
+// NewTransport returns a transport that uses no proxy.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+func (c Config) client() *http.Client {
+	client := http.Client{Transport: NewTransport()}
+	if c.Client != nil {
+		client = *c.Client
+	}
+	client.CheckRedirect = refuseRedirect
+	return &client
+}
+
+func (c Config) base() string {
+	return strings.TrimRight(c.BaseURL, "/")
+}
+
+func refuseRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
--- /dev/null
+++ b/internal/httpcall/request.go
@@ -0,0 +1,15 @@
+package httpcall
+
+import "net/http"
+
+// Request is one HTTP request.
+type Request struct {
+	Method string
+	// Path is the escaped path with its query.
+	Path   string
+	Header http.Header
+	Body   []byte
+	// NoReplay keeps the transport from sending the request again when a
+	// kept-alive connection breaks.
+	NoReplay bool
+}
