--- /dev/null
+++ b/routing/endpointstate.go
@@ -0,0 +1,34 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// EndpointState is what an entry knows of one endpoint from its agent's last
+// load report.
+type EndpointState struct {
+	ID       core.InstanceID
+	Location core.Location
+	// Service is the name of a plain service, empty for a model endpoint.
+	Service string
+	// Model is what a model endpoint serves.
+	Model core.ModelRef
+	Slots int
+	// Running counts running calls of all ranks.
+	Running int
+	// Queued and Credits are by rank, most urgent first. Credits are the
+	// calls that this entry may send after the report.
+	Queued  [core.RankCount]int
+	Credits [core.RankCount]int
+	// MeanService is how long a slot serves one call.
+	MeanService time.Duration
+	Draining    bool
+	Leaving     bool
+	// Prefixes are hashes of prompt prefixes that the engine may have
+	// cached.
+	Prefixes []uint64
+	// FreshAt is when the report was received.
+	FreshAt time.Time
+}
--- /dev/null
+++ b/routing/load.go
@@ -0,0 +1,17 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// Load is what an agent reports of its queue.
+type Load struct {
+	Slots int
+	// Running and Waiting count calls by rank, most urgent first.
+	Running [core.RankCount]int
+	Waiting [core.RankCount]int
+	// MeanService is how long a slot serves one call.
+	MeanService time.Duration
+}
--- /dev/null
+++ b/routing/retrybudget.go
@@ -0,0 +1,35 @@
+package routing
+
+// RetryBudgetConfig sets a RetryBudget.
+type RetryBudgetConfig struct {
+	// Ratio is the number of retries allowed for each call, e.g. 0.15.
+	Ratio float64
+	// Burst is the number of retries allowed at once.
+	Burst float64
+}
+
+// RetryBudget limits retries to a ratio of the calls, so that retries cannot
+// multiply an overload. It is not safe for concurrent use.
+type RetryBudget struct {
+	config RetryBudgetConfig
+	tokens float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget(config RetryBudgetConfig) *RetryBudget {
+	return &RetryBudget{config: config, tokens: config.Burst}
+}
+
+// Call counts a first attempt.
+func (b *RetryBudget) Call() {
+	b.tokens = min(b.tokens+b.config.Ratio, b.config.Burst)
+}
+
+// Retry takes one retry and reports whether it is allowed.
+func (b *RetryBudget) Retry() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,174 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/snipestep/snipestep/core"
+)
+
+// DefaultStaleAfter is how old a load report may be for its endpoint to be
+// chosen.
+const DefaultStaleAfter = 3 * time.Second
+
+// TableConfig sets how a Table chooses.
+type TableConfig struct {
+	// Region is the entry's own region.
+	Region string
+	// StaleAfter is the greatest age of a load report; DefaultStaleAfter if
+	// 0.
+	StaleAfter time.Duration
+	// Entries is the number of entries that share the endpoints; 1 if 0.
+	Entries int
+}
+
+// Table is a snapshot of the endpoints an entry may call. Its states do not
+// change; only the counts of sent calls do. It is safe for concurrent use.
+// Publish it by atomic.Pointer.
+type Table struct {
+	config    TableConfig
+	endpoints []tableEndpoint
+	byTarget  map[string][]int32
+}
+
+type tableEndpoint struct {
+	EndpointState
+	sent   *Sent
+	hash   uint64
+	queued [core.RankCount]int // Queued at the rank or a more urgent one.
+	local  bool
+}
+
+// NewTable returns a snapshot of the states. Endpoints whose report is the
+// same as in the previous table keep their counts of sent calls; a newer
+// report starts at zero. previous may be nil.
+func NewTable(config TableConfig, states []EndpointState, previous *Table) *Table {
+	if config.StaleAfter <= 0 {
+		config.StaleAfter = DefaultStaleAfter
+	}
+	config.Entries = max(config.Entries, 1)
+	t := &Table{
+		config:    config,
+		endpoints: make([]tableEndpoint, 0, len(states)),
+		byTarget:  make(map[string][]int32),
+	}
+	kept := previous.sentByID()
+	for _, state := range states {
+		t.add(state, kept[state.ID])
+	}
+	return t
+}
+
+type keptSent struct {
+	sent    *Sent
+	freshAt time.Time
+}
+
+func (t *Table) sentByID() map[core.InstanceID]keptSent {
+	if t == nil {
+		return nil
+	}
+	kept := make(map[core.InstanceID]keptSent, len(t.endpoints))
+	for i := range t.endpoints {
+		e := &t.endpoints[i]
+		kept[e.ID] = keptSent{sent: e.sent, freshAt: e.FreshAt}
+	}
+	return kept
+}
+
+func (t *Table) add(state EndpointState, kept keptSent) {
+	e := tableEndpoint{
+		EndpointState: state,
+		sent:          kept.sent,
+		hash:          xxhash.Sum64String(string(state.ID)),
+		local:         state.Location.Region == t.config.Region,
+	}
+	if e.sent == nil || !state.FreshAt.Equal(kept.freshAt) {
+		e.sent = new(Sent)
+	}
+	ahead := 0
+	for rank, n := range state.Queued {
+		ahead += n
+		e.queued[rank] = ahead
+	}
+	target := targetOf(state.Service, state.Model.Model)
+	t.byTarget[target] = append(t.byTarget[target], int32(len(t.endpoints)))
+	t.endpoints = append(t.endpoints, e)
+}
+
+// targetOf returns the key of byTarget. A plain service and a model of the
+// same name share a key; Choose compares the whole target.
+func targetOf(service, model string) string {
+	if service != "" {
+		return service
+	}
+	return model
+}
+
+// Len returns the number of endpoints.
+func (t *Table) Len() int {
+	return len(t.endpoints)
+}
+
+// Endpoint returns the state at index.
+func (t *Table) Endpoint(index int) EndpointState {
+	return t.endpoints[index].EndpointState
+}
+
+// Reserve counts a call sent to the endpoint at index and takes one of its
+// credits. It returns false and counts nothing when no credit is left.
+func (t *Table) Reserve(index int, rank core.Rank) bool {
+	e := &t.endpoints[index]
+	sent := e.sent.calls[rank].Add(1)
+	if int(sent) > e.Credits[rank] {
+		e.sent.calls[rank].Add(-1)
+		return false
+	}
+	return true
+}
+
+// Release takes back a reservation whose call was not sent.
+func (t *Table) Release(index int, rank core.Rank) {
+	t.endpoints[index].sent.calls[rank].Add(-1)
+}
+
+// Serves reports whether any endpoint, in whatever state, serves the target.
+// An empty version matches every version.
+func (t *Table) Serves(service string, model core.ModelRef) bool {
+	r := Request{Service: service, Model: model}
+	return slices.ContainsFunc(t.byTarget[targetOf(service, model.Model)], func(i int32) bool {
+		return t.endpoints[i].serves(&r)
+	})
+}
+
+// Capacity returns this entry's part of the capacity for a target: the slots
+// of the endpoints that may be chosen, divided by the entries, and the calls
+// queued at them by rank. Start rates are left zero.
+func (t *Table) Capacity(r Request, policies Policies, now time.Time) (Capacity, [core.RankCount]int) {
+	var capacity Capacity
+	var queued [core.RankCount]int
+	var service float64
+	for _, i := range t.byTarget[targetOf(r.Service, r.Model.Model)] {
+		e := &t.endpoints[i]
+		if !t.usable(e, &r, now) {
+			continue
+		}
+		slots := float64(e.Slots)
+		capacity.Slots += slots
+		service += slots * e.MeanService.Seconds()
+		for rank, n := range e.Queued {
+			queued[rank] += n
+		}
+	}
+	if capacity.Slots > 0 {
+		capacity.MeanService = time.Duration(service / capacity.Slots * float64(time.Second))
+	}
+	entries := float64(t.config.Entries)
+	capacity.Slots /= entries
+	for rank, p := range policies {
+		capacity.Guaranteed[rank] = p.GuaranteedShare * capacity.Slots
+		queued[rank] /= t.config.Entries
+	}
+	return capacity, queued
+}
