--- /dev/null
+++ b/settings/agent_loader.go
@@ -0,0 +1,117 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// agentLoader collects the sections of an agent's file.
+type agentLoader struct {
+	agent *Agent
+	key   keySource
+}
+
+func newAgentLoader() *agentLoader {
+	agent := &Agent{}
+	agent.Instance.State = core.StateLive
+	return &agentLoader{agent: agent}
+}
+
+// Bounds of an agent's numbers.
+const (
+	maxSlots    = 4096
+	maxPaceRate = 400_000_000_000 // Bits a second.
+)
+
+// requirement says that a key must be given, or must be empty.
+type requirement struct {
+	section string
+	key     string
+	value   string
+	wanted  bool
+}
+
+func (l *agentLoader) finish(file *File) (*Agent, error) {
+	key, err := l.key.read(file)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range l.requirements() {
+		if r.wanted && r.value == "" {
+			return nil, file.ErrorAt(r.section, r.key, ErrMissing)
+		}
+		if !r.wanted && r.value != "" {
+			return nil, file.ErrorAt(r.section, r.key, &ConflictError{Detail: "does not belong to role " + string(l.agent.Instance.Role)})
+		}
+	}
+	l.agent.FleetKey = key
+	return l.agent, nil
+}
+
+// requirements lists the keys that depend on the role.
+func (l *agentLoader) requirements() []requirement {
+	model := l.agent.Instance.Role == core.RoleModel
+	return []requirement{
+		{"instance", "service", l.agent.Instance.Service, !model},
+		{"instance", "chunk_address", l.agent.Instance.ChunkAddr, model},
+		{"weights", "origin_url", l.agent.Weights.OriginURL, model},
+		{"weights", "weight_store_url", l.agent.Weights.WeightStoreURL, model},
+	}
+}
+
+func (l *agentLoader) schema() Schema {
+	return Schema{
+		l.instanceSection(),
+		l.fleetSection(),
+		l.endpointSection(),
+		l.weightSection(),
+		telemetrySection(&l.agent.Telemetry),
+	}
+}
+
+func (l *agentLoader) instanceSection() Section {
+	instance := &l.agent.Instance
+	keys := []Key{
+		{Name: "id", Required: true, Value: Name(&instance.ID), Doc: "Identifier of the instance; a replacement gets a new one."},
+		{Name: "role", Required: true, Value: Choice(&instance.Role, string(core.RoleModel), string(core.RolePlain)), Doc: "Whether the endpoint is a model engine or a plain service."},
+		{Name: "service", Value: OptionalName(&instance.Service), Doc: "Name of the plain service; required for role plain, empty for role model."},
+		{Name: "session_address", Required: true, Value: Address(&instance.SessionAddr), Doc: "TCP address that accepts sessions of other processes."},
+		{Name: "datagram_address", Required: true, Value: Address(&instance.DatagramAddr), Doc: "UDP address that receives datagrams of other processes."},
+		{Name: "chunk_address", Value: OptionalAddress(&instance.ChunkAddr), Doc: "TCP address that serves chunks; required for role model, empty for role plain."},
+		{Name: "stop_timeout", Default: "60s", Value: Duration(&l.agent.StopTimeout, 0, time.Hour), Doc: "Longest time that running calls get at a shutdown."},
+	}
+	return Section{Name: "instance", Doc: "This instance.", Keys: append(keys, locationKeys(&instance.Location)...)}
+}
+
+func (l *agentLoader) fleetSection() Section {
+	keys := append(l.key.keys(), policyKeys(&l.agent.Policy, &l.agent.OriginRegion)...)
+	return Section{Name: fleetSection, Doc: "What all instances of the fleet share.", Keys: keys}
+}
+
+func (l *agentLoader) endpointSection() Section {
+	e := &l.agent.Endpoint
+	return Section{
+		Name: "endpoint",
+		Doc:  "The endpoint beside the agent.",
+		Keys: []Key{
+			{Name: "url", Required: true, Value: URL(&e.URL), Doc: "Base URL of the endpoint."},
+			{Name: "checks_fencing", Default: "false", Value: Bool(&e.ChecksFencing), Doc: "Whether the endpoint refuses orders with an old fencing number."},
+			{Name: "slots", Required: true, Value: Int(&e.Slots, 1, maxSlots), Doc: "Calls that the endpoint runs at once."},
+		},
+	}
+}
+
+func (l *agentLoader) weightSection() Section {
+	w := &l.agent.Weights
+	return Section{
+		Name: "weights",
+		Doc:  "Sources and pace of weight transfers; for role model.",
+		Keys: []Key{
+			{Name: "origin_url", Value: OptionalURL(&w.OriginURL), Doc: "Origin of weights; required for role model."},
+			{Name: "weight_store_url", Value: OptionalURL(&w.WeightStoreURL), Doc: "Weight store; required for role model."},
+			{Name: "idle_rate", Default: "0bps", Value: Rate(&w.IdleRate, 0, maxPaceRate), Doc: "Most bits a second fetched while the endpoint runs no call; 0bps for no bound."},
+			{Name: "busy_rate", Default: "0bps", Value: Rate(&w.BusyRate, 0, maxPaceRate), Doc: "Most bits a second fetched while the endpoint runs calls; 0bps for no bound."},
+		},
+	}
+}
--- /dev/null
+++ b/settings/digests.go
@@ -0,0 +1,38 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// Digests binds a key to digests of bearer tokens, separated by commas.
+func Digests(target *[]string) Value {
+	return text{
+		unit:   "BLAKE3-256 digests of 64 hexadecimal digits, separated by commas",
+		limits: "1 to 256 digests",
+		set:    func(value string) bool { return setDigests(target, value) },
+	}
+}
+
+func setDigests(target *[]string, value string) bool {
+	items := strings.Split(value, ",")
+	if len(items) > maxListItems {
+		return false
+	}
+	digests := make([]string, 0, len(items))
+	for _, item := range items {
+		digest, err := core.ParseDigest(strings.TrimSpace(item))
+		if err != nil {
+			return false
+		}
+		digests = append(digests, digest.String())
+	}
+	*target = digests
+	return true
+}
+
+// TokenDigest returns the digest under which a bearer token is stored.
+func TokenDigest(token string) string {
+	return core.SumDigest([]byte(token)).String()
+}
--- /dev/null
+++ b/settings/entry.go
@@ -0,0 +1,55 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+)
+
+// Entry holds the settings of snipestep-entry.
+type Entry struct {
+	Instance core.Instance
+	// HTTPAddr serves callers and operators.
+	HTTPAddr string
+	FleetKey []byte
+	// OperatorTokenDigests are hexadecimal digests of operators' tokens.
+	OperatorTokenDigests []string
+	Policy               string
+	OriginRegion         string
+	Platform             EntryPlatform
+	Limits               EntryLimits
+	Telemetry            Telemetry
+	// InitialDocument is written as the first generation when the
+	// key-value service holds none.
+	InitialDocument *fleet.Document
+}
+
+// EntryPlatform holds the base URLs of the platform's services.
+type EntryPlatform struct {
+	KeyValueURL     string
+	InstanceListURL string
+	WeightStoreURL  string
+}
+
+// EntryLimits bounds what one entry takes.
+type EntryLimits struct {
+	// MaxBodyBytes bounds the body of a caller's request.
+	MaxBodyBytes int64
+	// MaxWaiting bounds the calls that wait for an endpoint.
+	MaxWaiting int
+	// HeaderTimeout bounds the time to read a request's header.
+	HeaderTimeout time.Duration
+	// StopTimeout bounds the time that running calls get at a shutdown.
+	StopTimeout time.Duration
+}
+
+// LoadEntry reads the settings of an entry. It returns *Error.
+func LoadEntry(path string) (*Entry, error) {
+	loader := newEntryLoader()
+	file, err := Load(path, loader.schema())
+	if err != nil {
+		return nil, err
+	}
+	return loader.finish(file)
+}
--- /dev/null
+++ b/settings/rank.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// Rank binds a key to the name of a rank.
+func Rank(target *core.Rank) Value {
+	return text{
+		unit: `one of "urgent", "normal", "background"`,
+		set: func(value string) bool {
+			rank, err := core.ParseRank(value)
+			if err == nil {
+				*target = rank
+			}
+			return err == nil
+		},
+	}
+}
+
+// OptionalRank binds a key to the name of a rank or to nothing; given is set
+// to whether a rank stands there.
+func OptionalRank(target *core.Rank, given *bool) Value {
+	return text{
+		unit: `one of "urgent", "normal", "background", or empty`,
+		set: func(value string) bool {
+			*given = value != ""
+			return !*given || Rank(target).Parse(strings.TrimSpace(value)) == nil
+		},
+	}
+}
--- /dev/null
+++ b/settings/reference_test.go
@@ -0,0 +1,14 @@
+package settings_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/golden"
+
+	"github.com/snipestep/snipestep/settings"
+)
+
+// The page is outside testdata, so that readers find it.
+func TestReferencePage(t *testing.T) {
+	golden.Assert(t, settings.Reference(), "../../docs/settings.md")
+}
