telemetry: JSON logs, metrics page, health, spans and traceparents

Cause: every program reports in the same way, and pages list what it reports. Change: Start sets up slog, tally with Prometheus, and OTLP over HTTP or a tracer that does nothing; one table holds each metric's name, unit and meaning. Conclusion: spans reach a collector and metrics reach the page in the tests.

--- /dev/null
+++ b/telemetry/names.go
@@ -0,0 +1,54 @@
+package telemetry
+
+// The names of all metrics. Metrics holds their meaning.
+const (
+	MetricCalls             = "calls_total"
+	MetricRefusals          = "refusals_total"
+	MetricFirstToken        = "first_token_seconds"
+	MetricWaiting           = "waiting_calls"
+	MetricRetries           = "retries_total"
+	MetricResumes           = "resumes_total"
+	MetricDropped           = "dropped_answers_total"
+	MetricQuarantined       = "quarantined_fingerprints"
+	MetricStrikes           = "strikes_total"
+	MetricClaims            = "claims_total"
+	MetricGeneration        = "config_generation"
+	MetricKnownInstances    = "known_instances"
+	MetricSessions          = "sessions"
+	MetricDatagramsSent     = "datagrams_sent_total"
+	MetricDatagramsReceived = "datagrams_received_total"
+	MetricDatagramsRejected = "datagrams_rejected_total"
+	MetricControlBytes      = "control_bytes_total"
+	MetricStoreCalls        = "store_calls_total"
+	MetricStoreErrors       = "store_errors_total"
+	MetricLeaseHeld         = "plan_lease_held"
+	MetricPlanSteps         = "plan_steps_total"
+	MetricRunning           = "running_calls"
+	MetricQueued            = "queued_calls"
+	MetricPreemptions       = "preemptions_total"
+	MetricEndpointErrors    = "endpoint_errors_total"
+	MetricChunkBytesFetched = "chunk_bytes_fetched_total"
+	MetricChunkBytesServed  = "chunk_bytes_served_total"
+	MetricChunksCorrupt     = "corrupt_chunks_total"
+	MetricWeightsVerified   = "weights_verified_ratio"
+	MetricOrders            = "orders_total"
+	MetricServing           = "serving"
+	MetricLeaving           = "leaving"
+)
+
+// The tags of metrics.
+const (
+	TagRank    = "rank"
+	TagOutcome = "outcome"
+	TagCode    = "code"
+	TagRun     = "run"
+	TagSource  = "source"
+	TagCall    = "call"
+	TagOrder   = "order"
+)
+
+// The programs that report metrics.
+const (
+	ProgramEntry = "snipestep-entry"
+	ProgramAgent = "snipestep-agent"
+)
--- /dev/null
+++ b/telemetry/scope.go
@@ -0,0 +1,37 @@
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricPrefix starts the name of every metric.
+const metricPrefix = "snipestep"
+
+// newScope returns a root scope and the page that shows its metrics.
+func newScope(logger *slog.Logger) (tally.Scope, io.Closer, http.Handler) {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			logger.Error("metric is not registered", "error", err)
+		},
+	})
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricPrefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return scope, closer, reporter.HTTPHandler()
+}
--- /dev/null
+++ b/telemetry/table.go
@@ -0,0 +1,60 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+)
+
+var (
+	byEntry = []string{ProgramEntry}
+	byAgent = []string{ProgramAgent}
+	byBoth  = []string{ProgramEntry, ProgramAgent}
+)
+
+// Metrics lists every metric of the programs.
+var Metrics = []Metric{
+	{MetricCalls, Counter, "calls", []string{TagRank, TagOutcome}, byEntry, "Calls that ended, by outcome: answered, refused, failed or cancelled."},
+	{MetricRefusals, Counter, "calls", []string{TagCode, TagRun}, byEntry, "Refused calls by problem code, and by whether the call can have run."},
+	{MetricFirstToken, Histogram, "seconds", []string{TagRank}, byEntry, "Time from the request to the first token."},
+	{MetricWaiting, Gauge, "calls", []string{TagRank}, byEntry, "Calls that wait at the entry for an endpoint."},
+	{MetricRetries, Counter, "attempts", nil, byEntry, "Attempts after the first one."},
+	{MetricResumes, Counter, "streams", nil, byEntry, "Broken streams that continued at another endpoint."},
+	{MetricDropped, Counter, "answers", nil, byBoth, "Late or crossed answers that were dropped."},
+	{MetricQuarantined, Gauge, "fingerprints", nil, byEntry, "Requests in quarantine because endpoints crashed under them."},
+	{MetricStrikes, Counter, "strikes", nil, byEntry, "Strikes against requests that were in flight at a crash."},
+	{MetricClaims, Counter, "claims", []string{TagOutcome}, byEntry, "Claims of idempotency keys by verdict."},
+	{MetricGeneration, Gauge, "generation", nil, byBoth, "Generation of the configuration in force."},
+	{MetricKnownInstances, Gauge, "instances", nil, byEntry, "Instances that the entry knows to be alive."},
+	{MetricSessions, Gauge, "sessions", nil, byBoth, "Open sessions with other processes."},
+	{MetricDatagramsSent, Counter, "datagrams", nil, byBoth, "Datagrams sent."},
+	{MetricDatagramsReceived, Counter, "datagrams", nil, byBoth, "Authentic datagrams received."},
+	{MetricDatagramsRejected, Counter, "datagrams", nil, byBoth, "Datagrams dropped because they are malformed, not authentic or old."},
+	{MetricControlBytes, Counter, "bytes", nil, byBoth, "Bytes of datagrams, orders and configuration, both ways."},
+	{MetricStoreCalls, Counter, "calls", []string{TagCall}, byEntry, "Calls to the key-value service; a waiting watch counts as one."},
+	{MetricStoreErrors, Counter, "calls", []string{TagCall}, byEntry, "Failed calls to the key-value service."},
+	{MetricLeaseHeld, Gauge, "0 or 1", nil, byEntry, "Whether the entry holds the lease to carry out plans."},
+	{MetricPlanSteps, Counter, "steps", []string{TagOutcome}, byEntry, "Steps of plans that the entry carried out."},
+	{MetricRunning, Gauge, "calls", []string{TagRank}, byAgent, "Calls that the endpoint runs."},
+	{MetricQueued, Gauge, "calls", []string{TagRank}, byAgent, "Calls that wait in the agent's queue."},
+	{MetricPreemptions, Counter, "streams", nil, byAgent, "Streams cancelled for more urgent calls."},
+	{MetricEndpointErrors, Counter, "calls", []string{TagCode}, byAgent, "Calls and orders that failed at the endpoint."},
+	{MetricChunkBytesFetched, Counter, "bytes", []string{TagSource}, byAgent, "Chunk bytes fetched, from origin, store or peer."},
+	{MetricChunkBytesServed, Counter, "bytes", nil, byAgent, "Chunk bytes served to peers."},
+	{MetricChunksCorrupt, Counter, "chunks", []string{TagSource}, byAgent, "Chunks that failed verification and were dropped."},
+	{MetricWeightsVerified, Gauge, "ratio", nil, byAgent, "Verified part of the weights being fetched."},
+	{MetricOrders, Counter, "orders", []string{TagOrder, TagOutcome}, byAgent, "Orders to the endpoint by outcome."},
+	{MetricServing, Gauge, "0 or 1", nil, byAgent, "Whether the endpoint is in routing."},
+	{MetricLeaving, Gauge, "0 or 1", nil, byAgent, "Whether the agent announces that it leaves."},
+}
+
+// Reference returns the page that lists every metric in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Metrics\n\nGenerated from the table by `go test ./telemetry -update`.\n\n")
+	b.WriteString("| name | kind | unit | tags | program | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, m := range Metrics {
+		fmt.Fprintf(&b, "| `%s_%s` | %s | %s | %s | %s | %s |\n",
+			metricPrefix, m.Name, m.Kind, m.Unit, strings.Join(m.Tags, ", "), strings.Join(m.Programs, ", "), m.Meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/telemetry/traceparent.go
@@ -0,0 +1,27 @@
+package telemetry
+
+import (
+	"context"
+
+	"go.opentelemetry.io/otel/propagation"
+)
+
+// TraceparentHeader is the name of the W3C header.
+const TraceparentHeader = "traceparent"
+
+// Inject returns the traceparent of the span in ctx, or "" without one.
+func Inject(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagation.TraceContext{}.Inject(ctx, carrier)
+	return carrier[TraceparentHeader]
+}
+
+// Extract returns ctx with the remote span that traceparent names. A
+// malformed traceparent leaves ctx as it is.
+func Extract(ctx context.Context, traceparent string) context.Context {
+	if traceparent == "" {
+		return ctx
+	}
+	carrier := propagation.MapCarrier{TraceparentHeader: traceparent}
+	return propagation.TraceContext{}.Extract(ctx, carrier)
+}
