Add the agent as a library

Cause: the parts of the agent need one owner with a life cycle. Change: Agent.Run wires sessions, datagrams, queue, weights and control.

--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,302 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/weights/swarm"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const stopTimeout = 5 * time.Second
+
+// Agent is the process beside one endpoint.
+type Agent struct {
+	cfg  Config
+	deps Deps
+
+	held     *fleet.Generations
+	state    *endpointState
+	sched    *scheduler
+	entries  *entryTable
+	fences   *fences
+	control  *control
+	weights  *weightKeeper
+	reporter *reporter
+	sync     *configSync
+	calls    *callServer
+	tasks    *tasks
+
+	listener *wire.Listener
+	plane    *wire.Plane
+	node     *swarm.Node
+
+	ready     chan struct{}
+	readyOnce sync.Once
+	killed    chan struct{}
+	killOnce  sync.Once
+}
+
+// New returns an agent that is not running yet.
+func New(cfg Config, deps Deps) (*Agent, error) {
+	deps = deps.withDefaults()
+	cfg = cfg.withDefaults(deps.Now())
+	a := &Agent{
+		cfg:     cfg,
+		deps:    deps,
+		held:    fleet.NewGenerations(),
+		state:   newEndpointState(cfg.Instance.ID, cfg.Incarnation),
+		entries: newEntryTable(),
+		fences:  &fences{},
+		tasks:   newTasks(),
+		ready:   make(chan struct{}),
+		killed:  make(chan struct{}),
+	}
+	a.sched = newScheduler(queueConfig(cfg), deps.Now)
+	if err := a.wire(); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+func queueConfig(cfg Config) routing.QueueConfig {
+	return routing.QueueConfig{Slots: cfg.Slots, MaxWaiting: cfg.MaxWaiting}
+}
+
+// wire connects the parts with one another.
+func (a *Agent) wire() error {
+	node, err := a.newNode()
+	if err != nil {
+		return eris.Wrap(err, "make the swarm node")
+	}
+	a.node = node
+	a.weights = &weightKeeper{
+		node:       node,
+		entries:    a.entries,
+		origin:     a.deps.Origin,
+		policy:     a.cfg.Policy,
+		logger:     a.deps.Logger,
+		background: a.tasks.start,
+	}
+	a.reporter = &reporter{
+		entries:     a.entries,
+		sched:       a.sched,
+		state:       a.state,
+		self:        a.cfg.Instance,
+		incarnation: a.cfg.Incarnation,
+		slots:       a.cfg.Slots,
+		generation:  a.held.Generation,
+		now:         a.deps.Now,
+		kick:        make(chan struct{}, 1),
+	}
+	a.reporter.draining.Store(true)
+	a.control = &control{
+		engine:        a.deps.Engine,
+		checksFencing: a.cfg.ChecksFencing,
+		sched:         a.sched,
+		state:         a.state,
+		fences:        a.fences,
+		weights:       a.weights,
+		reporter:      a.reporter,
+		logger:        a.deps.Logger,
+		background:    a.tasks.start,
+	}
+	a.sync = &configSync{
+		entries: a.entries,
+		held:    a.held,
+		sched:   a.sched,
+		logger:  a.deps.Logger,
+		seen:    make(chan sighting, 1),
+	}
+	a.calls = &callServer{
+		sched:  a.sched,
+		runner: a.newRunner(),
+		tracer: a.deps.Tracer,
+		now:    a.deps.Now,
+		policy: a.cfg.Policy,
+	}
+	return nil
+}
+
+func (a *Agent) newNode() (*swarm.Node, error) {
+	self := swarm.Peer{
+		ID:        a.cfg.Instance.ID,
+		Location:  a.cfg.Instance.Location,
+		ChunkAddr: a.cfg.Instance.ChunkAddr,
+	}
+	return swarm.NewNode(
+		swarm.Config{Self: self, OriginRegion: a.cfg.OriginRegion, Seed: a.cfg.Seed},
+		swarm.Deps{
+			Dial:     a.deps.Dial,
+			Origin:   a.deps.Origin,
+			Store:    a.deps.Store,
+			Logger:   a.deps.Logger,
+			Scope:    a.deps.Scope,
+			Live:     a.liveCalls,
+			FleetKey: a.cfg.FleetKey,
+		},
+	)
+}
+
+// liveCalls returns the running calls and the slots; transfers yield to them.
+func (a *Agent) liveCalls() (running, slots int) {
+	for _, n := range a.sched.load.Load().Running {
+		running += n
+	}
+	return running, a.cfg.Slots
+}
+
+func (a *Agent) newRunner() runner {
+	if a.deps.Engine != nil {
+		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched}
+	}
+	return &plainRunner{service: a.cfg.Instance.Service, plain: a.deps.Plain, state: a.state}
+}
+
+// Run serves until ctx ends, then leaves: it announces it, refuses new calls
+// and waits for the running ones, at most Config.LeaveGrace. It blocks until
+// everything has stopped.
+func (a *Agent) Run(ctx context.Context) error {
+	if err := a.open(); err != nil {
+		a.shutdown()
+		return err
+	}
+	a.tasks.start(a.sched.run)
+	a.tasks.start(a.reporter.run)
+	a.tasks.start(a.control.watch)
+	a.tasks.start(a.sync.run)
+	a.readyOnce.Do(func() { close(a.ready) })
+	a.deps.Logger.Info("agent runs", "instance", a.cfg.Instance.ID, "incarnation", a.cfg.Incarnation)
+	select {
+	case <-ctx.Done():
+		a.leave()
+	case <-a.killed:
+	}
+	a.shutdown()
+	return nil
+}
+
+// open binds the sockets.
+func (a *Agent) open() error {
+	plane, err := wire.ListenPlane(a.cfg.Instance.DatagramAddr, a.cfg.FleetKey, a.receive)
+	if err != nil {
+		return err
+	}
+	a.plane = plane
+	a.reporter.plane = plane
+	self := wire.Identity{Instance: a.cfg.Instance.ID, Incarnation: a.cfg.Incarnation, Key: a.cfg.FleetKey}
+	a.listener, err = wire.Listen(a.cfg.Instance.SessionAddr, self, a.serve, a.entries.opened)
+	if err != nil {
+		return err
+	}
+	if a.cfg.Instance.ChunkAddr == "" {
+		return nil
+	}
+	return a.node.Start()
+}
+
+// receive takes a datagram of an entry on the event loop of the plane.
+func (a *Agent) receive(d *wire.Datagram) {
+	if !a.entries.heard(d, a.deps.Now()) {
+		return
+	}
+	a.sync.saw(sighting{
+		entry:      core.InstanceID(d.GetInstance()),
+		generation: core.Generation(d.GetGeneration()),
+	})
+}
+
+// serve handles one stream that an entry opened.
+func (a *Agent) serve(ctx context.Context, _ *wire.Session, st *wire.Stream, h *wire.StreamHeader) {
+	switch req := h.GetRequest().(type) {
+	case *wire.StreamHeader_Call:
+		a.calls.serve(ctx, st, h)
+	case *wire.StreamHeader_Order:
+		a.control.serve(st, req.Order)
+	case *wire.StreamHeader_Status:
+		_ = st.Send(a.status())
+	}
+}
+
+// status says what the agent holds and serves.
+func (a *Agent) status() *wire.AgentStatus {
+	target, have, total := a.weights.progress()
+	running, slots := a.liveCalls()
+	a.control.mu.Lock()
+	defer a.control.mu.Unlock()
+	return &wire.AgentStatus{
+		Instance:    string(a.cfg.Instance.ID),
+		Incarnation: a.cfg.Incarnation,
+		Serving:     wire.FromModelRef(a.state.serving()),
+		Fetching:    wire.FromModelRef(target),
+		ChunksHave:  uint32(have),
+		ChunksTotal: uint32(total),
+		Draining:    a.control.drained,
+		Swapping:    a.control.swapping,
+		Leaving:     a.reporter.leaving.Load(),
+		Running:     uint32(running),
+		Slots:       uint32(slots),
+		Generation:  uint64(a.held.Generation()),
+		Adapters:    a.control.adapters,
+		EngineRole:  a.control.role,
+		Fence:       uint64(a.fences.current()),
+	}
+}
+
+// Ready is closed once the agent's sockets are open.
+func (a *Agent) Ready() <-chan struct{} {
+	return a.ready
+}
+
+// Serving returns what the endpoint is known to serve.
+func (a *Agent) Serving() core.ModelRef {
+	return a.state.serving()
+}
+
+// Generation returns the configuration generation in force here.
+func (a *Agent) Generation() core.Generation {
+	return a.held.Generation()
+}
+
+// ControlBytes returns the bytes of datagrams sent so far.
+func (a *Agent) ControlBytes() int64 {
+	if a.plane == nil {
+		return 0
+	}
+	return a.plane.SentBytes()
+}
+
+// leave announces that the agent goes and waits for its running calls.
+func (a *Agent) leave() {
+	a.reporter.announceLeave()
+	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.LeaveGrace)
+	defer cancel()
+	a.control.quiesce(ctx, a.cfg.LeaveGrace/2, true)
+}
+
+// shutdown stops everything; the fields may be nil after a failed open.
+func (a *Agent) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	a.tasks.stop()
+	if a.listener != nil {
+		_ = a.listener.Close()
+	}
+	if a.cfg.Instance.ChunkAddr != "" {
+		_ = a.node.Stop(ctx)
+	}
+	if a.plane != nil {
+		_ = a.plane.Close(ctx)
+	}
+}
+
+// Kill makes Run stop at once, without leaving, as a crash would.
+func (a *Agent) Kill() {
+	a.killOnce.Do(func() { close(a.killed) })
+}
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -19,6 +19,7 @@
 	runner runner
 	tracer trace.Tracer
 	now    clock
+	policy string
 	ids    atomic.Uint64
 }
 
@@ -35,7 +36,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go watchCaller(st, cancel)
-	j := newJob(c.ids.Add(1), req, c.now())
+	j := newJob(c.ids.Add(1), c.policy, req, c.now())
 	end := c.attempt(ctx, st, j)
 	if end != nil {
 		_ = st.Send(end)
--- a/agent/events.go
+++ b/agent/events.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/routing"
 )
 
@@ -25,7 +24,7 @@
 	s.jobs[e.job.call.ID] = e.job
 	evicted, err := s.queue.Offer(s.now(), e.job.call)
 	for _, c := range evicted {
-		s.refuse(c.ID, refusal{code: CodeBusy, retryAfter: s.queue.RetryAfter(c.Rank)})
+		s.refuse(c.ID, refusal{code: CodeBusy, retryAfter: s.retryAfter(c.Rank)})
 	}
 	if err == nil {
 		return
@@ -44,9 +43,16 @@
 }
 
 func (e requeueEvent) apply(s *scheduler) {
-	s.queue.Done(s.now(), e.job.call.ID)
-	delete(s.jobs, e.job.call.ID)
-	offerEvent(e).apply(s)
+	id := e.job.call.ID
+	if s.closed {
+		s.queue.Done(s.now(), id)
+		s.refuse(id, refusal{code: s.reason})
+		return
+	}
+	left := max(1, e.job.call.ExpectedTokens-len(e.job.produced))
+	if !s.queue.Requeue(s.now(), id, left) {
+		s.refuse(id, refusal{code: CodeBusy})
+	}
 }
 
 // usedEvent accounts tokens to a running job.
@@ -125,10 +131,10 @@
 
 // policyEvent changes shares and patience.
 type policyEvent struct {
-	policies [core.RankCount]routing.Policy
-	slots    int
+	policies routing.Policies
 }
 
 func (e policyEvent) apply(s *scheduler) {
-	s.queue.SetPolicies(e.policies, e.slots)
+	s.config.Policies = e.policies
+	s.queue.SetConfig(s.config)
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -32,16 +33,19 @@
 	produced []string
 }
 
-func newJob(id uint64, req *wire.CallRequest, now time.Time) *job {
+func newJob(id uint64, policy string, req *wire.CallRequest, now time.Time) *job {
 	return &job{
-		call:    jobCall(id, req, now),
+		call:    jobCall(id, policy, req, now),
 		req:     req,
 		started: make(chan struct{}, 1),
 		refused: make(chan refusal, 1),
 	}
 }
 
-func jobCall(id uint64, req *wire.CallRequest, now time.Time) routing.Call {
+func jobCall(id uint64, policy string, req *wire.CallRequest, now time.Time) routing.Call {
+	if policy == PolicyBaseline {
+		return baselineCall(id, req, now)
+	}
 	weight := req.GetWeight()
 	if weight <= 0 {
 		weight = 1
@@ -64,3 +68,15 @@
 		(*cancel)(cause)
 	}
 }
+
+// baselineCall leaves out rank and organisation, so that the queue is first
+// in, first out.
+func baselineCall(id uint64, req *wire.CallRequest, now time.Time) routing.Call {
+	return routing.Call{
+		ID:             id,
+		Rank:           core.RankUrgent,
+		Weight:         1,
+		ExpectedTokens: max(1, int(req.GetMaxTokens())),
+		Deadline:       now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
+	}
+}
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -28,7 +28,6 @@
 	incarnation uint64
 	slots       int
 	generation  func() core.Generation
-	prefixes    func() []uint64
 	now         clock
 
 	sequence atomic.Uint64
@@ -101,7 +100,6 @@
 		Serving:        wire.FromModelRef(r.state.serving()),
 		Draining:       r.draining.Load(),
 		MeanServiceMs:  uint32(load.MeanService.Milliseconds()),
-		CachedPrefixes: r.prefixes(),
 	}
 	for rank := range core.RankCount {
 		out.Running = append(out.Running, uint32(load.Running[rank]))
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/routing"
 )
 
@@ -22,6 +23,7 @@
 	done   chan struct{}
 
 	// Owned by the loop.
+	config routing.QueueConfig
 	jobs   map[uint64]*job
 	closed bool // No new calls.
 	reason string
@@ -37,6 +39,7 @@
 func newScheduler(cfg routing.QueueConfig, now func() time.Time) *scheduler {
 	s := &scheduler{
 		now:     now,
+		config:  cfg,
 		queue:   routing.NewQueue(cfg),
 		events:  make(chan event, schedulerEvents),
 		done:    make(chan struct{}),
@@ -79,7 +82,7 @@
 func (s *scheduler) step() {
 	now := s.now()
 	for _, c := range s.queue.Expire(now) {
-		s.refuse(c.ID, refusal{code: CodePatience, retryAfter: s.queue.RetryAfter(c.Rank)})
+		s.refuse(c.ID, refusal{code: CodePatience, retryAfter: s.retryAfter(c.Rank)})
 	}
 	s.startReady(now)
 	s.preempt(now)
@@ -119,6 +122,13 @@
 	j.refused <- r
 }
 
+// retryAfter estimates when a call of the rank would find room.
+func (s *scheduler) retryAfter(rank core.Rank) time.Duration {
+	load := s.queue.Load()
+	capacity := routing.Capacity{Slots: float64(load.Slots), MeanService: load.MeanService}
+	return capacity.Wait(rank, float64(load.Waiting[rank]), load.Waiting)
+}
+
 func (s *scheduler) signalIdle() {
 	if len(s.jobs) > 0 {
 		return
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/platform"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
@@ -30,6 +31,8 @@
 type weightKeeper struct {
 	node       *swarm.Node
 	entries    *entryTable
+	origin     platform.ChunkSource
+	policy     string
 	logger     *slog.Logger
 	background func(func(ctx context.Context))
 
@@ -88,6 +91,9 @@
 	if err != nil {
 		return eris.Wrap(err, "decode the manifest")
 	}
+	if w.policy == PolicyBaseline {
+		return w.drawFromOrigin(ctx, manifest)
+	}
 	var peers atomic.Pointer[[]swarm.Peer]
 	peers.Store(swarmPeers(answer))
 	ctx, cancel := context.WithCancel(ctx)
@@ -97,6 +103,22 @@
 	return err
 }
 
+// drawFromOrigin fetches every chunk from the origin, as the baseline does.
+func (w *weightKeeper) drawFromOrigin(ctx context.Context, manifest *weights.Manifest) error {
+	set := weights.NewSet(manifest)
+	for i := range manifest.Chunks {
+		data, err := w.origin.Chunk(ctx, manifest.Digest(), i)
+		if err != nil {
+			return err
+		}
+		if err := set.Put(i, data); err != nil {
+			return err
+		}
+	}
+	w.node.Add(set)
+	return nil
+}
+
 func (w *weightKeeper) refreshPeers(ctx context.Context, manifest core.Digest, peers *atomic.Pointer[[]swarm.Peer]) {
 	tick := time.NewTicker(peerRefresh)
 	defer tick.Stop()
