--- /dev/null
+++ b/problem/problem_test.go
@@ -0,0 +1,28 @@
+package problem_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/problem"
+)
+
+func TestWriteThenRead(t *testing.T) {
+	w := httptest.NewRecorder()
+	problem.Write(w, problem.Problem{Status: 429, Code: "shed", Run: problem.RunNotRun, RetryAfterMS: 1001})
+	answer := w.Result()
+	assert.Equal(t, answer.Header.Get("Retry-After"), "2")
+	got := problem.Read(answer)
+	assert.DeepEqual(t, *got, problem.Problem{
+		Type: "about:blank", Title: "Too Many Requests", Status: 429,
+		Code: "shed", Run: "not-run", RetryAfterMS: 1001,
+	})
+}
+
+func TestReadOtherBody(t *testing.T) {
+	w := httptest.NewRecorder()
+	w.WriteHeader(502)
+	assert.Equal(t, problem.Read(w.Result()).Status, 502)
+}
