--- a/fleet/document.go
+++ b/fleet/document.go
@@ -14,6 +14,9 @@
 	Stops         []Stop          `json:"stops"`
 	// Plan is the identifier of the plan that made this generation.
 	Plan string `json:"plan,omitempty"`
+	// History names the plans of the newest generations, oldest first. The
+	// last entry is this generation.
+	History []Accepted `json:"history,omitempty"`
 }
 
 // Organisation is one customer of the fleet.
--- /dev/null
+++ b/fleet/documenterror.go
@@ -0,0 +1,14 @@
+package fleet
+
+import "fmt"
+
+// DocumentError reports a value that a Document may not hold.
+type DocumentError struct {
+	Field  string // Path of the value, e.g. "ranks[1].guaranteed_share".
+	Detail string
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string {
+	return fmt.Sprintf("configuration: %s: %s", e.Field, e.Detail)
+}
--- /dev/null
+++ b/fleet/membership.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+const maxUnlisted = 4096
+
+// Membership merges the lagging instance list with heartbeats. One goroutine
+// calls its event methods; View may be called from any.
+type Membership struct {
+	timing   Timing
+	members  map[core.InstanceID]*Member
+	unlisted int
+	view     atomic.Pointer[View]
+}
+
+// NewMembership returns an empty membership.
+func NewMembership(timing Timing) *Membership {
+	m := &Membership{timing: timing, members: make(map[core.InstanceID]*Member)}
+	m.view.Store(&View{})
+	return m
+}
+
+// View returns the newest snapshot.
+func (m *Membership) View() *View {
+	return m.view.Load()
+}
+
+// List takes one answer of the instance list. An instance that is listed no
+// more is kept while its heartbeats come.
+func (m *Membership) List(instances []core.Instance, now time.Time) {
+	for _, member := range m.members {
+		member.Listed = false
+	}
+	for _, instance := range instances {
+		m.listOne(instance)
+	}
+	m.removeSilent(now)
+	m.publish()
+}
+
+// Heartbeat takes one datagram.
+func (m *Membership) Heartbeat(h Heartbeat, now time.Time) HeartbeatResult {
+	member, known := m.members[h.Instance]
+	if !known {
+		if m.unlisted >= maxUnlisted {
+			return HeartbeatRefused
+		}
+		member = m.add(core.Instance{ID: h.Instance})
+		m.unlisted++
+	}
+	if isOld(member, h) {
+		return HeartbeatOld
+	}
+	result := HeartbeatKnown
+	if h.Incarnation > member.Incarnation {
+		startIncarnation(member, h)
+		result = HeartbeatNew
+	}
+	changed := result == HeartbeatNew || wouldChange(member, h)
+	m.record(member, h, now)
+	if changed {
+		m.publish()
+	}
+	return result
+}
+
+// Tick applies the passing of time. Call it about once per heartbeat period.
+func (m *Membership) Tick(now time.Time) {
+	changed := false
+	for _, member := range m.members {
+		state := m.stateAt(member, now)
+		changed = changed || state != member.State
+		member.State = state
+	}
+	removed := m.removeSilent(now)
+	if changed || removed {
+		m.publish()
+	}
+}
+
+func (m *Membership) add(instance core.Instance) *Member {
+	member := &Member{Instance: instance}
+	m.members[instance.ID] = member
+	return member
+}
+
+func (m *Membership) listOne(instance core.Instance) {
+	member, ok := m.members[instance.ID]
+	if !ok {
+		member = m.add(instance)
+	}
+	if instance.SessionAddr == "" {
+		instance.SessionAddr = member.Instance.SessionAddr
+	}
+	member.Instance = instance
+	member.Listed = true
+	if instance.State == core.StateLeaving {
+		member.Leaving = true
+	}
+}
+
+func isOld(member *Member, h Heartbeat) bool {
+	if h.Incarnation != member.Incarnation {
+		return h.Incarnation < member.Incarnation
+	}
+	return member.State != MemberUnheard && h.Sequence <= member.Sequence
+}
+
+func startIncarnation(member *Member, h Heartbeat) {
+	member.Incarnation = h.Incarnation
+	member.Sequence = 0
+	member.Leaving = false
+}
+
+func wouldChange(member *Member, h Heartbeat) bool {
+	return member.State != MemberAlive ||
+		(h.Leaving && !member.Leaving) ||
+		h.Generation != member.Generation ||
+		(h.SessionAddr != "" && h.SessionAddr != member.Instance.SessionAddr)
+}
+
+func (m *Membership) record(member *Member, h Heartbeat, now time.Time) {
+	member.Sequence = h.Sequence
+	member.Generation = h.Generation
+	member.State = MemberAlive
+	member.LastHeard = now
+	if h.Leaving {
+		member.Leaving = true
+	}
+	if h.SessionAddr != "" {
+		member.Instance.SessionAddr = h.SessionAddr
+		m.replaceAt(h.SessionAddr, member)
+	}
+}
+
+// replaceAt marks other instances dead that had the address before.
+func (m *Membership) replaceAt(addr string, owner *Member) {
+	for _, other := range m.members {
+		if other != owner && other.Instance.SessionAddr == addr {
+			other.State = MemberDead
+		}
+	}
+}
+
+func (m *Membership) stateAt(member *Member, now time.Time) MemberState {
+	if member.State == MemberUnheard || member.State == MemberDead {
+		return member.State
+	}
+	silence := now.Sub(member.LastHeard)
+	switch {
+	case silence >= m.timing.DeadAfter:
+		return MemberDead
+	case silence >= m.timing.SuspectAfter:
+		return MemberSuspect
+	}
+	return MemberAlive
+}
+
+// removeSilent forgets unlisted instances without recent heartbeats.
+func (m *Membership) removeSilent(now time.Time) bool {
+	removed := false
+	m.unlisted = 0
+	for id, member := range m.members {
+		if member.Listed {
+			continue
+		}
+		if m.forgettable(member, now) {
+			delete(m.members, id)
+			removed = true
+			continue
+		}
+		m.unlisted++
+	}
+	return removed
+}
+
+func (m *Membership) forgettable(member *Member, now time.Time) bool {
+	if member.State == MemberUnheard {
+		return true
+	}
+	return now.Sub(member.LastHeard) >= m.timing.ForgetAfter
+}
+
+func (m *Membership) publish() {
+	view := &View{Instances: make([]Member, 0, len(m.members))}
+	for _, member := range m.members {
+		view.Instances = append(view.Instances, *member)
+	}
+	sort.Slice(view.Instances, func(i, j int) bool {
+		return view.Instances[i].Instance.ID < view.Instances[j].Instance.ID
+	})
+	m.view.Store(view)
+}
--- /dev/null
+++ b/problem/error.go
@@ -0,0 +1,14 @@
+package problem
+
+import "fmt"
+
+// Error is a problem document received as the answer to a request.
+type Error struct {
+	Problem Problem
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	p := e.Problem
+	return fmt.Sprintf("%d %s (%s): %s", p.Status, p.Title, p.Code, p.Detail)
+}
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -1,9 +1,6 @@
 package problem
 
-import (
-	"fmt"
-	"net/http"
-)
+import "net/http"
 
 // ContentType is the media type of a problem document.
 const ContentType = "application/problem+json"
@@ -19,7 +16,7 @@
 	RunUnknown = "unknown"
 )
 
-// Problem is one problem document. It implements error.
+// Problem is one problem document.
 type Problem struct {
 	// Type is a URI reference, TypeBlank by default.
 	Type   string `json:"type"`
@@ -56,8 +53,3 @@
 		Detail: detail,
 	}
 }
-
-// Error implements error.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("%d %s (%s): %s", p.Status, p.Title, p.Code, p.Detail)
-}
