--- a/endpoint/tokenstream.go
+++ b/endpoint/tokenstream.go
@@ -1,5 +1,7 @@
 package endpoint
 
+import "io"
+
 // TokenStream is the answer to Generate. Only one goroutine may call Next.
 type TokenStream interface {
 	// Next blocks until the next event. It returns io.EOF after the event
@@ -8,5 +10,5 @@
 	// without Done.
 	Next() (Token, error)
 	// Close ends the stream. It may be called at any time, also twice.
-	Close() error
+	io.Closer
 }
--- /dev/null
+++ b/internal/fakes/engine_test.go
@@ -0,0 +1,268 @@
+package fakes_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/internal/fakes"
+)
+
+// testManifest encodes chunk digests one after the other.
+type testManifest struct {
+	encoded []byte
+	chunks  [][]byte
+}
+
+func newTestManifest(chunks ...string) testManifest {
+	var m testManifest
+	for _, chunk := range chunks {
+		digest := core.SumDigest([]byte(chunk))
+		m.encoded = append(m.encoded, digest[:]...)
+		m.chunks = append(m.chunks, []byte(chunk))
+	}
+	return m
+}
+
+func (m testManifest) ref(version string) core.ModelRef {
+	return core.ModelRef{Model: "m", Version: version, Manifest: core.SumDigest(m.encoded)}
+}
+
+func decodeTestManifest(encoded []byte) ([]core.Digest, error) {
+	var digests []core.Digest
+	for ; len(encoded) >= core.DigestSize; encoded = encoded[core.DigestSize:] {
+		digests = append(digests, core.Digest(encoded[:core.DigestSize]))
+	}
+	return digests, nil
+}
+
+// gate is a Sleep that waits only for durations given to hold, until opened.
+type gate struct {
+	held    time.Duration
+	reached chan struct{}
+	open    chan struct{}
+}
+
+func newGate(held time.Duration) *gate {
+	return &gate{held: held, reached: make(chan struct{}, 16), open: make(chan struct{})}
+}
+
+func (g *gate) sleep(ctx context.Context, duration time.Duration) error {
+	if duration != g.held {
+		return ctx.Err()
+	}
+	g.reached <- struct{}{}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.open:
+		return nil
+	}
+}
+
+const gatedToken = time.Second
+
+func startEngine(t *testing.T, change func(*fakes.EngineConfig)) (*fakes.Engine, *endpoint.HTTPEngine) {
+	t.Helper()
+	config := fakes.EngineConfig{Slots: 4, OutputTokens: 5, Seed: 1, ChunkDigests: decodeTestManifest, ChecksFencing: true}
+	if change != nil {
+		change(&config)
+	}
+	engine := fakes.NewEngine(config)
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	return engine, endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: server.URL, Client: server.Client()})
+}
+
+func load(t *testing.T, client *endpoint.HTTPEngine, fence core.Fence, manifest testManifest, version string, chunks [][]byte) endpoint.OrderOutcome {
+	t.Helper()
+	ref := manifest.ref(version)
+	for index, chunk := range chunks {
+		assert.NilError(t, client.StageChunk(t.Context(), ref.Manifest, index, chunk))
+	}
+	outcome, err := client.Order(t.Context(), endpoint.Order{Fence: fence, Model: ref, Manifest: manifest.encoded, Role: "mixed"})
+	assert.NilError(t, err)
+	return outcome
+}
+
+// drain reads a stream to its end, dropping foreign events.
+func drain(stream endpoint.TokenStream) (texts []string, foreign int, err error) {
+	defer stream.Close()
+	for {
+		token, err := stream.Next()
+		var crossed *endpoint.ForeignAnswerError
+		switch {
+		case errors.As(err, &crossed):
+			foreign++
+		case errors.Is(err, io.EOF):
+			return texts, foreign, nil
+		case err != nil:
+			return texts, foreign, err
+		case !token.Done:
+			texts = append(texts, token.Text)
+		}
+	}
+}
+
+func wholeAnswer(prompt, version string, from, to int) []string {
+	var texts []string
+	for index := from; index < to; index++ {
+		texts = append(texts, fakes.TokenText(prompt, version, index))
+	}
+	return texts
+}
+
+func TestEngineAnswersWholeAmongForeignEvents(t *testing.T) {
+	engine, client := startEngine(t, func(c *fakes.EngineConfig) { c.ForeignRatio = 0.5 })
+	manifest := newTestManifest("a", "b")
+	outcome := load(t, client, 1, manifest, "v1", manifest.chunks)
+	assert.Equal(t, outcome.Serving, manifest.ref("v1"))
+	stream, err := client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "t/1", Prompt: "p", PrefixTokens: []string{"x"}, Model: outcome.Serving})
+	assert.NilError(t, err)
+	texts, foreign, err := drain(stream)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, texts, wholeAnswer("p", "v1", 1, 5))
+	assert.Equal(t, uint64(foreign), engine.Counts().Foreign)
+	assert.Assert(t, foreign > 0)
+	assert.Equal(t, engine.Begun("p"), 1)
+}
+
+func TestEngineCountsMixedWeights(t *testing.T) {
+	engine, client := startEngine(t, nil)
+	manifest := newTestManifest("a", "b", "c")
+	outcome := load(t, client, 1, manifest, "v1", [][]byte{[]byte("a"), []byte("wrong")})
+	assert.Equal(t, outcome.Serving.Version, fakes.MixedVersion)
+	assert.Equal(t, engine.Counts().MixedWeights, uint64(1))
+	assert.Equal(t, engine.Counts().CorruptChunks, uint64(1))
+	outcome = load(t, client, 2, manifest, "v1", manifest.chunks)
+	assert.Equal(t, outcome.Serving, manifest.ref("v1"))
+}
+
+func TestEngineFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		engine, client := startEngine(t, func(c *fakes.EngineConfig) { c.ChecksFencing = checks })
+		manifest := newTestManifest("a")
+		load(t, client, 7, manifest, "v1", manifest.chunks)
+		_, err := client.Order(t.Context(), endpoint.Order{Fence: 6, Role: "prefill"})
+		var fenced *endpoint.FencedError
+		assert.Equal(t, errors.As(err, &fenced), checks)
+		if checks {
+			assert.Equal(t, fenced.Highest, core.Fence(7))
+			continue
+		}
+		assert.Equal(t, engine.Counts().StaleOrders, uint64(1))
+	}
+}
+
+func TestEngineSwapCutsRunningAndRefusesQueued(t *testing.T) {
+	gate := newGate(gatedToken)
+	engine, client := startEngine(t, func(c *fakes.EngineConfig) {
+		c.Slots = 1
+		c.FirstToken = gatedToken
+		c.Sleep = gate.sleep
+	})
+	one, two := newTestManifest("a"), newTestManifest("b")
+	load(t, client, 1, one, "v1", one.chunks)
+	running, err := client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "1", Prompt: "p"})
+	assert.NilError(t, err)
+	<-gate.reached
+	queued := make(chan error, 1)
+	go func() {
+		_, err := client.Generate(context.Background(), endpoint.GenerateRequest{Attempt: "2", Prompt: "q"})
+		queued <- err
+	}()
+	load(t, client, 2, two, "v2", two.chunks)
+	_, _, err = drain(running)
+	var broken *endpoint.BrokenError
+	assert.Assert(t, errors.As(err, &broken), "got %v", err)
+	close(gate.open)
+	err = <-queued
+	var notStarted *endpoint.NotStartedError
+	assert.Assert(t, err == nil || errors.As(err, &notStarted), "got %v", err)
+	assert.Equal(t, engine.Counts().CutBySwap, uint64(1))
+	if err != nil {
+		assert.Equal(t, engine.Begun("q"), 0)
+	}
+}
+
+func TestEngineCrashEmptiesIt(t *testing.T) {
+	clock := newManualClock()
+	gate := newGate(gatedToken)
+	engine, client := startEngine(t, func(c *fakes.EngineConfig) {
+		c.Restart = time.Minute
+		c.Clock = clock.Now
+		c.FirstToken = gatedToken
+		c.Sleep = gate.sleep
+	})
+	manifest := newTestManifest("a")
+	load(t, client, 1, manifest, "v1", manifest.chunks)
+	bystander, err := client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "1", Prompt: "p"})
+	assert.NilError(t, err)
+	<-gate.reached
+	stream, err := client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "2", Prompt: "x " + fakes.CrashMarker})
+	if err == nil {
+		_, _, err = drain(stream)
+	}
+	var broken *endpoint.BrokenError
+	assert.Assert(t, errors.As(err, &broken), "got %v", err)
+	_, _, err = drain(bystander)
+	assert.Assert(t, errors.As(err, &broken), "got %v", err)
+	_, err = client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "3", Prompt: "p"})
+	var notStarted *endpoint.NotStartedError
+	assert.Assert(t, errors.As(err, &notStarted), "got %v", err)
+	clock.Advance(2 * time.Minute)
+	status, err := client.Status(t.Context())
+	assert.NilError(t, err)
+	assert.Assert(t, status.Serving.IsZero())
+	assert.Equal(t, engine.Counts().CutByCrash, uint64(2))
+}
+
+func TestEngineExportedCacheMoves(t *testing.T) {
+	manifest := newTestManifest("a")
+	_, from := startEngine(t, nil)
+	to, toClient := startEngine(t, nil)
+	load(t, from, 1, manifest, "v1", manifest.chunks)
+	load(t, toClient, 1, manifest, "v1", manifest.chunks)
+	stream, err := from.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "1", Prompt: "p", MaxTokens: 3})
+	assert.NilError(t, err)
+	first, _, err := drain(stream)
+	assert.NilError(t, err)
+	handle, err := from.ExportCache(t.Context(), "1")
+	assert.NilError(t, err)
+	stream, err = toClient.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "2", Prompt: "p", PrefixTokens: first, CacheHandle: handle})
+	assert.NilError(t, err)
+	rest, _, err := drain(stream)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Join(append(first, rest...), ""), strings.Join(wholeAnswer("p", "v1", 0, 5), ""))
+	assert.Equal(t, to.Counts().Imports, uint64(1))
+}
+
+func TestEngineCancelAndWorkAfterLeave(t *testing.T) {
+	clock := newManualClock()
+	gate := newGate(gatedToken)
+	engine, client := startEngine(t, func(c *fakes.EngineConfig) {
+		c.Clock = clock.Now
+		c.FirstToken = gatedToken
+		c.Sleep = gate.sleep
+	})
+	manifest := newTestManifest("a")
+	load(t, client, 1, manifest, "v1", manifest.chunks)
+	engine.MarkLeaving(clock.Now())
+	clock.Advance(time.Second)
+	stream, err := client.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "1", Prompt: "p"})
+	assert.NilError(t, err)
+	<-gate.reached
+	assert.NilError(t, client.Cancel(t.Context(), "1"))
+	_, _, err = drain(stream)
+	assert.ErrorIs(t, err, endpoint.ErrNoDone)
+	assert.Equal(t, engine.Counts().Cancelled, uint64(1))
+	assert.Equal(t, engine.Counts().AfterLeave, uint64(1))
+}
--- /dev/null
+++ b/internal/fakes/instancelist.go
@@ -0,0 +1,85 @@
+package fakes
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/httpcall"
+	"github.com/snipestep/snipestep/platform"
+)
+
+// InstanceList is the platform's instance list. It shows each change after a
+// lag; the first content is shown at once. It is safe for concurrent use.
+type InstanceList struct {
+	Health
+	clock Clock
+
+	mu      sync.Mutex
+	content lagged[[]core.Instance]
+	calls   uint64
+}
+
+// NewInstanceList returns an empty list.
+func NewInstanceList(lag time.Duration, clock Clock) *InstanceList {
+	return &InstanceList{clock: clock.orSystem(), content: lagged[[]core.Instance]{lag: lag}}
+}
+
+// Set replaces the content.
+func (l *InstanceList) Set(instances []core.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(slices.Clone(instances))
+}
+
+// Put adds an instance or replaces the one with its ID.
+func (l *InstanceList) Put(instance core.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(append(l.without(instance.ID), instance))
+}
+
+// Remove takes an instance off the list.
+func (l *InstanceList) Remove(id core.InstanceID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.set(l.without(id))
+}
+
+// Calls returns the number of calls so far.
+func (l *InstanceList) Calls() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (l *InstanceList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	l.calls++
+	l.mu.Unlock()
+	if !l.admit(w, r) {
+		return
+	}
+	if r.Method != http.MethodGet || r.URL.Path != "/v1/instances" {
+		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	httpcall.WriteJSON(w, platform.InstancesDocument{Instances: l.shown()})
+}
+
+func (l *InstanceList) set(instances []core.Instance) {
+	l.content.put(l.clock(), instances)
+}
+
+func (l *InstanceList) without(id core.InstanceID) []core.Instance {
+	return slices.DeleteFunc(slices.Clone(l.content.latest()), func(i core.Instance) bool { return i.ID == id })
+}
+
+func (l *InstanceList) shown() []core.Instance {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.content.shown(l.clock()))
+}
--- /dev/null
+++ b/internal/fakes/plainbody.go
@@ -0,0 +1,13 @@
+package fakes
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PlainBody returns the answer of a plain service to an operation. It is
+// deterministic, so that a caller can verify it.
+func PlainBody(operation string, body []byte) []byte {
+	return fmt.Appendf(nil, `{"operation":%q,"receipt":"%016x"}`, operation, xxhash.Sum64(body))
+}
--- /dev/null
+++ b/internal/fakes/weights.go
@@ -0,0 +1,67 @@
+package fakes
+
+import (
+	"sync"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/platform"
+)
+
+// ChunkReader returns the bytes of a chunk. It must be safe for concurrent
+// use and the bytes must not change.
+type ChunkReader func(index int) ([]byte, error)
+
+// Weights is one published version of a model.
+type Weights struct {
+	Ref      core.ModelRef
+	Manifest []byte // Encoded; its digest is Ref.Manifest.
+	Chunks   int
+	Read     ChunkReader
+}
+
+// ChunksOf returns a reader of chunks in memory.
+func ChunksOf(chunks [][]byte) ChunkReader {
+	return func(index int) ([]byte, error) { return chunks[index], nil }
+}
+
+// published holds weights by manifest. It is safe for concurrent use.
+type published struct {
+	mu   sync.RWMutex
+	held map[core.Digest]Weights
+}
+
+func newPublished() *published {
+	return &published{held: map[core.Digest]Weights{}}
+}
+
+func (p *published) put(weights Weights) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[weights.Ref.Manifest] = weights
+}
+
+func (p *published) get(manifest core.Digest) (Weights, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	weights, found := p.held[manifest]
+	return weights, found
+}
+
+func (p *published) resolve(model, version string) (core.ModelRef, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	for _, weights := range p.held {
+		if weights.Ref.Model == model && weights.Ref.Version == version {
+			return weights.Ref, true
+		}
+	}
+	return core.ModelRef{}, false
+}
+
+func (p *published) chunk(manifest core.Digest, index int) ([]byte, error) {
+	weights, found := p.get(manifest)
+	if !found || index < 0 || index >= weights.Chunks {
+		return nil, platform.ErrNotFound
+	}
+	return weights.Read(index)
+}
--- /dev/null
+++ b/internal/fakes/weightstore.go
@@ -0,0 +1,136 @@
+package fakes
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/httpcall"
+	"github.com/snipestep/snipestep/platform"
+)
+
+// WeightStore is the rate-limited weight store. It is safe for concurrent
+// use.
+type WeightStore struct {
+	Health
+	mux       *http.ServeMux
+	published *published
+	clock     Clock
+	limiter   *rate.Limiter
+
+	mu     sync.Mutex
+	counts WeightStoreCounts
+}
+
+// WeightStoreCounts counts the calls of the weight store.
+type WeightStoreCounts struct {
+	Manifest uint64
+	Resolve  uint64
+	Chunk    uint64
+	Limited  uint64
+	Bytes    uint64 // Chunk bytes.
+}
+
+// NewWeightStore returns a store without weights that takes callsPerSecond
+// calls, in bursts of up to burst. 0 calls per second is no limit.
+func NewWeightStore(callsPerSecond float64, burst int, clock Clock) *WeightStore {
+	limit := rate.Limit(callsPerSecond)
+	if callsPerSecond <= 0 {
+		limit = rate.Inf
+	}
+	s := &WeightStore{
+		mux:       http.NewServeMux(),
+		published: newPublished(),
+		clock:     clock.orSystem(),
+		limiter:   rate.NewLimiter(limit, burst),
+	}
+	s.mux.HandleFunc("GET /v1/manifests/{manifest}", s.manifest)
+	s.mux.HandleFunc("GET /v1/models/{model}/versions/{version}", s.resolve)
+	s.mux.HandleFunc(chunkPattern, s.chunk)
+	return s
+}
+
+// Publish makes the weights available.
+func (s *WeightStore) Publish(weights Weights) {
+	s.published.put(weights)
+}
+
+// Counts returns the calls so far.
+func (s *WeightStore) Counts() WeightStoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// ServeHTTP implements http.Handler.
+func (s *WeightStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, r) {
+		return
+	}
+	if !s.limiter.AllowN(s.clock(), 1) {
+		s.count(func(c *WeightStoreCounts) { c.Limited++ })
+		refuseLimited(w, s.retryAfterMS())
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// retryAfterMS is the time that makes one call of the limit.
+func (s *WeightStore) retryAfterMS() int64 {
+	perCall := time.Duration(float64(time.Second) / float64(s.limiter.Limit()))
+	return max(1, perCall.Milliseconds())
+}
+
+func (s *WeightStore) count(change func(*WeightStoreCounts)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.counts)
+}
+
+func (s *WeightStore) manifest(w http.ResponseWriter, r *http.Request) {
+	s.count(func(c *WeightStoreCounts) { c.Manifest++ })
+	digest, err := core.ParseDigest(r.PathValue("manifest"))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		return
+	}
+	weights, found := s.published.get(digest)
+	if !found {
+		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(weights.Manifest)
+}
+
+func (s *WeightStore) resolve(w http.ResponseWriter, r *http.Request) {
+	s.count(func(c *WeightStoreCounts) { c.Resolve++ })
+	ref, found := s.published.resolve(r.PathValue("model"), r.PathValue("version"))
+	if !found {
+		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	httpcall.WriteJSON(w, ref)
+}
+
+func (s *WeightStore) chunk(w http.ResponseWriter, r *http.Request) {
+	manifest, index, valid := chunkPath(r)
+	if !valid {
+		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		return
+	}
+	data, err := s.published.chunk(manifest, index)
+	if err != nil {
+		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	written, _ := w.Write(data)
+	s.count(func(c *WeightStoreCounts) {
+		c.Chunk++
+		c.Bytes += uint64(written)
+	})
+}
