intent: intents, plans, confirmation and reconciliation

Cause: operators state what should hold; the system has to find the steps. Change: Intent and its application to the document, MakePlan by running Reconcile against a view in which every order succeeds, Confirm with the premise checked again, Diff, and Reconcile with assignment and swap budgets. Conclusion: executors need no stored progress.

The stateful test checks each round's swaps against the capacity of each model and that any history settles on what the document says.

--- /dev/null
+++ b/intent/apply.go
@@ -0,0 +1,215 @@
+package intent
+
+import (
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+)
+
+// apply returns a copy of the document with the intent in it.
+func apply(doc *fleet.Document, view FleetView, in Intent) (*fleet.Document, error) {
+	next := doc.Clone()
+	switch in.Kind() {
+	case KindPlace:
+		return next, applyPlace(next, view, in.Place)
+	case KindRank:
+		applyRank(next, in.Rank)
+		return next, nil
+	case KindStop:
+		return next, applyStop(next, view, KindStop, in.Stop.Selector, fleet.Stop{
+			StreamGraceMS: in.Stop.StreamGraceMS,
+			Move:          in.Stop.Move,
+		})
+	case KindDrain:
+		return next, applyStop(next, view, KindDrain, in.Drain.Selector, fleet.Stop{
+			StreamGraceMS: in.Drain.StreamGraceMS,
+			Move:          in.Drain.Move,
+			Drain:         true,
+		})
+	}
+	return next, applyResume(next, view, in.Resume.Selector)
+}
+
+func applyPlace(next *fleet.Document, view FleetView, place *Place) error {
+	if place.Model.Manifest.IsZero() {
+		return ErrManifestMissing
+	}
+	placement := fleet.Placement{
+		Model:         place.Model,
+		Adapters:      place.Adapters,
+		EngineRole:    place.EngineRole,
+		Region:        place.Region,
+		FailureDomain: place.FailureDomain,
+		Replicas:      place.Replicas,
+	}
+	if !anyInPlace(placement, view) {
+		return &NoMatchError{Kind: KindPlace, Selector: Selector{
+			Region:        place.Region,
+			FailureDomain: place.FailureDomain,
+			Role:          core.RoleModel,
+		}}
+	}
+	next.Placements = replacePlacement(next.Placements, placement)
+	return nil
+}
+
+func anyInPlace(p fleet.Placement, view FleetView) bool {
+	for _, a := range view.Agents {
+		if a.Instance.Role == core.RoleModel && !a.Leaving && inPlace(p, a) {
+			return true
+		}
+	}
+	return false
+}
+
+// replacePlacement puts p where the first placement stood that it replaces.
+func replacePlacement(placements []fleet.Placement, p fleet.Placement) []fleet.Placement {
+	var out []fleet.Placement
+	placed := false
+	for _, old := range placements {
+		if !replaces(p, old) {
+			out = append(out, old)
+			continue
+		}
+		if !placed {
+			out = append(out, p)
+			placed = true
+		}
+	}
+	if !placed {
+		out = append(out, p)
+	}
+	return out
+}
+
+func replaces(p, old fleet.Placement) bool {
+	return p.Model.Model == old.Model.Model &&
+		matches(p.Region, old.Region) &&
+		matches(p.FailureDomain, old.FailureDomain)
+}
+
+// applyRank puts new rules before the old ones, so that they count first.
+func applyRank(next *fleet.Document, rank *Rank) {
+	rules := append([]fleet.RankRule(nil), rank.Rules...)
+	named := make(map[fleet.RankRule]bool)
+	for _, rule := range rules {
+		named[withoutRank(rule)] = true
+	}
+	for _, rule := range next.RankRules {
+		if !named[withoutRank(rule)] {
+			rules = append(rules, rule)
+		}
+	}
+	next.RankRules = rules
+	for _, policy := range rank.Policies {
+		next.Ranks = replaceRankPolicy(next.Ranks, policy)
+	}
+}
+
+func withoutRank(rule fleet.RankRule) fleet.RankRule {
+	rule.Rank = 0
+	return rule
+}
+
+func replaceRankPolicy(policies []fleet.RankPolicy, p fleet.RankPolicy) []fleet.RankPolicy {
+	for i := range policies {
+		if policies[i].Rank == p.Rank {
+			policies[i] = p
+			return policies
+		}
+	}
+	return append(policies, p)
+}
+
+func applyStop(next *fleet.Document, view FleetView, kind Kind, s Selector, stop fleet.Stop) error {
+	stopped := stopsByInstance(next)
+	ids := selectInstances(view, s, func(a AgentView) bool {
+		existing, ok := stopped[a.Instance.ID]
+		return !a.Leaving && (!ok || (existing.Drain && !stop.Drain))
+	})
+	if len(ids) == 0 {
+		return &NoMatchError{Kind: kind, Selector: s}
+	}
+	removeStops(next, ids)
+	stop.Instances = ids
+	next.Stops = append(next.Stops, stop)
+	pruneStops(next, view)
+	return nil
+}
+
+func applyResume(next *fleet.Document, view FleetView, s Selector) error {
+	stopped := stopsByInstance(next)
+	ids := selectInstances(view, s, func(a AgentView) bool {
+		return stopped[a.Instance.ID].Drain
+	})
+	if len(ids) == 0 {
+		return &NoMatchError{Kind: KindResume, Selector: s}
+	}
+	removeStops(next, ids)
+	return nil
+}
+
+// selectInstances returns the eligible instances that the selector takes,
+// sorted by failure domain round and ID.
+func selectInstances(view FleetView, s Selector, eligible func(AgentView) bool) []core.InstanceID {
+	queues := newDomainQueues()
+	for _, a := range view.sorted() {
+		if s.Matches(a.Instance) && eligible(a) {
+			queues.add(a)
+		}
+	}
+	limit := s.Count
+	if limit == 0 {
+		limit = len(view.Agents)
+	}
+	var ids []core.InstanceID
+	perDomain := make(map[string]int)
+	for len(ids) < limit {
+		agent, ok := queues.take(perDomain)
+		if !ok {
+			break
+		}
+		perDomain[domainOf(agent)]++
+		ids = append(ids, agent.Instance.ID)
+	}
+	return ids
+}
+
+func removeStops(doc *fleet.Document, ids []core.InstanceID) {
+	gone := make(map[core.InstanceID]bool, len(ids))
+	for _, id := range ids {
+		gone[id] = true
+	}
+	keepStops(doc, func(id core.InstanceID) bool { return !gone[id] })
+}
+
+// maxStoppedInstances is how many stopped instances a document names before
+// those are dropped that the view no longer shows.
+const maxStoppedInstances = 4096
+
+func pruneStops(doc *fleet.Document, view FleetView) {
+	if len(stopsByInstance(doc)) <= maxStoppedInstances {
+		return
+	}
+	known := view.byID()
+	keepStops(doc, func(id core.InstanceID) bool {
+		_, ok := known[id]
+		return ok
+	})
+}
+
+func keepStops(doc *fleet.Document, keep func(core.InstanceID) bool) {
+	var stops []fleet.Stop
+	for _, stop := range doc.Stops {
+		var instances []core.InstanceID
+		for _, id := range stop.Instances {
+			if keep(id) {
+				instances = append(instances, id)
+			}
+		}
+		if len(instances) > 0 {
+			stop.Instances = instances
+			stops = append(stops, stop)
+		}
+	}
+	doc.Stops = stops
+}
--- /dev/null
+++ b/intent/domainqueues.go
@@ -0,0 +1,41 @@
+package intent
+
+import "sort"
+
+// domainQueues holds agents by failure domain, each in the order added.
+type domainQueues struct {
+	names  []string
+	queues map[string][]AgentView
+}
+
+func newDomainQueues() *domainQueues {
+	return &domainQueues{queues: make(map[string][]AgentView)}
+}
+
+func (d *domainQueues) add(agent AgentView) {
+	name := domainOf(agent)
+	if _, ok := d.queues[name]; !ok {
+		d.names = append(d.names, name)
+		sort.Strings(d.names)
+	}
+	d.queues[name] = append(d.queues[name], agent)
+}
+
+// take removes the next agent of the failure domain with the lowest count.
+func (d *domainQueues) take(counts map[string]int) (AgentView, bool) {
+	best := ""
+	for _, name := range d.names {
+		if len(d.queues[name]) == 0 {
+			continue
+		}
+		if best == "" || counts[name] < counts[best] {
+			best = name
+		}
+	}
+	if best == "" {
+		return AgentView{}, false
+	}
+	agent := d.queues[best][0]
+	d.queues[best] = d.queues[best][1:]
+	return agent, true
+}
--- /dev/null
+++ b/intent/fleetmodel_test.go
@@ -0,0 +1,124 @@
+package intent_test
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+)
+
+const modelDomains = 3
+
+// fleetModel is a simple fleet that carries out orders.
+type fleetModel struct {
+	agents map[core.InstanceID]*intent.AgentView
+	target map[core.InstanceID]intent.Order
+	made   int
+}
+
+func newFleetModel(size int) *fleetModel {
+	f := &fleetModel{
+		agents: make(map[core.InstanceID]*intent.AgentView),
+		target: make(map[core.InstanceID]intent.Order),
+	}
+	for range size {
+		f.add(f.made % modelDomains)
+	}
+	return f
+}
+
+func (f *fleetModel) add(domain int) {
+	id := core.InstanceID(fmt.Sprintf("i-%04d", f.made))
+	f.made++
+	f.agents[id] = &intent.AgentView{
+		Instance: core.Instance{
+			ID:   id,
+			Role: core.RoleModel,
+			Location: core.Location{
+				Region:        fmt.Sprintf("r%d", domain),
+				FailureDomain: fmt.Sprintf("f%d", domain),
+				Rack:          fmt.Sprintf("k%d", f.made%2),
+			},
+		},
+		Slots:   8,
+		Healthy: true,
+	}
+}
+
+func (f *fleetModel) ids() []core.InstanceID {
+	var ids []core.InstanceID
+	for id := range f.agents {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func (f *fleetModel) view() intent.FleetView {
+	var v intent.FleetView
+	for _, id := range f.ids() {
+		v.Agents = append(v.Agents, *f.agents[id])
+	}
+	return v
+}
+
+func (f *fleetModel) replace(id core.InstanceID) {
+	var domain int
+	_, _ = fmt.Sscanf(f.agents[id].Instance.Location.Region, "r%d", &domain)
+	delete(f.agents, id)
+	delete(f.target, id)
+	f.add(domain)
+}
+
+// take accepts one order.
+func (f *fleetModel) take(o intent.Order) {
+	a := f.agents[o.Instance]
+	switch o.Kind {
+	case intent.OrderPrefetch:
+		a.Fetching, a.ChunksHave, a.ChunksTotal = o.Model, 0, 4
+	case intent.OrderServe:
+		a.Swapping = true
+		f.target[o.Instance] = o
+	case intent.OrderDrain:
+		a.Draining = true
+	case intent.OrderResume:
+		a.Draining = false
+	}
+}
+
+// step lets one agent progress.
+func (f *fleetModel) step(id core.InstanceID) {
+	a := f.agents[id]
+	a.ChunksHave = min(a.ChunksHave+2, a.ChunksTotal)
+	if o, ok := f.target[id]; ok {
+		a.Serving, a.Adapters, a.EngineRole = o.Model, o.Adapters, o.EngineRole
+		a.Swapping = false
+		delete(f.target, id)
+	}
+}
+
+func (f *fleetModel) settle(doc *fleet.Document) bool {
+	for range 40 * (len(f.agents) + 1) {
+		orders := intent.Reconcile(doc, f.view(), intent.ReconcileConfig{})
+		busy := false
+		for _, a := range f.agents {
+			busy = busy || a.Swapping || a.ChunksHave < a.ChunksTotal
+		}
+		if len(orders) == 0 && !busy {
+			return true
+		}
+		for _, o := range orders {
+			f.take(o)
+		}
+		for _, id := range f.ids() {
+			f.step(id)
+		}
+	}
+	return false
+}
+
+func ref(model, version string) core.ModelRef {
+	return core.ModelRef{Model: model, Version: version, Manifest: core.SumDigest([]byte(model + version))}
+}
--- /dev/null
+++ b/intent/plan.go
@@ -0,0 +1,106 @@
+package intent
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+)
+
+// MaxPlanBytes bounds an encoded Plan.
+const MaxPlanBytes = 1 << 20
+
+// KeyPrefix is the prefix of the keys that hold plans.
+const KeyPrefix = "plans/"
+
+// Key returns the key that holds a plan.
+func Key(id string) string {
+	return KeyPrefix + id
+}
+
+// Plan is what confirming an intent would do, and the premise it rests on.
+type Plan struct {
+	ID        string    `json:"id"`
+	Intent    Intent    `json:"intent"`
+	CreatedAt time.Time `json:"created_at"`
+	// Generation and ViewHash are the premise.
+	Generation core.Generation `json:"generation"`
+	ViewHash   core.Digest     `json:"view_hash"`
+	// Next is the document that the plan makes, of generation Generation+1.
+	Next  *fleet.Document `json:"next"`
+	Waves []Wave          `json:"waves"`
+	// CapacityNow is the capacity before the first wave.
+	CapacityNow []RankCapacity `json:"capacity_now"`
+	// OriginBytes is what the origin sends.
+	OriginBytes int64 `json:"origin_bytes"`
+	// RegionLinkBytes is what crosses links between regions, in sum.
+	RegionLinkBytes int64 `json:"region_link_bytes"`
+	// EstimatedMS is the predicted time from confirmation to the last wave's
+	// end in milliseconds.
+	EstimatedMS int64    `json:"estimated_ms"`
+	Warnings    []string `json:"warnings,omitempty"`
+}
+
+// Wave is a set of steps that are taken at the same time.
+type Wave struct {
+	Instances []core.InstanceID `json:"instances"`
+	Steps     []Step            `json:"steps"`
+	// CapacityLeft is the capacity while the wave runs, most urgent first.
+	CapacityLeft []RankCapacity `json:"capacity_left"`
+	EstimatedMS  int64          `json:"estimated_ms"`
+}
+
+// Step is what happens at Count instances of a wave.
+type Step struct {
+	Kind       OrderKind     `json:"kind"`
+	Model      core.ModelRef `json:"model"`
+	Adapters   []string      `json:"adapters,omitempty"`
+	EngineRole string        `json:"engine_role,omitempty"`
+	Count      int           `json:"count"`
+}
+
+// RankCapacity is the capacity that a rank finds.
+type RankCapacity struct {
+	Rank core.Rank `json:"rank"`
+	// Slots is what the rank may use when the others are idle.
+	Slots int `json:"slots"`
+	// Guaranteed is what the rank has whatever the others do.
+	Guaranteed int `json:"guaranteed"`
+}
+
+// Encode returns the plan as JSON. It returns *PlanSizeError.
+func (p *Plan) Encode() ([]byte, error) {
+	data, err := json.Marshal(p)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode plan")
+	}
+	if len(data) > MaxPlanBytes {
+		return nil, &PlanSizeError{Bytes: len(data)}
+	}
+	return data, nil
+}
+
+// DecodePlan decodes an encoded plan and validates its document. It returns
+// *PlanSizeError, *PlanFormatError or *fleet.DocumentError.
+func DecodePlan(data []byte) (*Plan, error) {
+	if len(data) > MaxPlanBytes {
+		return nil, &PlanSizeError{Bytes: len(data)}
+	}
+	var p Plan
+	if err := json.Unmarshal(data, &p); err != nil {
+		return nil, &PlanFormatError{Cause: err}
+	}
+	if p.Next == nil {
+		return nil, &PlanFormatError{Cause: ErrNoDocument}
+	}
+	if err := p.Next.Validate(); err != nil {
+		return nil, err
+	}
+	return &p, nil
+}
+
+// ErrNoDocument reports an encoded plan without a document.
+var ErrNoDocument = eris.New("the plan has no document")
