--- /dev/null
+++ b/local/report/json.go
@@ -0,0 +1,29 @@
+package report
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+// StandardOutput is the file name that stands for standard output.
+const StandardOutput = "-"
+
+// filePermission lets everybody read a report.
+const filePermission = 0o644
+
+// WriteJSON writes the report to a file, or to stdout for StandardOutput.
+func (r *Report) WriteJSON(path string, stdout io.Writer) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode the report")
+	}
+	data = append(data, '\n')
+	if path == StandardOutput {
+		_, err = stdout.Write(data)
+		return eris.Wrap(err, "write the report")
+	}
+	return eris.Wrap(os.WriteFile(path, data, filePermission), "write the report")
+}
