Add the entry's request path: routes, dispatch, attempts, claims, executor

Cause: entries need to admit calls, choose endpoints and carry out plans. Change: the parts of the entry over routing, claim, intent and fleet.

--- /dev/null
+++ b/entry/codes.go
@@ -0,0 +1,23 @@
+package entry
+
+// The codes of refusals, beside those of agents.
+const (
+	CodeUnauthorised    = "unauthorised"
+	CodeBadRequest      = "bad_request"
+	CodeTooLarge        = "body_too_large"
+	CodeUnknownModel    = "unknown_model"
+	CodeUnknownService  = "unknown_operation"
+	CodeQuarantined     = "quarantined"
+	CodeOverload        = "overload"
+	CodeNoEndpoint      = "no_endpoint"
+	CodeBroken          = "broken"
+	CodeDeadline        = "deadline"
+	CodeClaimHeld       = "idempotency_key_in_use"
+	CodeClaimMismatch   = "idempotency_key_reused"
+	CodeClaimStore      = "claims_unavailable"
+	CodeKeyMissing      = "idempotency_key_missing"
+	CodeLeaving         = "leaving"
+	CodeContentType     = "content_type"
+	CodeMethod          = "method_not_allowed"
+	CodeRetriesExceeded = "retries_exceeded"
+)
--- /dev/null
+++ b/entry/collector.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const (
+	collectParallel = 64
+	statusTimeout   = 2 * time.Second
+)
+
+// collector asks every agent for its status.
+type collector struct {
+	routes *routes
+	pool   *sessionPool
+}
+
+// collect returns the status of every agent that is not known to be dead. It
+// blocks until all have answered or timed out; silent agents count as not
+// healthy.
+func (c *collector) collect(ctx context.Context) intent.FleetView {
+	instances := c.routes.membership.View().Usable(core.RoleModel, core.RolePlain)
+	var (
+		mu     sync.Mutex
+		agents = make([]intent.AgentView, 0, len(instances))
+		group  errgroup.Group
+	)
+	group.SetLimit(collectParallel)
+	for _, instance := range instances {
+		group.Go(func() error {
+			view := c.ask(ctx, instance)
+			mu.Lock()
+			defer mu.Unlock()
+			agents = append(agents, view)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	sort.Slice(agents, func(i, j int) bool { return agents[i].Instance.ID < agents[j].Instance.ID })
+	return intent.FleetView{Agents: agents}
+}
+
+func (c *collector) ask(ctx context.Context, instance core.Instance) intent.AgentView {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	view := intent.AgentView{Instance: instance}
+	session, err := c.pool.get(ctx, instance)
+	if err != nil {
+		return view
+	}
+	status := &wire.AgentStatus{}
+	header := &wire.StreamHeader{Request: &wire.StreamHeader_Status{Status: &wire.StatusRequest{}}}
+	if err := session.Ask(ctx, header, status); err != nil {
+		return view
+	}
+	return agentView(instance, status)
+}
+
+func agentView(instance core.Instance, s *wire.AgentStatus) intent.AgentView {
+	return intent.AgentView{
+		Instance:    instance,
+		Serving:     wire.ToModelRef(s.GetServing()),
+		Fetching:    wire.ToModelRef(s.GetFetching()),
+		ChunksHave:  int(s.GetChunksHave()),
+		ChunksTotal: int(s.GetChunksTotal()),
+		Draining:    s.GetDraining(),
+		Swapping:    s.GetSwapping(),
+		Leaving:     s.GetLeaving(),
+		Running:     int(s.GetRunning()),
+		Slots:       int(s.GetSlots()),
+		Fence:       core.Fence(s.GetFence()),
+		Adapters:    s.GetAdapters(),
+		EngineRole:  s.GetEngineRole(),
+		Healthy:     true,
+	}
+}
--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+)
+
+// The policies of a fleet.
+const (
+	PolicySnipestep = "snipestep"
+	PolicyBaseline  = "baseline"
+)
+
+// Config are the settings of an entry. Zero values get the defaults.
+type Config struct {
+	Instance core.Instance
+	// Incarnation grows with each start of the process; 0 takes the clock.
+	Incarnation uint64
+	// HTTPAddr serves callers and operators, IP:port.
+	HTTPAddr string
+	FleetKey []byte
+	// OperatorTokenDigests are hexadecimal digests of operators' tokens.
+	OperatorTokenDigests []string
+	// InitialDocument becomes generation 1 where the key-value service
+	// holds no configuration.
+	InitialDocument *fleet.Document
+	OriginRegion    string
+	Policy          string
+	// SubsetSize bounds the agents that the entry has sessions with.
+	SubsetSize int
+	// MaxWaiting bounds the calls that wait for an endpoint, by target.
+	MaxWaiting int
+	// MaxBody bounds a caller's request body, in bytes.
+	MaxBody int64
+	// CallTimeout bounds a call from its arrival.
+	CallTimeout time.Duration
+	// ClaimShards is the number of logs of claims, equal at every entry.
+	ClaimShards int
+	// LeaveGrace bounds the wait for running calls at a stop.
+	LeaveGrace time.Duration
+}
+
+const (
+	defaultSubsetSize  = 20
+	defaultMaxWaiting  = 256
+	defaultMaxBody     = 1 << 20
+	defaultCallTimeout = 60 * time.Second
+	defaultClaimShards = 16
+	defaultLeaveGrace  = 30 * time.Second
+)
+
+func (c Config) withDefaults(now time.Time) Config {
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(now.UnixNano())
+	}
+	if c.Policy == "" {
+		c.Policy = PolicySnipestep
+	}
+	c.SubsetSize = orDefault(c.SubsetSize, defaultSubsetSize)
+	c.MaxWaiting = orDefault(c.MaxWaiting, defaultMaxWaiting)
+	c.MaxBody = orDefault(c.MaxBody, defaultMaxBody)
+	c.CallTimeout = orDefault(c.CallTimeout, defaultCallTimeout)
+	c.ClaimShards = orDefault(c.ClaimShards, defaultClaimShards)
+	c.LeaveGrace = orDefault(c.LeaveGrace, defaultLeaveGrace)
+	return c
+}
+
+func orDefault[T comparable](value, other T) T {
+	var zero T
+	if value == zero {
+		return other
+	}
+	return value
+}
--- /dev/null
+++ b/entry/dispatcher.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/routing"
+)
+
+const (
+	dispatchTick   = 20 * time.Millisecond
+	dispatchEvents = 1024
+)
+
+// dispatcher gives calls endpoints that have credit for them. Calls without
+// one wait in rooms, one for each model or service, which its goroutine owns.
+type dispatcher struct {
+	cfg      Config
+	routes   *routes
+	policies func() routing.Policies
+	now      func() time.Time
+	offers   chan *waiter
+	gone     chan *waiter
+	done     chan struct{}
+	ids      atomic.Uint64
+	// waiting counts the waiting calls by rank.
+	waiting [core.RankCount]atomic.Int64
+
+	rooms map[string]*room // Owned by the loop.
+}
+
+func newDispatcher(cfg Config, r *routes, policies func() routing.Policies, now func() time.Time) *dispatcher {
+	return &dispatcher{
+		cfg:      cfg,
+		routes:   r,
+		policies: policies,
+		now:      now,
+		offers:   make(chan *waiter, dispatchEvents),
+		gone:     make(chan *waiter, dispatchEvents),
+		done:     make(chan struct{}),
+		rooms:    make(map[string]*room),
+	}
+}
+
+// acquire blocks until an endpoint has credit for the call, the call is
+// refused (*RefusedError) or ctx ends.
+func (d *dispatcher) acquire(ctx context.Context, call routing.Call, req routing.Request) (routing.EndpointState, error) {
+	if d.noneAhead(req.Rank) {
+		if state, ok := choose(d.routes.table.Load(), req, d.now()); ok {
+			return state, nil
+		}
+	}
+	call.ID = d.ids.Add(1)
+	w := &waiter{call: call, request: req, answer: make(chan grant, 1)}
+	if !d.post(d.offers, w) {
+		return routing.EndpointState{}, leavingRefusal()
+	}
+	select {
+	case g := <-w.answer:
+		return g.endpoint, g.err
+	case <-ctx.Done():
+		d.post(d.gone, w)
+		return routing.EndpointState{}, ctx.Err()
+	case <-d.done:
+		return routing.EndpointState{}, leavingRefusal()
+	}
+}
+
+func (d *dispatcher) post(to chan *waiter, w *waiter) bool {
+	select {
+	case to <- w:
+		return true
+	case <-d.done:
+		return false
+	}
+}
+
+func leavingRefusal() *RefusedError {
+	return &RefusedError{Status: http.StatusServiceUnavailable, Code: CodeLeaving, RetryAfter: time.Second}
+}
+
+// noneAhead reports whether no call of the same or a more urgent rank waits.
+func (d *dispatcher) noneAhead(rank core.Rank) bool {
+	for r := core.RankUrgent; r <= rank; r++ {
+		if d.waiting[r].Load() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// choose picks an endpoint and takes one of its credits.
+func choose(t *routing.Table, req routing.Request, now time.Time) (routing.EndpointState, bool) {
+	i, ok := routing.Choose(t, req, rand.Uint64(), now)
+	if !ok || !t.Reserve(i, req.Rank) {
+		return routing.EndpointState{}, false
+	}
+	return t.Endpoint(i), true
+}
+
+// run owns the rooms until ctx ends; then every waiting call is refused.
+func (d *dispatcher) run(ctx context.Context) {
+	defer close(d.done)
+	tick := time.NewTicker(dispatchTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-d.offers:
+			d.roomOf(w).offer(d, w)
+		case w := <-d.gone:
+			d.roomOf(w).withdraw(w)
+		case <-d.routes.changed:
+		case <-tick.C:
+		}
+		d.step()
+	}
+}
+
+func (d *dispatcher) roomOf(w *waiter) *room {
+	key := w.request.Service + "\x00" + w.request.Model.Model
+	r := d.rooms[key]
+	if r == nil {
+		target := routing.Request{Service: w.request.Service, Model: core.ModelRef{Model: w.request.Model.Model}}
+		r = newRoom(target, d.policies(), d.cfg.MaxWaiting)
+		d.rooms[key] = r
+	}
+	return r
+}
+
+// step sends what has found credit and refuses what has waited too long.
+func (d *dispatcher) step() {
+	var waiting [core.RankCount]int
+	for key, r := range d.rooms {
+		r.step(d)
+		if r.overflow.Len() == 0 {
+			delete(d.rooms, key)
+			continue
+		}
+		for rank, n := range r.overflow.Waiting() {
+			waiting[rank] += n
+		}
+	}
+	for rank, n := range waiting {
+		d.waiting[rank].Store(int64(n))
+	}
+}
+
+// overloadRefusal is the refusal of a call that was shed.
+func overloadRefusal(err error, retryAfter time.Duration) *RefusedError {
+	refused := &RefusedError{
+		Status:     http.StatusTooManyRequests,
+		Code:       CodeOverload,
+		Detail:     err.Error(),
+		RetryAfter: retryAfter,
+	}
+	var shed *routing.ShedError
+	if errors.As(err, &shed) {
+		refused.RetryAfter = shed.RetryAfter
+	}
+	return refused
+}
--- /dev/null
+++ b/entry/executor.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/snipestep/snipestep/configuration"
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/telemetry"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const (
+	busyInterval     = 200 * time.Millisecond
+	idleInterval     = 2 * time.Second
+	busyPerAgent     = 2 * time.Millisecond
+	idlePerAgent     = 20 * time.Millisecond
+	orderTimeout     = 3 * time.Second
+	campaignPause    = 500 * time.Millisecond
+	executorParallel = 64
+)
+
+// executor carries out the configuration while it holds the lease: it
+// compares what should hold with what the agents report and sends the orders
+// that come next. It keeps no state of its own, so that any entry can go on
+// from where another one stopped.
+type executor struct {
+	lease     *configuration.Executor
+	held      *fleet.Generations
+	collector *collector
+	pool      *sessionPool
+	logger    *slog.Logger
+	scope     tally.Scope
+	now       func() time.Time
+	reconcile intent.ReconcileConfig
+	leads     atomic.Bool
+}
+
+// run campaigns for the lease and works under it until ctx ends.
+func (x *executor) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		tenure, err := x.lease.Campaign(ctx)
+		if err != nil {
+			pause(ctx, campaignPause)
+			continue
+		}
+		x.leads.Store(true)
+		x.logger.Info("executor's lease gained", "fence", uint64(tenure.Fence))
+		x.work(ctx, tenure)
+		x.leads.Store(false)
+		x.logger.Info("executor's lease ended", "fence", uint64(tenure.Fence))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// work reconciles until the lease ends.
+func (x *executor) work(ctx context.Context, tenure configuration.Tenure) {
+	for {
+		changed := x.held.Changed()
+		wait := x.step(ctx, tenure)
+		select {
+		case <-ctx.Done():
+			return
+		case <-tenure.Done:
+			return
+		case <-changed:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// step does one round and returns the time to the next one. Both bounds grow
+// with the fleet, so that the bytes a second stay bounded.
+func (x *executor) step(ctx context.Context, tenure configuration.Tenure) time.Duration {
+	view := x.collector.collect(ctx)
+	orders := intent.Reconcile(x.held.Current(), view, x.reconcile)
+	if len(orders) > 0 && tenure.Valid(x.now()) {
+		x.send(ctx, tenure.Fence, orders)
+	}
+	agents := time.Duration(len(view.Agents))
+	if len(orders) > 0 || unsettled(view) {
+		return max(busyInterval, agents*busyPerAgent)
+	}
+	return max(idleInterval, agents*idlePerAgent)
+}
+
+// unsettled reports whether any agent fetches or swaps.
+func unsettled(view intent.FleetView) bool {
+	for _, a := range view.Agents {
+		if a.Swapping || a.ChunksHave < a.ChunksTotal || a.Fetching != a.Serving {
+			return true
+		}
+	}
+	return false
+}
+
+// send gives every order to its agent at the same time. A lost order is
+// found missing in the next round.
+func (x *executor) send(ctx context.Context, fence core.Fence, orders []intent.Order) {
+	var group errgroup.Group
+	group.SetLimit(executorParallel)
+	for _, order := range orders {
+		group.Go(func() error {
+			err := x.sendOne(ctx, fence, order)
+			outcome := "accepted"
+			if err != nil {
+				outcome = "failed"
+				x.logger.Warn("order not taken", "instance", order.Instance, "order", string(order.Kind), "error", err.Error())
+			}
+			x.scope.Tagged(map[string]string{telemetry.TagOutcome: outcome}).Counter(telemetry.MetricPlanSteps).Inc(1)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+func (x *executor) sendOne(ctx context.Context, fence core.Fence, order intent.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	session := x.pool.open(order.Instance)
+	if session == nil {
+		return ErrNoSession
+	}
+	answer := &wire.OrderResponse{}
+	req := orderMessage(fence, x.held.Current().Plan, order)
+	err := session.Ask(ctx, &wire.StreamHeader{Request: &wire.StreamHeader_Order{Order: req}}, answer)
+	if err != nil {
+		return err
+	}
+	if !answer.GetAccepted() {
+		return &OrderRefusedError{Instance: order.Instance, Code: answer.GetCode(), Detail: answer.GetDetail()}
+	}
+	return nil
+}
+
+func orderMessage(fence core.Fence, plan string, o intent.Order) *wire.OrderRequest {
+	req := &wire.OrderRequest{Fence: uint64(fence), Plan: plan}
+	switch o.Kind {
+	case intent.OrderPrefetch:
+		req.Order = &wire.OrderRequest_Prefetch{Prefetch: &wire.PrefetchOrder{Model: wire.FromModelRef(o.Model)}}
+	case intent.OrderServe:
+		req.Order = &wire.OrderRequest_Serve{Serve: &wire.ServeOrder{
+			Model:         wire.FromModelRef(o.Model),
+			Adapters:      o.Adapters,
+			EngineRole:    o.EngineRole,
+			StreamGraceMs: uint32(o.StreamGraceMS),
+		}}
+	case intent.OrderDrain:
+		req.Order = &wire.OrderRequest_Drain{Drain: &wire.DrainOrder{
+			StreamGraceMs: uint32(o.StreamGraceMS),
+			Move:          o.Move,
+		}}
+	case intent.OrderResume:
+		req.Order = &wire.OrderRequest_Resume{Resume: &wire.ResumeOrder{}}
+	}
+	return req
+}
--- /dev/null
+++ b/entry/modelcall.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/snipestep/snipestep/agent"
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const (
+	maxRefusedAttempts = 8
+	maxBrokenAttempts  = 4
+)
+
+// tokenSink takes the answer of a model call as it grows.
+type tokenSink interface {
+	// token takes one token; version is that of the whole answer.
+	token(version, text string) error
+	// done ends a whole answer.
+	done(version string, tokens int) error
+	// restart forgets the tokens of an answer that starts anew.
+	restart()
+	// delivered reports whether the caller has seen a part of the answer.
+	delivered() bool
+}
+
+// modelCall runs one call of a model over as many attempts as it needs. The
+// answer is bound to one version of the model once a token was made.
+type modelCall struct {
+	*call
+	svc       *callService
+	model     string
+	prompt    string
+	prefix    uint64
+	maxTokens int
+	sink      tokenSink
+
+	bound    core.ModelRef
+	produced []string
+	begun    bool
+	refused  int
+	broken   int
+	tried    []core.InstanceID
+	handle   string
+	suspect  bool
+	lastWait time.Duration
+}
+
+// run blocks until the answer is whole, or returns *RefusedError.
+func (m *modelCall) run(ctx context.Context) error {
+	m.svc.countCall()
+	for {
+		m.suspect = m.svc.quarantine.suspect(m.fingerprint)
+		endpoint, err := m.svc.dispatcher.acquire(ctx, m.waiting(), m.request())
+		if err != nil {
+			if m.rebind(err) {
+				continue
+			}
+			return m.refusal(err)
+		}
+		end := m.attempt(ctx, endpoint)
+		if end.done != nil {
+			return m.finish(end.done)
+		}
+		if err := m.next(ctx, endpoint, end); err != nil {
+			return err
+		}
+	}
+}
+
+func (m *modelCall) waiting() routing.Call {
+	return m.routingCall(max(1, m.maxTokens-len(m.produced)), true, m.suspect)
+}
+
+func (m *modelCall) request() routing.Request {
+	model := m.bound
+	if model.IsZero() {
+		model.Model = m.model
+	}
+	return routing.Request{
+		Rank:    m.rank,
+		Model:   model,
+		Prefix:  m.prefix,
+		Suspect: m.suspect,
+		Exclude: m.tried,
+	}
+}
+
+// rebind starts the answer anew with any version when no endpoint serves the
+// bound one and the caller has seen nothing of it.
+func (m *modelCall) rebind(err error) bool {
+	if m.bound.IsZero() || m.sink.delivered() {
+		return false
+	}
+	var refused *RefusedError
+	if !errors.As(err, &refused) || m.svc.dispatcher.routes.table.Load().Serves("", m.bound) {
+		return false
+	}
+	m.bound = core.ModelRef{}
+	m.produced = nil
+	m.handle = ""
+	m.sink.restart()
+	return true
+}
+
+// attempt sends one attempt and keeps its tokens.
+func (m *modelCall) attempt(ctx context.Context, to routing.EndpointState) attemptEnd {
+	ctx, span := m.svc.tracer.Start(ctx, "entry.attempt", trace.WithAttributes(
+		attribute.String("instance", string(to.ID)),
+	))
+	defer span.End()
+	req := m.wireRequest(to)
+	return runAttempt(ctx, m.svc.pool, to.ID, req, func(t *wire.CallToken) error {
+		if int(t.GetIndex()) != len(m.produced) {
+			return &RefusedError{Code: CodeBroken, Detail: "token out of order"}
+		}
+		m.bound = to.Model
+		m.produced = append(m.produced, t.GetText())
+		return m.sink.token(to.Model.Version, t.GetText())
+	})
+}
+
+func (m *modelCall) wireRequest(to routing.EndpointState) *wire.CallRequest {
+	return &wire.CallRequest{
+		Attempt:      m.svc.attemptID(m.id),
+		Call:         m.id,
+		Rank:         uint32(m.rank),
+		Organisation: string(m.organisation),
+		Weight:       m.weight,
+		Kind:         m.kind,
+		Model:        to.Model.Model,
+		Version:      to.Model.Version,
+		Manifest:     to.Model.Manifest[:],
+		Prompt:       m.prompt,
+		MaxTokens:    uint32(m.maxTokens),
+		PrefixTokens: m.produced,
+		Idempotent:   true,
+		DeadlineMs:   uint32(max(0, time.Until(m.deadline).Milliseconds())),
+		Fingerprint:  m.fingerprint,
+		PromptPrefix: m.prefix,
+		Suspect:      m.suspect,
+		KvHandle:     m.handle,
+	}
+}
+
+func (m *modelCall) finish(d *wire.CallDone) error {
+	if m.suspect {
+		m.svc.quarantine.absolve(m.fingerprint)
+	}
+	return m.sink.done(d.GetModelVersion(), len(m.produced))
+}
+
+// next decides whether another attempt follows; nil means yes.
+func (m *modelCall) next(ctx context.Context, at routing.EndpointState, end attemptEnd) error {
+	if ctx.Err() != nil {
+		return m.refusal(ctx.Err())
+	}
+	m.tried = append(m.tried, at.ID)
+	if end.refused != nil {
+		return m.afterRefusal(end.refused)
+	}
+	return m.afterBreak(at, end.broken)
+}
+
+func (m *modelCall) afterRefusal(r *wire.CallRefused) error {
+	m.refused++
+	m.lastWait = time.Duration(r.GetRetryAfterMs()) * time.Millisecond
+	if m.refused >= maxRefusedAttempts || r.GetCode() == agent.CodePatience {
+		return m.refusal(&RefusedError{
+			Status:     http.StatusTooManyRequests,
+			Code:       CodeOverload,
+			Detail:     "endpoints refused the call: " + r.GetCode(),
+			RetryAfter: m.lastWait,
+		})
+	}
+	return nil
+}
+
+func (m *modelCall) afterBreak(at routing.EndpointState, b *wire.CallBroken) error {
+	m.begun = true
+	m.handle = b.GetKvHandle()
+	if b.GetCode() == agent.CodeMoved {
+		return nil
+	}
+	m.broken++
+	m.svc.strike(m.fingerprint, at.ID, b)
+	if wait, ok := m.svc.quarantine.refused(m.fingerprint); ok {
+		return m.refusal(quarantineRefusal(wait))
+	}
+	if m.broken >= maxBrokenAttempts || !m.svc.retryAllowed() {
+		return m.refusal(&RefusedError{
+			Status:     http.StatusBadGateway,
+			Code:       CodeRetriesExceeded,
+			Detail:     strconv.Itoa(m.broken) + " attempts broke",
+			RetryAfter: time.Second,
+		})
+	}
+	return nil
+}
+
+// refusal returns the final refusal; it is not-run only if no endpoint can
+// have begun the call.
+func (m *modelCall) refusal(err error) error {
+	return finalRefusal(err, m.begun)
+}
+
+func quarantineRefusal(wait time.Duration) *RefusedError {
+	return &RefusedError{
+		Status:     http.StatusUnprocessableEntity,
+		Code:       CodeQuarantined,
+		Detail:     "the request was in flight at two endpoint crashes",
+		RetryAfter: wait,
+	}
+}
+
+// finalRefusal turns any error into the refusal that the caller gets.
+func finalRefusal(err error, begun bool) *RefusedError {
+	var refused *RefusedError
+	if !errors.As(err, &refused) {
+		refused = &RefusedError{
+			Status:     http.StatusGatewayTimeout,
+			Code:       CodeDeadline,
+			Detail:     err.Error(),
+			RetryAfter: time.Second,
+		}
+	}
+	final := *refused
+	final.Unknown = final.Unknown || begun
+	return &final
+}
--- /dev/null
+++ b/entry/room.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/routing"
+)
+
+var (
+	errEvicted  = eris.New("waiting room is full")
+	errPatience = eris.New("waited longer than the rank's patience")
+)
+
+// room holds the calls that wait for endpoints of one model or service. The
+// dispatcher's goroutine owns it.
+type room struct {
+	overflow *routing.Overflow
+	waiters  map[uint64]*waiter
+	target   routing.Request // What every call of the room needs.
+}
+
+func newRoom(target routing.Request, policies routing.Policies, maxWaiting int) *room {
+	return &room{
+		overflow: routing.NewOverflow(policies, maxWaiting),
+		waiters:  make(map[uint64]*waiter),
+		target:   target,
+	}
+}
+
+// offer queues a call, or refuses it early.
+func (r *room) offer(d *dispatcher, w *waiter) {
+	now := d.now()
+	policies := d.policies()
+	w.limitWait(now, policies[w.call.Rank].Patience)
+	r.overflow.SetConfig(policies, d.cfg.MaxWaiting)
+	capacity, queued := d.routes.table.Load().Capacity(w.request, policies, now)
+	evicted, err := r.overflow.Offer(now, w.call, capacity, queued)
+	for _, c := range evicted {
+		r.refuse(c, overloadRefusal(errEvicted, capacity.Wait(c.Rank, float64(queued[c.Rank]), queued)))
+	}
+	if err != nil {
+		w.answer <- grant{err: overloadRefusal(err, 0)}
+		return
+	}
+	r.waiters[w.call.ID] = w
+}
+
+func (r *room) withdraw(w *waiter) {
+	r.overflow.Remove(w.call.ID)
+	delete(r.waiters, w.call.ID)
+}
+
+func (r *room) refuse(c routing.Call, err *RefusedError) {
+	if w := r.waiters[c.ID]; w != nil {
+		delete(r.waiters, c.ID)
+		w.answer <- grant{err: err}
+	}
+}
+
+// step serves the calls that have credit now.
+func (r *room) step(d *dispatcher) {
+	now := d.now()
+	table := d.routes.table.Load()
+	for _, c := range r.overflow.Expire(now) {
+		capacity, queued := table.Capacity(r.waiters[c.ID].request, d.policies(), now)
+		r.refuse(c, overloadRefusal(errPatience, capacity.Wait(c.Rank, float64(queued[c.Rank]), queued)))
+	}
+	open := r.openRanks(table, now)
+	for {
+		c, ok := r.overflow.Next(now, open)
+		if !ok {
+			return
+		}
+		if !r.send(d, table, c) {
+			open[c.Rank] = false
+			r.putBack(d, c)
+		}
+	}
+}
+
+// openRanks tells which ranks an endpoint has credit for.
+func (r *room) openRanks(table *routing.Table, now time.Time) [core.RankCount]bool {
+	var open [core.RankCount]bool
+	for rank := range open {
+		probe := r.target
+		probe.Rank = core.Rank(rank)
+		_, open[rank] = routing.Choose(table, probe, 0, now)
+	}
+	return open
+}
+
+// send gives the call an endpoint if one has credit.
+func (r *room) send(d *dispatcher, table *routing.Table, c routing.Call) bool {
+	w := r.waiters[c.ID]
+	state, ok := choose(table, w.request, d.now())
+	if !ok && len(w.request.Exclude) > 0 {
+		again := w.request
+		again.Exclude = nil
+		state, ok = choose(table, again, d.now())
+	}
+	if !ok {
+		return false
+	}
+	delete(r.waiters, c.ID)
+	w.answer <- grant{endpoint: state}
+	return true
+}
+
+// putBack returns a call that found no credit after all.
+func (r *room) putBack(d *dispatcher, c routing.Call) {
+	w := r.waiters[c.ID]
+	delete(r.waiters, c.ID)
+	r.offer(d, w)
+}
--- /dev/null
+++ b/entry/routes.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/wire"
+)
+
+const (
+	listInterval   = 500 * time.Millisecond
+	tickInterval   = 250 * time.Millisecond
+	datagramBuffer = 4096
+	baselineCredit = 1 << 20
+)
+
+// routes owns the view of the fleet and the table of endpoints. One goroutine
+// writes; the request path reads the published table and view.
+type routes struct {
+	cfg        Config
+	list       func(ctx context.Context) ([]core.Instance, error)
+	now        func() time.Time
+	pool       *sessionPool
+	table      atomic.Pointer[routing.Table]
+	membership *fleet.Membership
+	datagrams  chan *wire.Datagram
+	listed     chan []core.Instance
+	// changed signals a new table, holds at most one.
+	changed chan struct{}
+	// onAgent takes generations and strikes that agents show.
+	onAgent func(d *wire.Datagram)
+
+	subset atomic.Pointer[[]core.Instance] // Agents with sessions.
+
+	// Owned by the loop.
+	states map[core.InstanceID]routing.EndpointState
+}
+
+func newRoutes(cfg Config, deps Deps, pool *sessionPool) *routes {
+	r := &routes{
+		cfg:        cfg,
+		list:       deps.InstanceList.Instances,
+		now:        deps.Now,
+		pool:       pool,
+		membership: fleet.NewMembership(fleet.DefaultTiming),
+		datagrams:  make(chan *wire.Datagram, datagramBuffer),
+		listed:     make(chan []core.Instance, 1),
+		changed:    make(chan struct{}, 1),
+		states:     make(map[core.InstanceID]routing.EndpointState),
+	}
+	r.subset.Store(&[]core.Instance{})
+	r.table.Store(routing.NewTable(r.tableConfig(), nil, nil))
+	return r
+}
+
+// receive takes a datagram on the event loop of the plane. It drops it when
+// the loop is behind; the next report replaces it.
+func (r *routes) receive(d *wire.Datagram) {
+	select {
+	case r.datagrams <- d:
+	default:
+	}
+}
+
+// run handles lists, datagrams and time until ctx ends.
+func (r *routes) run(ctx context.Context) {
+	go r.pollList(ctx)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case instances := <-r.listed:
+			r.membership.List(instances, r.now())
+			r.reselect()
+			r.publish()
+		case d := <-r.datagrams:
+			r.heard(d)
+			r.publish()
+		case <-tick.C:
+			r.membership.Tick(r.now())
+			r.dropDead()
+			r.publish()
+		}
+	}
+}
+
+func (r *routes) pollList(ctx context.Context) {
+	tick := time.NewTicker(listInterval)
+	defer tick.Stop()
+	for {
+		instances, err := r.list(ctx)
+		if err == nil {
+			select {
+			case r.listed <- instances:
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// heard takes one datagram of an agent.
+func (r *routes) heard(d *wire.Datagram) {
+	result := r.membership.Heartbeat(heartbeatOf(d), r.now())
+	if result == fleet.HeartbeatOld || result == fleet.HeartbeatRefused {
+		return
+	}
+	if r.onAgent != nil {
+		r.onAgent(d)
+	}
+	member, ok := r.membership.View().Find(core.InstanceID(d.GetInstance()))
+	if !ok || d.GetLoad() == nil {
+		return
+	}
+	r.states[member.Instance.ID] = r.stateOf(member, d)
+}
+
+func heartbeatOf(d *wire.Datagram) fleet.Heartbeat {
+	return fleet.Heartbeat{
+		Instance:    core.InstanceID(d.GetInstance()),
+		Incarnation: d.GetIncarnation(),
+		Sequence:    d.GetSequence(),
+		Generation:  core.Generation(d.GetGeneration()),
+		Leaving:     d.GetLeaving(),
+		SessionAddr: d.GetSessionAddr(),
+	}
+}
+
+func (r *routes) stateOf(member fleet.Member, d *wire.Datagram) routing.EndpointState {
+	load := d.GetLoad()
+	state := routing.EndpointState{
+		ID:          member.Instance.ID,
+		Location:    member.Instance.Location,
+		Service:     member.Instance.Service,
+		Model:       wire.ToModelRef(load.GetServing()),
+		Slots:       int(load.GetSlots()),
+		MeanService: time.Duration(load.GetMeanServiceMs()) * time.Millisecond,
+		Draining:    load.GetDraining(),
+		Leaving:     d.GetLeaving(),
+		Prefixes:    load.GetCachedPrefixes(),
+		FreshAt:     r.now(),
+	}
+	for rank := range core.RankCount {
+		state.Running += int(at(load.GetRunning(), rank))
+		state.Queued[rank] = int(at(load.GetQueued(), rank))
+		state.Credits[rank] = int(at(load.GetCredits(), rank))
+		if r.cfg.Policy == PolicyBaseline {
+			state.Credits[rank] = baselineCredit
+		}
+	}
+	return state
+}
+
+func at(values []uint32, i int) uint32 {
+	if i >= len(values) {
+		return 0
+	}
+	return values[i]
+}
+
+// reselect chooses the agents of this entry and connects to new ones.
+func (r *routes) reselect() {
+	view := r.membership.View()
+	agents := view.Usable(core.RoleModel, core.RolePlain)
+	entries := view.Usable(core.RoleEntry)
+	chosen := fleet.Subset(r.cfg.Instance, entries, agents, r.cfg.SubsetSize)
+	r.subset.Store(&chosen)
+	pinned := make(map[core.InstanceID]bool, len(chosen))
+	for _, agent := range chosen {
+		pinned[agent.ID] = true
+		if r.pool.open(agent.ID) == nil {
+			go r.connect(agent)
+		}
+	}
+	r.pool.sweep(pinned)
+}
+
+func (r *routes) connect(agent core.Instance) {
+	_, _ = r.pool.get(context.Background(), agent)
+}
+
+// publish makes a new table of the agents that may get calls.
+func (r *routes) publish() {
+	view := r.membership.View()
+	states := make([]routing.EndpointState, 0, len(r.states))
+	for id, state := range r.states {
+		member, ok := view.Find(id)
+		if !ok {
+			delete(r.states, id)
+			continue
+		}
+		if r.callable(member) {
+			state.Leaving = state.Leaving || member.Leaving
+			states = append(states, state)
+		}
+	}
+	r.table.Store(routing.NewTable(r.tableConfig(), states, r.table.Load()))
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// dropDead closes the sessions to instances that stopped sending heartbeats,
+// so that calls there end without waiting for the connection's timeout.
+func (r *routes) dropDead() {
+	for _, m := range r.membership.View().Instances {
+		if m.State == fleet.MemberDead {
+			r.pool.drop(m.Instance.ID)
+		}
+	}
+}
+
+func (r *routes) callable(m fleet.Member) bool {
+	return m.Listed && m.State == fleet.MemberAlive && r.pool.open(m.Instance.ID) != nil
+}
+
+func (r *routes) tableConfig() routing.TableConfig {
+	entries := 1
+	if r.membership != nil {
+		entries = max(1, len(r.membership.View().Usable(core.RoleEntry)))
+	}
+	return routing.TableConfig{Region: r.cfg.Instance.Location.Region, Entries: entries}
+}
+
+// entries returns the live entries, this one included.
+func (r *routes) entries() []core.Instance {
+	return r.membership.View().Usable(core.RoleEntry)
+}
--- a/wire/errors.go
+++ b/wire/errors.go
@@ -4,6 +4,8 @@
 	"fmt"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 // ErrSessionClosed reports a session that ended.
@@ -45,6 +47,23 @@
 	return e.Cause
 }
 
+// SendError reports a message that may have reached the peer in part or
+// whole.
+type SendError struct {
+	Peer  core.InstanceID
+	Cause error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	return fmt.Sprintf("message to %s may not have arrived: %v", e.Peer, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error {
+	return e.Cause
+}
+
 // DatagramSizeError reports a datagram over MaxDatagramSize.
 type DatagramSizeError struct {
 	Size int // Bytes.
--- a/wire/session.go
+++ b/wire/session.go
@@ -104,8 +104,9 @@
 	h(s.ctx, s, st, header)
 }
 
-// Open opens a stream and sends its header. It returns ErrSessionClosed once
-// the session ended.
+// Open opens a stream and sends its header. It returns ErrSessionClosed when
+// no stream could be opened, and *SendError when the peer may have got the
+// header.
 func (s *Session) Open(h *StreamHeader) (*Stream, error) {
 	conn, err := s.mux.OpenStream()
 	if err != nil {
@@ -114,7 +115,7 @@
 	st := newStream(conn)
 	if err := st.Send(h); err != nil {
 		st.Close()
-		return nil, eris.Wrap(ErrSessionClosed, err.Error())
+		return nil, &SendError{Peer: s.Peer, Cause: err}
 	}
 	return st, nil
 }
