Distribute weight chunks between instances

Cause: weights must reach every replica with one copy from the origin and one across each region link. Change: weights holds manifests, verified sets, first fetchers by rendezvous hash, the picker, upload admission and pacing; weights/swarm holds the chunk protocol, a gnet server, the client and the node.

--- /dev/null
+++ b/weights/chunkreader.go
@@ -0,0 +1,58 @@
+package weights
+
+import (
+	"io"
+	"io/fs"
+
+	"github.com/rotisserie/eris"
+)
+
+// Reader reads single chunks of a manifest from its files. It is safe for
+// concurrent use.
+type Reader struct {
+	fsys     fs.FS
+	manifest *Manifest
+}
+
+// ChunkReader returns a Reader of m's chunks from the files in fsys.
+func ChunkReader(fsys fs.FS, m *Manifest) *Reader {
+	return &Reader{fsys: fsys, manifest: m}
+}
+
+// Chunk reads chunk i. The bytes are not verified. It blocks on file reads and
+// returns *ChunkIndexError or a wrapped file error.
+func (r *Reader) Chunk(i int) ([]byte, error) {
+	if i < 0 || i >= len(r.manifest.Chunks) {
+		return nil, &ChunkIndexError{Chunk: i, Chunks: len(r.manifest.Chunks)}
+	}
+	offset := int64(i) * int64(r.manifest.ChunkSize)
+	files := r.manifest.Files
+	for offset >= files[0].Size {
+		offset -= files[0].Size
+		files = files[1:]
+	}
+	stream := &fileStream{fsys: r.fsys, files: files}
+	defer stream.close()
+	if err := stream.skip(offset); err != nil {
+		return nil, eris.Wrapf(err, "seeking chunk %d", i)
+	}
+	data := make([]byte, r.manifest.ChunkLength(i))
+	if _, err := io.ReadFull(stream, data); err != nil {
+		return nil, eris.Wrapf(err, "reading chunk %d", i)
+	}
+	return data, nil
+}
+
+// skip drops the first offset bytes of the first file.
+func (s *fileStream) skip(offset int64) error {
+	if err := s.next(); err != nil {
+		return err
+	}
+	s.left -= offset
+	if seeker, ok := s.current.(io.Seeker); ok {
+		_, err := seeker.Seek(offset, io.SeekStart)
+		return err
+	}
+	_, err := io.CopyN(io.Discard, s.current, offset)
+	return err
+}
--- /dev/null
+++ b/weights/picker.go
@@ -0,0 +1,145 @@
+package weights
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// Picker decides which chunk to request from which source. Chunks that no
+// neighbour holds are requested by the region's first fetchers, from the
+// origin or across a region link; all others from neighbours, rarest first.
+// A Picker is not safe for concurrent use.
+type Picker struct {
+	cfg    PickerConfig
+	layout *Layout
+	// seed is the instance's own hash key for ties.
+	seed   uint64
+	chunks []chunkState
+	left   int // Chunks not stored.
+	peers  map[core.InstanceID]*pickerPeer
+	// ranked lists the peers of the own region by preference as neighbours.
+	ranked []core.InstanceID
+	// own lists for each chunk the own region's fetchers, first one first.
+	own [][]core.InstanceID
+
+	peerFlights   int
+	originFlights int
+	regionFlights map[string]int
+	blockedUntil  map[SourceKind]time.Time
+	progress      time.Time // When a chunk was last new to the neighbourhood.
+}
+
+// NewPicker returns a Picker for a transfer that starts at now with no
+// chunks.
+func NewPicker(cfg PickerConfig, now time.Time) *Picker {
+	cfg.setDefaults()
+	p := &Picker{
+		cfg:           cfg,
+		seed:          hashName(cfg.Seed, string(cfg.Self.ID)),
+		chunks:        make([]chunkState, cfg.Chunks),
+		left:          cfg.Chunks,
+		peers:         make(map[core.InstanceID]*pickerPeer),
+		regionFlights: make(map[string]int),
+		blockedUntil:  make(map[SourceKind]time.Time),
+		progress:      now,
+	}
+	p.SetTargets(now, nil)
+	return p
+}
+
+// SetTargets replaces the targets; the own instance always counts as one. It
+// reports whether anything changed. Requests to peers that are no longer
+// targets end.
+func (p *Picker) SetTargets(now time.Time, targets []Target) bool {
+	listed := map[core.InstanceID]string{p.cfg.Self.ID: p.cfg.Self.Region}
+	for _, t := range targets {
+		if t.ID != p.cfg.Self.ID {
+			listed[t.ID] = t.Region
+		}
+	}
+	if p.layout != nil && !p.targetsDiffer(listed) {
+		return false
+	}
+	for id, peer := range p.peers {
+		if region, ok := listed[id]; !ok || region != peer.region {
+			p.PeerDown(now, id)
+			delete(p.peers, id)
+		}
+	}
+	for id, region := range listed {
+		if id != p.cfg.Self.ID && p.peers[id] == nil {
+			p.peers[id] = &pickerPeer{region: region, since: now}
+		}
+	}
+	p.rebuild(listed)
+	return true
+}
+
+func (p *Picker) targetsDiffer(listed map[core.InstanceID]string) bool {
+	if len(listed) != len(p.peers)+1 {
+		return true
+	}
+	for id, peer := range p.peers {
+		if region, ok := listed[id]; !ok || region != peer.region {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Picker) rebuild(listed map[core.InstanceID]string) {
+	targets := make([]Target, 0, len(listed))
+	ranked := make([]candidate, 0, len(listed))
+	for id, region := range listed {
+		targets = append(targets, Target{ID: id, Region: region})
+		if id != p.cfg.Self.ID && region == p.cfg.Self.Region {
+			ranked = append(ranked, candidate{id: id, hash: hashName(p.seed, string(id))})
+		}
+	}
+	slices.SortFunc(ranked, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
+	})
+	p.ranked = p.ranked[:0]
+	for _, c := range ranked {
+		p.ranked = append(p.ranked, c.id)
+	}
+	p.layout = NewLayout(p.cfg.Manifest, p.cfg.OriginRegion, targets)
+	p.own = make([][]core.InstanceID, len(p.chunks))
+	for i := range p.own {
+		p.own[i] = p.layout.Fetchers(p.cfg.Self.Region, i)
+	}
+}
+
+// Neighbours returns the peers to watch: a bounded random choice of the own
+// region and, for a fetcher, the region's other fetchers. Lost peers are left
+// out for a while.
+func (p *Picker) Neighbours(now time.Time) []core.InstanceID {
+	fetcher := p.layout.IsFetcher(p.cfg.Self.Region, p.cfg.Self.ID)
+	var ids []core.InstanceID
+	chosen := 0
+	for _, id := range p.ranked {
+		peer := p.peers[id]
+		peer.watched = false
+		if now.Before(peer.downUntil) {
+			continue
+		}
+		needed := fetcher && p.layout.IsFetcher(p.cfg.Self.Region, id)
+		if chosen >= p.cfg.Neighbours && !needed {
+			continue
+		}
+		if chosen < p.cfg.Neighbours {
+			chosen++
+		}
+		peer.watched = true
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Left returns the number of chunks that are not stored yet.
+func (p *Picker) Left() int {
+	return p.left
+}
--- /dev/null
+++ b/weights/pickerevents.go
@@ -0,0 +1,174 @@
+package weights
+
+import (
+	"slices"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// PeerUp records that a watched peer takes part and holds the chunks of has.
+func (p *Picker) PeerUp(now time.Time, id core.InstanceID, has Bitmap, served int) {
+	peer := p.peers[id]
+	if peer == nil || peer.region != p.cfg.Self.Region || now.Before(peer.downUntil) {
+		return
+	}
+	if !peer.up {
+		peer.up = true
+		peer.has = NewBitmap(len(p.chunks))
+	}
+	peer.served = served
+	for i := range p.chunks {
+		if has.Has(i) {
+			p.addHolder(now, peer, i)
+		}
+	}
+}
+
+// PeerHas records that a watched peer got chunks. Unknown indexes are ignored.
+func (p *Picker) PeerHas(now time.Time, id core.InstanceID, chunks []int, served int) {
+	peer := p.peers[id]
+	if peer == nil || !peer.up {
+		return
+	}
+	peer.served = served
+	for _, i := range chunks {
+		if i >= 0 && i < len(p.chunks) {
+			p.addHolder(now, peer, i)
+		}
+	}
+}
+
+// PeerServed records how many chunks a peer says that it has sent.
+func (p *Picker) PeerServed(id core.InstanceID, served int) {
+	if peer := p.peers[id]; peer != nil {
+		peer.served = served
+	}
+}
+
+func (p *Picker) addHolder(now time.Time, peer *pickerPeer, i int) {
+	if !peer.has.Add(i) {
+		return
+	}
+	p.chunks[i].holders++
+	p.see(now, i)
+}
+
+// see notes progress when a chunk is new to the neighbourhood.
+func (p *Picker) see(now time.Time, i int) {
+	if !p.chunks[i].seen {
+		p.chunks[i].seen = true
+		p.progress = now
+	}
+}
+
+// PeerDown records that a peer was lost: its connection broke or stalled. All
+// requests to it end and it is left out for DownTime.
+func (p *Picker) PeerDown(now time.Time, id core.InstanceID) {
+	p.leaveOut(id, now.Add(p.cfg.DownTime))
+}
+
+// PeerCorrupt records that a peer sent a corrupt chunk. All requests to it end
+// and it is left out for BanTime.
+func (p *Picker) PeerCorrupt(now time.Time, id core.InstanceID) {
+	p.leaveOut(id, now.Add(p.cfg.BanTime))
+}
+
+func (p *Picker) leaveOut(id core.InstanceID, until time.Time) {
+	peer := p.peers[id]
+	if peer == nil {
+		return
+	}
+	if until.After(peer.downUntil) {
+		peer.downUntil = until
+	}
+	for i := range p.chunks {
+		if peer.up && peer.has.Has(i) {
+			p.chunks[i].holders--
+		}
+		p.endFlights(i, id)
+	}
+	peer.up = false
+	peer.has = nil
+}
+
+func (p *Picker) endFlights(i int, id core.InstanceID) {
+	for _, f := range slices.Clone(p.chunks[i].flights) {
+		if f.source.Peer != id {
+			continue
+		}
+		if f.source.Kind == SourceRegionPeer {
+			p.chunks[i].attempts++
+		}
+		p.endFlight(i, f.source)
+	}
+}
+
+// endFlight removes a request. It reports false if there was none.
+func (p *Picker) endFlight(i int, source Source) bool {
+	flights := p.chunks[i].flights
+	at := slices.IndexFunc(flights, func(f flight) bool { return f.source == source })
+	if at < 0 {
+		return false
+	}
+	p.chunks[i].flights = slices.Delete(flights, at, at+1)
+	peer := p.peers[source.Peer]
+	if peer != nil {
+		peer.outstanding--
+	}
+	switch source.Kind {
+	case SourcePeer:
+		p.peerFlights--
+	case SourceRegionPeer:
+		p.regionFlights[peer.region]--
+	case SourceOrigin, SourceStore:
+		p.originFlights--
+	}
+	return true
+}
+
+// Stored records that a verified chunk was kept. It returns the sources whose
+// requests for the chunk are of no more use, the given one not among them.
+func (p *Picker) Stored(now time.Time, i int, from Source) []Source {
+	if i < 0 || i >= len(p.chunks) {
+		return nil
+	}
+	p.endFlight(i, from)
+	chunk := &p.chunks[i]
+	if !chunk.stored {
+		chunk.stored = true
+		p.left--
+		p.see(now, i)
+	}
+	var cancel []Source
+	for len(chunk.flights) > 0 {
+		cancel = append(cancel, chunk.flights[0].source)
+		p.endFlight(i, chunk.flights[0].source)
+	}
+	return cancel
+}
+
+// Failed records that a request ended without a verified chunk. retryAfter is
+// the pause that a limited source asks for. Requests that are no longer under
+// way are ignored.
+func (p *Picker) Failed(now time.Time, i int, from Source, failure Failure, retryAfter time.Duration) {
+	if i < 0 || i >= len(p.chunks) || !p.endFlight(i, from) {
+		return
+	}
+	chunk := &p.chunks[i]
+	if from.Kind == SourceOrigin || from.Kind == SourceStore {
+		p.blockedUntil[from.Kind] = now.Add(max(p.cfg.SourceRetry, retryAfter))
+		return
+	}
+	switch failure {
+	case FailureCorrupt:
+		p.PeerCorrupt(now, from.Peer)
+	case FailureRefused:
+		chunk.refusals++
+		chunk.refuser = from.Peer
+		chunk.retryAt = now.Add(p.cfg.RefusedRetry)
+	default:
+		chunk.attempts++
+		chunk.retryAt = now.Add(p.cfg.MissingRetry)
+	}
+}
--- /dev/null
+++ b/weights/swarm/errors.go
@@ -0,0 +1,39 @@
+package swarm
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrStopped reports a call on a node that has stopped.
+var ErrStopped = eris.New("chunk node has stopped")
+
+// ErrStalled reports a connection that delivered no bytes for StallTimeout.
+var ErrStalled = eris.New("chunk connection has stalled")
+
+// ErrNotAuthentic reports a peer without the fleet key.
+var ErrNotAuthentic = eris.New("peer failed authentication")
+
+// errRequestQueueFull reports a connection whose peer takes no more requests.
+var errRequestQueueFull = eris.New("request queue of chunk connection is full")
+
+// ConfigError reports a missing or bad part of Config or Deps.
+type ConfigError struct {
+	Field string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("chunk node: %s is missing or out of range", e.Field)
+}
+
+// FrameError reports a frame that breaks the chunk protocol.
+type FrameError struct {
+	Detail string
+}
+
+// Error implements error.
+func (e *FrameError) Error() string {
+	return "malformed chunk frame: " + e.Detail
+}
--- /dev/null
+++ b/weights/swarm/fleet_test.go
@@ -0,0 +1,291 @@
+package swarm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/weights"
+)
+
+const testChunk = 64 << 10
+
+var testKey = []byte("fleet key")
+
+// testModel is one model version with its bytes.
+type testModel struct {
+	manifest *weights.Manifest
+	reader   *weights.Reader
+}
+
+func newTestModel(t testing.TB, version string, size, chunkSize int) testModel {
+	t.Helper()
+	data := make([]byte, size)
+	rand.New(rand.NewSource(int64(len(version)))).Read(data)
+	copy(data, version)
+	files := fstest.MapFS{"model.safetensors": {Data: data}}
+	m, err := weights.Build("m", version, files, chunkSize)
+	assert.NilError(t, err)
+	return testModel{manifest: m, reader: weights.ChunkReader(files, m)}
+}
+
+// testSource is an origin or a store.
+type testSource struct {
+	models []testModel
+	calls  atomic.Int64
+	served atomic.Int64 // Bytes.
+	fail   func(chunk int) error
+	// corrupt reports whether to damage the answer of a call.
+	corrupt func(call int64) bool
+	link    *rate.Limiter
+}
+
+func (s *testSource) Chunk(ctx context.Context, manifest core.Digest, index int) ([]byte, error) {
+	call := s.calls.Add(1)
+	if s.fail != nil {
+		if err := s.fail(index); err != nil {
+			return nil, err
+		}
+	}
+	for _, m := range s.models {
+		if m.manifest.Digest() != manifest {
+			continue
+		}
+		data, err := m.reader.Chunk(index)
+		if s.corrupt != nil && s.corrupt(call) {
+			data[0] ^= 1
+		}
+		s.served.Add(int64(len(data)))
+		return data, errors.Join(err, pay(ctx, s.link, len(data)))
+	}
+	return nil, platform.ErrNotFound
+}
+
+func pay(ctx context.Context, link *rate.Limiter, n int) error {
+	for link != nil && n > 0 {
+		step := min(n, link.Burst())
+		if err := link.WaitN(ctx, step); err != nil {
+			return err
+		}
+		n -= step
+	}
+	return nil
+}
+
+// testFleet is a number of nodes on loopback with shaped links.
+type testFleet struct {
+	t             testing.TB
+	origin, store *testSource
+	mu            sync.Mutex
+	nodes         map[core.InstanceID]*testNode
+	targets       []Peer
+	regionLinks   map[string]*rate.Limiter // "from to".
+	regionBytes   map[string]int64
+	regionRate    rate.Limit
+	instanceRate  rate.Limit
+	pickerConfig  weights.PickerConfig
+	stall         time.Duration
+	// readHook may damage or block a read; nil for plain reads.
+	readHook func(ctx context.Context, reader, from Peer, p []byte)
+}
+
+type testNode struct {
+	*Node
+	in, out  atomic.Int64 // Bytes.
+	link     *rate.Limiter
+	uplink   *rate.Limiter
+	stopOnce sync.Once
+}
+
+func newTestFleet(t testing.TB, models ...testModel) *testFleet {
+	return &testFleet{
+		t:           t,
+		origin:      &testSource{models: models},
+		store:       &testSource{models: models},
+		nodes:       make(map[core.InstanceID]*testNode),
+		regionLinks: make(map[string]*rate.Limiter),
+		regionBytes: make(map[string]int64),
+	}
+}
+
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// add starts a node and makes it a target.
+func (f *testFleet) add(id, region string) *testNode {
+	f.t.Helper()
+	self := Peer{ID: core.InstanceID(id), Location: core.Location{Region: region}, ChunkAddr: freeAddr(f.t)}
+	n := &testNode{link: limiter(f.instanceRate), uplink: limiter(f.instanceRate)}
+	node, err := NewNode(
+		Config{Self: self, OriginRegion: "r0", Seed: 1, Picker: f.pickerConfig, StallTimeout: f.stall},
+		Deps{Dial: f.dialer(n, self), Origin: f.origin, Store: f.store, FleetKey: testKey},
+	)
+	assert.NilError(f.t, err)
+	n.Node = node
+	assert.NilError(f.t, node.Start())
+	f.t.Cleanup(func() { f.stop(n) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[self.ID] = n
+	f.targets = append(append([]Peer{}, f.targets...), self)
+	return n
+}
+
+func limiter(r rate.Limit) *rate.Limiter {
+	if r == 0 {
+		return nil
+	}
+	return rate.NewLimiter(r, readStep)
+}
+
+func (f *testFleet) stop(n *testNode) {
+	n.stopOnce.Do(func() { assert.Check(f.t, n.Stop(context.Background())) })
+}
+
+func (f *testFleet) peers() []Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets
+}
+
+// list replaces the targets that nodes see.
+func (f *testFleet) list(peers []Peer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = peers
+}
+
+func (f *testFleet) regionLink(from, to string) *rate.Limiter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := from + " " + to
+	if f.regionRate == 0 || from == to {
+		return nil
+	}
+	if f.regionLinks[key] == nil {
+		f.regionLinks[key] = limiter(f.regionRate)
+	}
+	return f.regionLinks[key]
+}
+
+func (f *testFleet) countRegion(from, to string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regionBytes[from+" "+to] += int64(n)
+}
+
+func (f *testFleet) dialer(reader *testNode, self Peer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		connCtx, cancel := context.WithCancel(context.Background())
+		c := &shapedConn{Conn: conn, fleet: f, reader: reader, self: self, ctx: connCtx, cancel: cancel}
+		for _, p := range f.peers() {
+			if p.ChunkAddr == addr {
+				c.from = p
+			}
+		}
+		f.mu.Lock()
+		c.sender = f.nodes[c.from.ID]
+		f.mu.Unlock()
+		return c, nil
+	}
+}
+
+// shapedConn pays for what it reads on every link that the bytes cross.
+type shapedConn struct {
+	net.Conn
+	fleet          *testFleet
+	reader, sender *testNode
+	self, from     Peer
+	ctx            context.Context
+	cancel         context.CancelFunc
+}
+
+func (c *shapedConn) Close() error {
+	c.cancel()
+	return c.Conn.Close()
+}
+
+func (c *shapedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || err != nil {
+		return n, err
+	}
+	if c.fleet.readHook != nil {
+		c.fleet.readHook(c.ctx, c.self, c.from, p[:n])
+	}
+	c.reader.in.Add(int64(n))
+	from, to := c.from.Location.Region, c.self.Location.Region
+	if c.sender != nil {
+		c.sender.out.Add(int64(n))
+		err = pay(c.ctx, c.sender.uplink, n)
+	}
+	if from != to {
+		c.fleet.countRegion(from, to, n)
+	}
+	return n, errors.Join(err, pay(c.ctx, c.fleet.regionLink(from, to), n), pay(c.ctx, c.reader.link, n))
+}
+
+// push fetches a model on the nodes and checks every set.
+func (f *testFleet) push(m testModel, nodes ...*testNode) {
+	f.t.Helper()
+	if len(nodes) == 0 {
+		for _, n := range f.nodes {
+			nodes = append(nodes, n)
+		}
+	}
+	var g errgroup.Group
+	for _, n := range nodes {
+		g.Go(func() error {
+			set, err := n.Fetch(context.Background(), m.manifest, f.peers)
+			if err != nil {
+				return err
+			}
+			return checkSet(set, m)
+		})
+	}
+	assert.NilError(f.t, g.Wait())
+}
+
+func checkSet(set *weights.Set, m testModel) error {
+	if !set.Complete() {
+		return io.ErrUnexpectedEOF
+	}
+	for i, want := range m.manifest.Chunks {
+		data, _ := set.Get(i)
+		if core.SumDigest(data) != want {
+			return &weights.CorruptChunkError{Chunk: i}
+		}
+	}
+	return nil
+}
+
+// grow starts n nodes spread over regions.
+func (f *testFleet) grow(n, regions int) {
+	f.t.Helper()
+	for i := range n {
+		f.add(fmt.Sprintf("i%03d", i), fmt.Sprintf("r%d", i%regions))
+	}
+}
