Shape the links between instances of one process

Change: a dialler whose connections pay at the sender's, the receiver's and the region's link, arrive after a latency and can be stalled; byte totals by link and class of traffic.

--- /dev/null
+++ b/internal/fakes/linkpath.go
@@ -0,0 +1,65 @@
+package fakes
+
+import (
+	"context"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
+
+// linkPath is one direction of a connection.
+type linkPath struct {
+	links   *Links
+	from    linkEnd
+	to      linkEnd
+	class   TrafficClass
+	buckets []*linkBucket
+	latency time.Duration
+	step    int
+}
+
+// linkEnd is one end of a connection.
+type linkEnd struct {
+	id     core.InstanceID
+	region string
+	origin bool
+}
+
+func newLinkPath(links *Links, from, to linkEnd, class TrafficClass) *linkPath {
+	path := &linkPath{links: links, from: from, to: to, class: class, step: maxStepBytes}
+	path.buckets = append(path.buckets, links.out(from), links.in(to))
+	path.latency = milliseconds(links.config.LocalLatencyMS)
+	if from.region != to.region {
+		path.buckets = append(path.buckets, links.region(RegionPair{From: from.region, To: to.region}))
+		path.latency = milliseconds(links.config.RegionLatencyMS)
+	}
+	for _, bucket := range path.buckets {
+		path.step = min(path.step, bucket.step)
+	}
+	return path
+}
+
+// pay blocks until every link of the path has let the bytes through and none
+// is stalled.
+func (p *linkPath) pay(ctx context.Context, bytes int) error {
+	if err := p.links.awaitStalls(ctx, p); err != nil {
+		return err
+	}
+	var delay time.Duration
+	for _, bucket := range p.buckets {
+		delay = max(delay, bucket.pay(p.links.clock, p.class, bytes))
+	}
+	if delay <= 0 {
+		return nil
+	}
+	return p.links.sleep(ctx, delay)
+}
+
+func (p *linkPath) stalled() bool {
+	stalled, _ := p.links.stalled(p)
+	return stalled
+}
+
+func milliseconds(value float64) time.Duration {
+	return time.Duration(value * float64(time.Millisecond))
+}
