Relay strikes and export caches of moved calls

Cause: entries share strikes without sessions to one another; a planned stop should not lose a stream's KV cache. Change: agents relay strikes in their reports; a moved call carries a handle.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -71,13 +71,15 @@
 
 // wire connects the parts with one another.
 func (a *Agent) wire() error {
-	node, err := a.newNode()
-	if err != nil {
-		return eris.Wrap(err, "make the swarm node")
+	if a.deps.Engine != nil {
+		node, err := a.newNode()
+		if err != nil {
+			return eris.Wrap(err, "make the swarm node")
+		}
+		a.node = node
 	}
-	a.node = node
 	a.weights = &weightKeeper{
-		node:       node,
+		node:       a.node,
 		entries:    a.entries,
 		origin:     a.deps.Origin,
 		policy:     a.cfg.Policy,
@@ -92,6 +94,7 @@
 		incarnation: a.cfg.Incarnation,
 		slots:       a.cfg.Slots,
 		generation:  a.held.Generation,
+		strikes:     &strikeRelay{},
 		now:         a.deps.Now,
 		kick:        make(chan struct{}, 1),
 	}
@@ -195,7 +198,7 @@
 	if err != nil {
 		return err
 	}
-	if a.cfg.Instance.ChunkAddr == "" {
+	if a.node == nil {
 		return nil
 	}
 	return a.node.Start()
@@ -206,6 +209,9 @@
 	if !a.entries.heard(d, a.deps.Now()) {
 		return
 	}
+	if a.reporter.strikes.add(d.GetStrikes(), a.deps.Now()) {
+		a.reporter.urge()
+	}
 	a.sync.saw(sighting{
 		entry:      core.InstanceID(d.GetInstance()),
 		generation: core.Generation(d.GetGeneration()),
@@ -288,7 +294,7 @@
 	if a.listener != nil {
 		_ = a.listener.Close()
 	}
-	if a.cfg.Instance.ChunkAddr != "" {
+	if a.node != nil {
 		_ = a.node.Stop(ctx)
 	}
 	if a.plane != nil {
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -100,7 +100,7 @@
 	}
 	cause := context.Cause(ctx)
 	if errors.Is(cause, errMoved) {
-		return brokenEvent(j, CodeMoved, "", cause.Error()), nil
+		return end, nil
 	}
 	return end, cause
 }
--- a/agent/control.go
+++ b/agent/control.go
@@ -63,6 +63,9 @@
 	}
 	switch order := req.GetOrder().(type) {
 	case *wire.OrderRequest_Prefetch:
+		if c.engine == nil {
+			return CodeUnknownOrder, nil
+		}
 		return "", c.weights.prefetch(wire.ToModelRef(order.Prefetch.GetModel()))
 	case *wire.OrderRequest_Serve:
 		return c.acceptServe(order.Serve, core.Fence(req.GetFence()))
@@ -78,6 +81,9 @@
 
 func (c *control) acceptServe(order *wire.ServeOrder, fence core.Fence) (string, error) {
 	model := wire.ToModelRef(order.GetModel())
+	if c.engine == nil {
+		return CodeUnknownOrder, nil
+	}
 	if !c.weights.complete(model.Manifest) {
 		return CodeIncomplete, nil
 	}
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -34,12 +34,28 @@
 	defer stream.Close()
 	j.begun = true
 	end := m.forward(ctx, j, stream, send)
-	if ctx.Err() != nil {
-		m.cancelAtEngine(j)
+	if ctx.Err() == nil || end.GetDone() != nil {
+		return end
+	}
+	defer m.cancelAtEngine(j)
+	if errors.Is(context.Cause(ctx), errMoved) {
+		return brokenEvent(j, CodeMoved, m.exportCache(j), errMoved.Error())
 	}
 	return end
 }
 
+// exportCache returns a handle of the call's KV cache for the endpoint where
+// it continues, empty if the engine gives none.
+func (m *modelRunner) exportCache(j *job) string {
+	ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
+	defer cancel()
+	handle, err := m.engine.ExportCache(ctx, j.req.GetAttempt())
+	if err != nil {
+		return ""
+	}
+	return handle
+}
+
 func (m *modelRunner) serves(serving core.ModelRef, req *wire.CallRequest) bool {
 	return !serving.IsZero() && serving == core.ModelRef{
 		Model:    req.GetModel(),
--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -28,6 +28,7 @@
 	incarnation uint64
 	slots       int
 	generation  func() core.Generation
+	strikes     *strikeRelay
 	now         clock
 
 	sequence atomic.Uint64
@@ -89,6 +90,7 @@
 		Generation:  uint64(r.generation()),
 		Leaving:     r.leaving.Load(),
 		Load:        r.load(),
+		Strikes:     r.strikes.recent(r.now()),
 	}
 }
 
@@ -96,10 +98,10 @@
 	load := r.sched.load.Load()
 	credits := r.sched.credits.Load()
 	out := &wire.AgentLoad{
-		Slots:          uint32(r.slots),
-		Serving:        wire.FromModelRef(r.state.serving()),
-		Draining:       r.draining.Load(),
-		MeanServiceMs:  uint32(load.MeanService.Milliseconds()),
+		Slots:         uint32(r.slots),
+		Serving:       wire.FromModelRef(r.state.serving()),
+		Draining:      r.draining.Load(),
+		MeanServiceMs: uint32(load.MeanService.Milliseconds()),
 	}
 	for rank := range core.RankCount {
 		out.Running = append(out.Running, uint32(load.Running[rank]))
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,7 @@
 	mu     sync.Mutex // Guards the fields below.
 	target core.ModelRef
 	cancel context.CancelFunc
+	held   []core.Digest // Manifests with a set at the node.
 }
 
 // prefetch starts the transfer of a model; a transfer of another one ends.
@@ -52,6 +54,7 @@
 		w.cancel()
 	}
 	w.target = model
+	w.held = append(w.held, model.Manifest)
 	if w.complete(model.Manifest) {
 		w.cancel = nil
 		return nil
@@ -197,13 +200,14 @@
 // keepOnly drops every set but the one served and the one being fetched.
 func (w *weightKeeper) keepOnly(manifest core.Digest) {
 	w.mu.Lock()
-	target := w.target.Manifest
-	w.mu.Unlock()
-	for _, held := range w.node.Manifests() {
-		if held != manifest && held != target {
-			w.node.Drop(held)
+	defer w.mu.Unlock()
+	w.held = slices.DeleteFunc(w.held, func(d core.Digest) bool {
+		if d == manifest || d == w.target.Manifest {
+			return false
 		}
-	}
+		w.node.Drop(d)
+		return true
+	})
 }
 
 // progress returns the model being fetched with the chunks held and the
@@ -212,6 +216,9 @@
 	w.mu.Lock()
 	model = w.target
 	w.mu.Unlock()
+	if w.node == nil {
+		return model, 0, 0
+	}
 	have, total = w.node.Progress(model.Manifest)
 	return model, have, total
 }
--- a/entry/wholesink.go
+++ b/entry/wholesink.go
@@ -8,10 +8,10 @@
 
 // wholeSink collects an answer and sends it as one JSON document.
 type wholeSink struct {
-	w       http.ResponseWriter
-	id      string
-	model   string
-	tokens  []string
+	w      http.ResponseWriter
+	id     string
+	model  string
+	tokens []string
 }
 
 // token implements tokenSink.
