--- /dev/null
+++ b/entry/operatorservice.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/configuration"
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/weights"
+)
+
+const planLife = time.Hour
+
+// operatorService makes, keeps and confirms plans.
+type operatorService struct {
+	kv        platform.KeyValue
+	store     *configuration.Store
+	weights   platform.WeightStore
+	held      *fleet.Generations
+	collector *collector
+	now       func() time.Time
+	logger    *slog.Logger
+	instance  core.InstanceID
+}
+
+// Propose makes a plan for an intent and keeps it for planLife. Nothing else
+// changes.
+func (o *operatorService) Propose(ctx context.Context, in intent.Intent) (*intent.Plan, error) {
+	if err := o.resolve(ctx, &in); err != nil {
+		return nil, err
+	}
+	doc, err := o.store.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	view := o.collector.collect(ctx)
+	plan, err := intent.MakePlan(doc, view, in, o.now(), uuid.NewString())
+	if err != nil {
+		return nil, err
+	}
+	return plan, o.keep(ctx, plan)
+}
+
+// resolve fills in the manifest and the size of a model that is to be placed.
+func (o *operatorService) resolve(ctx context.Context, in *intent.Intent) error {
+	if in.Place == nil {
+		return nil
+	}
+	place := *in.Place
+	ref, err := o.weights.Resolve(ctx, place.Model.Model, place.Model.Version)
+	if err != nil {
+		return eris.Wrapf(err, "resolve model %q version %q", place.Model.Model, place.Model.Version)
+	}
+	encoded, err := o.weights.Manifest(ctx, ref.Manifest)
+	if err != nil {
+		return eris.Wrap(err, "read the manifest")
+	}
+	manifest, err := weights.DecodeManifest(encoded, ref.Manifest)
+	if err != nil {
+		return err
+	}
+	place.Model = ref
+	place.ModelBytes = manifest.Size
+	in.Place = &place
+	return nil
+}
+
+func (o *operatorService) keep(ctx context.Context, plan *intent.Plan) error {
+	encoded, err := plan.Encode()
+	if err != nil {
+		return err
+	}
+	lease, err := o.kv.Grant(ctx, planLife)
+	if err != nil {
+		return eris.Wrap(err, "lease for the plan")
+	}
+	_, err = o.kv.CompareAndSwap(ctx, intent.Key(plan.ID), 0, encoded, lease)
+	return eris.Wrap(err, "keep the plan")
+}
+
+// Plan returns a kept plan, or platform.ErrKeyNotFound.
+func (o *operatorService) Plan(ctx context.Context, id string) (*intent.Plan, error) {
+	entry, err := o.kv.Get(ctx, intent.Key(id))
+	if err != nil {
+		return nil, err
+	}
+	return intent.DecodePlan(entry.Value)
+}
+
+// Confirm puts a plan's document in force and returns its generation. Errors
+// are *intent.StalePlanError, *configuration.GenerationConflictError and
+// those of the key-value service.
+func (o *operatorService) Confirm(ctx context.Context, id string) (core.Generation, error) {
+	plan, err := o.Plan(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	doc, err := o.store.Load(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next, err := intent.Confirm(plan, doc, o.collector.collect(ctx))
+	if err != nil {
+		return 0, err
+	}
+	if err := o.store.Commit(ctx, next); err != nil {
+		return 0, err
+	}
+	o.logger.Info("plan confirmed", "plan", id, "generation", uint64(next.Generation))
+	return next.Generation, nil
+}
