Test the error mapping, the key-value stand-in and the links

Cause: a wrong reading of a lost answer would break at most once and the truth of not-run. Conclusion: go test -race ./internal/... ./platform ./endpoint passes.

--- a/internal/fakes/links_test.go
+++ b/internal/fakes/links_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/core"
@@ -144,6 +145,26 @@
 	assert.NilError(t, conn.Close())
 }
 
+func TestLinksCloseWhileStalledEndsTheConnection(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	links := fakes.NewLinks(fakes.LinksConfig{})
+	closed := make(chan struct{})
+	address := listen(t, func(conn net.Conn) {
+		defer close(closed)
+		defer conn.Close()
+		_, _ = io.Copy(conn, conn)
+	})
+	links.Register(address, fakes.TrafficCalls, "far", dar)
+	conn, err := links.Dialer("near", arusha)(t.Context(), "tcp", address)
+	assert.NilError(t, err)
+	links.StallRegions("arusha", "dar")
+	_, err = conn.Write([]byte("ping"))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	<-closed
+}
+
 func BenchmarkLinks(b *testing.B) {
 	for name, mbps := range map[string]float64{"unlimited": 0, "400Mbps": 400, "20Mbps": 20} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -61,15 +60,17 @@
 // the caller closes the body. The client's timeout does not apply. Errors are
 // *TransportError and *FormatError.
 func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	built, err := c.build(httptrace.WithClientTrace(ctx, trace), request)
+	if err := ctx.Err(); err != nil {
+		return nil, &TransportError{Cause: err}
+	}
+	var progress sendProgress
+	built, err := c.build(httptrace.WithClientTrace(ctx, progress.trace()), request)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
 	}
 	response, err := c.http.Do(built)
 	if err != nil {
-		return nil, &TransportError{Sent: sent.Load(), Cause: err}
+		return nil, &TransportError{Sent: progress.sent(), Cause: err}
 	}
 	return response, nil
 }
