intent: count every swap under way, whoever is assigned

Cause: the stateful test found that an endpoint in mid-swap that lost its assignment was in no count, so one more could swap beside it. Change: swaps count by the model that is or will be served; endpoints that operators stopped are in no count.

--- a/intent/swapbudget.go
+++ b/intent/swapbudget.go
@@ -3,7 +3,8 @@
 import "github.com/snipestep/snipestep/fleet"
 
 // swapBudget counts how many endpoints of each model may still be taken out
-// of service. Endpoints that serve nothing are in no count.
+// of service. Endpoints that serve nothing or that operators stopped are in no
+// count.
 type swapBudget struct {
 	ratio               float64
 	models              map[string]*modelCapacity
@@ -29,7 +30,9 @@
 		if ok {
 			b.model(placement.Model.Model).assigned++
 		}
-		b.count(agent, placement, ok)
+		if _, stopped := r.stops[agent.Instance.ID]; !stopped {
+			b.count(agent, placement, ok)
+		}
 	}
 	return b
 }
@@ -52,14 +55,14 @@
 		b.model(agent.Serving.Model).unhealthy++
 		return
 	}
-	takenOut := agent.Swapping || agent.Draining
-	if !assigned || !takenOut {
-		return
-	}
 	name := agent.Serving.Model
-	if name == "" {
+	if name == "" && assigned {
 		name = p.Model.Model
 	}
+	takenOut := agent.Swapping || agent.Draining
+	if name == "" || !takenOut {
+		return
+	}
 	b.model(name).unavailable++
 	b.unavailableByDomain[domainOf(agent)]++
 }
