configuration: commits by compare-and-swap, watch and write-forward

Cause: accepted generations may never go back, whatever the service loses. Change: Store with Load, Commit, Run and Offer. A lost answer is settled by reading back and by the history in the document. A service that is behind gets the held document again; one restored under a commit is noticed through the generations that peers announce.

--- /dev/null
+++ b/configuration/config.go
@@ -0,0 +1,52 @@
+package configuration
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/platform"
+)
+
+// DocumentKey is the key of the configuration document.
+const DocumentKey = "configuration"
+
+const (
+	defaultCallTimeout  = 2 * time.Second
+	defaultWatchTimeout = time.Minute
+	maxAttempts         = 32
+)
+
+// Config holds what a Store needs.
+type Config struct {
+	KeyValue platform.KeyValue
+	Clock    Clock
+	// PeerGeneration returns the highest generation that peers announced. It
+	// keeps a node from committing on a document that a restored service
+	// holds while peers know a newer one. nil means that no peer is known.
+	PeerGeneration func() core.Generation
+	// Logger is slog.Default by default.
+	Logger *slog.Logger
+	// CallTimeout bounds each call but watches, 2 s by default.
+	CallTimeout time.Duration
+	// WatchTimeout is after how long a silent watch is renewed, 1 min by
+	// default.
+	WatchTimeout time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	c.Clock = c.Clock.withDefaults()
+	if c.PeerGeneration == nil {
+		c.PeerGeneration = func() core.Generation { return 0 }
+	}
+	if c.Logger == nil {
+		c.Logger = slog.Default()
+	}
+	if c.CallTimeout <= 0 {
+		c.CallTimeout = defaultCallTimeout
+	}
+	if c.WatchTimeout <= 0 {
+		c.WatchTimeout = defaultWatchTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/configuration/keyvalue_test.go
@@ -0,0 +1,199 @@
+package configuration_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/snipestep/snipestep/platform"
+)
+
+// fault is what happens to one call of a memoryKeyValue.
+type fault int
+
+const (
+	faultNone fault = iota
+	faultUnavailable
+	faultLostBefore // The answer is lost, the write had no effect.
+	faultLostAfter  // The answer is lost, the write took effect.
+)
+
+// memoryKeyValue is a key-value service in memory. Its leases end by expire.
+type memoryKeyValue struct {
+	mu        sync.Mutex
+	entries   map[string]platform.KeyValueEntry
+	bound     map[string]platform.LeaseID
+	versions  map[string]uint64
+	leases    map[platform.LeaseID]bool
+	lastLease platform.LeaseID
+	faults    []fault
+	changed   chan struct{}
+	beforeCAS func()
+	calls     int
+}
+
+func newMemoryKeyValue() *memoryKeyValue {
+	return &memoryKeyValue{
+		entries:  make(map[string]platform.KeyValueEntry),
+		bound:    make(map[string]platform.LeaseID),
+		versions: make(map[string]uint64),
+		leases:   make(map[platform.LeaseID]bool),
+		changed:  make(chan struct{}),
+	}
+}
+
+func (m *memoryKeyValue) fault() fault {
+	m.calls++
+	if len(m.faults) == 0 {
+		return faultNone
+	}
+	f := m.faults[0]
+	m.faults = m.faults[1:]
+	return f
+}
+
+func (m *memoryKeyValue) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func unavailable() error { return &platform.UnavailableError{Service: "key-value"} }
+
+func (m *memoryKeyValue) Get(_ context.Context, key string) (platform.KeyValueEntry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault() != faultNone {
+		return platform.KeyValueEntry{}, unavailable()
+	}
+	return m.get(key)
+}
+
+func (m *memoryKeyValue) get(key string) (platform.KeyValueEntry, error) {
+	entry, ok := m.entries[key]
+	if !ok {
+		return entry, platform.ErrKeyNotFound
+	}
+	return entry, nil
+}
+
+func (m *memoryKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if hook := m.beforeCAS; hook != nil {
+		m.beforeCAS = nil
+		hook()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch m.fault() {
+	case faultUnavailable:
+		return 0, unavailable()
+	case faultLostBefore:
+		return 0, &platform.UnknownOutcomeError{Service: "key-value"}
+	case faultLostAfter:
+		_, _ = m.swap(key, version, value, lease)
+		return 0, &platform.UnknownOutcomeError{Service: "key-value"}
+	}
+	return m.swap(key, version, value, lease)
+}
+
+func (m *memoryKeyValue) swap(key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+	if lease != 0 && !m.leases[lease] {
+		return 0, platform.ErrLeaseNotFound
+	}
+	if m.entries[key].Version != version {
+		return 0, &platform.ConflictError{Key: key, Actual: m.entries[key].Version}
+	}
+	m.versions[key]++
+	m.entries[key] = platform.KeyValueEntry{Key: key, Value: value, Version: m.versions[key]}
+	m.bound[key] = lease
+	m.notify()
+	return m.versions[key], nil
+}
+
+func (m *memoryKeyValue) Delete(_ context.Context, key string, version uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.entries[key].Version != version {
+		return &platform.ConflictError{Key: key, Actual: m.entries[key].Version}
+	}
+	delete(m.entries, key)
+	m.notify()
+	return nil
+}
+
+func (m *memoryKeyValue) List(context.Context, string, string, int) ([]platform.KeyValueEntry, error) {
+	return nil, unavailable()
+}
+
+func (m *memoryKeyValue) Watch(ctx context.Context, key string, version uint64) (platform.KeyValueEntry, error) {
+	for {
+		m.mu.Lock()
+		if m.fault() != faultNone {
+			m.mu.Unlock()
+			return platform.KeyValueEntry{}, unavailable()
+		}
+		entry, err := m.get(key)
+		changed := m.changed
+		m.mu.Unlock()
+		if entry.Version != version {
+			return entry, err
+		}
+		select {
+		case <-ctx.Done():
+			return platform.KeyValueEntry{}, ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (m *memoryKeyValue) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault() != faultNone {
+		return 0, unavailable()
+	}
+	m.lastLease++
+	m.leases[m.lastLease] = true
+	return m.lastLease, nil
+}
+
+func (m *memoryKeyValue) KeepAlive(_ context.Context, lease platform.LeaseID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault() != faultNone {
+		return unavailable()
+	}
+	if !m.leases[lease] {
+		return platform.ErrLeaseNotFound
+	}
+	return nil
+}
+
+func (m *memoryKeyValue) Revoke(_ context.Context, lease platform.LeaseID) error {
+	m.expire(lease)
+	return nil
+}
+
+func (m *memoryKeyValue) expire(lease platform.LeaseID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.leases, lease)
+	for key, holder := range m.bound {
+		if holder == lease {
+			delete(m.entries, key)
+			delete(m.bound, key)
+		}
+	}
+	m.notify()
+}
+
+// restore puts an older value back, as after a restored backup.
+func (m *memoryKeyValue) restore(key string, entry platform.KeyValueEntry, exists bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.entries, key)
+	if exists {
+		m.entries[key] = entry
+		m.versions[key] = entry.Version
+	}
+	m.notify()
+}
--- /dev/null
+++ b/configuration/main_test.go
@@ -0,0 +1,26 @@
+package configuration_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+)
+
+// defaultChecks is rapid's own default; more checks than that draw new seeds.
+const defaultChecks = "100"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.checks").Value.String() == defaultChecks && flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// instantly is a Clock.After that never waits.
+func instantly(time.Duration) <-chan time.Time {
+	fired := make(chan time.Time, 1)
+	fired <- time.Time{}
+	return fired
+}
--- /dev/null
+++ b/configuration/run.go
@@ -0,0 +1,81 @@
+package configuration
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/platform"
+)
+
+// Run keeps the holder and the service in step until ctx ends, with one watch
+// at a time. During outages it retries with growing, jittered pauses.
+func (s *Store) Run(ctx context.Context) {
+	pause := newBackOff()
+	for ctx.Err() == nil {
+		err := s.follow(ctx, pause.Reset)
+		if err == nil {
+			continue
+		}
+		wait := pause.NextBackOff()
+		s.logFailure(ctx, err, wait)
+		_ = s.cfg.Clock.wait(ctx, wait)
+	}
+}
+
+func (s *Store) logFailure(ctx context.Context, err error, wait time.Duration) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.cfg.Logger.WarnContext(ctx, "configuration cannot be followed",
+		"error", err.Error(), "retry_ms", wait.Milliseconds())
+}
+
+// follow synchronises once and watches until something changes.
+func (s *Store) follow(ctx context.Context, reached func()) error {
+	current, err := s.sync(ctx)
+	if err != nil {
+		return err
+	}
+	changed := s.holder.Changed()
+	if s.holder.Generation() != current.generation() {
+		return nil
+	}
+	if current.version != 0 {
+		reached()
+	}
+	return s.watch(ctx, current.version, changed)
+}
+
+// watch blocks until the key or the held document changes, or the watch has
+// been silent for the configured time.
+func (s *Store) watch(ctx context.Context, version uint64, changed <-chan struct{}) error {
+	watchCtx, cancel := context.WithTimeout(ctx, s.cfg.WatchTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-watchCtx.Done():
+		}
+	}()
+	entry, err := s.cfg.KeyValue.Watch(watchCtx, DocumentKey, version)
+	if errors.Is(err, platform.ErrKeyNotFound) && version != 0 {
+		return nil
+	}
+	if err != nil {
+		if watchCtx.Err() != nil {
+			return nil
+		}
+		return eris.Wrap(err, "watch configuration")
+	}
+	doc, err := fleet.DecodeDocument(entry.Value)
+	if err != nil {
+		return eris.Wrapf(err, "version %d in the key-value service", entry.Version)
+	}
+	s.holder.Apply(doc)
+	return nil
+}
