--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,8 @@
 	kill    sync.Once
 	// fetching is set while a document is fetched from an agent.
 	fetching atomic.Bool
+	// peers is the highest generation that an agent has shown.
+	peers atomic.Uint64
 }
 
 // New returns an entry that is not running yet.
@@ -76,10 +78,10 @@
 	}
 	e.running, e.stop = context.WithCancel(context.Background())
 	e.store = configuration.NewStore(configuration.Config{
-		KeyValue: deps.KeyValue,
-		Clock:    configuration.Clock{Now: deps.Now},
-		Initial:  cfg.InitialDocument,
-		Logger:   deps.Logger,
+		KeyValue:       deps.KeyValue,
+		Clock:          configuration.Clock{Now: deps.Now},
+		PeerGeneration: e.peerGeneration,
+		Logger:         deps.Logger,
 	}, e.held)
 	e.wireRequests()
 	e.wireOperations()
@@ -218,8 +220,41 @@
 	return err
 }
 
+// runStore follows the configuration, and writes the first one where the
+// key-value service holds none.
 func (e *Entry) runStore(ctx context.Context) {
-	_ = e.store.Run(ctx)
+	e.writeInitial(ctx)
+	e.store.Run(ctx)
+}
+
+// writeInitial makes Config.InitialDocument generation 1. Losing the race to
+// another entry is fine: one of them is the first.
+func (e *Entry) writeInitial(ctx context.Context) {
+	if e.cfg.InitialDocument == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if err := e.store.Load(ctx); err != nil {
+			pause(ctx, campaignPause)
+			continue
+		}
+		if e.held.Generation() > 0 {
+			return
+		}
+		first := e.cfg.InitialDocument.Clone()
+		first.Generation = 1
+		err := e.store.Commit(ctx, first)
+		if err == nil {
+			return
+		}
+		e.deps.Logger.Warn("first configuration not written", "error", err.Error())
+		pause(ctx, campaignPause)
+	}
+}
+
+// peerGeneration returns the highest generation that agents have shown.
+func (e *Entry) peerGeneration() core.Generation {
+	return core.Generation(e.peers.Load())
 }
 
 // open binds the sockets.
@@ -276,6 +311,8 @@
 	if core.Generation(d.GetGeneration()) <= e.held.Generation() {
 		return
 	}
+	// Only the loop of the routes writes peers.
+	e.peers.Store(max(e.peers.Load(), d.GetGeneration()))
 	if e.fetching.CompareAndSwap(false, true) {
 		go e.fetchFrom(core.InstanceID(d.GetInstance()))
 	}
--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -36,12 +36,11 @@
 	if err := o.resolve(ctx, &in); err != nil {
 		return nil, err
 	}
-	doc, err := o.store.Load(ctx)
-	if err != nil {
+	if err := o.store.Load(ctx); err != nil {
 		return nil, err
 	}
 	view := o.collector.collect(ctx)
-	plan, err := intent.MakePlan(doc, view, in, o.now(), uuid.NewString())
+	plan, err := intent.MakePlan(o.held.Current(), view, in, o.now(), uuid.NewString())
 	if err != nil {
 		return nil, err
 	}
@@ -102,11 +101,10 @@
 	if err != nil {
 		return 0, err
 	}
-	doc, err := o.store.Load(ctx)
-	if err != nil {
+	if err := o.store.Load(ctx); err != nil {
 		return 0, err
 	}
-	next, err := intent.Confirm(plan, doc, o.collector.collect(ctx))
+	next, err := intent.Confirm(plan, o.held.Current(), o.collector.collect(ctx))
 	if err != nil {
 		return 0, err
 	}
