--- a/configuration/errors.go
+++ b/configuration/errors.go
@@ -62,3 +62,13 @@
 func (e *BehindPeersError) Error() string {
 	return fmt.Sprintf("generation %d is held, a peer announced generation %d", e.Held, e.Peer)
 }
+
+// FenceFormatError reports a stored fencing number that is no number.
+type FenceFormatError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *FenceFormatError) Error() string {
+	return fmt.Sprintf("%q is no fencing number", e.Text)
+}
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -197,3 +197,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(entry.Value), "{")
 }
+
+func TestDivergedGenerationIsOverruled(t *testing.T) {
+	n := newNodes(2)
+	held := &fleet.Document{Generation: 3, Plan: "held"}
+	assert.Equal(t, n.all[0].store.Offer(held), fleet.Applied)
+	assert.NilError(t, n.all[1].store.Load(context.Background()))
+	other, err := (&fleet.Document{Generation: 3, Plan: "other"}).Encode()
+	assert.NilError(t, err)
+	_, err = n.kv.CompareAndSwap(context.Background(), configuration.DocumentKey, 0, other, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, n.all[0].store.Load(context.Background()))
+	assert.NilError(t, n.all[1].store.Load(context.Background()))
+	assert.Equal(t, n.all[1].holder.Generation(), core.Generation(4))
+	assert.Equal(t, n.all[1].holder.Current().Plan, "held")
+}
