--- a/entry/beacon.go
+++ b/entry/beacon.go
@@ -62,18 +62,25 @@
 	return false
 }
 
-// sendAll sends one datagram to each agent of the subset.
+// sendAll sends one datagram to each agent of the subset and notes which ones
+// have heard. Only the loop calls it.
 func (b *beacon) sendAll() time.Time {
+	b.known = b.broadcast()
+	return time.Now()
+}
+
+// broadcast sends one datagram to each agent of the subset and returns those
+// it was sent to.
+func (b *beacon) broadcast() map[core.InstanceID]bool {
 	agents := *b.routes.subset.Load()
 	d := b.datagram()
-	known := make(map[core.InstanceID]bool, len(agents))
+	sent := make(map[core.InstanceID]bool, len(agents))
 	for _, agent := range agents {
 		if err := b.plane.Send(agent.DatagramAddr, d); err == nil {
-			known[agent.ID] = true
+			sent[agent.ID] = true
 		}
 	}
-	b.known = known
-	return time.Now()
+	return sent
 }
 
 func (b *beacon) datagram() *wire.Datagram {
--- a/entry/callservice.go
+++ b/entry/callservice.go
@@ -88,8 +88,3 @@
 		s.quarantine.strike(fingerprint, string(at)+"/"+strconv.FormatUint(member.Incarnation, 10))
 	}
 }
-
-// policies returns the service of every rank in force.
-func (s *callService) policies() routing.Policies {
-	return rankPolicies(s.held.Policy())
-}
--- a/entry/collector.go
+++ b/entry/collector.go
@@ -4,6 +4,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,6 +23,8 @@
 type collector struct {
 	routes *routes
 	pool   *sessionPool
+	// fence is the highest fencing number that agents have reported.
+	fence atomic.Uint64
 }
 
 // collect returns the status of every agent that is not known to be dead. It
@@ -62,9 +65,23 @@
 	if err := session.Ask(ctx, header, status); err != nil {
 		return view
 	}
+	c.sawFence(status.GetFence())
 	return agentView(instance, status)
 }
 
+func (c *collector) sawFence(fence uint64) {
+	for {
+		held := c.fence.Load()
+		if fence <= held || c.fence.CompareAndSwap(held, fence) {
+			return
+		}
+	}
+}
+
+func (c *collector) highestFence() core.Fence {
+	return core.Fence(c.fence.Load())
+}
+
 func agentView(instance core.Instance, s *wire.AgentStatus) intent.AgentView {
 	return intent.AgentView{
 		Instance:    instance,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,8 @@
 type Entry struct {
 	cfg  Config
 	deps Deps
+	// operatorTokens are the digests of operators' bearer tokens.
+	operatorTokens []core.Digest
 
 	held       *fleet.Generations
 	store      *configuration.Store
@@ -69,12 +71,17 @@
 func New(cfg Config, deps Deps) (*Entry, error) {
 	deps = deps.withDefaults()
 	cfg = cfg.withDefaults(deps.Now())
+	tokens, err := parseDigests(cfg.OperatorTokenDigests)
+	if err != nil {
+		return nil, err
+	}
 	e := &Entry{
-		cfg:    cfg,
-		deps:   deps,
-		held:   fleet.NewGenerations(),
-		ready:  make(chan struct{}),
-		killed: make(chan struct{}),
+		operatorTokens: tokens,
+		cfg:            cfg,
+		deps:           deps,
+		held:           fleet.NewGenerations(),
+		ready:          make(chan struct{}),
+		killed:         make(chan struct{}),
 	}
 	e.running, e.stop = context.WithCancel(context.Background())
 	e.store = configuration.NewStore(configuration.Config{
@@ -94,6 +101,18 @@
 	return e, nil
 }
 
+func parseDigests(texts []string) ([]core.Digest, error) {
+	digests := make([]core.Digest, 0, len(texts))
+	for _, text := range texts {
+		d, err := core.ParseDigest(text)
+		if err != nil {
+			return nil, err
+		}
+		digests = append(digests, d)
+	}
+	return digests, nil
+}
+
 func (e *Entry) identity() wire.Identity {
 	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey}
 }
@@ -146,7 +165,9 @@
 		lease: configuration.NewExecutor(configuration.ExecutorConfig{
 			KeyValue: e.deps.KeyValue,
 			Clock:    configuration.Clock{Now: e.deps.Now},
-			Holder:   e.cfg.Instance.ID,
+			Holder:   e.calls.uniqueID(0),
+			MinFence: collector.highestFence,
+			Logger:   e.deps.Logger,
 		}),
 		held:      e.held,
 		collector: collector,
@@ -167,6 +188,7 @@
 		weights:   e.deps.WeightStore,
 		held:      e.held,
 		collector: collector,
+		executor:  e.executor,
 		now:       e.deps.Now,
 		logger:    e.deps.Logger,
 		instance:  e.cfg.Instance.ID,
@@ -178,7 +200,7 @@
 	mux := http.NewServeMux()
 	callers := &callerHandler{svc: e.calls, now: e.deps.Now}
 	callers.register(mux)
-	mux.Handle("/", operator.NewHandler(e.operators, e.cfg.OperatorTokenDigests))
+	mux.Handle("/", operator.NewHandler(e.operators, e.operatorTokens))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.leaving.Load() {
 			problem.Write(w, problemOf(leavingRefusal()))
@@ -371,7 +393,7 @@
 	_ = e.server.Shutdown(ctx)
 	e.beacon.leaving.Store(true)
 	for range leaveRepeats {
-		e.beacon.sendAll()
+		e.beacon.broadcast()
 	}
 }
 
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -41,7 +41,8 @@
 	scope     tally.Scope
 	now       func() time.Time
 	reconcile intent.ReconcileConfig
-	leads     atomic.Bool
+	// tenure is that of this entry, nil while another one holds the lease.
+	tenure atomic.Pointer[configuration.Tenure]
 }
 
 // run campaigns for the lease and works under it until ctx ends.
@@ -52,10 +53,10 @@
 			pause(ctx, campaignPause)
 			continue
 		}
-		x.leads.Store(true)
+		x.tenure.Store(tenure)
 		x.logger.Info("executor's lease gained", "fence", uint64(tenure.Fence))
 		x.work(ctx, tenure)
-		x.leads.Store(false)
+		x.tenure.Store(nil)
 		x.logger.Info("executor's lease ended", "fence", uint64(tenure.Fence))
 	}
 }
@@ -68,7 +69,7 @@
 }
 
 // work reconciles until the lease ends.
-func (x *executor) work(ctx context.Context, tenure configuration.Tenure) {
+func (x *executor) work(ctx context.Context, tenure *configuration.Tenure) {
 	for {
 		changed := x.held.Changed()
 		wait := x.step(ctx, tenure)
@@ -85,7 +86,7 @@
 
 // step does one round and returns the time to the next one. Both bounds grow
 // with the fleet, so that the bytes a second stay bounded.
-func (x *executor) step(ctx context.Context, tenure configuration.Tenure) time.Duration {
+func (x *executor) step(ctx context.Context, tenure *configuration.Tenure) time.Duration {
 	view := x.collector.collect(ctx)
 	orders := intent.Reconcile(x.held.Current(), view, x.reconcile)
 	if len(orders) > 0 && tenure.Valid(x.now()) {
--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,309 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/fstest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/agent"
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/fakes"
+	"github.com/snipestep/snipestep/operator"
+	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/weights"
+)
+
+const (
+	testChunk     = 4096 // Bytes.
+	callerToken   = "caller"
+	operatorToken = "operator"
+	testDeadline  = 30 * time.Second
+)
+
+var testKey = []byte("0123456789abcdef")
+
+// testFleet is a whole fleet in one process over loopback, with stand-ins for
+// the platform and the endpoints.
+type testFleet struct {
+	t       *testing.T
+	ctx     context.Context
+	kv      *fakes.KeyValue
+	list    *fakes.InstanceList
+	origin  *fakes.Origin
+	store   *fakes.WeightStore
+	ledger  *fakes.Ledger
+	engines []*fakes.Engine
+	plains  []*fakes.Plain
+	agents  []*agent.Agent
+	entries []*Entry
+	urls    map[string]string
+	logger  *slog.Logger
+}
+
+func newTestFleet(t *testing.T, models, plains, entries int) *testFleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+	t.Cleanup(cancel)
+	f := &testFleet{
+		t: t, ctx: ctx,
+		kv:     fakes.NewKeyValue(time.Now),
+		list:   fakes.NewInstanceList(0, time.Now),
+		origin: fakes.NewOrigin(),
+		store:  fakes.NewWeightStore(0, 0, time.Now),
+		ledger: fakes.NewLedger(),
+		urls:   map[string]string{},
+		logger: slog.New(slog.DiscardHandler),
+	}
+	if os.Getenv("SNIPESTEP_TEST_LOG") != "" {
+		f.logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	for name, h := range map[string]http.Handler{"kv": f.kv, "list": f.list, "origin": f.origin, "store": f.store} {
+		f.urls[name] = f.serve(h)
+	}
+	for i := range models {
+		f.addModel(i)
+	}
+	for i := range plains {
+		f.addPlain(i)
+	}
+	for i := range entries {
+		f.addEntry(i)
+	}
+	return f
+}
+
+func (f *testFleet) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	f.t.Cleanup(server.Close)
+	return server.URL
+}
+
+func (f *testFleet) freeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *testFleet) instance(id string, role core.InstanceRole, i int) core.Instance {
+	region := fmt.Sprintf("r%d", i%2)
+	return core.Instance{
+		ID: core.InstanceID(id), Role: role, State: core.StateLive,
+		Location:    core.Location{Region: region, FailureDomain: region + "a"},
+		SessionAddr: f.freeAddr(), DatagramAddr: f.freeAddr(),
+	}
+}
+
+func (f *testFleet) addModel(i int) {
+	engine := fakes.NewEngine(fakes.EngineConfig{
+		Slots: 4, PerToken: time.Millisecond, Restart: 20 * time.Millisecond,
+		ChecksFencing: i%2 == 0, ForeignRatio: 0.1, Seed: uint64(i),
+		ChunkDigests: func(encoded []byte) ([]core.Digest, error) {
+			m, err := weights.DecodeManifest(encoded, core.SumDigest(encoded))
+			if err != nil {
+				return nil, err
+			}
+			return m.Chunks, nil
+		},
+	})
+	instance := f.instance(fmt.Sprintf("model-%d", i), core.RoleModel, i)
+	instance.ChunkAddr = f.freeAddr()
+	f.engines = append(f.engines, engine)
+	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
+		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(engine), Timeout: testDeadline}),
+		Origin: platform.NewHTTPOrigin(platform.HTTPConfig{BaseURL: f.urls["origin"]}),
+		Store:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
+	})
+}
+
+func (f *testFleet) addPlain(i int) {
+	plain := fakes.NewPlain(fakes.PlainConfig{Operations: []string{"purchase", "balance"}, Slots: 4, Seed: uint64(i)}, f.ledger)
+	instance := f.instance(fmt.Sprintf("plain-%d", i), core.RolePlain, i)
+	instance.Service = "counter"
+	f.plains = append(f.plains, plain)
+	f.runAgent(agent.Config{Instance: instance}, agent.Deps{
+		Plain: endpoint.NewHTTPPlain(endpoint.HTTPConfig{BaseURL: f.serve(plain), Timeout: testDeadline}),
+	})
+}
+
+func (f *testFleet) runAgent(cfg agent.Config, deps agent.Deps) {
+	cfg.FleetKey, cfg.Slots, cfg.OriginRegion = testKey, 4, "r0"
+	deps.Logger = f.logger.With("at", cfg.Instance.ID)
+	a, err := agent.New(cfg, deps)
+	assert.NilError(f.t, err)
+	f.run(a.Run, a.Kill)
+	<-a.Ready()
+	f.agents = append(f.agents, a)
+	f.list.Put(cfg.Instance)
+}
+
+// run runs a program until the test ends; then it is killed.
+func (f *testFleet) run(program func(context.Context) error, kill func()) {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = program(f.ctx)
+	}()
+	f.t.Cleanup(func() {
+		kill()
+		<-ended
+	})
+}
+
+func (f *testFleet) addEntry(i int) {
+	instance := f.instance(fmt.Sprintf("entry-%d", i), core.RoleEntry, i)
+	e, err := New(Config{
+		Instance: instance, HTTPAddr: f.freeAddr(), FleetKey: testKey, OriginRegion: "r0",
+		OperatorTokenDigests: []string{fleet.TokenDigest(operatorToken).String()},
+		InitialDocument:      testDocument(), ClaimShards: 2,
+	}, Deps{
+		KeyValue:     platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
+		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
+		WeightStore:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
+		Logger:       f.logger.With("at", instance.ID),
+	})
+	assert.NilError(f.t, err)
+	f.run(e.Run, e.Kill)
+	<-e.Ready()
+	f.entries = append(f.entries, e)
+	f.list.Put(instance)
+}
+
+func testDocument() *fleet.Document {
+	return &fleet.Document{
+		Organisations: []fleet.Organisation{{ID: "school", TokenDigests: []string{fleet.TokenDigest(callerToken).String()}, Weight: 1}},
+		RankRules: []fleet.RankRule{
+			{Kind: "urgent", Rank: core.RankUrgent},
+			{Kind: "background", Rank: core.RankBackground},
+		},
+		Ranks: []fleet.RankPolicy{
+			{Rank: core.RankUrgent, GuaranteedShare: 0.5, PatienceMS: 5000},
+			{Rank: core.RankNormal, GuaranteedShare: 0.25, PatienceMS: 5000},
+			{Rank: core.RankBackground, GuaranteedShare: 0.1, PatienceMS: 10000},
+		},
+		Services: []fleet.Service{{Name: "counter", Operations: []fleet.Operation{
+			{Name: "purchase", Rank: core.RankNormal}, {Name: "balance", Idempotent: true, Rank: core.RankNormal},
+		}}},
+	}
+}
+
+// publish makes a version of the model known to the platform.
+func (f *testFleet) publish(version string) core.ModelRef {
+	f.t.Helper()
+	data := []byte(strings.Repeat(version+"-weights-", 20000))
+	m, err := weights.Build("letters", version, fstest.MapFS{"w.bin": {Data: data}}, testChunk)
+	assert.NilError(f.t, err)
+	var chunks [][]byte
+	for i := 0; i < len(data); i += testChunk {
+		chunks = append(chunks, data[i:min(len(data), i+testChunk)])
+	}
+	w := fakes.Weights{Ref: m.Ref(), Manifest: m.Encode(), Chunks: len(chunks), Read: fakes.ChunksOf(chunks)}
+	f.origin.Publish(w)
+	f.store.Publish(w)
+	return m.Ref()
+}
+
+func (f *testFleet) operator(entry int) *operator.Client {
+	return operator.NewClient([]string{"http://" + f.entries[entry].cfg.HTTPAddr}, operatorToken, nil)
+}
+
+// until repeats a step until it holds; the fleet's deadline ends the test.
+func (f *testFleet) until(what string, holds func() bool) {
+	f.t.Helper()
+	for !holds() {
+		select {
+		case <-f.ctx.Done():
+			f.t.Fatalf("never reached: %s", what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// awaitAgents blocks until an entry sees every agent alive.
+func (f *testFleet) awaitAgents() {
+	f.t.Helper()
+	for _, e := range f.entries {
+		f.until("agents alive", func() bool {
+			alive := 0
+			for _, m := range e.routes.membership.View().Instances {
+				if m.Listed && m.State == fleet.MemberAlive {
+					alive++
+				}
+			}
+			return alive >= len(f.agents) && e.Generation() > 0
+		})
+	}
+}
+
+// carryOut proposes an intent and confirms its plan.
+func (f *testFleet) carryOut(entry int, in intent.Intent) {
+	f.t.Helper()
+	plan, err := f.operator(entry).Propose(f.ctx, in)
+	assert.NilError(f.t, err)
+	_, err = f.operator(entry).Confirm(f.ctx, plan.ID)
+	assert.NilError(f.t, err)
+}
+
+func place(version string) intent.Intent {
+	return intent.Intent{Place: &intent.Place{Model: core.ModelRef{Model: "letters", Version: version}}}
+}
+
+func (f *testFleet) awaitServing(m core.ModelRef) {
+	f.t.Helper()
+	f.until("every engine serves "+m.Version, func() bool {
+		for _, e := range f.engines {
+			if e.Serving() != m {
+				return false
+			}
+		}
+		return true
+	})
+	f.until("every agent serves "+m.Version, func() bool {
+		for _, a := range f.agents[:len(f.engines)] {
+			if a.Serving() != m {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// post sends a caller's request and returns status, headers and body.
+func (f *testFleet) post(entry int, path, body string, headers ...string) (int, http.Header, string) {
+	f.t.Helper()
+	req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, "http://"+f.entries[entry].cfg.HTTPAddr+path, strings.NewReader(body))
+	assert.NilError(f.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	answer, err := http.DefaultClient.Do(req)
+	assert.NilError(f.t, err)
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	assert.NilError(f.t, err)
+	return answer.StatusCode, answer.Header, string(text)
+}
+
+func wholeAnswer(prompt, version string, tokens int) string {
+	var b strings.Builder
+	for i := range tokens {
+		b.WriteString(fakes.TokenText(prompt, version, i))
+	}
+	return b.String()
+}
--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -12,11 +15,15 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/platform"
 	"github.com/snipestep/snipestep/weights"
 )
 
-const planLife = time.Hour
+const (
+	planLife      = time.Hour
+	watchInterval = time.Second
+)
 
 // operatorService makes, keeps and confirms plans.
 type operatorService struct {
@@ -25,6 +32,7 @@
 	weights   platform.WeightStore
 	held      *fleet.Generations
 	collector *collector
+	executor  *executor
 	now       func() time.Time
 	logger    *slog.Logger
 	instance  core.InstanceID
@@ -84,16 +92,20 @@
 	return eris.Wrap(err, "keep the plan")
 }
 
-// Plan returns a kept plan, or platform.ErrKeyNotFound.
+// Plan returns a kept plan, or operator.ErrPlanNotFound.
 func (o *operatorService) Plan(ctx context.Context, id string) (*intent.Plan, error) {
 	entry, err := o.kv.Get(ctx, intent.Key(id))
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		return nil, operator.ErrPlanNotFound
+	}
 	if err != nil {
 		return nil, err
 	}
 	return intent.DecodePlan(entry.Value)
 }
 
-// Confirm puts a plan's document in force and returns its generation. Errors
+// Confirm puts a plan's document in force and returns its generation. A plan
+// that is in force already is confirmed again without a change. Errors
 // are *intent.StalePlanError, *configuration.GenerationConflictError and
 // those of the key-value service.
 func (o *operatorService) Confirm(ctx context.Context, id string) (core.Generation, error) {
@@ -104,6 +116,9 @@
 	if err := o.store.Load(ctx); err != nil {
 		return 0, err
 	}
+	if doc := o.held.Current(); doc.Plan == id {
+		return doc.Generation, nil
+	}
 	next, err := intent.Confirm(plan, o.held.Current(), o.collector.collect(ctx))
 	if err != nil {
 		return 0, err
@@ -114,3 +129,42 @@
 	o.logger.Info("plan confirmed", "plan", id, "generation", uint64(next.Generation))
 	return next.Generation, nil
 }
+
+// Status returns the state of the fleet as this entry sees it.
+func (o *operatorService) Status(ctx context.Context) (operator.Status, error) {
+	reachable := o.store.Load(ctx) == nil
+	status := operator.NewStatus(o.held.Current(), o.collector.collect(ctx))
+	status.Entry = o.instance
+	status.StoreReachable = reachable
+	if tenure := o.executor.tenure.Load(); tenure != nil {
+		status.Executor = true
+		status.Fence = tenure.Fence
+	}
+	return status, nil
+}
+
+// Watch sends the status at once and after each change until ctx ends or send
+// fails.
+func (o *operatorService) Watch(ctx context.Context, send func(operator.Status) error) error {
+	var last []byte
+	for {
+		status, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		encoded, err := json.Marshal(status)
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(encoded, last) {
+			if err := send(status); err != nil {
+				return err
+			}
+			last = encoded
+		}
+		pause(ctx, watchInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
