--- a/intent/makeplan.go
+++ b/intent/makeplan.go
@@ -41,6 +41,7 @@
 		CreatedAt:   now.UTC(),
 		Generation:  doc.Generation,
 		Next:        next,
+		Changes:     Diff(doc, next),
 		CapacityNow: rankCapacities(doc, modelSlots(view.Agents)),
 	}
 	if err := plan.checkCapacity(doc, view); err != nil {
--- a/intent/plan.go
+++ b/intent/plan.go
@@ -30,8 +30,10 @@
 	Generation core.Generation `json:"generation"`
 	ViewHash   core.Digest     `json:"view_hash"`
 	// Next is the document that the plan makes, of generation Generation+1.
-	Next  *fleet.Document `json:"next"`
-	Waves []Wave          `json:"waves"`
+	Next *fleet.Document `json:"next"`
+	// Changes are the differences between the premise's document and Next.
+	Changes []Change `json:"changes"`
+	Waves   []Wave   `json:"waves"`
 	// CapacityNow is the capacity before the first wave.
 	CapacityNow []RankCapacity `json:"capacity_now"`
 	// OriginBytes is what the origin sends.
