--- /dev/null
+++ b/cmd/snipestepctl/commands.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/operator"
+)
+
+type placeCommand struct {
+	Model         string   `arg:"" help:"Name of the model."`
+	Version       string   `arg:"" help:"Version of the model."`
+	Manifest      string   `help:"Digest of the manifest; the entry looks it up by default." placeholder:"HEX"`
+	Adapter       []string `help:"Adapter to load, may be repeated." placeholder:"NAME"`
+	EngineRole    string   `help:"Role of the engine, e.g. mixed." placeholder:"ROLE"`
+	Region        string   `help:"Only in this region." placeholder:"NAME"`
+	FailureDomain string   `help:"Only in this failure domain." placeholder:"NAME"`
+	Replicas      int      `help:"Number of endpoints, 0 for every matching one." default:"0"`
+}
+
+// Run proposes the intent.
+func (c *placeCommand) Run(a *app) error {
+	model := core.ModelRef{Model: c.Model, Version: c.Version}
+	if c.Manifest != "" {
+		digest, err := core.ParseDigest(c.Manifest)
+		if err != nil {
+			return &UsageError{Detail: "--manifest: " + err.Error()}
+		}
+		model.Manifest = digest
+	}
+	return a.propose(intent.Intent{Place: &intent.Place{
+		Model:         model,
+		Adapters:      c.Adapter,
+		EngineRole:    c.EngineRole,
+		Region:        c.Region,
+		FailureDomain: c.FailureDomain,
+		Replicas:      c.Replicas,
+	}})
+}
+
+type rankCommand struct {
+	Rank            string        `arg:"" enum:"urgent,normal,background" help:"Rank: urgent, normal or background."`
+	Organisation    string        `help:"Give the rank to calls of this organisation." placeholder:"ID"`
+	Kind            string        `help:"Give the rank to calls of this kind." placeholder:"KIND"`
+	GuaranteedShare *float64      `help:"Part of each endpoint's slots kept for the rank, 0 to 1." placeholder:"SHARE"`
+	Patience        time.Duration `help:"How long a call of the rank may wait; set together with --guaranteed-share." default:"2s"`
+}
+
+// Run proposes the intent.
+func (c *rankCommand) Run(a *app) error {
+	rank, err := core.ParseRank(c.Rank)
+	if err != nil {
+		return &UsageError{Detail: err.Error()}
+	}
+	in := &intent.Rank{}
+	if c.Organisation != "" || c.Kind != "" {
+		in.Rules = []fleet.RankRule{{
+			Organisation: core.OrganisationID(c.Organisation),
+			Kind:         c.Kind,
+			Rank:         rank,
+		}}
+	}
+	if c.GuaranteedShare != nil {
+		in.Policies = []fleet.RankPolicy{{
+			Rank:            rank,
+			GuaranteedShare: *c.GuaranteedShare,
+			PatienceMS:      c.Patience.Milliseconds(),
+		}}
+	}
+	if len(in.Rules) == 0 && len(in.Policies) == 0 {
+		return &UsageError{Detail: "give --organisation, --kind or --guaranteed-share"}
+	}
+	return a.propose(intent.Intent{Rank: in})
+}
+
+type selectorFlags struct {
+	Region        string `help:"Only in this region." placeholder:"NAME"`
+	FailureDomain string `help:"Only in this failure domain." placeholder:"NAME"`
+	Rack          string `help:"Only in this rack." placeholder:"NAME"`
+	Role          string `help:"Only endpoints of this role: model or plain." placeholder:"ROLE"`
+	Count         int    `help:"Number of endpoints, spread over failure domains; 0 for all." default:"0"`
+	All           bool   `help:"Select every endpoint."`
+}
+
+func (f selectorFlags) selector() (intent.Selector, error) {
+	s := intent.Selector{
+		Region:        f.Region,
+		FailureDomain: f.FailureDomain,
+		Rack:          f.Rack,
+		Role:          core.InstanceRole(f.Role),
+		Count:         f.Count,
+	}
+	if s == (intent.Selector{}) && !f.All {
+		return s, &UsageError{Detail: "select endpoints, or give --all"}
+	}
+	return s, nil
+}
+
+type graceFlags struct {
+	StreamGrace time.Duration `help:"How long running streams may go on." default:"30s"`
+	Move        bool          `help:"Move streams that still run then to other endpoints."`
+	AcceptLess  bool          `help:"Accept that less than the guaranteed capacity is left."`
+}
+
+type stopCommand struct {
+	selectorFlags
+	graceFlags
+}
+
+// Run proposes the intent.
+func (c *stopCommand) Run(a *app) error {
+	selector, err := c.selector()
+	if err != nil {
+		return err
+	}
+	return a.propose(intent.Intent{Stop: &intent.Stop{
+		Selector:      selector,
+		StreamGraceMS: c.StreamGrace.Milliseconds(),
+		Move:          c.Move,
+		AcceptLess:    c.AcceptLess,
+	}})
+}
+
+type drainCommand struct {
+	selectorFlags
+	graceFlags
+}
+
+// Run proposes the intent.
+func (c *drainCommand) Run(a *app) error {
+	selector, err := c.selector()
+	if err != nil {
+		return err
+	}
+	return a.propose(intent.Intent{Drain: &intent.Drain{
+		Selector:      selector,
+		StreamGraceMS: c.StreamGrace.Milliseconds(),
+		Move:          c.Move,
+		AcceptLess:    c.AcceptLess,
+	}})
+}
+
+type resumeCommand struct {
+	selectorFlags
+}
+
+// Run proposes the intent.
+func (c *resumeCommand) Run(a *app) error {
+	selector, err := c.selector()
+	if err != nil {
+		return err
+	}
+	return a.propose(intent.Intent{Resume: &intent.Resume{Selector: selector}})
+}
+
+type showCommand struct {
+	Plan string `arg:"" help:"Identifier of the plan."`
+}
+
+// Run shows the plan.
+func (c *showCommand) Run(a *app) error {
+	ctx, cancel := a.limited()
+	defer cancel()
+	plan, err := a.client.Plan(ctx, c.Plan)
+	if err != nil {
+		return err
+	}
+	return a.printPlan(plan)
+}
+
+type diffCommand struct {
+	Plan string `arg:"" help:"Identifier of the plan."`
+}
+
+// Run shows the plan's changes.
+func (c *diffCommand) Run(a *app) error {
+	ctx, cancel := a.limited()
+	defer cancel()
+	changes, err := a.client.Diff(ctx, c.Plan)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return a.printJSON(changes)
+	}
+	return operator.WriteChanges(a.out, changes)
+}
+
+type confirmCommand struct {
+	Plan string `arg:"" help:"Identifier of the plan."`
+}
+
+// Run confirms the plan.
+func (c *confirmCommand) Run(a *app) error {
+	ctx, cancel := a.limited()
+	defer cancel()
+	generation, err := a.client.Confirm(ctx, c.Plan)
+	if err != nil {
+		return err
+	}
+	confirmed := operator.Confirmed{Plan: c.Plan, Generation: generation}
+	if a.json {
+		return a.printJSON(confirmed)
+	}
+	return operator.WriteConfirmed(a.out, confirmed)
+}
+
+type statusCommand struct{}
+
+// Run shows the status once.
+func (c *statusCommand) Run(a *app) error {
+	ctx, cancel := a.limited()
+	defer cancel()
+	status, err := a.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return a.printStatus(status)
+}
+
+type watchCommand struct{}
+
+// Run shows the status after each change, until interrupted. JSON comes as
+// one line for each.
+func (c *watchCommand) Run(a *app) error {
+	return a.client.Watch(a.ctx, func(s operator.Status) error {
+		if a.json {
+			return json.NewEncoder(a.out).Encode(s)
+		}
+		return a.printStatus(s)
+	})
+}
