--- a/intent/confirm.go
+++ b/intent/confirm.go
@@ -11,7 +11,7 @@
 // Confirm returns the document to commit. It returns *StalePlanError when the
 // document moved on, when an instance that the plan names is gone, leaves or
 // stands elsewhere, or when a stop would now break guaranteed capacity.
-// Instances that are new since, and what instances serve, are not part of the
+// Instances that are new since and what instances serve are not part of the
 // premise: the executor always works from what it sees.
 func Confirm(plan *Plan, doc *fleet.Document, view FleetView) (*fleet.Document, error) {
 	if doc.Generation != plan.Generation {
@@ -46,6 +46,13 @@
 	return plan.Next.Clone(), nil
 }
 
+// Confirmed reports whether the plan made a generation that the document
+// remembers. Confirming such a plan again changes nothing.
+func (p *Plan) Confirmed(doc *fleet.Document) bool {
+	id, ok := doc.PlanOf(p.Generation + 1)
+	return ok && id == p.ID
+}
+
 // viewHash digests what a plan assumes of the instances it names.
 func viewHash(view FleetView, named []core.InstanceID) core.Digest {
 	known := view.byID()
--- a/intent/makeplan.go
+++ b/intent/makeplan.go
@@ -112,14 +112,15 @@
 	if place == nil {
 		return
 	}
-	prefetching := p.prefetching()
+	assigned := Assign(p.Next, view)
 	needing := make(map[string]bool)
 	holding := make(map[string]bool)
 	for _, a := range view.Agents {
 		region := a.Instance.Location.Region
+		index, ok := assigned[a.Instance.ID]
 		if a.Serving == place.Model || a.Complete(place.Model) {
 			holding[region] = true
-		} else if prefetching[a.Instance.ID] {
+		} else if ok && p.Next.Placements[index].Model == place.Model {
 			needing[region] = true
 		}
 	}
@@ -134,18 +135,6 @@
 	p.RegionLinkBytes = copies * place.ModelBytes
 }
 
-func (p *Plan) prefetching() map[core.InstanceID]bool {
-	out := make(map[core.InstanceID]bool)
-	for _, wave := range p.Waves {
-		if wave.Steps[0].Kind == OrderPrefetch {
-			for _, id := range wave.Instances {
-				out[id] = true
-			}
-		}
-	}
-	return out
-}
-
 func (p *Plan) predictTime(e Estimates) {
 	for i := range p.Waves {
 		wave := &p.Waves[i]
