--- a/intent/domainqueues.go
+++ b/intent/domainqueues.go
@@ -21,14 +21,15 @@
 	d.queues[name] = append(d.queues[name], agent)
 }
 
-// take removes the next agent of the failure domain with the lowest count.
+// take removes the next agent of the failure domain with the lowest count, of
+// several that with the most agents left.
 func (d *domainQueues) take(counts map[string]int) (AgentView, bool) {
 	best := ""
 	for _, name := range d.names {
 		if len(d.queues[name]) == 0 {
 			continue
 		}
-		if best == "" || counts[name] < counts[best] {
+		if best == "" || d.before(name, best, counts) {
 			best = name
 		}
 	}
@@ -39,3 +40,10 @@
 	d.queues[best] = d.queues[best][1:]
 	return agent, true
 }
+
+func (d *domainQueues) before(a, b string, counts map[string]int) bool {
+	if counts[a] != counts[b] {
+		return counts[a] < counts[b]
+	}
+	return len(d.queues[a]) > len(d.queues[b])
+}
--- a/intent/plan_test.go
+++ b/intent/plan_test.go
@@ -12,6 +12,8 @@
 	"github.com/snipestep/snipestep/intent"
 )
 
+var start = time.Unix(1, 0)
+
 func settledFleet(t *testing.T, size int) (*fleetModel, *fleet.Document) {
 	t.Helper()
 	f := newFleetModel(size)
@@ -25,11 +27,11 @@
 }
 
 func makePlan(doc *fleet.Document, f *fleetModel, in intent.Intent) (*intent.Plan, error) {
-	return intent.MakePlan(doc, f.view(), in, time.Unix(1, 0), "p")
+	return intent.MakePlan(doc, f.view(), in, start, "p")
 }
 
-func place(version string) intent.Intent {
-	return intent.Intent{Place: &intent.Place{Model: ref("m", version), ModelBytes: 1000}}
+func placeV2() intent.Intent {
+	return intent.Intent{Place: &intent.Place{Model: ref("m", "v2"), ModelBytes: 1000}}
 }
 
 func drain(count int) intent.Intent {
@@ -45,7 +47,7 @@
 
 func TestPlanIsWhatReconcileDoes(t *testing.T) {
 	f, doc := settledFleet(t, 9)
-	plan, err := makePlan(doc, f, place("v2"))
+	plan, err := makePlan(doc, f, placeV2())
 	assert.NilError(t, err)
 	next, err := intent.Confirm(plan, doc, f.view())
 	assert.NilError(t, err)
@@ -68,7 +70,7 @@
 
 func TestStalePlans(t *testing.T) {
 	f, doc := settledFleet(t, 9)
-	pushed, err := makePlan(doc, f, place("v2"))
+	pushed, err := makePlan(doc, f, placeV2())
 	assert.NilError(t, err)
 	drained, err := makePlan(doc, f, drain(4))
 	assert.NilError(t, err)
@@ -127,7 +129,7 @@
 
 func TestPlanRoundTrip(t *testing.T) {
 	f, doc := settledFleet(t, 5)
-	plan, err := makePlan(doc, f, place("v2"))
+	plan, err := makePlan(doc, f, placeV2())
 	assert.NilError(t, err)
 	data, err := plan.Encode()
 	assert.NilError(t, err)
