Spread chunk uploads evenly

Cause: the first fetchers of a region sent up to 2.4 copies each to peers that asked them again and again. Change: a node announces a new chunk to two peers first and to the others 0.2 s later, refuses when it has sent more than it holds, and peers pause longer for each refusing peer.

--- a/weights/chunkstate.go
+++ b/weights/chunkstate.go
@@ -1,10 +1,6 @@
 package weights
 
-import (
-	"time"
-
-	"github.com/snipestep/snipestep/core"
-)
+import "time"
 
 // flight is one request under way.
 type flight struct {
@@ -19,7 +15,7 @@
 	seen     bool
 	flights  []flight
 	retryAt  time.Time
-	refusals int
-	refuser  core.InstanceID // Peer that refused last.
-	attempts int             // Failed requests to other regions.
+	refused  time.Time // When a peer refused first.
+	refusals []refusal // One for each peer that refused.
+	attempts int       // Failed requests to other regions.
 }
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -27,12 +27,15 @@
 	// RegionRequests is the number of chunks that a region's fetchers
 	// request together from another region at once.
 	RegionRequests int
-	// UrgentAfter is the number of refusals after which a request for a
-	// chunk is urgent.
-	UrgentAfter int
 
-	// RefusedRetry is the pause of a chunk after a refusal.
+	// RefusedRetry is how long a chunk is not requested again from the peer
+	// that refused it. It doubles with each refusal.
 	RefusedRetry time.Duration
+	// MaxRefusedRetry bounds the growth of RefusedRetry.
+	MaxRefusedRetry time.Duration
+	// UrgentAfter is the time from the first refusal of a chunk after which
+	// its requests are urgent.
+	UrgentAfter time.Duration
 	// MissingRetry is the pause of a chunk after a peer did not get it.
 	MissingRetry time.Duration
 	// DownTime is how long a lost peer is left out.
@@ -63,8 +66,9 @@
 	setDefault(&c.RequestsPerPeer, 3)
 	setDefault(&c.OriginRequests, 4)
 	setDefault(&c.RegionRequests, 8)
-	setDefault(&c.UrgentAfter, 6)
 	setDefault(&c.RefusedRetry, 30*time.Millisecond)
+	setDefault(&c.MaxRefusedRetry, 240*time.Millisecond)
+	setDefault(&c.UrgentAfter, 600*time.Millisecond)
 	setDefault(&c.MissingRetry, 100*time.Millisecond)
 	setDefault(&c.DownTime, 5*time.Second)
 	setDefault(&c.BanTime, time.Minute)
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -137,6 +137,7 @@
 	chunk := &p.chunks[i]
 	if !chunk.stored {
 		chunk.stored = true
+		chunk.refusals = nil
 		p.left--
 		p.see(now, i)
 	}
@@ -164,11 +165,31 @@
 	case FailureCorrupt:
 		p.PeerCorrupt(now, from.Peer)
 	case FailureRefused:
-		chunk.refusals++
-		chunk.refuser = from.Peer
-		chunk.retryAt = now.Add(p.cfg.RefusedRetry)
+		p.refused(now, chunk, from.Peer)
 	default:
 		chunk.attempts++
 		chunk.retryAt = now.Add(p.cfg.MissingRetry)
 	}
 }
+
+// refused pauses requests for a chunk to one peer, longer each time.
+func (p *Picker) refused(now time.Time, chunk *chunkState, by core.InstanceID) {
+	if len(chunk.refusals) == 0 {
+		chunk.refused = now
+	}
+	at := slices.IndexFunc(chunk.refusals, func(r refusal) bool { return r.peer == by })
+	if at < 0 {
+		at = len(chunk.refusals)
+		chunk.refusals = append(chunk.refusals, refusal{peer: by, pause: p.cfg.RefusedRetry / 2})
+	}
+	r := &chunk.refusals[at]
+	r.pause = min(2*r.pause, p.cfg.MaxRefusedRetry)
+	r.until = now.Add(r.pause)
+}
+
+// mayAsk reports whether no refusal keeps the chunk from the peer.
+func (c *chunkState) mayAsk(now time.Time, id core.InstanceID) bool {
+	return !slices.ContainsFunc(c.refusals, func(r refusal) bool {
+		return r.peer == id && now.Before(r.until)
+	})
+}
--- a/weights/pickernext.go
+++ b/weights/pickernext.go
@@ -74,7 +74,7 @@
 	if id == "" {
 		return requests
 	}
-	urgent := p.chunks[i].refusals >= p.cfg.UrgentAfter
+	urgent := len(p.chunks[i].refusals) > 0 && now.Sub(p.chunks[i].refused) >= p.cfg.UrgentAfter
 	return p.start(requests, now, Request{Chunk: i, Source: Source{Kind: SourcePeer, Peer: id}, Urgent: urgent})
 }
 
@@ -86,10 +86,7 @@
 		if !peer.up || !peer.has.Has(i) || peer.outstanding >= p.cfg.RequestsPerPeer {
 			continue
 		}
-		if id == chunk.refuser && now.Before(chunk.retryAt) {
-			continue
-		}
-		if p.inFlight(i, id) {
+		if p.inFlight(i, id) || !chunk.mayAsk(now, id) {
 			continue
 		}
 		if best == "" || peer.load() < p.peers[best].load() {
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -39,6 +39,9 @@
 	WaitTimeout time.Duration
 	// HaveInterval is the shortest pause between announcements.
 	HaveInterval time.Duration
+	// HaveDelay is the pause before all peers hear of a new chunk; a few
+	// hear at once.
+	HaveDelay time.Duration
 	// SourceTimeout bounds one call to the origin or the store.
 	SourceTimeout time.Duration
 	// Tick is the pause between checks of timed decisions.
@@ -54,6 +57,7 @@
 	setDefault(&c.PingInterval, 500*time.Millisecond)
 	setDefault(&c.WaitTimeout, time.Second)
 	setDefault(&c.HaveInterval, 5*time.Millisecond)
+	setDefault(&c.HaveDelay, 200*time.Millisecond)
 	setDefault(&c.SourceTimeout, 5*time.Second)
 	setDefault(&c.Tick, 50*time.Millisecond)
 }
--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -13,6 +13,7 @@
 	"testing/fstest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
@@ -105,6 +106,7 @@
 
 type testNode struct {
 	*Node
+	scope    tally.TestScope
 	in, out  atomic.Int64 // Bytes.
 	link     *rate.Limiter
 	uplink   *rate.Limiter
@@ -134,10 +136,14 @@
 func (f *testFleet) add(id, region string) *testNode {
 	f.t.Helper()
 	self := Peer{ID: core.InstanceID(id), Location: core.Location{Region: region}, ChunkAddr: freeAddr(f.t)}
-	n := &testNode{link: limiter(f.instanceRate), uplink: limiter(f.instanceRate)}
+	n := &testNode{
+		scope:  tally.NewTestScope("", nil),
+		link:   limiter(f.instanceRate),
+		uplink: limiter(f.instanceRate),
+	}
 	node, err := NewNode(
 		Config{Self: self, OriginRegion: "r0", Seed: 1, Picker: f.pickerConfig, StallTimeout: f.stall},
-		Deps{Dial: f.dialer(n, self), Origin: f.origin, Store: f.store, FleetKey: testKey},
+		Deps{Dial: f.dialer(n, self), Origin: f.origin, Store: f.store, FleetKey: testKey, Scope: n.scope},
 	)
 	assert.NilError(f.t, err)
 	n.Node = node
@@ -248,6 +254,15 @@
 	return n, errors.Join(err, pay(c.ctx, c.fleet.regionLink(from, to), n), pay(c.ctx, c.reader.link, n))
 }
 
+// counter returns a node's counter.
+func (n *testNode) counter(name string) int64 {
+	c := n.scope.Snapshot().Counters()["weights."+name+"+"]
+	if c == nil {
+		return 0
+	}
+	return c.Value()
+}
+
 // push fetches a model on the nodes and checks every set.
 func (f *testFleet) push(m testModel, nodes ...*testNode) {
 	f.t.Helper()
--- a/weights/swarm/link.go
+++ b/weights/swarm/link.go
@@ -132,6 +132,7 @@
 		case <-ctx.Done():
 			return
 		case message := <-l.out:
+			l.transfer.node.metrics.controlBytes.Inc(int64(frameHeaderSize + proto.Size(message)))
 			if err := writeFrame(conn, message); err != nil {
 				conn.Close()
 				return
@@ -165,6 +166,7 @@
 	if _, err := io.ReadFull(reader, data); err != nil {
 		return nil, nil, err
 	}
+	l.transfer.node.metrics.controlBytes.Inc(int64(frameHeaderSize + messageSize))
 	message := new(wire.ChunkServerFrame)
 	if err := proto.Unmarshal(data, message); err != nil {
 		return nil, nil, &FrameError{Detail: err.Error()}
--- a/weights/swarm/server.go
+++ b/weights/swarm/server.go
@@ -33,6 +33,7 @@
 	conns    map[gnet.Conn]*serverConn
 	servings map[core.Digest]*serving
 	pinged   time.Time
+	opened   uint64 // Connections so far.
 	stopped  bool
 }
 
@@ -101,7 +102,9 @@
 		s.metrics.rejected.Inc(1)
 		return nil, gnet.Close
 	}
+	s.opened++
 	c := &serverConn{
+		number:  s.opened,
 		conn:    conn,
 		nonce:   newNonce(),
 		opened:  time.Now(),
@@ -214,37 +217,7 @@
 			s.serve(c, uint32(index), true)
 		}
 	}
-	v.pending = append(v.pending, uint32(index))
-	if !v.flushing {
-		v.flushing = true
-		time.AfterFunc(s.cfg.HaveInterval, func() { s.flush(v) })
-	}
-}
-
-// flush announces pending chunks.
-func (s *server) flush(v *serving) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v.flushing = false
-	pending := v.pending
-	v.pending = nil
-	if s.stopped || len(pending) == 0 {
-		return
-	}
-	frame := haveFrame(nil, pending, v.uploads.Served())
-	for c := range v.conns {
-		if c.announced {
-			s.send(c, frame)
-		}
-	}
-}
-
-func (s *server) announceAll(c *serverConn) {
-	if !c.watch || c.announced {
-		return
-	}
-	c.announced = true
-	s.send(c, haveFrame(c.serving.set.Bitmap(), nil, c.serving.uploads.Served()))
+	s.announce(v, index)
 }
 
 // serving returns the state of a manifest, made if needed.
--- a/weights/swarm/serverconn.go
+++ b/weights/swarm/serverconn.go
@@ -10,6 +10,7 @@
 // serverConn is the server's side of one connection, guarded by the server's
 // mutex.
 type serverConn struct {
+	number   uint64
 	conn     gnet.Conn
 	nonce    []byte
 	opened   time.Time
@@ -18,6 +19,8 @@
 	watch    bool
 	// announced says that the bitmap was sent.
 	announced bool
+	soon      []uint32             // Chunks to announce at the next chance.
+	later     []uint32             // Chunks to announce after a while.
 	running   map[uint32]struct{}  // Uploads without an ack.
 	waiting   map[uint32]time.Time // Requests for chunks not held, with deadlines.
 }
--- a/weights/swarm/serving.go
+++ b/weights/swarm/serving.go
@@ -10,12 +10,21 @@
 	set     *weights.Set
 	uploads *weights.Uploads
 	conns   map[*serverConn]struct{}
-	// pending lists stored chunks that were not announced yet.
-	pending []uint32
-	// flushing says that a timer will announce pending.
-	flushing bool
+	// soonTimer and laterTimer say that a timer will send announcements.
+	soonTimer, laterTimer bool
 }
 
 func newServing() *serving {
 	return &serving{conns: make(map[*serverConn]struct{})}
 }
+
+// watchers returns the numbers of the connections that get announcements.
+func (v *serving) watchers() []uint64 {
+	var numbers []uint64
+	for c := range v.conns {
+		if c.announced {
+			numbers = append(numbers, c.number)
+		}
+	}
+	return numbers
+}
--- a/weights/uploads.go
+++ b/weights/uploads.go
@@ -11,27 +11,30 @@
 	PerChunk int
 	// Window is how long sent copies of a chunk count.
 	Window time.Duration
-	// Lead is how many chunks more than it holds an instance that is still
-	// fetching may have sent.
+	// Lead is how many chunks more than it holds an instance may have sent
+	// without a pause of Window.
 	Lead int
 }
 
 func (l *UploadLimits) setDefaults() {
 	setDefault(&l.Running, 8)
 	setDefault(&l.PerChunk, 2)
-	setDefault(&l.Window, 500*time.Millisecond)
-	setDefault(&l.Lead, 4)
+	setDefault(&l.Window, 2*time.Second)
+	setDefault(&l.Lead, 2)
 }
 
 // Uploads decides which requests for the chunks of one set are served, so
 // that an instance sends about as much as it receives. It is not safe for
 // concurrent use.
 type Uploads struct {
-	limits  UploadLimits
-	copies  []uint8
-	last    []time.Time
-	served  int
-	running int
+	limits UploadLimits
+	copies []uint8
+	last   []time.Time
+	served int
+	// settled is served as of the last pause of Window.
+	settled  int
+	lastSent time.Time
+	running  int
 }
 
 // NewUploads returns the state for a set of n chunks.
@@ -53,11 +56,15 @@
 	if now.Sub(u.last[i]) > u.limits.Window {
 		u.copies[i] = 0
 	}
+	if now.Sub(u.lastSent) > u.limits.Window {
+		u.settled = u.served
+	}
 	if !urgent && u.spread(i, held) {
 		return UploadSpread
 	}
 	u.copies[i] = min(u.copies[i], 254) + 1
 	u.last[i] = now
+	u.lastSent = now
 	u.served++
 	u.running++
 	return UploadServe
@@ -67,7 +74,7 @@
 	if int(u.copies[i]) >= u.limits.PerChunk {
 		return true
 	}
-	return held < len(u.copies) && u.served >= held+u.limits.Lead
+	return u.served-u.settled >= held+u.limits.Lead
 }
 
 // Done records that n running uploads ended.
