--- /dev/null
+++ b/weights/main_test.go
@@ -0,0 +1,16 @@
+package weights
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes rapid's seed unless a flag gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
--- a/weights/picker.go
+++ b/weights/picker.go
@@ -8,6 +8,10 @@
 	"github.com/snipestep/snipestep/core"
 )
 
+// maxNeighbourFactor bounds the peers watched in place of those that do not
+// take part, in multiples of PickerConfig.Neighbours.
+const maxNeighbourFactor = 3
+
 // Picker decides which chunk to request from which source. Chunks that no
 // neighbour holds are requested by the region's first fetchers, from the
 // origin or across a region link; all others from neighbours, rarest first.
@@ -26,9 +30,8 @@
 	own [][]core.InstanceID
 
 	peerFlights   int
-	originFlights int
 	regionFlights map[string]int
-	blockedUntil  map[SourceKind]time.Time
+	origin, store sourceState
 	progress      time.Time // When a chunk was last new to the neighbourhood.
 }
 
@@ -43,7 +46,6 @@
 		left:          cfg.Chunks,
 		peers:         make(map[core.InstanceID]*pickerPeer),
 		regionFlights: make(map[string]int),
-		blockedUntil:  make(map[SourceKind]time.Time),
 		progress:      now,
 	}
 	p.SetTargets(now, nil)
@@ -127,13 +129,13 @@
 			continue
 		}
 		needed := fetcher && p.layout.IsFetcher(p.cfg.Self.Region, id)
-		if chosen >= p.cfg.Neighbours && !needed {
+		if !needed && (chosen >= p.cfg.Neighbours || len(ids) >= maxNeighbourFactor*p.cfg.Neighbours) {
 			continue
 		}
-		if chosen < p.cfg.Neighbours {
+		peer.watched = true
+		if peer.mayFetch(now, p.cfg.StartGrace) {
 			chosen++
 		}
-		peer.watched = true
 		ids = append(ids, id)
 	}
 	return ids
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -40,9 +40,16 @@
 	MissingRetry time.Duration
 	// DownTime is how long a lost peer is left out.
 	DownTime time.Duration
-	// BanTime is how long a peer that sent a corrupt chunk is left out.
+	// BanTime is how long a peer that sent a corrupt chunk is left out. It
+	// doubles with each one in a row.
 	BanTime time.Duration
+	// MaxBanTime bounds the growth of BanTime.
+	MaxBanTime time.Duration
+	// SuspectTime is how long a fetcher that another one replaced is not
+	// relied on.
+	SuspectTime time.Duration
 	// SourceRetry is the pause of the origin or the store after a failure.
+	// It doubles with each failure in a row.
 	SourceRetry time.Duration
 	// StartGrace is how long a watched fetcher may take to join before the
 	// next one replaces it.
@@ -71,7 +78,9 @@
 	setDefault(&c.UrgentAfter, 600*time.Millisecond)
 	setDefault(&c.MissingRetry, 100*time.Millisecond)
 	setDefault(&c.DownTime, 5*time.Second)
-	setDefault(&c.BanTime, time.Minute)
+	setDefault(&c.BanTime, 500*time.Millisecond)
+	setDefault(&c.MaxBanTime, time.Minute)
+	setDefault(&c.SuspectTime, 10*time.Second)
 	setDefault(&c.SourceRetry, time.Second)
 	setDefault(&c.StartGrace, 1500*time.Millisecond)
 	setDefault(&c.FallbackDelay, 3*time.Second)
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -7,6 +7,9 @@
 	"github.com/snipestep/snipestep/core"
 )
 
+// maxBanDoublings bounds the growth of BanTime.
+const maxBanDoublings = 16
+
 // PeerUp records that a watched peer takes part and holds the chunks of has.
 func (p *Picker) PeerUp(now time.Time, id core.InstanceID, has Bitmap, served int) {
 	peer := p.peers[id]
@@ -65,23 +68,11 @@
 // PeerDown records that a peer was lost: its connection broke or stalled. All
 // requests to it end and it is left out for DownTime.
 func (p *Picker) PeerDown(now time.Time, id core.InstanceID) {
-	p.leaveOut(id, now.Add(p.cfg.DownTime))
-}
-
-// PeerCorrupt records that a peer sent a corrupt chunk. All requests to it end
-// and it is left out for BanTime.
-func (p *Picker) PeerCorrupt(now time.Time, id core.InstanceID) {
-	p.leaveOut(id, now.Add(p.cfg.BanTime))
-}
-
-func (p *Picker) leaveOut(id core.InstanceID, until time.Time) {
 	peer := p.peers[id]
 	if peer == nil {
 		return
 	}
-	if until.After(peer.downUntil) {
-		peer.downUntil = until
-	}
+	peer.downUntil = now.Add(p.cfg.DownTime)
 	for i := range p.chunks {
 		if peer.up && peer.has.Has(i) {
 			p.chunks[i].holders--
@@ -121,8 +112,10 @@
 		p.peerFlights--
 	case SourceRegionPeer:
 		p.regionFlights[peer.region]--
-	case SourceOrigin, SourceStore:
-		p.originFlights--
+	case SourceOrigin:
+		p.origin.flights--
+	case SourceStore:
+		p.store.flights--
 	}
 	return true
 }
@@ -133,6 +126,12 @@
 	if i < 0 || i >= len(p.chunks) {
 		return nil
 	}
+	if state := p.sourceState(from.Kind); state != nil {
+		state.failures = 0
+	}
+	if peer := p.peers[from.Peer]; peer != nil {
+		peer.corrupt = 0
+	}
 	p.endFlight(i, from)
 	chunk := &p.chunks[i]
 	if !chunk.stored {
@@ -157,21 +156,30 @@
 		return
 	}
 	chunk := &p.chunks[i]
-	if from.Kind == SourceOrigin || from.Kind == SourceStore {
-		p.blockedUntil[from.Kind] = now.Add(max(p.cfg.SourceRetry, retryAfter))
+	if state := p.sourceState(from.Kind); state != nil {
+		state.failed(now, failure, p.cfg.SourceRetry, retryAfter)
 		return
 	}
 	switch failure {
-	case FailureCorrupt:
-		p.PeerCorrupt(now, from.Peer)
 	case FailureRefused:
 		p.refused(now, chunk, from.Peer)
+	case FailureCorrupt:
+		chunk.attempts++
+		p.ban(now, p.peers[from.Peer])
 	default:
 		chunk.attempts++
 		chunk.retryAt = now.Add(p.cfg.MissingRetry)
 	}
 }
 
+// ban leaves a peer out after a corrupt chunk, longer each time until it sends
+// a good one.
+func (p *Picker) ban(now time.Time, peer *pickerPeer) {
+	pause := min(p.cfg.BanTime<<min(peer.corrupt, maxBanDoublings), p.cfg.MaxBanTime)
+	peer.corrupt++
+	peer.bannedUntil = now.Add(pause)
+}
+
 // refused pauses requests for a chunk to one peer, longer each time.
 func (p *Picker) refused(now time.Time, chunk *chunkState, by core.InstanceID) {
 	if len(chunk.refusals) == 0 {
@@ -193,3 +201,15 @@
 		return r.peer == id && now.Before(r.until)
 	})
 }
+
+// sourceState returns the state of the origin or the store, nil for peers.
+func (p *Picker) sourceState(kind SourceKind) *sourceState {
+	switch kind {
+	case SourceOrigin:
+		return &p.origin
+	case SourceStore:
+		return &p.store
+	default:
+		return nil
+	}
+}
--- a/weights/pickernext.go
+++ b/weights/pickernext.go
@@ -18,7 +18,7 @@
 const maxFallbackDoublings = 5
 
 // Next returns the requests to send now and counts them as under way. Each
-// must end in Stored, Failed, PeerDown, PeerCorrupt or SetTargets.
+// must end in Stored, Failed, PeerDown or SetTargets.
 func (p *Picker) Next(now time.Time) []Request {
 	var requests []Request
 	var offered []int
@@ -83,7 +83,7 @@
 	var best core.InstanceID
 	for _, id := range p.ranked {
 		peer := p.peers[id]
-		if !peer.up || !peer.has.Has(i) || peer.outstanding >= p.cfg.RequestsPerPeer {
+		if !peer.up || !peer.mayAsk(now) || !peer.has.Has(i) || peer.outstanding >= p.cfg.RequestsPerPeer {
 			continue
 		}
 		if p.inFlight(i, id) || !chunk.mayAsk(now, id) {
@@ -116,9 +116,21 @@
 	if !ok {
 		return requests
 	}
+	p.suspectEarlier(now, i)
 	return p.start(requests, now, Request{Chunk: i, Source: source, Urgent: true})
 }
 
+// suspectEarlier stops waiting for the fetchers in front of this instance,
+// which did nothing for the fallback delay.
+func (p *Picker) suspectEarlier(now time.Time, i int) {
+	for _, id := range p.own[i] {
+		if id == p.cfg.Self.ID {
+			return
+		}
+		p.peers[id].suspectUntil = now.Add(p.cfg.SuspectTime)
+	}
+}
+
 // position returns the instance's place among the region's fetchers of a
 // chunk that are able to fetch.
 func (p *Picker) position(now time.Time, i int) int {
@@ -149,32 +161,50 @@
 	if at == 0 {
 		return p.originSource(now)
 	}
-	fetchers := p.remoteFetchers(now, i, chain[:at])
-	quiet := now.Sub(p.progress) >= p.cfg.LastResortDelay
-	if len(fetchers) == 0 || (quiet && p.chunks[i].attempts >= len(fetchers)) {
+	fetchers := p.remoteFetchers(i, chain[:at])
+	id := p.chooseRemote(now, i, fetchers)
+	if p.lastResort(now, i, len(fetchers), id) {
 		return p.originSource(now)
 	}
-	id := fetchers[p.chunks[i].attempts%len(fetchers)]
-	if p.regionFlights[p.peers[id].region] >= p.regionLimit() {
+	if id == "" || p.regionFlights[p.peers[id].region] >= p.regionLimit() {
 		return Source{}, false
 	}
 	return Source{Kind: SourceRegionPeer, Peer: id}, true
 }
 
-// remoteFetchers lists the usable fetchers of a chunk in the regions that get
-// it earlier, nearest region in the chain first.
-func (p *Picker) remoteFetchers(now time.Time, i int, earlier []string) []core.InstanceID {
+// remoteFetchers lists the fetchers of a chunk in the regions that get it
+// earlier, nearest region in the chain first.
+func (p *Picker) remoteFetchers(i int, earlier []string) []core.InstanceID {
 	var ids []core.InstanceID
 	for _, region := range slices.Backward(earlier) {
-		for _, id := range p.layout.Fetchers(region, i) {
-			if !now.Before(p.peers[id].downUntil) {
-				ids = append(ids, id)
-			}
-		}
+		ids = append(ids, p.layout.Fetchers(region, i)...)
 	}
 	return ids
 }
 
+// chooseRemote returns the first usable fetcher, starting behind those that
+// failed, or none.
+func (p *Picker) chooseRemote(now time.Time, i int, fetchers []core.InstanceID) core.InstanceID {
+	for k := range fetchers {
+		id := fetchers[(p.chunks[i].attempts+k)%len(fetchers)]
+		if p.peers[id].mayAsk(now) {
+			return id
+		}
+	}
+	return ""
+}
+
+// lastResort reports whether a region that is not the first of the chain may
+// draw a chunk from the origin: nothing new appears, and the chunk's fetchers
+// in other regions are lost or were all asked.
+func (p *Picker) lastResort(now time.Time, i, fetchers int, usable core.InstanceID) bool {
+	quiet := now.Sub(p.progress)
+	if usable == "" {
+		return quiet >= p.cfg.FallbackDelay
+	}
+	return quiet >= p.cfg.LastResortDelay && p.chunks[i].attempts >= fetchers
+}
+
 // regionLimit is the instance's share of the region's requests to another
 // region.
 func (p *Picker) regionLimit() int {
@@ -183,15 +213,14 @@
 
 // originSource prefers the origin and takes the store while the origin fails.
 func (p *Picker) originSource(now time.Time) (Source, bool) {
-	if p.originFlights >= p.cfg.OriginRequests {
+	switch {
+	case p.origin.flights+p.store.flights >= p.cfg.OriginRequests:
 		return Source{}, false
+	case p.origin.usable(now):
+		return Source{Kind: SourceOrigin}, true
+	default:
+		return Source{Kind: SourceStore}, p.store.usable(now)
 	}
-	for _, kind := range []SourceKind{SourceOrigin, SourceStore} {
-		if !now.Before(p.blockedUntil[kind]) {
-			return Source{Kind: kind}, true
-		}
-	}
-	return Source{}, false
 }
 
 func (p *Picker) start(requests []Request, now time.Time, r Request) []Request {
@@ -206,8 +235,10 @@
 		p.peerFlights++
 	case SourceRegionPeer:
 		p.regionFlights[peer.region]++
-	case SourceOrigin, SourceStore:
-		p.originFlights++
+	case SourceOrigin:
+		p.origin.flights++
+	case SourceStore:
+		p.store.flights++
 	}
 	return append(requests, r)
 }
--- a/weights/swarm/link.go
+++ b/weights/swarm/link.go
@@ -230,7 +230,7 @@
 	var corrupt *weights.CorruptChunkError
 	if errors.As(err, &corrupt) {
 		l.transfer.post(failedEvent{chunk: index, source: l.source(), failure: weights.FailureCorrupt})
-		return err
+		return nil
 	}
 	if err != nil {
 		return err
