--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -27,19 +27,29 @@
 	// RegionRequests is the number of chunks that a region's fetchers
 	// request together from another region at once.
 	RegionRequests int
-	// UrgentAfter is the number of refusals after which a request for a
-	// chunk is urgent.
-	UrgentAfter int
 
-	// RefusedRetry is the pause of a chunk after a refusal.
+	// RefusedRetry is how long a chunk is not requested again from the peer
+	// that refused it. It doubles with each refusal.
 	RefusedRetry time.Duration
+	// MaxRefusedRetry bounds the growth of RefusedRetry.
+	MaxRefusedRetry time.Duration
+	// UrgentAfter is the time from the first refusal of a chunk after which
+	// its requests are urgent.
+	UrgentAfter time.Duration
 	// MissingRetry is the pause of a chunk after a peer did not get it.
 	MissingRetry time.Duration
 	// DownTime is how long a lost peer is left out.
 	DownTime time.Duration
-	// BanTime is how long a peer that sent a corrupt chunk is left out.
+	// BanTime is how long a peer that sent a corrupt chunk is left out. It
+	// doubles with each one in a row.
 	BanTime time.Duration
+	// MaxBanTime bounds the growth of BanTime.
+	MaxBanTime time.Duration
+	// SuspectTime is how long a fetcher that another one replaced is not
+	// relied on.
+	SuspectTime time.Duration
 	// SourceRetry is the pause of the origin or the store after a failure.
+	// It doubles with each failure in a row.
 	SourceRetry time.Duration
 	// StartGrace is how long a watched fetcher may take to join before the
 	// next one replaces it.
@@ -63,11 +73,14 @@
 	setDefault(&c.RequestsPerPeer, 3)
 	setDefault(&c.OriginRequests, 4)
 	setDefault(&c.RegionRequests, 8)
-	setDefault(&c.UrgentAfter, 6)
 	setDefault(&c.RefusedRetry, 30*time.Millisecond)
+	setDefault(&c.MaxRefusedRetry, 240*time.Millisecond)
+	setDefault(&c.UrgentAfter, 600*time.Millisecond)
 	setDefault(&c.MissingRetry, 100*time.Millisecond)
 	setDefault(&c.DownTime, 5*time.Second)
-	setDefault(&c.BanTime, time.Minute)
+	setDefault(&c.BanTime, 500*time.Millisecond)
+	setDefault(&c.MaxBanTime, time.Minute)
+	setDefault(&c.SuspectTime, 10*time.Second)
 	setDefault(&c.SourceRetry, time.Second)
 	setDefault(&c.StartGrace, 1500*time.Millisecond)
 	setDefault(&c.FallbackDelay, 3*time.Second)
