--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -116,8 +116,8 @@
 	if err := o.store.Load(ctx); err != nil {
 		return 0, err
 	}
-	if doc := o.held.Current(); doc.Plan == id {
-		return doc.Generation, nil
+	if plan.Confirmed(o.held.Current()) {
+		return plan.Generation + 1, nil
 	}
 	next, err := intent.Confirm(plan, o.held.Current(), o.collector.collect(ctx))
 	if err != nil {
