--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,7 @@
 	sync     *configSync
 	calls    *callServer
 	tasks    *tasks
+	counts   counts
 
 	listener *wire.Listener
 	plane    *wire.Plane
@@ -123,6 +124,7 @@
 		tracer: a.deps.Tracer,
 		now:    a.deps.Now,
 		policy: a.cfg.Policy,
+		counts: &a.counts,
 	}
 	return nil
 }
@@ -157,9 +159,9 @@
 
 func (a *Agent) newRunner() runner {
 	if a.deps.Engine != nil {
-		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched}
+		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched, counts: &a.counts}
 	}
-	return &plainRunner{service: a.cfg.Instance.Service, plain: a.deps.Plain, state: a.state}
+	return &plainRunner{service: a.cfg.Instance.Service, plain: a.deps.Plain, state: a.state, counts: &a.counts}
 }
 
 // Run serves until ctx ends, then leaves: it announces it, refuses new calls
@@ -174,6 +176,7 @@
 	a.tasks.start(a.reporter.run)
 	a.tasks.start(a.control.watch)
 	a.tasks.start(a.sync.run)
+	a.tasks.start(a.sampler().Run)
 	a.readyOnce.Do(func() { close(a.ready) })
 	a.deps.Logger.Info("agent runs", "instance", a.cfg.Instance.ID, "incarnation", a.cfg.Incarnation)
 	select {
@@ -207,6 +210,7 @@
 // receive takes a datagram of an entry on the event loop of the plane.
 func (a *Agent) receive(d *wire.Datagram) {
 	if !a.entries.heard(d, a.deps.Now()) {
+		a.counts.old.Add(1)
 		return
 	}
 	if a.reporter.strikes.add(d.GetStrikes(), a.deps.Now()) {
@@ -224,7 +228,7 @@
 	case *wire.StreamHeader_Call:
 		a.calls.serve(ctx, st, h)
 	case *wire.StreamHeader_Order:
-		a.control.serve(st, req.Order)
+		a.countOrder(req.Order, a.control.serve(st, req.Order))
 	case *wire.StreamHeader_Status:
 		_ = st.Send(a.status())
 	}
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -20,6 +20,7 @@
 	tracer trace.Tracer
 	now    clock
 	policy string
+	counts *counts
 	ids    atomic.Uint64
 }
 
@@ -60,6 +61,7 @@
 		}
 		end, err := c.runOnce(ctx, st, j)
 		if errors.Is(err, errPreempted) {
+			c.counts.preempted.Add(1)
 			c.sched.post(requeueEvent{job: j})
 			continue
 		}
@@ -95,6 +97,7 @@
 	ctx, span := c.tracer.Start(ctx, "endpoint.call")
 	defer span.End()
 	end := c.runner.run(ctx, j, st.Send)
+	c.counts.ended(end)
 	if end.GetDone() != nil {
 		return end, nil
 	}
--- a/agent/control.go
+++ b/agent/control.go
@@ -41,9 +41,9 @@
 	role     string
 }
 
-// serve answers one order. An accepted order goes on in the background;
+// serve answers one order and reports whether it was accepted. An accepted order goes on in the background;
 // repeating it has no further effect.
-func (c *control) serve(st *wire.Stream, req *wire.OrderRequest) {
+func (c *control) serve(st *wire.Stream, req *wire.OrderRequest) bool {
 	answer := &wire.OrderResponse{Accepted: true}
 	if code, err := c.accept(req); err != nil || code != "" {
 		answer.Accepted = false
@@ -54,6 +54,7 @@
 	}
 	answer.HighestFence = uint64(c.fences.current())
 	_ = st.Send(answer)
+	return answer.Accepted
 }
 
 // accept starts an order; a code says why it was not taken.
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -19,6 +19,7 @@
 	engine endpoint.Engine
 	state  *endpointState
 	sched  *scheduler
+	counts *counts
 }
 
 // run implements runner.
@@ -84,6 +85,7 @@
 		token, err := stream.Next()
 		var foreign *endpoint.ForeignAnswerError
 		if errors.As(err, &foreign) {
+			m.counts.dropped.Add(1)
 			continue
 		}
 		if err != nil {
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -13,6 +13,7 @@
 	service string
 	plain   endpoint.Plain
 	state   *endpointState
+	counts  *counts
 }
 
 // run implements runner.
@@ -43,6 +44,7 @@
 	}
 	var foreign *endpoint.ForeignAnswerError
 	if errors.As(err, &foreign) {
+		p.counts.dropped.Add(1)
 		return brokenEvent(j, CodeUnknown, "", err.Error())
 	}
 	return brokenEvent(j, CodeCrash, "", p.state.suspect())
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/telemetry"
@@ -25,7 +26,7 @@
 // runAttempt sends one attempt to an agent and reads its events. onToken gets
 // the tokens in order. It blocks until the attempt ends or ctx ends; closing
 // the stream then tells the agent to stop.
-func runAttempt(ctx context.Context, pool *sessionPool, to core.InstanceID, req *wire.CallRequest, onToken func(*wire.CallToken) error) attemptEnd {
+func runAttempt(ctx context.Context, pool *sessionPool, dropped *atomic.Int64, to core.InstanceID, req *wire.CallRequest, onToken func(*wire.CallToken) error) attemptEnd {
 	session := pool.open(to)
 	if session == nil {
 		return notSent()
@@ -43,18 +44,19 @@
 	defer st.Close()
 	stop := context.AfterFunc(ctx, func() { st.Close() })
 	defer stop()
-	return readEvents(st, req.GetAttempt(), onToken)
+	return readEvents(st, req.GetAttempt(), dropped, onToken)
 }
 
 // readEvents reads until the final event. Events of other attempts are
-// dropped.
-func readEvents(st *wire.Stream, attempt string, onToken func(*wire.CallToken) error) attemptEnd {
+// counted as dropped.
+func readEvents(st *wire.Stream, attempt string, dropped *atomic.Int64, onToken func(*wire.CallToken) error) attemptEnd {
 	for {
 		var e wire.CallEvent
 		if err := st.Recv(&e); err != nil {
 			return lost(err)
 		}
 		if e.GetAttempt() != attempt {
+			dropped.Add(1)
 			continue
 		}
 		switch event := e.GetEvent().(type) {
--- a/entry/callservice.go
+++ b/entry/callservice.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -32,14 +33,23 @@
 	claims     *claimService
 	tracer     trace.Tracer
 	scope      tally.Scope
+	now        func() time.Time
 
 	attempts atomic.Uint64
 	calls    atomic.Uint64
+	// dropped are late or crossed answers, resumed are streams that went on
+	// at another endpoint.
+	dropped, resumed atomic.Int64
 
 	mu     sync.Mutex // Guards budget.
 	budget *routing.RetryBudget
 }
 
+// firstToken reports the time to the first token of an answer.
+func (s *callService) firstToken(rank core.Rank, started time.Time) {
+	s.scope.Tagged(rankTag(rank)).Histogram(telemetry.MetricFirstToken, firstTokenBuckets).RecordDuration(s.now().Sub(started))
+}
+
 // callID returns an identifier that no other call of the fleet has.
 func (s *callService) callID() string {
 	return s.uniqueID(s.calls.Add(1))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,6 +71,7 @@
 func New(cfg Config, deps Deps) (*Entry, error) {
 	deps = deps.withDefaults()
 	cfg = cfg.withDefaults(deps.Now())
+	deps.KeyValue = countedKeyValue(deps)
 	tokens, err := parseDigests(cfg.OperatorTokenDigests)
 	if err != nil {
 		return nil, err
@@ -146,6 +147,7 @@
 		claims:     e.claims,
 		tracer:     e.deps.Tracer,
 		scope:      e.deps.Scope,
+		now:        e.deps.Now,
 		budget:     routing.NewRetryBudget(routing.RetryBudgetConfig{Ratio: retryRatio, Burst: retryBurst}),
 	}
 }
@@ -220,7 +222,7 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.executor.run,
+		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.executor.run, e.sampler().Run,
 	} {
 		e.wg.Go(func() { task(e.running) })
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -66,13 +66,15 @@
 		return nil, refuse(http.StatusUnauthorized, CodeUnauthorised, "the bearer token is not known")
 	}
 	kind := r.Header.Get(kindHeader)
+	started := h.now()
 	return &call{
 		id:           h.svc.callID(),
 		organisation: organisation.ID,
 		weight:       organisation.Weight,
 		kind:         kind,
 		rank:         h.svc.held.Policy().Rank(organisation.ID, kind),
-		deadline:     h.now().Add(h.svc.cfg.CallTimeout),
+		started:      started,
+		deadline:     started.Add(h.svc.cfg.CallTimeout),
 	}, nil
 }
 
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -51,6 +51,8 @@
 	broken   int
 	tried    []core.InstanceID
 	handle   string
+	// resumes is set while the next attempt goes on with a broken answer.
+	resumes  bool
 	suspect  bool
 	lastWait time.Duration
 }
@@ -107,6 +109,7 @@
 	}
 	m.bound = core.ModelRef{}
 	m.produced = nil
+	m.resumes = false
 	m.handle = ""
 	m.sink.restart()
 	return true
@@ -118,12 +121,19 @@
 		attribute.String("instance", string(to.ID)),
 	))
 	defer span.End()
+	if m.resumes {
+		m.resumes = false
+		m.svc.resumed.Add(1)
+	}
 	req := m.wireRequest(to)
-	return runAttempt(ctx, m.svc.pool, to.ID, req, func(t *wire.CallToken) error {
+	return runAttempt(ctx, m.svc.pool, &m.svc.dropped, to.ID, req, func(t *wire.CallToken) error {
 		if int(t.GetIndex()) != len(m.produced) {
 			return &RefusedError{Code: CodeBroken, Detail: "token out of order"}
 		}
 		m.bound = to.Model
+		if len(m.produced) == 0 {
+			m.svc.firstToken(m.rank, m.started)
+		}
 		m.produced = append(m.produced, t.GetText())
 		return m.sink.token(to.Model.Version, t.GetText())
 	})
@@ -188,6 +198,7 @@
 func (m *modelCall) afterBreak(at routing.EndpointState, b *wire.CallBroken) error {
 	m.begun = true
 	m.handle = b.GetKvHandle()
+	m.resumes = len(m.produced) > 0
 	if b.GetCode() == agent.CodeMoved {
 		return nil
 	}
--- a/entry/plaincall.go
+++ b/entry/plaincall.go
@@ -99,7 +99,7 @@
 func (p *plainCall) attempt(ctx context.Context, to routing.EndpointState, suspect bool) attemptEnd {
 	ctx, span := p.svc.tracer.Start(ctx, "entry.attempt")
 	defer span.End()
-	return runAttempt(ctx, p.svc.pool, to.ID, &wire.CallRequest{
+	return runAttempt(ctx, p.svc.pool, &p.svc.dropped, to.ID, &wire.CallRequest{
 		Attempt:        p.svc.attemptID(p.id),
 		Call:           p.id,
 		Rank:           uint32(p.rank),
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -60,6 +60,13 @@
 	q.inner.Absolve(q.now(), fingerprint)
 }
 
+// size returns the number of quarantined requests.
+func (q *quarantine) size() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.inner.Quarantined(q.now())
+}
+
 // merge takes the strikes of other entries.
 func (q *quarantine) merge(strikes []*wire.Strike) {
 	if len(strikes) == 0 {
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -34,6 +34,7 @@
 	// onAgent takes generations and strikes that agents show.
 	onAgent func(d *wire.Datagram)
 
+	old    atomic.Int64                    // Old or refused datagrams.
 	subset atomic.Pointer[[]core.Instance] // Agents with sessions.
 
 	// Owned by the loop.
@@ -114,6 +115,7 @@
 func (r *routes) heard(d *wire.Datagram) {
 	result := r.membership.Heartbeat(heartbeatOf(d), r.now())
 	if result == fleet.HeartbeatOld || result == fleet.HeartbeatRefused {
+		r.old.Add(1)
 		return
 	}
 	if r.onAgent != nil {
--- a/entry/sessionpool.go
+++ b/entry/sessionpool.go
@@ -117,6 +117,19 @@
 	}
 }
 
+// size returns the number of open sessions.
+func (p *sessionPool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, held := range p.sessions {
+		if !held.session.Closed() {
+			n++
+		}
+	}
+	return n
+}
+
 // close ends all sessions.
 func (p *sessionPool) close() {
 	p.mu.Lock()
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -89,6 +89,17 @@
 	return q.end(strikes).Sub(now), true
 }
 
+// Quarantined returns the number of requests in quarantine.
+func (q *Quarantine) Quarantined(now time.Time) int {
+	n := 0
+	for _, strikes := range q.struck {
+		if len(strikes) >= quarantineStrikes && q.counts(now, strikes) {
+			n++
+		}
+	}
+	return n
+}
+
 // Absolve clears the strike of a suspect that ran alone without a crash. The
 // same crash reported again by another entry does not count either.
 func (q *Quarantine) Absolve(now time.Time, fingerprint uint64) {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -30,6 +30,11 @@
 	MetricChunkBytesFetched = "chunk_bytes_fetched_total"
 	MetricChunkBytesServed  = "chunk_bytes_served_total"
 	MetricChunksCorrupt     = "corrupt_chunks_total"
+	MetricChunksFetched     = "chunks_fetched_total"
+	MetricChunksServed      = "chunks_served_total"
+	MetricRegionChunkBytes  = "region_chunk_bytes_total"
+	MetricChunkControlBytes = "chunk_control_bytes_total"
+	MetricChunkFaults       = "chunk_faults_total"
 	MetricWeightsVerified   = "weights_verified_ratio"
 	MetricOrders            = "orders_total"
 	MetricServing           = "serving"
@@ -45,6 +50,7 @@
 	TagSource  = "source"
 	TagCall    = "call"
 	TagOrder   = "order"
+	TagFault   = "fault"
 )
 
 // The programs that report metrics.
--- a/weights/swarm/metrics.go
+++ b/weights/swarm/metrics.go
@@ -1,6 +1,10 @@
 package swarm
 
-import "github.com/uber-go/tally/v4"
+import (
+	"github.com/uber-go/tally/v4"
+
+	"github.com/snipestep/snipestep/telemetry"
+)
 
 // metrics counts what a node does. Byte counters are in bytes.
 type metrics struct {
@@ -14,21 +18,26 @@
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	scope = scope.SubScope("weights")
+	fetched := func(source string) tally.Counter {
+		return scope.Tagged(map[string]string{telemetry.TagSource: source}).Counter(telemetry.MetricChunkBytesFetched)
+	}
+	fault := func(name string) tally.Counter {
+		return scope.Tagged(map[string]string{telemetry.TagFault: name}).Counter(telemetry.MetricChunkFaults)
+	}
 	return &metrics{
-		chunksSent:          scope.Counter("chunks_sent"),
-		bytesSent:           scope.Counter("bytes_sent"),
-		chunksReceived:      scope.Counter("chunks_received"),
-		bytesReceived:       scope.Counter("bytes_received"),
-		regionBytesReceived: scope.Counter("region_bytes_received"),
-		originBytes:         scope.Counter("origin_bytes"),
-		storeBytes:          scope.Counter("store_bytes"),
-		corrupt:             scope.Counter("corrupt_chunks"),
-		malformed:           scope.Counter("malformed_frames"),
-		rejected:            scope.Counter("rejected_connections"),
-		stalled:             scope.Counter("stalled_connections"),
-		lost:                scope.Counter("lost_connections"),
-		refused:             scope.Counter("refused_requests"),
-		controlBytes:        scope.Counter("control_bytes"),
+		chunksSent:          scope.Counter(telemetry.MetricChunksServed),
+		bytesSent:           scope.Counter(telemetry.MetricChunkBytesServed),
+		chunksReceived:      scope.Counter(telemetry.MetricChunksFetched),
+		bytesReceived:       fetched("peer"),
+		regionBytesReceived: scope.Counter(telemetry.MetricRegionChunkBytes),
+		originBytes:         fetched("origin"),
+		storeBytes:          fetched("store"),
+		corrupt:             scope.Counter(telemetry.MetricChunksCorrupt),
+		malformed:           fault("malformed"),
+		rejected:            fault("rejected"),
+		stalled:             fault("stalled"),
+		lost:                fault("lost"),
+		refused:             fault("refused"),
+		controlBytes:        scope.Counter(telemetry.MetricChunkControlBytes),
 	}
 }
--- a/wire/plane.go
+++ b/wire/plane.go
@@ -24,8 +24,11 @@
 	booted  chan struct{}
 	failed  chan error
 
-	sentBytes atomic.Int64
-	dropped   atomic.Int64
+	sent          atomic.Int64
+	sentBytes     atomic.Int64
+	received      atomic.Int64
+	receivedBytes atomic.Int64
+	dropped       atomic.Int64
 }
 
 // ListenPlane receives datagrams on addr until Close. It blocks until the
@@ -78,6 +81,8 @@
 		p.dropped.Add(1)
 		return gnet.None
 	}
+	p.received.Add(1)
+	p.receivedBytes.Add(int64(len(raw)))
 	p.handler(d)
 	return gnet.None
 }
@@ -94,6 +99,9 @@
 	}
 	n, err := p.out.WriteToUDPAddrPort(raw, to)
 	p.sentBytes.Add(int64(n))
+	if err == nil {
+		p.sent.Add(1)
+	}
 	return err
 }
 
@@ -102,6 +110,17 @@
 	return p.sentBytes.Load()
 }
 
+// Counts returns what the plane has sent, received and dropped so far.
+func (p *Plane) Counts() PlaneCounts {
+	return PlaneCounts{
+		Sent:          p.sent.Load(),
+		SentBytes:     p.sentBytes.Load(),
+		Received:      p.received.Load(),
+		ReceivedBytes: p.receivedBytes.Load(),
+		Dropped:       p.dropped.Load(),
+	}
+}
+
 // Dropped returns the number of datagrams that failed authentication.
 func (p *Plane) Dropped() int64 {
 	return p.dropped.Load()
