Give an endpoint's credit back when a call ends

Cause: an entry could send a call only on credits of the last load report, so one caller in a row waited for the next report after every few calls. Change: the entry gives its own credit back when the attempt ends; a refused attempt keeps it, since the endpoint has no room. Counts of an older report are not touched.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -26,6 +26,7 @@
 	now      func() time.Time
 	offers   chan *waiter
 	gone     chan *waiter
+	freed    chan struct{} // Signals a credit given back, holds at most one.
 	done     chan struct{}
 	ids      atomic.Uint64
 	// waiting counts the waiting calls by rank.
@@ -42,6 +43,7 @@
 		now:      now,
 		offers:   make(chan *waiter, dispatchEvents),
 		gone:     make(chan *waiter, dispatchEvents),
+		freed:    make(chan struct{}, 1),
 		done:     make(chan struct{}),
 		rooms:    make(map[string]*room),
 	}
@@ -49,25 +51,25 @@
 
 // acquire blocks until an endpoint has credit for the call, the call is
 // refused (*RefusedError) or ctx ends.
-func (d *dispatcher) acquire(ctx context.Context, call routing.Call, req routing.Request) (routing.EndpointState, error) {
+func (d *dispatcher) acquire(ctx context.Context, call routing.Call, req routing.Request) (*reservation, error) {
 	if d.noneAhead(req.Rank) {
-		if state, ok := choose(d.routes.table.Load(), req, d.now()); ok {
-			return state, nil
+		if r, ok := d.choose(d.routes.table.Load(), req); ok {
+			return r, nil
 		}
 	}
 	call.ID = d.ids.Add(1)
 	w := &waiter{call: call, request: req, answer: make(chan grant, 1)}
 	if !d.post(d.offers, w) {
-		return routing.EndpointState{}, leavingRefusal()
+		return nil, leavingRefusal()
 	}
 	select {
 	case g := <-w.answer:
-		return g.endpoint, g.err
+		return g.reservation, g.err
 	case <-ctx.Done():
 		d.post(d.gone, w)
-		return routing.EndpointState{}, ctx.Err()
+		return nil, ctx.Err()
 	case <-d.done:
-		return routing.EndpointState{}, leavingRefusal()
+		return nil, leavingRefusal()
 	}
 }
 
@@ -95,12 +97,20 @@
 }
 
 // choose picks an endpoint and takes one of its credits.
-func choose(t *routing.Table, req routing.Request, now time.Time) (routing.EndpointState, bool) {
-	i, ok := routing.Choose(t, req, rand.Uint64(), now)
+func (d *dispatcher) choose(t *routing.Table, req routing.Request) (*reservation, bool) {
+	i, ok := routing.Choose(t, req, rand.Uint64(), d.now())
 	if !ok || !t.Reserve(i, req.Rank) {
-		return routing.EndpointState{}, false
+		return nil, false
+	}
+	return &reservation{EndpointState: t.Endpoint(i), table: t, index: i, rank: req.Rank, freed: d.wake}, true
+}
+
+// wake makes the loop look for endpoints for the waiting calls.
+func (d *dispatcher) wake() {
+	select {
+	case d.freed <- struct{}{}:
+	default:
 	}
-	return t.Endpoint(i), true
 }
 
 // run owns the rooms until ctx ends; then every waiting call is refused.
@@ -117,6 +127,7 @@
 		case w := <-d.gone:
 			d.roomOf(w).withdraw(w)
 		case <-d.routes.changed:
+		case <-d.freed:
 		case <-tick.C:
 		}
 		d.step()
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -39,7 +39,7 @@
 // testFleet is a whole fleet in one process over loopback, with stand-ins for
 // the platform and the endpoints.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	kv      *fakes.KeyValue
 	list    *fakes.InstanceList
@@ -54,7 +54,7 @@
 	logger  *slog.Logger
 }
 
-func newTestFleet(t *testing.T, models, plains, entries int) *testFleet {
+func newTestFleet(t testing.TB, models, plains, entries int) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
 	t.Cleanup(cancel)
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -60,18 +60,21 @@
 	m.svc.countCall()
 	for {
 		m.suspect = m.svc.quarantine.suspect(m.fingerprint)
-		endpoint, err := m.svc.dispatcher.acquire(ctx, m.waiting(), m.request())
+		taken, err := m.svc.dispatcher.acquire(ctx, m.waiting(), m.request())
 		if err != nil {
 			if m.rebind(err) {
 				continue
 			}
 			return m.refusal(err)
 		}
-		end := m.attempt(ctx, endpoint)
+		end := m.attempt(ctx, taken.EndpointState)
+		if end.refused == nil {
+			taken.release()
+		}
 		if end.done != nil {
 			return m.finish(end.done)
 		}
-		if err := m.next(ctx, endpoint, end); err != nil {
+		if err := m.next(ctx, taken.EndpointState, end); err != nil {
 			return err
 		}
 	}
--- a/entry/plaincall.go
+++ b/entry/plaincall.go
@@ -77,7 +77,7 @@
 func (p *plainCall) attempts(ctx context.Context) (plainAnswer, error) {
 	for {
 		suspect := p.svc.quarantine.suspect(p.fingerprint)
-		to, err := p.svc.dispatcher.acquire(ctx, p.routingCall(1, false, suspect), routing.Request{
+		taken, err := p.svc.dispatcher.acquire(ctx, p.routingCall(1, false, suspect), routing.Request{
 			Rank:    p.rank,
 			Service: p.service,
 			Suspect: suspect,
@@ -86,11 +86,14 @@
 		if err != nil {
 			return plainAnswer{}, finalRefusal(err, p.begun)
 		}
-		end := p.attempt(ctx, to, suspect)
+		end := p.attempt(ctx, taken.EndpointState, suspect)
+		if end.refused == nil {
+			taken.release()
+		}
 		if end.done != nil {
 			return plainAnswer{status: int(end.done.GetStatus()), body: end.done.GetBody()}, nil
 		}
-		if err := p.next(ctx, to, end); err != nil {
+		if err := p.next(ctx, taken.EndpointState, end); err != nil {
 			return plainAnswer{}, err
 		}
 	}
--- a/entry/room.go
+++ b/entry/room.go
@@ -95,17 +95,17 @@
 // send gives the call an endpoint if one has credit.
 func (r *room) send(d *dispatcher, table *routing.Table, c routing.Call) bool {
 	w := r.waiters[c.ID]
-	state, ok := choose(table, w.request, d.now())
+	taken, ok := d.choose(table, w.request)
 	if !ok && len(w.request.Exclude) > 0 {
 		again := w.request
 		again.Exclude = nil
-		state, ok = choose(table, again, d.now())
+		taken, ok = d.choose(table, again)
 	}
 	if !ok {
 		return false
 	}
 	delete(r.waiters, c.ID)
-	w.answer <- grant{endpoint: state}
+	w.answer <- grant{reservation: taken}
 	return true
 }
 
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -16,8 +16,8 @@
 
 // grant is the endpoint for the next attempt of a call, or its refusal.
 type grant struct {
-	endpoint routing.EndpointState
-	err      error
+	reservation *reservation
+	err         error
 }
 
 // limitWait brings the deadline forward to the end of the rank's patience,
