--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -10,10 +10,15 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/fstest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/agent"
@@ -24,6 +29,7 @@
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -39,7 +45,7 @@
 // testFleet is a whole fleet in one process over loopback, with stand-ins for
 // the platform and the endpoints.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	ctx     context.Context
 	kv      *fakes.KeyValue
 	list    *fakes.InstanceList
@@ -51,10 +57,17 @@
 	agents  []*agent.Agent
 	entries []*Entry
 	urls    map[string]string
-	logger  *slog.Logger
+
+	mu     sync.Mutex // Guards heard.
+	heard  []string   // Traceparents of the engines' completions.
+	logger *slog.Logger
+	// Metrics and spans of all entries and of all agents.
+	entryScope, agentScope tally.TestScope
+	spans                  *tracetest.InMemoryExporter
+	tracer                 trace.Tracer
 }
 
-func newTestFleet(t *testing.T, models, plains, entries int) *testFleet {
+func newTestFleet(t testing.TB, models, plains, entries int) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
 	t.Cleanup(cancel)
@@ -67,7 +80,12 @@
 		ledger: fakes.NewLedger(),
 		urls:   map[string]string{},
 		logger: slog.New(slog.DiscardHandler),
+
+		entryScope: tally.NewTestScope("", nil),
+		agentScope: tally.NewTestScope("", nil),
+		spans:      tracetest.NewInMemoryExporter(),
 	}
+	f.tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(f.spans)).Tracer("test")
 	if os.Getenv("SNIPESTEP_TEST_LOG") != "" {
 		f.logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
@@ -92,6 +110,24 @@
 	return server.URL
 }
 
+// listening notes the traceparents that an engine gets.
+func (f *testFleet) listening(engine http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/completions" {
+			f.mu.Lock()
+			f.heard = append(f.heard, r.Header.Get(telemetry.TraceparentHeader))
+			f.mu.Unlock()
+		}
+		engine.ServeHTTP(w, r)
+	})
+}
+
+func (f *testFleet) traceparents() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
 func (f *testFleet) freeAddr() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(f.t, err)
@@ -124,7 +160,7 @@
 	instance.ChunkAddr = f.freeAddr()
 	f.engines = append(f.engines, engine)
 	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
-		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(engine), Timeout: testDeadline}),
+		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(f.listening(engine)), Timeout: testDeadline}),
 		Origin: platform.NewHTTPOrigin(platform.HTTPConfig{BaseURL: f.urls["origin"]}),
 		Store:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
 	})
@@ -143,6 +179,7 @@
 func (f *testFleet) runAgent(cfg agent.Config, deps agent.Deps) {
 	cfg.FleetKey, cfg.Slots, cfg.OriginRegion = testKey, 4, "r0"
 	deps.Logger = f.logger.With("at", cfg.Instance.ID)
+	deps.Scope, deps.Tracer = f.agentScope, f.tracer
 	a, err := agent.New(cfg, deps)
 	assert.NilError(f.t, err)
 	f.run(a.Run, a.Kill)
@@ -175,6 +212,8 @@
 		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
 		WeightStore:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
 		Logger:       f.logger.With("at", instance.ID),
+		Scope:        f.entryScope,
+		Tracer:       f.tracer,
 	})
 	assert.NilError(f.t, err)
 	f.run(e.Run, e.Kill)
