Count and bound bad input between processes

Cause: garbage before a session was dropped without a count, and nothing bounded the connections that never finish their handshake but the timeout. Change: faults of sessions and streams are counted and reported; at most 256 handshakes run at once. Conclusion: bad input is dropped and counted, other peers are served.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -34,6 +34,7 @@
 	tasks    *tasks
 	counts   counts
 
+	faults   wire.Faults
 	listener *wire.Listener
 	plane    *wire.Plane
 	node     *swarm.Node
@@ -196,7 +197,7 @@
 	}
 	a.plane = plane
 	a.reporter.plane = plane
-	self := wire.Identity{Instance: a.cfg.Instance.ID, Incarnation: a.cfg.Incarnation, Key: a.cfg.FleetKey}
+	self := wire.Identity{Instance: a.cfg.Instance.ID, Incarnation: a.cfg.Incarnation, Key: a.cfg.FleetKey, Faults: &a.faults}
 	a.listener, err = wire.Listen(a.cfg.Instance.SessionAddr, self, a.serve, a.entries.opened)
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,7 @@
 	swarm      *swarmServer
 	operators  *operatorService
 
+	faults   wire.Faults
 	listener *wire.Listener
 	plane    *wire.Plane
 	server   *http.Server
@@ -115,7 +116,7 @@
 }
 
 func (e *Entry) identity() wire.Identity {
-	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey}
+	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey, Faults: &e.faults}
 }
 
 // wireRequests connects the parts on the path of a call.
--- a/entry/telemetry_test.go
+++ b/entry/telemetry_test.go
@@ -37,7 +37,7 @@
 	telemetry.MetricQuarantined, telemetry.MetricStrikes, telemetry.MetricDatagramsRejected,
 	telemetry.MetricStoreErrors, telemetry.MetricRunning, telemetry.MetricQueued, telemetry.MetricPreemptions,
 	telemetry.MetricEndpointErrors, telemetry.MetricChunksCorrupt, telemetry.MetricChunkFaults,
-	telemetry.MetricLeaving,
+	telemetry.MetricLeaving, telemetry.MetricProtocolFaults,
 }
 
 func TestEveryMetricOfTheTableIsReported(t *testing.T) {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -15,6 +15,7 @@
 	MetricGeneration        = "config_generation"
 	MetricKnownInstances    = "known_instances"
 	MetricSessions          = "sessions"
+	MetricProtocolFaults    = "protocol_faults_total"
 	MetricDatagramsSent     = "datagrams_sent_total"
 	MetricDatagramsReceived = "datagrams_received_total"
 	MetricDatagramsRejected = "datagrams_rejected_total"
--- a/telemetry/table.go
+++ b/telemetry/table.go
@@ -26,6 +26,7 @@
 	{MetricGeneration, Gauge, "generation", nil, byBoth, "Generation of the configuration in force."},
 	{MetricKnownInstances, Gauge, "instances", nil, byEntry, "Instances that the entry knows to be alive."},
 	{MetricSessions, Gauge, "sessions", nil, byBoth, "Open sessions with other processes."},
+	{MetricProtocolFaults, Counter, "events", []string{TagFault}, byBoth, "Connections of other processes closed before they became sessions (session), and streams with a bad header (stream)."},
 	{MetricDatagramsSent, Counter, "datagrams", nil, byBoth, "Datagrams sent."},
 	{MetricDatagramsReceived, Counter, "datagrams", nil, byBoth, "Authentic datagrams received."},
 	{MetricDatagramsRejected, Counter, "datagrams", nil, byBoth, "Datagrams dropped because they are malformed, not authentic or old."},
--- a/wire/identity.go
+++ b/wire/identity.go
@@ -8,4 +8,6 @@
 	Instance    core.InstanceID
 	Incarnation uint64
 	Key         []byte
+	// Faults, if set, counts what peers send against the protocol.
+	Faults *Faults
 }
--- a/wire/listener.go
+++ b/wire/listener.go
@@ -8,12 +8,18 @@
 	"github.com/rotisserie/eris"
 )
 
+// maxHandshakes is the most connections that are not sessions yet; further
+// ones are closed.
+const maxHandshakes = 256
+
 // Listener accepts sessions over TCP.
 type Listener struct {
 	self     Identity
 	handler  StreamHandler
 	onOpen   func(*Session)
 	listener net.Listener
+	// handshakes bounds the connections that are not sessions yet.
+	handshakes chan struct{}
 
 	mu       sync.Mutex // Guards sessions and closed.
 	sessions map[*Session]struct{}
@@ -29,11 +35,12 @@
 		return nil, eris.Wrapf(err, "listen for sessions on %s", addr)
 	}
 	l := &Listener{
-		self:     self,
-		handler:  h,
-		onOpen:   onOpen,
-		listener: tcp,
-		sessions: make(map[*Session]struct{}),
+		self:       self,
+		handler:    h,
+		onOpen:     onOpen,
+		listener:   tcp,
+		handshakes: make(chan struct{}, maxHandshakes),
+		sessions:   make(map[*Session]struct{}),
 	}
 	go l.accept()
 	return l, nil
@@ -50,12 +57,19 @@
 		if err != nil {
 			return
 		}
-		go l.open(conn)
+		select {
+		case l.handshakes <- struct{}{}:
+			go l.open(conn)
+		default:
+			l.self.Faults.session()
+			_ = conn.Close()
+		}
 	}
 }
 
 func (l *Listener) open(conn net.Conn) {
 	s, err := newSession(conn, l.self, false, l.handler)
+	<-l.handshakes
 	if err != nil {
 		return
 	}
--- a/wire/session.go
+++ b/wire/session.go
@@ -30,6 +30,7 @@
 	Peer        core.InstanceID
 	Incarnation uint64
 
+	faults *Faults
 	mux    *yamux.Session
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -51,6 +52,7 @@
 func newSession(conn net.Conn, self Identity, dialler bool, h StreamHandler) (*Session, error) {
 	hello, err := handshake(conn, self, dialler)
 	if err != nil {
+		self.Faults.session()
 		conn.Close()
 		return nil, err
 	}
@@ -59,7 +61,7 @@
 		conn.Close()
 		return nil, eris.Wrap(err, "start multiplexing")
 	}
-	s := &Session{Peer: core.InstanceID(hello.Instance), Incarnation: hello.Incarnation, mux: mux}
+	s := &Session{Peer: core.InstanceID(hello.Instance), Incarnation: hello.Incarnation, faults: self.Faults, mux: mux}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	go s.accept(h)
 	return s, nil
@@ -96,6 +98,7 @@
 	}
 	header := &StreamHeader{}
 	if err := st.Recv(header); err != nil {
+		s.faults.stream()
 		return
 	}
 	if err := st.SetDeadline(time.Time{}); err != nil {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -78,6 +78,8 @@
 	assert.NilError(t, p.Send(addr, &Datagram{Instance: "a", Sequence: 1}))
 	d := <-got
 	assert.Equal(t, d.GetInstance(), "a")
+	assert.Equal(t, p.Counts().Dropped, int64(1))
+	assert.Equal(t, p.Counts().Received, int64(1))
 }
 
 func freeUDPAddr(t *testing.T) string {
