Limit the watches of the key-value service to six entries

Cause: every entry watched the configuration and the executor's key, so the store's calls grew with the fleet. Change: both duties fall to six entries by rendezvous hash; the others learn a generation from the datagrams of agents, fetch it there, and look at the store every 30 s. Agents now answer requests for the configuration, which the test showed they did not.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/routing"
@@ -115,6 +116,7 @@
 		held:    a.held,
 		sched:   a.sched,
 		logger:  a.deps.Logger,
+		applied: a.reporter.urge,
 		seen:    make(chan sighting, 1),
 	}
 	a.calls = &callServer{
@@ -227,9 +229,21 @@
 		a.control.serve(st, req.Order)
 	case *wire.StreamHeader_Status:
 		_ = st.Send(a.status())
+	case *wire.StreamHeader_Config:
+		a.serveConfig(st, req.Config)
 	}
 }
 
+// serveConfig gives an entry the configuration held here.
+func (a *Agent) serveConfig(st *wire.Stream, r *wire.ConfigRequest) {
+	answer, err := configuration.Respond(a.held, r)
+	if err != nil {
+		a.deps.Logger.Error("configuration cannot be sent", "error", err.Error())
+		return
+	}
+	_ = st.Send(answer)
+}
+
 // status says what the agent holds and serves.
 func (a *Agent) status() *wire.AgentStatus {
 	target, have, total := a.weights.progress()
--- a/agent/configsync.go
+++ b/agent/configsync.go
@@ -23,6 +23,9 @@
 	held    *fleet.Generations
 	sched   *scheduler
 	logger  *slog.Logger
+	// applied tells the entries that a new generation is held here; some
+	// learn it only from agents.
+	applied func()
 	// seen carries generations with the entry that showed them.
 	seen chan sighting
 }
@@ -94,6 +97,7 @@
 func (c *configSync) apply(doc *fleet.Document) {
 	if c.held.Apply(doc) == fleet.Applied {
 		c.sched.post(policyEvent{policies: queuePolicies(doc)})
+		c.applied()
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -220,7 +220,7 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.executor.run,
+		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.runExecutor,
 	} {
 		e.wg.Go(func() { task(e.running) })
 	}
@@ -246,7 +246,19 @@
 // key-value service holds none.
 func (e *Entry) runStore(ctx context.Context) {
 	e.writeInitial(ctx)
-	e.store.Run(ctx)
+	watch := &duty{
+		name:   dutyWatch,
+		routes: e.routes,
+		task:   e.store.Run,
+		idle:   func(ctx context.Context) { _ = e.store.Load(ctx) },
+	}
+	watch.run(ctx)
+}
+
+// runExecutor stands for the executor's lease while that falls to this entry.
+func (e *Entry) runExecutor(ctx context.Context) {
+	stand := &duty{name: dutyExecutor, routes: e.routes, task: e.executor.run}
+	stand.run(ctx)
 }
 
 // writeInitial makes Config.InitialDocument generation 1. Losing the race to
@@ -314,15 +326,10 @@
 }
 
 func (e *Entry) serveConfig(st *wire.Stream, r *wire.ConfigRequest) {
-	doc := e.held.Current()
-	answer := &wire.ConfigResponse{Generation: uint64(doc.Generation)}
-	if uint64(doc.Generation) > r.GetGeneration() {
-		encoded, err := doc.Encode()
-		if err != nil {
-			e.deps.Logger.Error("configuration cannot be encoded", "error", err.Error())
-			return
-		}
-		answer.Document = encoded
+	answer, err := configuration.Respond(e.held, r)
+	if err != nil {
+		e.deps.Logger.Error("configuration cannot be sent", "error", err.Error())
+		return
 	}
 	_ = st.Send(answer)
 }
