Report an engine's cached prompt prefixes as hints

Cause: entries choose by prefix but learnt of no cache. Change: the last eight prefixes that the engine names travel with the load.

--- a/agent/control.go
+++ b/agent/control.go
@@ -224,6 +224,7 @@
 // order of this agent is taken over only if it is known to be whole.
 func (c *control) compare(status endpoint.EngineStatus) bool {
 	c.state.recovered()
+	c.state.setPrefixes(status.CachedPrefixes)
 	want := c.state.serving()
 	if !status.Serving.IsZero() && (want.IsZero() || status.Serving == want) {
 		c.state.setServing(status.Serving)
--- a/agent/endpointstate.go
+++ b/agent/endpointstate.go
@@ -8,6 +8,9 @@
 	"github.com/snipestep/snipestep/core"
 )
 
+// maxReportedPrefixes bounds the cached prefixes in a load report.
+const maxReportedPrefixes = 8
+
 // endpointState is what the agent knows of its endpoint. Readers on the
 // request path use atomics; the control loop writes.
 type endpointState struct {
@@ -15,6 +18,9 @@
 	incarnation uint64
 
 	model atomic.Pointer[core.ModelRef]
+	// prefixes are the prompt prefixes that the engine last said it caches.
+	// They come late and with gaps, and serve as hints only.
+	prefixes atomic.Pointer[[]uint64]
 
 	mu    sync.Mutex // Guards the fields below.
 	down  bool
@@ -32,6 +38,7 @@
 		suspected:   make(chan struct{}, 1),
 	}
 	s.model.Store(&core.ModelRef{})
+	s.prefixes.Store(&[]uint64{})
 	return s
 }
 
@@ -44,6 +51,14 @@
 	s.model.Store(&m)
 }
 
+// setPrefixes keeps the newest of the engine's cached prefixes.
+func (s *endpointState) setPrefixes(prefixes []uint64) {
+	if len(prefixes) > maxReportedPrefixes {
+		prefixes = prefixes[len(prefixes)-maxReportedPrefixes:]
+	}
+	s.prefixes.Store(&prefixes)
+}
+
 // suspect asks for a look at the endpoint after a failed call. It returns the
 // identifier of the crash, the same for all calls that it broke.
 func (s *endpointState) suspect() string {
