--- /dev/null
+++ b/local/load/events.go
@@ -0,0 +1,78 @@
+package load
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/problem"
+)
+
+const maxEventBytes = 1 << 20
+
+const (
+	dataPrefix = "data:"
+	streamEnd  = "[DONE]"
+)
+
+// event is one server-sent event of a completion.
+type event struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	// Error is set in the event that ends a broken stream.
+	Error *problem.Problem `json:"error"`
+	done  bool
+}
+
+// content returns the text of the event.
+func (e *event) content() string {
+	var text strings.Builder
+	for _, choice := range e.Choices {
+		text.WriteString(choice.Delta.Content)
+	}
+	return text.String()
+}
+
+// eventReader reads server-sent events.
+type eventReader struct {
+	lines *bufio.Scanner
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	return &eventReader{lines: lines}
+}
+
+// next blocks until the next event arrives. It returns
+// io.ErrUnexpectedEOF at the end of the body.
+func (r *eventReader) next() (*event, error) {
+	for r.lines.Scan() {
+		data, ok := strings.CutPrefix(r.lines.Text(), dataPrefix)
+		if !ok {
+			continue
+		}
+		return decodeEvent(strings.TrimSpace(data))
+	}
+	if err := r.lines.Err(); err != nil {
+		return nil, eris.Wrap(err, "read the stream")
+	}
+	return nil, io.ErrUnexpectedEOF
+}
+
+func decodeEvent(data string) (*event, error) {
+	if data == streamEnd {
+		return &event{done: true}, nil
+	}
+	var decoded event
+	if err := json.Unmarshal([]byte(data), &decoded); err != nil {
+		return nil, eris.Wrap(err, "decode an event")
+	}
+	return &decoded, nil
+}
--- a/local/scenario/scenario.go
+++ b/local/scenario/scenario.go
@@ -130,3 +130,9 @@
 func (f Faults) StoreDown() bool {
 	return f.StoreDownFrom != settings.Unset
 }
+
+// During reports whether the flood runs at a time since the start of the
+// load.
+func (f Flood) During(at time.Duration) bool {
+	return f.On && at >= f.From && at < f.From+f.For
+}
