--- /dev/null
+++ b/entry/operatorservice.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/configuration"
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/operator"
+	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/weights"
+)
+
+const (
+	planLife      = time.Hour
+	watchInterval = time.Second
+)
+
+// operatorService makes, keeps and confirms plans.
+type operatorService struct {
+	kv        platform.KeyValue
+	store     *configuration.Store
+	weights   platform.WeightStore
+	held      *fleet.Generations
+	collector *collector
+	executor  *executor
+	now       func() time.Time
+	logger    *slog.Logger
+	instance  core.InstanceID
+}
+
+// Propose makes a plan for an intent and keeps it for planLife. Nothing else
+// changes.
+func (o *operatorService) Propose(ctx context.Context, in intent.Intent) (*intent.Plan, error) {
+	if err := o.resolve(ctx, &in); err != nil {
+		return nil, err
+	}
+	if err := o.store.Load(ctx); err != nil {
+		return nil, err
+	}
+	view := o.collector.collect(ctx)
+	plan, err := intent.MakePlan(o.held.Current(), view, in, o.now(), uuid.NewString())
+	if err != nil {
+		return nil, err
+	}
+	return plan, o.keep(ctx, plan)
+}
+
+// resolve fills in the manifest and the size of a model that is to be placed.
+func (o *operatorService) resolve(ctx context.Context, in *intent.Intent) error {
+	if in.Place == nil {
+		return nil
+	}
+	place := *in.Place
+	ref, err := o.weights.Resolve(ctx, place.Model.Model, place.Model.Version)
+	if err != nil {
+		return eris.Wrapf(err, "resolve model %q version %q", place.Model.Model, place.Model.Version)
+	}
+	encoded, err := o.weights.Manifest(ctx, ref.Manifest)
+	if err != nil {
+		return eris.Wrap(err, "read the manifest")
+	}
+	manifest, err := weights.DecodeManifest(encoded, ref.Manifest)
+	if err != nil {
+		return err
+	}
+	place.Model = ref
+	place.ModelBytes = manifest.Size
+	in.Place = &place
+	return nil
+}
+
+func (o *operatorService) keep(ctx context.Context, plan *intent.Plan) error {
+	encoded, err := plan.Encode()
+	if err != nil {
+		return err
+	}
+	lease, err := o.kv.Grant(ctx, planLife)
+	if err != nil {
+		return eris.Wrap(err, "lease for the plan")
+	}
+	_, err = o.kv.CompareAndSwap(ctx, intent.Key(plan.ID), 0, encoded, lease)
+	return eris.Wrap(err, "keep the plan")
+}
+
+// Plan returns a kept plan, or operator.ErrPlanNotFound.
+func (o *operatorService) Plan(ctx context.Context, id string) (*intent.Plan, error) {
+	entry, err := o.kv.Get(ctx, intent.Key(id))
+	if errors.Is(err, platform.ErrKeyNotFound) {
+		return nil, operator.ErrPlanNotFound
+	}
+	if err != nil {
+		return nil, err
+	}
+	return intent.DecodePlan(entry.Value)
+}
+
+// Confirm puts a plan's document in force and returns its generation. A plan
+// that is in force already is confirmed again without a change. Errors
+// are *intent.StalePlanError, *configuration.GenerationConflictError and
+// those of the key-value service.
+func (o *operatorService) Confirm(ctx context.Context, id string) (core.Generation, error) {
+	plan, err := o.Plan(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	if err := o.store.Load(ctx); err != nil {
+		return 0, err
+	}
+	if plan.Confirmed(o.held.Current()) {
+		return plan.Generation + 1, nil
+	}
+	next, err := intent.Confirm(plan, o.held.Current(), o.collector.collect(ctx))
+	if err != nil {
+		return 0, err
+	}
+	if err := o.store.Commit(ctx, next); err != nil {
+		return 0, err
+	}
+	o.logger.Info("plan confirmed", "plan", id, "generation", uint64(next.Generation))
+	return next.Generation, nil
+}
+
+// Status returns the state of the fleet as this entry sees it.
+func (o *operatorService) Status(ctx context.Context) (operator.Status, error) {
+	reachable := o.store.Load(ctx) == nil
+	status := operator.NewStatus(o.held.Current(), o.collector.collect(ctx))
+	status.Entry = o.instance
+	status.StoreReachable = reachable
+	if tenure := o.executor.tenure.Load(); tenure != nil {
+		status.Executor = true
+		status.Fence = tenure.Fence
+	}
+	return status, nil
+}
+
+// Watch sends the status at once and after each change until ctx ends or send
+// fails.
+func (o *operatorService) Watch(ctx context.Context, send func(operator.Status) error) error {
+	var last []byte
+	for {
+		status, err := o.Status(ctx)
+		if err != nil {
+			return err
+		}
+		encoded, err := json.Marshal(status)
+		if err != nil {
+			return err
+		}
+		if !bytes.Equal(encoded, last) {
+			if err := send(status); err != nil {
+				return err
+			}
+			last = encoded
+		}
+		pause(ctx, watchInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/intent/domainqueues.go
@@ -0,0 +1,49 @@
+package intent
+
+import "sort"
+
+// domainQueues holds agents by failure domain, each in the order added.
+type domainQueues struct {
+	names  []string
+	queues map[string][]AgentView
+}
+
+func newDomainQueues() *domainQueues {
+	return &domainQueues{queues: make(map[string][]AgentView)}
+}
+
+func (d *domainQueues) add(agent AgentView) {
+	name := domainOf(agent)
+	if _, ok := d.queues[name]; !ok {
+		d.names = append(d.names, name)
+		sort.Strings(d.names)
+	}
+	d.queues[name] = append(d.queues[name], agent)
+}
+
+// take removes the next agent of the failure domain with the lowest count, of
+// several that with the most agents left.
+func (d *domainQueues) take(counts map[string]int) (AgentView, bool) {
+	best := ""
+	for _, name := range d.names {
+		if len(d.queues[name]) == 0 {
+			continue
+		}
+		if best == "" || d.before(name, best, counts) {
+			best = name
+		}
+	}
+	if best == "" {
+		return AgentView{}, false
+	}
+	agent := d.queues[best][0]
+	d.queues[best] = d.queues[best][1:]
+	return agent, true
+}
+
+func (d *domainQueues) before(a, b string, counts map[string]int) bool {
+	if counts[a] != counts[b] {
+		return counts[a] < counts[b]
+	}
+	return len(d.queues[a]) > len(d.queues[b])
+}
