local/runner, snipestep-local: run a whole fleet over loopback

Cause: the product is shown and measured by one command. Change: the runner starts stand-ins, entries and agents, each with an IP number of its own on loopback, brings up a small first version, drives load, pushes and faults, and fills the report from what the stand-ins counted. The generator reads the problem event that ends a broken stream.

--- /dev/null
+++ b/cmd/snipestep-local/main.go
@@ -0,0 +1,40 @@
+// Command snipestep-local runs a whole fleet in one process over loopback,
+// against small stand-ins of the platform and the endpoints.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit statuses.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type commands struct {
+	Run runCommand `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
+}
+
+func main() {
+	var c commands
+	parser := kong.Must(&c,
+		kong.Name("snipestep-local"),
+		kong.Description("Runs a whole snipestep fleet in one process over loopback."))
+	parsed, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		parser.Errorf("%s", err)
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	parsed.BindTo(ctx, (*context.Context)(nil))
+	err = parsed.Run()
+	stop()
+	os.Exit(exitStatus(parser, err))
+}
--- a/local/load/events.go
+++ b/local/load/events.go
@@ -14,6 +14,8 @@
 const maxEventBytes = 1 << 20
 
 const (
+	namePrefix = "event:"
+	errorName  = "error"
 	dataPrefix = "data:"
 	streamEnd  = "[DONE]"
 )
@@ -25,9 +27,9 @@
 			Content string `json:"content"`
 		} `json:"delta"`
 	} `json:"choices"`
-	// Error is set in the event that ends a broken stream.
-	Error *problem.Problem `json:"error"`
-	done  bool
+	// problem is set in the event that ends a broken stream.
+	problem *problem.Problem
+	done    bool
 }
 
 // content returns the text of the event.
@@ -53,12 +55,14 @@
 // next blocks until the next event arrives. It returns
 // io.ErrUnexpectedEOF at the end of the body.
 func (r *eventReader) next() (*event, error) {
+	name := ""
 	for r.lines.Scan() {
-		data, ok := strings.CutPrefix(r.lines.Text(), dataPrefix)
-		if !ok {
-			continue
+		if given, ok := strings.CutPrefix(r.lines.Text(), namePrefix); ok {
+			name = strings.TrimSpace(given)
+		}
+		if data, ok := strings.CutPrefix(r.lines.Text(), dataPrefix); ok {
+			return decodeEvent(name, strings.TrimSpace(data))
 		}
-		return decodeEvent(strings.TrimSpace(data))
 	}
 	if err := r.lines.Err(); err != nil {
 		return nil, eris.Wrap(err, "read the stream")
@@ -66,7 +70,12 @@
 	return nil, io.ErrUnexpectedEOF
 }
 
-func decodeEvent(data string) (*event, error) {
+func decodeEvent(name, data string) (*event, error) {
+	if name == errorName {
+		failure := &problem.Problem{}
+		err := json.Unmarshal([]byte(data), failure)
+		return &event{problem: failure}, eris.Wrap(err, "decode a problem")
+	}
 	if data == streamEnd {
 		return &event{done: true}, nil
 	}
--- /dev/null
+++ b/local/runner/operate.go
@@ -0,0 +1,144 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/operator"
+)
+
+const (
+	pollInterval    = 50 * time.Millisecond
+	startTimeout    = 60 * time.Second
+	confirmAttempts = 20
+	confirmPause    = 250 * time.Millisecond
+)
+
+// ErrNotReady reports a fleet that did not come up in time.
+var ErrNotReady = eris.New("the fleet did not become ready in time")
+
+// actions are the operator's part of a run.
+type actions struct {
+	client   *operator.Client
+	progress io.Writer
+	started  time.Time
+}
+
+func newActions(f *fleetRun, progress io.Writer) *actions {
+	urls := make([]string, len(f.httpAddrs))
+	for i, addr := range f.httpAddrs {
+		urls[i] = "http://" + addr
+	}
+	return &actions{
+		client:   operator.NewClient(urls, operatorToken, nil),
+		progress: progress,
+		started:  time.Now(),
+	}
+}
+
+// say writes a progress line.
+func (a *actions) say(format string, values ...any) {
+	line := fmt.Sprintf(format, values...)
+	// A lost progress line changes nothing.
+	_, _ = fmt.Fprintf(a.progress, "%7.2fs %s\n", time.Since(a.started).Seconds(), line)
+}
+
+// awaitAgents blocks until the entries know every agent.
+func (a *actions) awaitAgents(ctx context.Context, agents int) error {
+	return until(ctx, startTimeout, func() bool {
+		status, err := a.client.Status(ctx)
+		return err == nil && status.Generation > 0 && healthy(status) >= agents
+	})
+}
+
+func healthy(status operator.Status) int {
+	count := 0
+	for _, agent := range status.Agents {
+		if agent.Healthy {
+			count++
+		}
+	}
+	return count
+}
+
+// carryOut proposes an intent and confirms its plan. A premise that moved, and
+// a service that is away, are tried again with a new plan, as an operator
+// would.
+func (a *actions) carryOut(ctx context.Context, in intent.Intent) (*intent.Plan, error) {
+	var last error
+	for range confirmAttempts {
+		plan, err := a.client.Propose(ctx, in)
+		if err == nil {
+			_, err = a.client.Confirm(ctx, plan.ID)
+		}
+		if err == nil {
+			return plan, nil
+		}
+		last = err
+		a.say("intent is tried again: %v", err)
+		if !pause(ctx, confirmPause) {
+			break
+		}
+	}
+	return nil, eris.Wrap(last, "carry out an intent")
+}
+
+// push places a version at every engine.
+func (a *actions) push(ctx context.Context, model core.ModelRef) error {
+	_, err := a.carryOut(ctx, intent.Intent{Place: &intent.Place{Model: core.ModelRef{Model: model.Model, Version: model.Version}}})
+	return err
+}
+
+// stop takes a number of engines out of service and returns them.
+func (a *actions) stop(ctx context.Context, count int, grace time.Duration) ([]core.InstanceID, error) {
+	plan, err := a.carryOut(ctx, intent.Intent{Stop: &intent.Stop{
+		Selector:      intent.Selector{Role: core.RoleModel, Count: count},
+		StreamGraceMS: grace.Milliseconds(),
+		Move:          true,
+		AcceptLess:    true,
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return stoppedBy(plan.Next), nil
+}
+
+func stoppedBy(document *fleet.Document) []core.InstanceID {
+	var ids []core.InstanceID
+	for _, stop := range document.Stops {
+		ids = append(ids, stop.Instances...)
+	}
+	return ids
+}
+
+// until polls until a condition holds. It returns ErrNotReady after the
+// timeout or when ctx ends.
+func until(ctx context.Context, timeout time.Duration, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	for !holds() {
+		if !pause(ctx, pollInterval) {
+			return ErrNotReady
+		}
+	}
+	return nil
+}
+
+// pause blocks for a time; it returns false when ctx ends first.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/local/runner/options.go
@@ -0,0 +1,17 @@
+package runner
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/snipestep/snipestep/local/scenario"
+)
+
+// Options say what to run.
+type Options struct {
+	Scenario *scenario.Scenario
+	// Progress receives one line for each step of the run.
+	Progress io.Writer
+	// Logger receives the logs of entries and agents.
+	Logger *slog.Logger
+}
--- /dev/null
+++ b/local/runner/standins.go
@@ -0,0 +1,106 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/fakes"
+	"github.com/snipestep/snipestep/local/scenario"
+)
+
+// Normal manners of the platform.
+const (
+	listLag          = time.Second
+	storeCallsPerSec = 200
+	storeBurst       = 400
+	localLatencyMS   = 0.5
+	platformTimeout  = 2 * time.Second
+	chunkTimeout     = time.Minute
+	anyPort          = "127.0.0.1:0"
+	storeInstance    = "weight-store"
+	keyValueInstance = "key-value"
+)
+
+// standIns are the platform's services and the links.
+type standIns struct {
+	keyValue *fakes.KeyValue
+	list     *fakes.InstanceList
+	origin   *fakes.Origin
+	store    *fakes.WeightStore
+	ledger   *fakes.Ledger
+	links    *fakes.Links
+
+	keyValueURL string
+	listURL     string
+	originURL   string
+	storeURL    string
+	servers     []*server
+}
+
+func startStandIns(ctx context.Context, s *scenario.Scenario) (*standIns, error) {
+	p := &standIns{
+		keyValue: fakes.NewKeyValue(time.Now),
+		list:     fakes.NewInstanceList(listLag, time.Now),
+		origin:   fakes.NewOrigin(),
+		store:    fakes.NewWeightStore(storeCallsPerSec, storeBurst, time.Now),
+		ledger:   fakes.NewLedger(),
+		links:    fakes.NewLinks(linksConfig(s.Links)),
+	}
+	targets := []struct {
+		handler http.Handler
+		url     *string
+	}{
+		{p.keyValue, &p.keyValueURL},
+		{p.list, &p.listURL},
+		{p.origin, &p.originURL},
+		{p.store, &p.storeURL},
+	}
+	for _, target := range targets {
+		started, err := startServer(ctx, anyPort, target.handler)
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		p.servers = append(p.servers, started)
+		*target.url = started.url()
+	}
+	p.register()
+	return p, nil
+}
+
+// register puts the platform's services into the first region.
+func (p *standIns) register() {
+	home := location(0)
+	p.links.Register(p.servers[0].addr, fakes.TrafficCalls, keyValueInstance, home)
+	p.links.RegisterOrigin(p.servers[2].addr, home)
+	p.links.Register(p.servers[3].addr, fakes.TrafficWeights, storeInstance, home)
+}
+
+func (p *standIns) publish(w fakes.Weights) {
+	p.origin.Publish(w)
+	p.store.Publish(w)
+}
+
+func (p *standIns) close() {
+	for _, s := range p.servers {
+		s.close()
+	}
+}
+
+func linksConfig(l scenario.Links) fakes.LinksConfig {
+	return fakes.LinksConfig{
+		InstanceMbps:    float64(l.InstanceMbps),
+		OriginMbps:      float64(l.OriginMbps),
+		RegionMbps:      float64(l.RegionMbps),
+		RegionLatencyMS: float64(l.RegionLatency) / float64(time.Millisecond),
+		LocalLatencyMS:  localLatencyMS,
+	}
+}
+
+// client returns an HTTP client whose connections cross the links of an
+// instance.
+func (p *standIns) client(instance core.Instance) *http.Client {
+	return &http.Client{Transport: p.links.Transport(instance.ID, instance.Location)}
+}
--- a/settings/digests.go
+++ b/settings/digests.go
@@ -31,8 +31,3 @@
 	*target = digests
 	return true
 }
-
-// TokenDigest returns the digest under which a bearer token is stored.
-func TokenDigest(token string) string {
-	return core.SumDigest([]byte(token)).String()
-}
