Test chunk transfer under faults and cut its control traffic

Cause: a node that joined late waited 1.6 s for peers that had sent their share, and first fetchers spent most control bytes on refusals.

--- a/weights/chunkstate.go
+++ b/weights/chunkstate.go
@@ -17,5 +17,7 @@
 	retryAt  time.Time
 	refused  time.Time // When a peer refused first.
 	refusals []refusal // One for each peer that refused.
-	attempts int       // Failed requests to other regions.
+	// pausedUntil is when a holder may be asked again after all refused.
+	pausedUntil time.Time
+	attempts    int // Failed requests to other regions.
 }
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -54,6 +54,7 @@
 		return
 	}
 	p.chunks[i].holders++
+	p.chunks[i].pausedUntil = time.Time{}
 	p.see(now, i)
 }
 
@@ -213,3 +214,12 @@
 		return nil
 	}
 }
+
+// pause keeps the chunk from being considered until a refusal ends.
+func (c *chunkState) pause(now time.Time) {
+	for _, r := range c.refusals {
+		if now.Before(r.until) && (!now.Before(c.pausedUntil) || r.until.Before(c.pausedUntil)) {
+			c.pausedUntil = r.until
+		}
+	}
+}
--- a/weights/pickernext.go
+++ b/weights/pickernext.go
@@ -30,6 +30,7 @@
 		}
 		idle = false
 		switch {
+		case now.Before(chunk.pausedUntil):
 		case chunk.holders > 0:
 			offered = p.insertRarest(offered, i)
 		case now.Before(chunk.retryAt):
@@ -72,6 +73,7 @@
 	}
 	id := p.chooseHolder(now, i)
 	if id == "" {
+		p.chunks[i].pause(now)
 		return requests
 	}
 	urgent := len(p.chunks[i].refusals) > 0 && now.Sub(p.chunks[i].refused) >= p.cfg.UrgentAfter
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -57,7 +57,7 @@
 	setDefault(&c.PingInterval, 500*time.Millisecond)
 	setDefault(&c.WaitTimeout, time.Second)
 	setDefault(&c.HaveInterval, 5*time.Millisecond)
-	setDefault(&c.HaveDelay, 200*time.Millisecond)
+	setDefault(&c.HaveDelay, 250*time.Millisecond)
 	setDefault(&c.SourceTimeout, 5*time.Second)
 	setDefault(&c.Tick, 50*time.Millisecond)
 }
--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -23,7 +23,10 @@
 	"github.com/snipestep/snipestep/weights"
 )
 
-const testChunk = 64 << 10
+const (
+	testChunk   = 64 << 10
+	testRegions = 3
+)
 
 var testKey = []byte("fleet key")
 
@@ -87,6 +90,22 @@
 	return nil
 }
 
+// quickConfig makes faults show soon.
+func quickConfig() Config {
+	return Config{
+		StallTimeout: 300 * time.Millisecond,
+		PingInterval: 50 * time.Millisecond,
+		WaitTimeout:  100 * time.Millisecond,
+		Tick:         10 * time.Millisecond,
+		Picker: weights.PickerConfig{
+			DownTime:      100 * time.Millisecond,
+			SourceRetry:   10 * time.Millisecond,
+			StartGrace:    100 * time.Millisecond,
+			FallbackDelay: 100 * time.Millisecond,
+		},
+	}
+}
+
 // testFleet is a number of nodes on loopback with shaped links.
 type testFleet struct {
 	t             testing.TB
@@ -98,8 +117,7 @@
 	regionBytes   map[string]int64
 	regionRate    rate.Limit
 	instanceRate  rate.Limit
-	pickerConfig  weights.PickerConfig
-	stall         time.Duration
+	config        Config // Of every node; identities are set.
 	// readHook may damage or block a read; nil for plain reads.
 	readHook func(ctx context.Context, reader, from Peer, p []byte)
 }
@@ -141,8 +159,10 @@
 		link:   limiter(f.instanceRate),
 		uplink: limiter(f.instanceRate),
 	}
+	cfg := f.config
+	cfg.Self, cfg.OriginRegion, cfg.Seed = self, "r0", 1
 	node, err := NewNode(
-		Config{Self: self, OriginRegion: "r0", Seed: 1, Picker: f.pickerConfig, StallTimeout: f.stall},
+		cfg,
 		Deps{Dial: f.dialer(n, self), Origin: f.origin, Store: f.store, FleetKey: testKey, Scope: n.scope},
 	)
 	assert.NilError(f.t, err)
@@ -297,10 +317,10 @@
 	return nil
 }
 
-// grow starts n nodes spread over regions.
-func (f *testFleet) grow(n, regions int) {
+// grow starts n nodes spread over testRegions.
+func (f *testFleet) grow(n int) {
 	f.t.Helper()
 	for i := range n {
-		f.add(fmt.Sprintf("i%03d", i), fmt.Sprintf("r%d", i%regions))
+		f.add(fmt.Sprintf("i%03d", i), fmt.Sprintf("r%d", i%testRegions))
 	}
 }
--- /dev/null
+++ b/weights/swarm/node_test.go
@@ -0,0 +1,174 @@
+package swarm
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/weights"
+	"github.com/snipestep/snipestep/wire"
+)
+
+// TestFetchIsShared calls Fetch in parallel: each chunk is drawn once, also
+// while one of the callers gives up.
+func TestFetchIsShared(t *testing.T) {
+	m := newTestModel(t, "1", 8*testChunk, testChunk)
+	f := newTestFleet(t, m)
+	n := f.add("a", "r0")
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	var g errgroup.Group
+	for i := range 8 {
+		ctx := context.Background()
+		if i == 0 {
+			ctx = cancelled
+		}
+		g.Go(func() error {
+			_, err := n.Fetch(ctx, m.manifest, f.peers)
+			if ctx.Err() != nil {
+				return nil
+			}
+			return err
+		})
+	}
+	assert.NilError(t, g.Wait())
+	f.push(m)
+	assert.Check(t, f.origin.served.Load() <= 2*m.manifest.Size)
+}
+
+// TestUnchangedChunksAreNotDrawnAgain pushes a version that differs in one
+// chunk.
+func TestUnchangedChunksAreNotDrawnAgain(t *testing.T) {
+	first := newTestModel(t, "1", 8*testChunk, testChunk)
+	second := newTestModel(t, "2", 8*testChunk, testChunk)
+	f := newTestFleet(t, first, second)
+	n := f.add("a", "r0")
+	f.push(first, n)
+	f.push(second, n)
+	assert.Equal(t, f.origin.served.Load(), int64(9*testChunk))
+}
+
+func TestDropAndStopEndFetches(t *testing.T) {
+	m := newTestModel(t, "1", 8*testChunk, testChunk)
+	f := newTestFleet(t, m)
+	n := f.add("a", "r0")
+	reached := make(chan struct{}, 64)
+	f.origin.fail = func(int) error {
+		reached <- struct{}{}
+		return io.ErrUnexpectedEOF
+	}
+	failed := make(chan error, 1)
+	fetch := func() {
+		_, err := n.Fetch(context.Background(), m.manifest, f.peers)
+		failed <- err
+	}
+	go fetch()
+	<-reached
+	n.Drop(m.manifest.Digest())
+	assert.ErrorIs(t, <-failed, ErrDropped)
+	go fetch()
+	<-reached
+	f.stop(n)
+	assert.ErrorIs(t, <-failed, ErrStopped)
+	_, err := n.Fetch(context.Background(), m.manifest, f.peers)
+	assert.ErrorIs(t, err, ErrStopped)
+}
+
+// dialServer opens a bare connection and returns the server's nonce.
+func dialServer(t *testing.T, n *testNode) (net.Conn, []byte) {
+	t.Helper()
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", n.cfg.Self.ChunkAddr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	header := make([]byte, frameHeaderSize)
+	_, err = io.ReadFull(conn, header)
+	assert.NilError(t, err)
+	size, _, err := decodeFrameHeader(header, maxServerMessage, 0)
+	assert.NilError(t, err)
+	data := make([]byte, size)
+	_, err = io.ReadFull(conn, data)
+	assert.NilError(t, err)
+	var message wire.ChunkServerFrame
+	assert.NilError(t, proto.Unmarshal(data, &message))
+	return conn, message.GetChallenge().GetNonce()
+}
+
+// TestBadFramesCloseTheConnection sends what no client sends.
+func TestBadFramesCloseTheConnection(t *testing.T) {
+	m := newTestModel(t, "1", 8*testChunk, testChunk)
+	f := newTestFleet(t, m)
+	n := f.add("a", "r0")
+	f.push(m, n)
+	digest := m.manifest.Digest()
+	hello := func(key, nonce []byte) []byte {
+		own := newNonce()
+		data, err := encodeFrame(&wire.ChunkClientFrame{Frame: &wire.ChunkClientFrame_Hello{Hello: &wire.ChunkHello{
+			Instance: "b", Nonce: own, Manifest: digest[:],
+			Proof: proof(key, clientLabel, nonce, own, []byte("b"), digest[:]),
+		}}}, 0)
+		assert.NilError(t, err)
+		return data
+	}
+	request := func(index int) []byte {
+		data, err := encodeFrame(requestFrame(index, false, false), 0)
+		assert.NilError(t, err)
+		return data
+	}
+	cases := map[string]struct {
+		counter string
+		bytes   func(nonce []byte) []byte
+	}{
+		"long message":     {"malformed_frames", func([]byte) []byte { return []byte{255, 0, 0, 0, 0, 0, 0, 0} }},
+		"payload":          {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1} }},
+		"no protobuf":      {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 0, 255} }},
+		"no hello":         {"rejected_connections", func([]byte) []byte { return request(0) }},
+		"other key":        {"rejected_connections", func(nonce []byte) []byte { return hello([]byte("x"), nonce) }},
+		"replayed nonce":   {"rejected_connections", func([]byte) []byte { return hello(testKey, newNonce()) }},
+		"chunk out of set": {"malformed_frames", func(nonce []byte) []byte { return append(hello(testKey, nonce), request(8)...) }},
+		"second hello": {"malformed_frames", func(nonce []byte) []byte {
+			return append(hello(testKey, nonce), hello(testKey, nonce)...)
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			before := n.counter(c.counter)
+			conn, nonce := dialServer(t, n)
+			_, err := conn.Write(c.bytes(nonce))
+			assert.NilError(t, err)
+			_, _ = io.Copy(io.Discard, conn) // Ends when the server closes.
+			assert.Equal(t, n.counter(c.counter), before+1)
+		})
+	}
+}
+
+func TestConfigErrors(t *testing.T) {
+	deps := Deps{Origin: &testSource{}, Store: &testSource{}, FleetKey: testKey}
+	good := Config{Self: Peer{ID: "a", ChunkAddr: "127.0.0.1:1"}}
+	_, err := NewNode(good, deps)
+	assert.NilError(t, err)
+	for field, change := range map[string]func(*Config, *Deps){
+		"Self.ID":        func(c *Config, _ *Deps) { c.Self.ID = "" },
+		"Self.ChunkAddr": func(c *Config, _ *Deps) { c.Self.ChunkAddr = "" },
+		"RateBytes":      func(c *Config, _ *Deps) { c.RateBytes = -1 },
+		"MinRateShare":   func(c *Config, _ *Deps) { c.MinRateShare = 2 },
+		"Origin":         func(_ *Config, d *Deps) { d.Origin = nil },
+		"Store":          func(_ *Config, d *Deps) { d.Store = nil },
+		"FleetKey":       func(_ *Config, d *Deps) { d.FleetKey = nil },
+	} {
+		cfg, d := good, deps
+		change(&cfg, &d)
+		_, err := NewNode(cfg, d)
+		var bad *ConfigError
+		assert.Check(t, err != nil)
+		assert.Assert(t, errors.As(err, &bad))
+		assert.Equal(t, bad.Field, field)
+	}
+	_, err = (&Node{}).Fetch(t.Context(), &weights.Manifest{}, nil)
+	assert.Check(t, err != nil)
+}
--- a/weights/swarm/push_bench_test.go
+++ b/weights/swarm/push_bench_test.go
@@ -29,7 +29,7 @@
 		f := newTestFleet(b, m)
 		f.origin.link = limiter(benchOriginRate)
 		f.instanceRate, f.regionRate = benchInstanceRate, benchRegionRate
-		f.grow(n, 3)
+		f.grow(n)
 		start := time.Now()
 		f.push(m)
 		f.report(b, m, time.Since(start))
--- a/weights/swarm/replace_test.go
+++ b/weights/swarm/replace_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -15,9 +14,8 @@
 func TestPeersReplacedInMidTransfer(t *testing.T) {
 	m := newTestModel(t, "1", 32*testChunk, testChunk)
 	f := newTestFleet(t, m)
-	f.pickerConfig.StartGrace = 100 * time.Millisecond
-	f.pickerConfig.FallbackDelay = 100 * time.Millisecond
-	f.grow(9, 3)
+	f.config = quickConfig()
+	f.grow(9)
 	victim := f.nodes["i001"]
 	ctx, cancel := context.WithCancel(context.Background())
 	var once sync.Once
