Prove purchases at most once under failures and keep lost answers out of quarantine

Cause: a plain service's lost answer counted as a crash and calls with equal bodies shared a fingerprint, so two lost answers refused every purchase with that body for ten minutes. A model call whose deadline passed during its first attempt was refused as not-run. A caller that went away mid-stream, and a resumed call that the engine refused, struck the request as a crash. An interrupt between the start of a job and that of its endpoint call was lost. Closing a stream did not make its blocked Recv return. Ruled out: the claim log; the ledger shows no double run without these changes.

--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -58,6 +58,11 @@
 		if end, done := c.await(ctx, j); done {
 			return end
 		}
+		if !c.now().Before(j.call.Deadline) {
+			// The process may have been paused since the job was queued.
+			c.sched.post(doneEvent{id: j.call.ID})
+			return refusedEvent(j, refusal{code: CodePatience})
+		}
 		end, err := c.runOnce(ctx, st, j)
 		if errors.Is(err, errPreempted) {
 			c.sched.post(requeueEvent{job: j})
@@ -91,7 +96,8 @@
 func (c *callServer) runOnce(ctx context.Context, st *wire.Stream, j *job) (*wire.CallEvent, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	j.interrupt.Store(&cancel)
+	j.interrupt.begin(cancel)
+	defer j.interrupt.end()
 	ctx, span := c.tracer.Start(ctx, "endpoint.call")
 	defer span.End()
 	end := c.runner.run(ctx, j, st.Send)
--- a/agent/events.go
+++ b/agent/events.go
@@ -124,7 +124,7 @@
 func (e interruptEvent) apply(s *scheduler) {
 	for _, j := range s.jobs {
 		if j.call.Resumable {
-			j.stop(e.cause)
+			j.interrupt.request(e.cause)
 		}
 	}
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/snipestep/snipestep/core"
@@ -25,8 +23,8 @@
 	// started and refused hold at most one signal each.
 	started chan struct{}
 	refused chan refusal
-	// interrupt ends the running endpoint call; the scheduler calls it.
-	interrupt atomic.Pointer[context.CancelCauseFunc]
+	// interrupt ends the running endpoint call.
+	interrupt interrupt
 	// begun says whether the endpoint may have begun.
 	begun bool
 	// produced are the tokens made here so far.
@@ -62,13 +60,6 @@
 	}
 }
 
-// stop interrupts the endpoint call of a running job.
-func (j *job) stop(cause error) {
-	if cancel := j.interrupt.Load(); cancel != nil {
-		(*cancel)(cause)
-	}
-}
-
 // baselineCall leaves out rank and organisation, so that the queue is first
 // in, first out.
 func baselineCall(id uint64, req *wire.CallRequest, now time.Time) routing.Call {
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -124,7 +124,7 @@
 // failure turns an engine's error into the attempt's final event.
 func (m *modelRunner) failure(ctx context.Context, j *job, err error) *wire.CallEvent {
 	var notStarted *endpoint.NotStartedError
-	if errors.As(err, &notStarted) && !j.begun {
+	if errors.As(err, &notStarted) {
 		if ctx.Err() == nil {
 			m.state.suspect()
 		}
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -108,7 +108,7 @@
 		return
 	}
 	if j := s.jobs[id]; j != nil {
-		j.stop(errPreempted)
+		j.interrupt.request(errPreempted)
 	}
 }
 
--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -9,7 +9,10 @@
 type tasks struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup
+
+	mu      sync.Mutex // Guards stopped, and wg against starts after stop.
+	stopped bool
+	wg      sync.WaitGroup
 }
 
 func newTasks() *tasks {
@@ -17,8 +20,14 @@
 	return &tasks{ctx: ctx, cancel: cancel}
 }
 
-// start runs f until it returns; its context ends with the agent.
+// start runs f until it returns; its context ends with the agent. After stop
+// it does nothing.
 func (t *tasks) start(f func(ctx context.Context)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		return
+	}
 	t.wg.Add(1)
 	go func() {
 		defer t.wg.Done()
@@ -28,6 +37,9 @@
 
 // stop ends all tasks and blocks until they have returned.
 func (t *tasks) stop() {
+	t.mu.Lock()
+	t.stopped = true
+	t.mu.Unlock()
 	t.cancel()
 	t.wg.Wait()
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -16,10 +16,16 @@
 	broken  *wire.CallBroken
 }
 
+// refusedNotRun reports whether the endpoint certainly has not begun.
+func refusedNotRun(end attemptEnd) bool {
+	return end.refused != nil && end.refused.GetRun() == wire.Run_RUN_NOT_RUN
+}
+
 // Codes of attempts that ended without an event of the agent.
 const (
 	codeNoSession   = "no_session"
 	codeSessionLost = "session_lost"
+	codeNotTaken    = "answer_not_taken" // By the caller.
 )
 
 // runAttempt sends one attempt to an agent and reads its events. onToken gets
@@ -60,7 +66,7 @@
 		switch event := e.GetEvent().(type) {
 		case *wire.CallEvent_Token:
 			if err := onToken(event.Token); err != nil {
-				return lost(err)
+				return attemptEnd{broken: &wire.CallBroken{Code: codeNotTaken, Detail: err.Error()}}
 			}
 		case *wire.CallEvent_Done:
 			return attemptEnd{done: event.Done}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -52,9 +52,12 @@
 	entries []*Entry
 	urls    map[string]string
 	logger  *slog.Logger
+	// engineConfig and plainConfig change the stand-ins that are added.
+	engineConfig func(*fakes.EngineConfig)
+	plainConfig  func(*fakes.PlainConfig)
 }
 
-func newTestFleet(t testing.TB, models, plains, entries int) *testFleet {
+func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
 	t.Cleanup(cancel)
@@ -68,6 +71,9 @@
 		urls:   map[string]string{},
 		logger: slog.New(slog.DiscardHandler),
 	}
+	for _, option := range options {
+		option(f)
+	}
 	if os.Getenv("SNIPESTEP_TEST_LOG") != "" {
 		f.logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
@@ -109,7 +115,7 @@
 }
 
 func (f *testFleet) addModel(i int) {
-	engine := fakes.NewEngine(fakes.EngineConfig{
+	config := fakes.EngineConfig{
 		Slots: 4, PerToken: time.Millisecond, Restart: 20 * time.Millisecond,
 		ChecksFencing: i%2 == 0, ForeignRatio: 0.1, Seed: uint64(i),
 		ChunkDigests: func(encoded []byte) ([]core.Digest, error) {
@@ -119,7 +125,11 @@
 			}
 			return m.Chunks, nil
 		},
-	})
+	}
+	if f.engineConfig != nil {
+		f.engineConfig(&config)
+	}
+	engine := fakes.NewEngine(config)
 	instance := f.instance(fmt.Sprintf("model-%d", i), core.RoleModel, i)
 	instance.ChunkAddr = f.freeAddr()
 	f.engines = append(f.engines, engine)
@@ -131,7 +141,11 @@
 }
 
 func (f *testFleet) addPlain(i int) {
-	plain := fakes.NewPlain(fakes.PlainConfig{Operations: []string{"purchase", "balance"}, Slots: 4, Seed: uint64(i)}, f.ledger)
+	config := fakes.PlainConfig{Operations: []string{"purchase", "balance"}, Slots: 4, Seed: uint64(i)}
+	if f.plainConfig != nil {
+		f.plainConfig(&config)
+	}
+	plain := fakes.NewPlain(config, f.ledger)
 	instance := f.instance(fmt.Sprintf("plain-%d", i), core.RolePlain, i)
 	instance.Service = "counter"
 	f.plains = append(f.plains, plain)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -218,7 +218,8 @@
 		return nil, err
 	}
 	c.rank = op.Rank
-	c.fingerprint = routing.Fingerprint(c.organisation, service+"/"+name, body)
+	key := r.Header.Get(endpoint.IdempotencyKeyHeader)
+	c.fingerprint = operationFingerprint(c, service, op, key, body)
 	if err := h.checkQuarantine(c); err != nil {
 		return nil, err
 	}
@@ -228,11 +229,21 @@
 		service:    service,
 		operation:  name,
 		idempotent: op.Idempotent,
-		key:        r.Header.Get(endpoint.IdempotencyKeyHeader),
+		key:        key,
 		body:       body,
 	}, nil
 }
 
+// operationFingerprint identifies a call of a plain service. Calls that are
+// not idempotent differ by their keys: two purchases with equal bodies are two
+// requests.
+func operationFingerprint(c *call, service string, op fleet.Operation, key string, body []byte) uint64 {
+	if op.Idempotent {
+		key = ""
+	}
+	return routing.Fingerprint(c.organisation, strings.Join([]string{service, op.Name, key}, "\x00"), body)
+}
+
 // count reports the end of a call.
 func (h *callerHandler) count(c *call, err error) {
 	outcome := "answered"
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -164,6 +164,8 @@
 
 // next decides whether another attempt follows; nil means yes.
 func (m *modelCall) next(ctx context.Context, at routing.EndpointState, end attemptEnd) error {
+	// An attempt that was not refused may have begun, also at a deadline.
+	m.begun = m.begun || !refusedNotRun(end)
 	if ctx.Err() != nil {
 		return m.refusal(ctx.Err())
 	}
@@ -189,7 +191,6 @@
 }
 
 func (m *modelCall) afterBreak(at routing.EndpointState, b *wire.CallBroken) error {
-	m.begun = true
 	m.handle = b.GetKvHandle()
 	if b.GetCode() == agent.CodeMoved {
 		return nil
--- a/entry/plaincall.go
+++ b/entry/plaincall.go
@@ -91,6 +91,7 @@
 			taken.release()
 		}
 		if end.done != nil {
+			p.svc.quarantine.absolve(p.fingerprint)
 			return plainAnswer{status: int(end.done.GetStatus()), body: end.done.GetBody()}, nil
 		}
 		if err := p.next(ctx, taken.EndpointState, end); err != nil {
@@ -123,7 +124,7 @@
 // next decides whether another attempt follows; nil means yes.
 func (p *plainCall) next(ctx context.Context, at routing.EndpointState, end attemptEnd) error {
 	p.tried = append(p.tried, at.ID)
-	if end.refused != nil && end.refused.GetRun() == wire.Run_RUN_NOT_RUN {
+	if refusedNotRun(end) {
 		return p.afterRefusal(end.refused)
 	}
 	p.begun = true
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -42,7 +42,9 @@
 	return s.conn.SetDeadline(t)
 }
 
-// Close ends the stream in both directions.
+// Close ends the stream in both directions and makes a blocked Recv return.
 func (s *Stream) Close() error {
+	// Closing alone only ends this side's writes.
+	_ = s.conn.SetReadDeadline(time.Unix(1, 0))
 	return s.conn.Close()
 }
