--- a/entry/codes.go
+++ b/entry/codes.go
@@ -9,7 +9,6 @@
 	CodeUnknownService  = "unknown_operation"
 	CodeQuarantined     = "quarantined"
 	CodeOverload        = "overload"
-	CodeNoEndpoint      = "no_endpoint"
 	CodeBroken          = "broken"
 	CodeDeadline        = "deadline"
 	CodeClaimHeld       = "idempotency_key_in_use"
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -39,6 +39,15 @@
 	mux.HandleFunc("POST /v1/chat/completions", h.traced(h.completion))
 	mux.HandleFunc("POST /v1/completions", h.traced(h.completion))
 	mux.HandleFunc("POST /v1/services/{service}/{operation}", h.traced(h.operation))
+	mux.HandleFunc("/v1/chat/completions", h.methodRefused)
+	mux.HandleFunc("/v1/completions", h.methodRefused)
+	mux.HandleFunc("/v1/services/{service}/{operation}", h.methodRefused)
+}
+
+// methodRefused answers a method that the callers' resources do not take.
+func (h *callerHandler) methodRefused(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Allow", http.MethodPost)
+	h.fail(w, refuse(http.StatusMethodNotAllowed, CodeMethod, "this resource takes POST"))
 }
 
 // traced starts the entry's span of a call.
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -91,6 +91,13 @@
 
 func TestBadInputGetsProblemDocuments(t *testing.T) {
 	f := newTestFleet(t, 0, 0, 1)
+	for _, path := range []string{"/v1/chat/completions", "/v1/completions", "/v1/services/counter/purchase"} {
+		answer, err := http.Get("http://" + f.entries[0].cfg.HTTPAddr + path)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		assert.Equal(t, answer.StatusCode, http.StatusMethodNotAllowed)
+		assert.Equal(t, answer.Header.Get("Content-Type"), problem.ContentType)
+	}
 	f.until("configuration", func() bool { return f.entries[0].Generation() > 0 })
 	chat := "/v1/chat/completions"
 	long := `{"model":"letters","prompt":"` + strings.Repeat("x", defaultMaxBody) + `"}`
