--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,7 +15,12 @@
 	"github.com/snipestep/snipestep/wire"
 )
 
-const stopTimeout = 5 * time.Second
+const (
+	stopTimeout = 5 * time.Second
+	// leaveLinger is how long a leaving agent still refuses calls, so that
+	// entries that have not heard yet get an answer.
+	leaveLinger = 300 * time.Millisecond
+)
 
 // Agent is the process beside one endpoint.
 type Agent struct {
@@ -181,7 +186,7 @@
 	a.tasks.start(a.sync.run)
 	a.tasks.start(a.sampler().Run)
 	a.readyOnce.Do(func() { close(a.ready) })
-	a.deps.Logger.Info("agent runs", "instance", a.cfg.Instance.ID, "incarnation", a.cfg.Incarnation)
+	a.deps.Logger.Info("agent runs", "incarnation", a.cfg.Incarnation)
 	select {
 	case <-ctx.Done():
 		a.leave()
@@ -297,12 +302,20 @@
 	return a.plane.SentBytes()
 }
 
-// leave announces that the agent goes and waits for its running calls.
+// leave announces that the agent goes and waits until its running calls have
+// ended and every call has got its final event.
 func (a *Agent) leave() {
 	a.reporter.announceLeave()
+	linger := time.NewTimer(leaveLinger)
+	defer linger.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.LeaveGrace)
 	defer cancel()
 	a.control.quiesce(ctx, a.cfg.LeaveGrace/2, true)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	a.calls.active.wait(ctx)
 }
 
 // shutdown stops everything; the fields may be nil after a failed open.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -273,3 +273,21 @@
 	assert.NilError(t, <-r.ended)
 	assert.Equal(t, r.engine.Counts().Abandoned, uint64(0))
 }
+
+func TestLeavingAgentSendsEveryFinalEvent(t *testing.T) {
+	const calls = 8
+	r := newRig(t, calls, time.Millisecond)
+	m := r.hold("v1")
+	r.serve(m)
+	streams := make(map[string]*wire.Stream)
+	for _, prompt := range strings.Split("abcdefgh", "") {
+		streams[prompt] = r.call(m, core.RankNormal, prompt, 30)
+	}
+	r.await(func(s *wire.AgentStatus) bool { return s.GetRunning() == calls })
+	r.stop()
+	for prompt, st := range streams {
+		assert.Equal(t, r.read(st, prompt, "v1").GetDone().GetTokens(), uint32(30))
+		assert.NilError(t, st.Close())
+	}
+	assert.NilError(t, <-r.ended)
+}
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -12,6 +13,10 @@
 	"github.com/snipestep/snipestep/wire"
 )
 
+// finalReadTimeout bounds the wait for the entry to read a final event.
+
+const finalReadTimeout = time.Second
+
 // callServer serves the call streams of entries: it queues each attempt,
 // runs it at the endpoint and sends its events.
 type callServer struct {
@@ -21,12 +26,15 @@
 	now    clock
 	policy string
 	counts *counts
+	active activeCalls
 	ids    atomic.Uint64
 }
 
 // serve runs one attempt to its end. It blocks until the final event is sent
 // or the entry closes the stream.
 func (c *callServer) serve(ctx context.Context, st *wire.Stream, h *wire.StreamHeader) {
+	c.active.begin()
+	defer c.active.end()
 	req := h.GetCall()
 	ctx = telemetry.Extract(ctx, h.GetTraceparent())
 	ctx, span := c.tracer.Start(ctx, "agent.call", trace.WithAttributes(
@@ -39,8 +47,20 @@
 	go watchCaller(st, cancel)
 	j := newJob(c.ids.Add(1), c.policy, req, c.now())
 	end := c.attempt(ctx, st, j)
-	if end != nil {
-		_ = st.Send(end)
+	if end != nil && st.Send(end) == nil {
+		awaitRead(ctx)
+	}
+}
+
+// awaitRead blocks until the entry has read the final event and closed the
+// stream, for at most finalReadTimeout: a session that ends earlier could lose
+// the event.
+func awaitRead(ctx context.Context) {
+	timer := time.NewTimer(finalReadTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -230,7 +230,7 @@
 	failed := make(chan error, 1)
 	go func() { failed <- e.server.Serve(listener) }()
 	close(e.ready)
-	e.deps.Logger.Info("entry runs", "instance", string(e.cfg.Instance.ID), "http", e.cfg.HTTPAddr)
+	e.deps.Logger.Info("entry runs", "http", e.cfg.HTTPAddr)
 	select {
 	case <-ctx.Done():
 		e.leave()
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -120,7 +120,7 @@
 			outcome := "accepted"
 			if err != nil {
 				outcome = "failed"
-				x.logger.Warn("order not taken", "instance", order.Instance, "order", string(order.Kind), "error", err.Error())
+				x.logger.Warn("order not taken", "agent", order.Instance, "order", string(order.Kind), "error", err.Error())
 			}
 			x.scope.Tagged(map[string]string{telemetry.TagOutcome: outcome}).Counter(telemetry.MetricPlanSteps).Inc(1)
 			return nil
