Choose subsets that leave no agent without an entry

Cause: three entries with 20 sessions each could not cover 68 agents; eight agents got no configuration (spread 28.69 s) and a plain service was missing at an entry, which refused 44 of 167 purchases. The subset also let peers exceed the mean load by a quarter, which left others with one entry. Change: models and each plain service are chosen apart, an entry takes more agents where entries are few, and no peer exceeds the mean load.

--- a/agent/reporter.go
+++ b/agent/reporter.go
@@ -90,7 +90,7 @@
 		Generation:  uint64(r.generation()),
 		Leaving:     r.leaving.Load(),
 		Load:        r.load(),
-		Strikes:     r.strikes.recent(r.now()),
+		Strikes:     r.strikes.next(r.now()),
 	}
 }
 
--- a/agent/strikes.go
+++ b/agent/strikes.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	strikeRelayAge = 5 * time.Second
-	maxRelayed     = 8
+	// strikeRepeats is the number of reports that carry a strike, since
+	// datagrams get lost.
+	strikeRepeats = 3
+	maxRelayed    = 8
 )
 
 // strikeRelay passes the strikes that entries send on to the other entries,
@@ -24,6 +26,7 @@
 	fingerprint uint64
 	crash       string
 	at          time.Time
+	sent        int // Reports that carried it.
 }
 
 // add takes strikes; those known already are ignored, the oldest ones make
@@ -39,7 +42,7 @@
 		if !r.holds(s) {
 			added = true
 			at := now.Add(-time.Duration(s.GetAgeMs()) * time.Millisecond)
-			r.strikes = append(r.strikes, relayedStrike{s.GetFingerprint(), s.GetCrash(), at})
+			r.strikes = append(r.strikes, relayedStrike{fingerprint: s.GetFingerprint(), crash: s.GetCrash(), at: at})
 		}
 	}
 	if extra := len(r.strikes) - maxRelayed; extra > 0 {
@@ -57,17 +60,19 @@
 	return false
 }
 
-// recent returns the strikes that still travel.
-func (r *strikeRelay) recent(now time.Time) []*wire.Strike {
+// next returns the strikes for the next report.
+func (r *strikeRelay) next(now time.Time) []*wire.Strike {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []*wire.Strike
-	for _, s := range r.strikes {
-		age := now.Sub(s.at)
-		if age > strikeRelayAge {
+	for i := range r.strikes {
+		s := &r.strikes[i]
+		if s.sent >= strikeRepeats {
 			continue
 		}
-		out = append(out, &wire.Strike{Fingerprint: s.fingerprint, Crash: s.crash, AgeMs: uint32(max(0, age.Milliseconds()))})
+		s.sent++
+		age := max(0, now.Sub(s.at).Milliseconds())
+		out = append(out, &wire.Strike{Fingerprint: s.fingerprint, Crash: s.crash, AgeMs: uint32(age)})
 	}
 	return out
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,10 +13,13 @@
 )
 
 const (
-	listInterval   = 500 * time.Millisecond
+	listInterval   = time.Second
 	tickInterval   = 250 * time.Millisecond
 	datagramBuffer = 4096
 	baselineCredit = 1 << 20
+	// minEntriesPerAgent is the number of entries that each agent has on
+	// average at least.
+	minEntriesPerAgent = 4
 )
 
 // routes owns the view of the fleet and the table of endpoints. One goroutine
@@ -38,6 +42,8 @@
 
 	// Owned by the loop.
 	states map[core.InstanceID]routing.EndpointState
+	// lastEntries and lastAgents are what the subset was chosen from.
+	lastEntries, lastAgents []core.Instance
 }
 
 func newRoutes(cfg Config, deps Deps, pool *sessionPool) *routes {
@@ -169,13 +175,34 @@
 	return values[i]
 }
 
-// reselect chooses the agents of this entry and connects to new ones.
+// reselect chooses the agents of this entry and connects to new ones. Models
+// and each plain service are chosen apart, so that a service with few replicas
+// is not crowded out.
 func (r *routes) reselect() {
 	view := r.membership.View()
-	agents := view.Usable(core.RoleModel, core.RolePlain)
 	entries := view.Usable(core.RoleEntry)
-	chosen := fleet.Subset(r.cfg.Instance, entries, agents, r.cfg.SubsetSize)
+	agents := view.Usable(core.RoleModel, core.RolePlain)
+	if !slices.Equal(entries, r.lastEntries) || !slices.Equal(agents, r.lastAgents) {
+		r.lastEntries, r.lastAgents = entries, agents
+		r.choose(entries, agents)
+	}
+	r.connectAll()
+}
+
+// choose computes the subset, which takes milliseconds in a large fleet.
+func (r *routes) choose(entries, agents []core.Instance) {
+	chosen := make([]core.Instance, 0, r.cfg.SubsetSize)
+	for _, group := range byService(agents) {
+		size := subsetSize(r.cfg.SubsetSize, len(entries), len(group))
+		chosen = append(chosen, fleet.Subset(r.cfg.Instance, entries, group, size)...)
+	}
 	r.subset.Store(&chosen)
+}
+
+// connectAll opens the sessions of the subset that are missing and closes
+// those that are neither of the subset nor in use.
+func (r *routes) connectAll() {
+	chosen := *r.subset.Load()
 	pinned := make(map[core.InstanceID]bool, len(chosen))
 	for _, agent := range chosen {
 		pinned[agent.ID] = true
@@ -186,6 +213,23 @@
 	r.pool.sweep(pinned)
 }
 
+// byService groups agents by their plain service; models are one group.
+func byService(agents []core.Instance) map[string][]core.Instance {
+	groups := make(map[string][]core.Instance)
+	for _, a := range agents {
+		groups[a.Service] = append(groups[a.Service], a)
+	}
+	return groups
+}
+
+// subsetSize returns how many of the agents an entry connects to: the wanted
+// number, or more where fewer entries would leave agents without enough.
+func subsetSize(wanted, entries, agents int) int {
+	entries = max(1, entries)
+	covering := (minEntriesPerAgent*agents + entries - 1) / entries
+	return max(wanted, covering)
+}
+
 func (r *routes) connect(agent core.Instance) {
 	_, _ = r.pool.get(context.Background(), agent)
 }
--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -8,9 +8,6 @@
 	"github.com/snipestep/snipestep/core"
 )
 
-// loadSlack is how far above the mean load a peer may be chosen.
-const loadSlack = 1.25
-
 // Subset returns the peers that self keeps sessions and heartbeats with, at
 // most size. selves are all instances that choose; self is added when it is
 // missing. Every chooser that knows the same instances computes the same
@@ -53,7 +50,9 @@
 // subsetter makes the choices of all choosers in hash order, so that each
 // sees the load that earlier ones left.
 type subsetter struct {
-	size     int
+	size int
+	// capacity is the mean load, rounded up: with room above it, the last
+	// choosers would leave some peers without any.
 	capacity int
 	choosers []hashedID
 	domains  []*peerDomain
@@ -79,8 +78,7 @@
 
 func newSubsetter(selves, peers []core.Instance, size int) *subsetter {
 	s := &subsetter{size: size}
-	mean := float64(len(selves)*size) / float64(len(peers))
-	s.capacity = int(mean*loadSlack) + 1
+	s.capacity = (len(selves)*size + len(peers) - 1) / len(peers)
 	s.choosers = hashChoosers(selves)
 	s.domains = groupByDomain(peers)
 	return s
