local/runner: name refusals, kill at once, test short runs of both policies

Cause: a report did not say why calls were refused, victims died one after the other, and a replacement after a planned stop took the place of another node. Change: progress lines count refused sends by class, code and run; victims die together and are replaced by identity; two tests run short fleets, one with deaths, a stop, corrupt chunks, resends and lost answers together.

--- a/local/load/client.go
+++ b/local/load/client.go
@@ -141,7 +141,7 @@
 // refused turns a problem document into a result. A refusal that does not say
 // whether the call ran is a failure.
 func refused(p *problem.Problem) result {
-	got := result{outcome: OutcomeFailed, retryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond}
+	got := result{outcome: OutcomeFailed, code: p.Code, retryAfter: time.Duration(p.RetryAfterMS) * time.Millisecond}
 	switch p.Run {
 	case problem.RunNotRun:
 		got.outcome = OutcomeNotRun
--- a/local/load/outcome.go
+++ b/local/load/outcome.go
@@ -17,6 +17,7 @@
 // result is what one send of a call gave.
 type result struct {
 	outcome    Outcome
+	code       string // Of a refusal.
 	retryAfter time.Duration
 	firstToken time.Time // Zero without a token.
 	gaps       []time.Duration
--- a/local/load/recorder.go
+++ b/local/load/recorder.go
@@ -62,13 +62,14 @@
 	during share
 	// notRun holds the calls whose every send was refused as not run.
 	notRun      []Arrival
+	refusals    map[Refusal]int
 	wrong       int
 	partial     int
 	falseNotRun int
 }
 
 func newRecorder(config Config) *recorder {
-	r := &recorder{oracle: config.Oracle, flood: config.Scenario.Flood}
+	r := &recorder{oracle: config.Oracle, flood: config.Scenario.Flood, refusals: map[Refusal]int{}}
 	for i := range r.ranks {
 		r.ranks[i].firstToken = newHistogram()
 		r.ranks[i].gaps = newHistogram()
@@ -115,6 +116,7 @@
 func (r *recorder) recordSafety(arrival *Arrival, sends []result) {
 	notRun, claimed := true, false
 	for _, sent := range sends {
+		r.recordRefusal(arrival, sent)
 		notRun = notRun && sent.outcome == OutcomeNotRun
 		claimed = claimed || sent.falseClaim
 		if sent.wrong {
--- a/local/runner/faults.go
+++ b/local/runner/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/snipestep/snipestep/core"
@@ -22,7 +23,9 @@
 type faults struct {
 	fleet   *fleetRun
 	actions *actions
-	random  *rand.Rand
+
+	mu     sync.Mutex // Guards random.
+	random *rand.Rand
 }
 
 func newFaults(f *fleetRun, a *actions) *faults {
@@ -77,32 +80,38 @@
 // by a new instance.
 func (f *faults) killAgents(ctx context.Context) {
 	victims := f.pick(f.fleet.scenario.Faults.KillAgents)
-	for _, number := range victims {
-		f.actions.say("%s dies", f.fleet.kill(number))
+	var deaths sync.WaitGroup
+	for _, victim := range victims {
+		f.actions.say("%s dies", victim.instance.ID)
+		deaths.Go(func() { f.fleet.kill(victim) })
 	}
+	deaths.Wait()
 	if !pause(ctx, replaceDelay) {
 		return
 	}
-	for _, number := range victims {
-		if err := f.fleet.replace(ctx, number); err != nil {
+	for _, victim := range victims {
+		if err := f.fleet.replace(ctx, victim); err != nil {
 			f.actions.say("no replacement: %v", err)
 		}
 	}
 }
 
-// pick returns the numbers of some engines.
-func (f *faults) pick(count int) []int {
-	numbers := f.random.Perm(len(f.fleet.liveModels()))
-	return numbers[:min(count, len(numbers))]
+// pick returns some engines in service.
+func (f *faults) pick(count int) []*node {
+	models := f.fleet.liveModels()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.random.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
+	return models[:min(count, len(models))]
 }
 
 // stallLinks stalls the way from half of the engines to some others.
 func (f *faults) stallLinks() {
 	models := f.fleet.liveModels()
 	for _, victim := range f.pick(f.fleet.scenario.Faults.StallLinks) {
-		for number := range models {
-			if number%2 == 0 && number != victim {
-				f.fleet.platform.links.Stall(models[number].instance.ID, models[victim].instance.ID)
+		for number, from := range models {
+			if number%2 == 0 && from != victim {
+				f.fleet.platform.links.Stall(from.instance.ID, victim.instance.ID)
 			}
 		}
 	}
@@ -136,27 +145,30 @@
 	f.fleet.platform.list.Remove(n.instance.ID)
 }
 
-// kill ends an engine and its agent at once and returns the instance.
-func (f *fleetRun) kill(number int) core.InstanceID {
-	f.mu.Lock()
-	victim := f.models[number]
-	f.mu.Unlock()
+// kill ends an engine and its agent at once.
+func (f *fleetRun) kill(victim *node) {
 	victim.engine.Crash()
 	victim.close()
 	f.platform.list.Remove(victim.instance.ID)
-	return victim.instance.ID
 }
 
-// replace starts a new instance in the place of a dead one.
-func (f *fleetRun) replace(ctx context.Context, number int) error {
-	made, err := f.startModel(ctx, number, 1)
+// replace starts a new instance in the place of a dead one, unless an intent
+// stopped that one meanwhile.
+func (f *fleetRun) replace(ctx context.Context, dead *node) error {
+	if !slices.Contains(f.liveModels(), dead) {
+		return nil
+	}
+	made, err := f.startModel(ctx, dead.number, 1)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retired = append(f.retired, f.models[number])
-	f.models[number] = made
+	f.models = append(f.models, made)
+	if at := slices.Index(f.models, dead); at >= 0 {
+		f.models = slices.Delete(f.models, at, at+1)
+		f.retired = append(f.retired, dead)
+	}
 	return nil
 }
 
--- a/local/runner/node.go
+++ b/local/runner/node.go
@@ -31,6 +31,7 @@
 // node is an endpoint with its agent.
 type node struct {
 	*program
+	number int
 	engine *fakes.Engine // Nil beside a plain service.
 	plain  *fakes.Plain  // Nil beside an engine.
 	server *server
@@ -74,7 +75,7 @@
 	store := weights
 	store.BaseURL = f.platform.storeURL
 	config := agent.Config{Instance: instance, ChecksFencing: !ignores, Slots: f.scenario.Engines.Slots, Seed: seed}
-	return f.startNode(&node{engine: engine, server: served}, config, agent.Deps{
+	return f.startNode(&node{number: number, engine: engine, server: served}, config, agent.Deps{
 		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: served.url(), Timeout: endpointTimeout}),
 		Origin: platform.NewHTTPOrigin(weights),
 		Store:  platform.NewHTTPWeightStore(store),
@@ -102,7 +103,7 @@
 		return nil, err
 	}
 	config := agent.Config{Instance: f.instance(core.RolePlain, number, 0), Slots: plainSlots}
-	return f.startNode(&node{plain: plain, server: served}, config, agent.Deps{
+	return f.startNode(&node{number: number, plain: plain, server: served}, config, agent.Deps{
 		Plain: endpoint.NewHTTPPlain(endpoint.HTTPConfig{BaseURL: served.url(), Timeout: endpointTimeout}),
 	})
 }
--- a/local/runner/operate.go
+++ b/local/runner/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,9 +27,11 @@
 
 // actions are the operator's part of a run.
 type actions struct {
-	client   *operator.Client
+	client  *operator.Client
+	started time.Time
+
+	mu       sync.Mutex
 	progress io.Writer
-	started  time.Time
 }
 
 func newActions(f *fleetRun, progress io.Writer) *actions {
@@ -46,6 +49,8 @@
 // say writes a progress line.
 func (a *actions) say(format string, values ...any) {
 	line := fmt.Sprintf(format, values...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	// A lost progress line changes nothing.
 	_, _ = fmt.Fprintf(a.progress, "%7.2fs %s\n", time.Since(a.started).Seconds(), line)
 }
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -138,6 +138,9 @@
 	r.actions.say("load starts")
 	generator.Run(ctx)
 	r.actions.say("load ends")
+	for _, refusal := range generator.Refusals() {
+		r.actions.say("refused %d sends: %s", refusal.Sends, refusal)
+	}
 	control.fill(&r.report.Control)
 	events.Wait()
 	endWatch()
--- /dev/null
+++ b/local/runner/run_test.go
@@ -0,0 +1,75 @@
+package runner_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/runner"
+	"github.com/snipestep/snipestep/local/scenario"
+	"github.com/snipestep/snipestep/settings"
+)
+
+const testLimit = 90 * time.Second
+
+// short returns a small scenario with a push.
+func short(t *testing.T) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Default()
+	assert.NilError(t, err)
+	s.Fleet = scenario.Fleet{Regions: 2, ModelReplicas: 4, PlainReplicas: 2, Entries: 2, Organisations: 4}
+	s.Weights.SizeMB = 1
+	s.Weights.PushAt = 100 * time.Millisecond
+	s.Load.Duration = time.Second
+	s.Engines.OutputTokens = 5
+	return s
+}
+
+func execute(t *testing.T, s *scenario.Scenario) *report.Report {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testLimit)
+	defer cancel()
+	got, err := runner.Run(ctx, runner.Options{Scenario: s, Progress: io.Discard, Logger: slog.New(slog.DiscardHandler)})
+	assert.NilError(t, err)
+	return got
+}
+
+// counts returns the safety counts without the spread, which is a time.
+func counts(r *report.Report) report.Safety {
+	safety := r.Safety
+	safety.ConfigSpreadMaxS = 0
+	return safety
+}
+
+func TestRun(t *testing.T) {
+	for _, policy := range []string{settings.PolicySnipestep, settings.PolicyBaseline} {
+		t.Run(policy, func(t *testing.T) {
+			s := short(t)
+			s.Run.Policy = policy
+			got := execute(t, s)
+			assert.Equal(t, got.Weights.Replicas, 4)
+			assert.Equal(t, got.Weights.ReplicasDone, 4)
+			assert.Equal(t, counts(got), report.Safety{})
+			assert.Assert(t, got.Ranks.Urgent.Answered > 0)
+			assert.Assert(t, got.Weights.OriginCopies >= 1)
+		})
+	}
+}
+
+func TestRunWithFaults(t *testing.T) {
+	s := short(t)
+	s.Faults.KillAgents = 1
+	s.Faults.KillAt = 200 * time.Millisecond
+	s.Faults.PlannedStops = 1
+	s.Faults.CorruptChunkRatio = 0.2
+	s.Faults.ResendRatio = 0.5
+	s.Faults.LoseCASAnswerRatio = 0.1
+	got := execute(t, s)
+	assert.Equal(t, got.Weights.ReplicasDone, got.Weights.Replicas)
+	assert.Equal(t, counts(got), report.Safety{})
+}
