snipestep-local fakes: serve the stand-ins to separate programs

Cause: entry, agent and snipestepctl are to be shown as processes of their own. Change: the subcommand writes checked settings for each program, prints the commands and serves the stand-ins; made weights and HTTP serving became small packages that the runner shares.

--- /dev/null
+++ b/cmd/snipestep-local/fakes.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/local/standins"
+)
+
+const dirPermission = 0o755
+
+type fakesCommand struct {
+	Dir     string `arg:"" type:"path" help:"Directory that receives the settings files of the programs."`
+	Entries int    `default:"2" help:"Number of entries."`
+	Models  int    `default:"3" help:"Number of model engines."`
+	Plains  int    `default:"1" help:"Number of plain services."`
+}
+
+// Run serves the stand-ins until a signal ends them.
+func (c *fakesCommand) Run(ctx context.Context) error {
+	if err := os.MkdirAll(c.Dir, dirPermission); err != nil {
+		return eris.Wrap(err, "make the directory of the settings")
+	}
+	return standins.Serve(ctx, standins.Options{
+		Dir:      c.Dir,
+		Entries:  c.Entries,
+		Models:   c.Models,
+		Plains:   c.Plains,
+		Progress: os.Stdout,
+	})
+}
--- a/cmd/snipestep-local/main.go
+++ b/cmd/snipestep-local/main.go
@@ -19,7 +19,8 @@
 )
 
 type commands struct {
-	Run runCommand `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
+	Run   runCommand   `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
+	Fakes fakesCommand `cmd:"" help:"Serve the stand-ins to programs that run as processes of their own."`
 }
 
 func main() {
--- a/local/runner/weightset.go
+++ b/local/madeweights/make.go
@@ -1,4 +1,4 @@
-package runner
+package madeweights
 
 import (
 	"encoding/binary"
@@ -13,11 +13,6 @@
 	"github.com/snipestep/snipestep/weights"
 )
 
-const (
-	bytesPerMB       = 1_000_000
-	firstWeightBytes = 64 << 10
-)
-
 // made is one version of weights made from the seed. Its chunks are made anew
 // for each read, so that the origin holds no copy.
 type made struct {
@@ -25,8 +20,8 @@
 	manifest *weights.Manifest
 }
 
-// makeWeights returns a version of size bytes.
-func makeWeights(seed int64, version string, size int64) fakes.Weights {
+// Make returns a version of load.ModelName of size bytes.
+func Make(seed int64, version string, size int64) fakes.Weights {
 	m := &made{seed: seed, manifest: &weights.Manifest{
 		Model:     load.ModelName,
 		Version:   version,
@@ -55,8 +50,8 @@
 	return data
 }
 
-// readWeights returns a version made of the files in a directory.
-func readWeights(dir, version string) (fakes.Weights, error) {
+// Read returns a version made of the files in a directory.
+func Read(dir, version string) (fakes.Weights, error) {
 	files := os.DirFS(dir)
 	manifest, err := weights.Build(load.ModelName, version, files, weights.DefaultChunkSize)
 	if err != nil {
@@ -74,8 +69,8 @@
 	}
 }
 
-// chunkDigests decodes a manifest for the engines.
-func chunkDigests(encoded []byte) ([]core.Digest, error) {
+// ChunkDigests decodes a manifest for the engines.
+func ChunkDigests(encoded []byte) ([]core.Digest, error) {
 	manifest, err := weights.DecodeManifest(encoded, core.SumDigest(encoded))
 	if err != nil {
 		return nil, err
@@ -83,8 +78,8 @@
 	return manifest.Chunks, nil
 }
 
-// sizeOf returns the size of weights in bytes.
-func sizeOf(w fakes.Weights) (int64, error) {
+// Size returns the size of weights in bytes.
+func Size(w fakes.Weights) (int64, error) {
 	manifest, err := weights.DecodeManifest(w.Manifest, w.Ref.Manifest)
 	if err != nil {
 		return 0, err
--- a/local/runner/node.go
+++ b/local/runner/node.go
@@ -10,6 +10,8 @@
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/load"
+	"github.com/snipestep/snipestep/local/madeweights"
+	"github.com/snipestep/snipestep/local/serving"
 	"github.com/snipestep/snipestep/platform"
 )
 
@@ -34,7 +36,7 @@
 	number int
 	engine *fakes.Engine // Nil beside a plain service.
 	plain  *fakes.Plain  // Nil beside an engine.
-	server *server
+	server *serving.Server
 	// stopped is set by a planned stop; abandoned is the count of cut
 	// streams before it.
 	stopped   bool
@@ -44,7 +46,7 @@
 // close ends the node as a crash would.
 func (n *node) close() {
 	n.kill()
-	n.server.close()
+	n.server.Close()
 }
 
 // startModel starts an engine and its agent.
@@ -64,10 +66,10 @@
 		CachePrefixes: cachePrefixes,
 		ForeignRatio:  foreignRatio,
 		Seed:          seed,
-		ChunkDigests:  chunkDigests,
+		ChunkDigests:  madeweights.ChunkDigests,
 	})
 	instance := f.instance(core.RoleModel, number, generation)
-	served, err := startServer(ctx, anyPort, engine)
+	served, err := serving.Start(ctx, anyPort, engine)
 	if err != nil {
 		return nil, err
 	}
@@ -76,7 +78,7 @@
 	store.BaseURL = f.platform.storeURL
 	config := agent.Config{Instance: instance, ChecksFencing: !ignores, Slots: f.scenario.Engines.Slots, Seed: seed}
 	return f.startNode(&node{number: number, engine: engine, server: served}, config, agent.Deps{
-		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: served.url(), Timeout: endpointTimeout}),
+		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: served.URL(), Timeout: endpointTimeout}),
 		Origin: platform.NewHTTPOrigin(weights),
 		Store:  platform.NewHTTPWeightStore(store),
 	})
@@ -98,13 +100,13 @@
 		ForeignRatio: foreignRatio,
 		Seed:         f.seed(number, plainSeed),
 	}, f.platform.ledger)
-	served, err := startServer(ctx, anyPort, plain)
+	served, err := serving.Start(ctx, anyPort, plain)
 	if err != nil {
 		return nil, err
 	}
 	config := agent.Config{Instance: f.instance(core.RolePlain, number, 0), Slots: plainSlots}
 	return f.startNode(&node{number: number, plain: plain, server: served}, config, agent.Deps{
-		Plain: endpoint.NewHTTPPlain(endpoint.HTTPConfig{BaseURL: served.url(), Timeout: endpointTimeout}),
+		Plain: endpoint.NewHTTPPlain(endpoint.HTTPConfig{BaseURL: served.URL(), Timeout: endpointTimeout}),
 	})
 }
 
@@ -118,12 +120,12 @@
 	deps.Logger = f.logger.With("instance", instance.ID)
 	made, err := agent.New(config, deps)
 	if err != nil {
-		n.server.close()
+		n.server.Close()
 		return nil, err
 	}
 	n.program, err = startProgram(made, instance)
 	if err != nil {
-		n.server.close()
+		n.server.Close()
 		return nil, err
 	}
 	f.join(instance)
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -9,10 +9,16 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/load"
+	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/report"
 	"github.com/snipestep/snipestep/settings"
 )
 
+const (
+	bytesPerMB       = 1_000_000
+	firstWeightBytes = 64 << 10
+)
+
 // A push that has not ended after this many times its ideal time, and the
 // slack, counts as not done.
 const (
@@ -64,7 +70,7 @@
 	if err := r.makeVersions(); err != nil {
 		return err
 	}
-	first := makeWeights(s.Run.Seed, "v0", firstWeightBytes)
+	first := madeweights.Make(s.Run.Seed, "v0", firstWeightBytes)
 	r.fleet.platform.publish(first)
 	if err := r.actions.push(ctx, first.Ref); err != nil {
 		return err
@@ -105,9 +111,9 @@
 func (r *run) makeVersion(version string) (fakes.Weights, error) {
 	s := r.fleet.scenario
 	if s.Weights.Dir != "" {
-		return readWeights(s.Weights.Dir, version)
+		return madeweights.Read(s.Weights.Dir, version)
 	}
-	return makeWeights(s.Run.Seed, version, int64(s.Weights.SizeMB)*bytesPerMB), nil
+	return madeweights.Make(s.Run.Seed, version, int64(s.Weights.SizeMB)*bytesPerMB), nil
 }
 
 func (r *run) pushTimes() []time.Duration {
@@ -159,7 +165,7 @@
 
 // pushVersion pushes a version and follows it to its end.
 func (r *run) pushVersion(ctx context.Context, w fakes.Weights) {
-	size, err := sizeOf(w)
+	size, err := madeweights.Size(w)
 	if err != nil {
 		r.actions.say("no push: %v", err)
 		return
--- a/local/runner/standins.go
+++ b/local/runner/standins.go
@@ -8,6 +8,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/scenario"
+	"github.com/snipestep/snipestep/local/serving"
 )
 
 // Normal manners of the platform.
@@ -36,7 +37,7 @@
 	listURL     string
 	originURL   string
 	storeURL    string
-	servers     []*server
+	servers     []*serving.Server
 }
 
 func startStandIns(ctx context.Context, s *scenario.Scenario) (*standIns, error) {
@@ -58,13 +59,13 @@
 		{p.store, &p.storeURL},
 	}
 	for _, target := range targets {
-		started, err := startServer(ctx, anyPort, target.handler)
+		started, err := serving.Start(ctx, anyPort, target.handler)
 		if err != nil {
 			p.close()
 			return nil, err
 		}
 		p.servers = append(p.servers, started)
-		*target.url = started.url()
+		*target.url = started.URL()
 	}
 	p.register()
 	return p, nil
@@ -73,9 +74,9 @@
 // register puts the platform's services into the first region.
 func (p *standIns) register() {
 	home := location(0)
-	p.links.Register(p.servers[0].addr, fakes.TrafficCalls, keyValueInstance, home)
-	p.links.RegisterOrigin(p.servers[2].addr, home)
-	p.links.Register(p.servers[3].addr, fakes.TrafficWeights, storeInstance, home)
+	p.links.Register(p.servers[0].Addr, fakes.TrafficCalls, keyValueInstance, home)
+	p.links.RegisterOrigin(p.servers[2].Addr, home)
+	p.links.Register(p.servers[3].Addr, fakes.TrafficWeights, storeInstance, home)
 }
 
 func (p *standIns) publish(w fakes.Weights) {
@@ -85,7 +86,7 @@
 
 func (p *standIns) close() {
 	for _, s := range p.servers {
-		s.close()
+		s.Close()
 	}
 }
 
--- /dev/null
+++ b/local/serving/doc.go
@@ -0,0 +1,2 @@
+// Package serving serves stand-ins over HTTP.
+package serving
--- /dev/null
+++ b/local/standins/standins_test.go
@@ -0,0 +1,30 @@
+package standins
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/settings"
+)
+
+func TestWrittenSettingsLoad(t *testing.T) {
+	o := Options{Dir: t.TempDir(), Entries: 2, Models: 2, Plains: 1, Progress: io.Discard}
+	for _, m := range layout(o) {
+		path, err := writeSettings(o.Dir, m)
+		assert.NilError(t, err)
+		assert.Equal(t, filepath.Dir(path), o.Dir)
+		if m.Role == core.RoleEntry {
+			got, err := settings.LoadEntry(path)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, got.Instance, m.Instance)
+			continue
+		}
+		got, err := settings.LoadAgent(path)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got.Instance, m.Instance)
+	}
+}
