Run keyed calls at most once through shard logs

Cause: a call that is not idempotent may be sent again through another entry, while owners pause and the store fails or loses answers. Change: claims and outcomes are committed in groups to one log for each shard; the first claim in log order holds the key. The last entry is never deleted, and an old one only after every owner that does not know it has ceased to trust its view: the race test granted a key twice without that, when a delayed write landed after its time. Conclusion: correctness rests on the log alone; ownership saves conflicts.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 generate:
 	protoc -I wire/proto --go_out=. --go_opt=module=github.com/snipestep/snipestep wire/proto/*.proto
+	protoc -I claim/proto --go_out=. --go_opt=module=github.com/snipestep/snipestep claim/proto/*.proto
 
 fuzz:
 	go test ./... -run 'Fuzz|Stateful|Rapid' -rapid.checks=2000
--- /dev/null
+++ b/claim/draft.go
@@ -0,0 +1,50 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/claim/claimpb"
+	"github.com/snipestep/snipestep/core"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	maxBatchRecords = 1000
+	maxBatchBytes   = 512 << 10
+)
+
+// draft is a log entry being made. jobs holds the job of each record, nil for
+// the owner's own records.
+type draft struct {
+	batch *claimpb.Batch
+	jobs  []*job
+	taken map[core.Digest]*heldKey
+	bytes int
+	// restored holds the lost claims that the entry brings back.
+	restored []core.Digest
+	// landed says that the entry is in the log; effective says which of
+	// its records had an effect.
+	landed    bool
+	effective []bool
+}
+
+func newDraft(id string, now time.Time) *draft {
+	return &draft{
+		batch: &claimpb.Batch{Id: id, AtUnixMs: now.UnixMilli()},
+		taken: make(map[core.Digest]*heldKey),
+	}
+}
+
+func (d *draft) add(r *claimpb.Record, j *job) {
+	d.batch.Records = append(d.batch.Records, r)
+	d.jobs = append(d.jobs, j)
+	d.bytes += proto.Size(r)
+}
+
+func (d *draft) full() bool {
+	return len(d.jobs) >= maxBatchRecords || d.bytes >= maxBatchBytes
+}
+
+func (d *draft) empty() bool {
+	return len(d.jobs) == 0
+}
--- /dev/null
+++ b/claim/keyvalue_test.go
@@ -0,0 +1,128 @@
+package claim
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"github.com/snipestep/snipestep/platform"
+)
+
+var errTest = eris.New("test fault")
+
+// fault is what happens to one call of the key-value service.
+type fault int
+
+const (
+	faultNone    fault = iota
+	faultDown          // The call does not take effect.
+	faultLost          // A write takes effect, its answer is lost.
+	faultDelayed       // A write takes effect after a later call, its answer is lost.
+	faultCount
+)
+
+// testKeyValue is an in-memory key-value service with faults. Leases and
+// watches are not used by this package.
+type testKeyValue struct {
+	platform.KeyValue
+	mu          sync.Mutex
+	entries     map[string]platform.KeyValueEntry
+	lastVersion uint64
+	delayed     []platform.KeyValueEntry
+	reads       int
+	writes      int
+	// before and after run around each call, outside the lock.
+	before func() fault
+	after  func()
+}
+
+func newTestKeyValue() *testKeyValue {
+	return &testKeyValue{
+		entries: make(map[string]platform.KeyValueEntry),
+		before:  func() fault { return faultNone },
+		after:   func() {},
+	}
+}
+
+func (kv *testKeyValue) List(_ context.Context, prefix, after string, limit int) ([]platform.KeyValueEntry, error) {
+	if kv.before() != faultNone {
+		return nil, &platform.UnavailableError{Service: "test", Cause: errTest}
+	}
+	defer kv.after()
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.reads++
+	var found []platform.KeyValueEntry
+	for _, key := range slices.Sorted(maps.Keys(kv.entries)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(found) < limit {
+			found = append(found, kv.entries[key])
+		}
+	}
+	return found, nil
+}
+
+func (kv *testKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, _ platform.LeaseID) (uint64, error) {
+	fault := kv.before()
+	defer kv.after()
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.writes++
+	unknown := &platform.UnknownOutcomeError{Service: "test", Cause: errTest}
+	switch fault {
+	case faultDown:
+		return 0, &platform.UnavailableError{Service: "test", Cause: errTest}
+	case faultDelayed:
+		kv.delayed = append(kv.delayed, platform.KeyValueEntry{Key: key, Value: value, Version: version})
+		return 0, unknown
+	}
+	written, err := kv.put(key, version, value)
+	if err == nil && fault == faultLost {
+		return 0, unknown
+	}
+	return written, err
+}
+
+func (kv *testKeyValue) put(key string, version uint64, value []byte) (uint64, error) {
+	if actual := kv.entries[key].Version; actual != version {
+		return 0, &platform.ConflictError{Key: key, Actual: actual}
+	}
+	kv.lastVersion++
+	kv.entries[key] = platform.KeyValueEntry{Key: key, Value: value, Version: kv.lastVersion}
+	return kv.lastVersion, nil
+}
+
+// deliver lets the delayed writes arrive.
+func (kv *testKeyValue) deliver() {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	for _, w := range kv.delayed {
+		_, _ = kv.put(w.Key, w.Version, w.Value)
+	}
+	kv.delayed = nil
+}
+
+func (kv *testKeyValue) Delete(_ context.Context, key string, version uint64) error {
+	fault := kv.before()
+	defer kv.after()
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	kv.writes++
+	if fault == faultDown || fault == faultDelayed {
+		return &platform.UnavailableError{Service: "test", Cause: errTest}
+	}
+	entry, ok := kv.entries[key]
+	switch {
+	case !ok:
+		return platform.ErrKeyNotFound
+	case entry.Version != version:
+		return &platform.ConflictError{Key: key, Actual: entry.Version}
+	}
+	delete(kv.entries, key)
+	if fault == faultLost {
+		return &platform.UnknownOutcomeError{Service: "test", Cause: errTest}
+	}
+	return nil
+}
--- /dev/null
+++ b/claim/owner_test.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+// ask steps an owner with one request and returns its verdict.
+func ask(o *Owner, key, claim string) Verdict {
+	j := newClaimJob(Request{Key: key, Claim: claim})
+	o.flush(context.Background(), []*job{j})
+	return (<-j.answers).verdict
+}
+
+// tell steps an owner with one outcome.
+func tell(o *Owner, outcome Outcome) error {
+	j := newOutcomeJob(outcome)
+	o.flush(context.Background(), []*job{j})
+	return (<-j.answers).err
+}
+
+type fixture struct {
+	kv  *testKeyValue
+	now time.Time
+	ids int
+}
+
+func newFixture() *fixture {
+	return &fixture{kv: newTestKeyValue(), now: epoch}
+}
+
+func (f *fixture) owner() *Owner {
+	return NewOwner(OwnerConfig{
+		KeyValue: f.kv,
+		TTL:      testTTL,
+		Now:      func() time.Time { return f.now },
+		NewID: func() string {
+			f.ids++
+			return fmt.Sprintf("batch-%d", f.ids)
+		},
+	})
+}
+
+func TestResentKeyGetsTheOutcomeFromAnotherOwner(t *testing.T) {
+	f := newFixture()
+	first := f.owner()
+	assert.Equal(t, ask(first, "k", "c1").Kind, Granted)
+	assert.Equal(t, ask(f.owner(), "k", "c2").Kind, Held)
+	assert.NilError(t, tell(first, Outcome{Key: "k", Claim: "c1", Status: 201, Body: []byte("stamp")}))
+	assert.DeepEqual(t, ask(f.owner(), "k", "c3"), Verdict{Kind: Done, Status: 201, Body: []byte("stamp")})
+}
+
+func TestLongBodyIsLeftOut(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	ask(o, "k", "c1")
+	assert.NilError(t, tell(o, Outcome{Key: "k", Claim: "c1", Status: 200, Body: make([]byte, MaxBodySize+1)}))
+	assert.DeepEqual(t, ask(o, "k", "c2"), Verdict{Kind: Done, Status: 200, BodyOmitted: true})
+}
+
+func TestOutageRefusesAtOnceAndRecovers(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	f.kv.before = func() fault { return faultDown }
+	assert.Equal(t, ask(o, "k", "c1").Kind, Refused)
+	f.kv.before = func() fault { return faultNone }
+	assert.Equal(t, ask(o, "k", "c2").Kind, Refused, "the store gets a pause")
+	f.now = f.now.Add(storePause)
+	assert.Equal(t, ask(o, "k", "c3").Kind, Granted)
+}
+
+func TestRefusedClaimThatLandedLaterIsVoided(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	calls := 0
+	f.kv.before = func() fault {
+		calls++
+		if calls == 2 { // The write, after the first read.
+			return faultDelayed
+		}
+		return faultNone
+	}
+	assert.Equal(t, ask(o, "k", "c1").Kind, Refused)
+	assert.Equal(t, len(f.kv.delayed), 1)
+	f.kv.deliver()
+	f.now = f.now.Add(syncInterval)
+	assert.Equal(t, ask(o, "k", "c2").Kind, Held)
+	assert.Equal(t, ask(o, "k", "c3").Kind, Granted)
+}
+
+func TestStoreRestoredToAnOlderStateKeepsClaims(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	assert.Equal(t, ask(o, "old", "c1").Kind, Granted)
+	backup := maps.Clone(f.kv.entries)
+	assert.Equal(t, ask(o, "k", "c2").Kind, Granted)
+	assert.NilError(t, tell(o, Outcome{Key: "k", Claim: "c2", Status: 201}))
+	f.kv.entries = backup
+	f.now = f.now.Add(syncInterval)
+	assert.Equal(t, ask(o, "k", "c3").Kind, Done)
+	assert.Equal(t, ask(f.owner(), "k", "c4").Kind, Done)
+}
+
+func TestExpiredEntriesAreDeleted(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	const steps = 100
+	for i := range steps {
+		assert.Equal(t, ask(o, fmt.Sprint(i), fmt.Sprint(i)).Kind, Granted)
+		f.now = f.now.Add(testTTL / 10)
+	}
+	kept := int((testTTL+retentionMargin)/(testTTL/10)) + 1
+	assert.Assert(t, len(f.kv.entries) <= kept, "%d entries", len(f.kv.entries))
+	assert.Assert(t, len(o.state.keys) <= kept)
+}
+
+func TestConcurrentClaimsOfOwnersThatRun(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	kv := newTestKeyValue()
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	var owners []*Owner
+	for range 2 {
+		o := NewOwner(OwnerConfig{KeyValue: kv, BatchInterval: time.Millisecond})
+		owners = append(owners, o)
+		running.Go(func() { assert.Check(t, o.Run(ctx)) })
+	}
+	const keys, callers = 50, 8
+	var mu sync.Mutex
+	granted := make(map[string]int)
+	var calls sync.WaitGroup
+	for c := range callers {
+		calls.Go(func() {
+			for k := range keys {
+				key := fmt.Sprint(k)
+				v, err := owners[c%2].Claim(ctx, Request{Key: key, Claim: fmt.Sprintf("%d-%d", c, k)})
+				assert.Check(t, err)
+				if v.Kind == Granted {
+					mu.Lock()
+					granted[key]++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	calls.Wait()
+	for k := range keys {
+		assert.Equal(t, granted[fmt.Sprint(k)], 1)
+	}
+	stop()
+	running.Wait()
+	_, err := owners[0].Claim(context.Background(), Request{Key: "late"})
+	assert.Assert(t, errors.Is(err, ErrStopped))
+}
+
+func TestOwnerOfMovesOnlyTheShardsOfALostEntry(t *testing.T) {
+	before := []core.InstanceID{"a", "b", "c", "d"}
+	counts := make(map[core.InstanceID]int)
+	const shards = 256
+	for shard := range shards {
+		owner := OwnerOf(shard, before)
+		counts[owner]++
+		if owner != "d" {
+			assert.Equal(t, OwnerOf(shard, before[:3]), owner)
+		}
+	}
+	for _, id := range before {
+		assert.Assert(t, counts[id] > shards/8, "%s owns %d", id, counts[id])
+	}
+}
--- /dev/null
+++ b/claim/ownerconfig.go
@@ -0,0 +1,68 @@
+package claim
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/snipestep/snipestep/platform"
+)
+
+const (
+	// DefaultTTL is how long a claim holds its key.
+	DefaultTTL = 10 * time.Minute
+	// DefaultBatchInterval is the least time between two writes of a shard.
+	DefaultBatchInterval = 50 * time.Millisecond
+
+	defaultStoreTimeout = time.Second
+	defaultMaxKeys      = 1 << 16
+)
+
+// OwnerConfig sets an Owner.
+type OwnerConfig struct {
+	Shard    int
+	KeyValue platform.KeyValue
+	// BatchInterval is the least time between two writes;
+	// DefaultBatchInterval if 0.
+	BatchInterval time.Duration
+	// TTL is how long a claim holds its key, from when it was made. A
+	// granted call must have ended by half of it.
+	//
+	// DefaultTTL if 0. All owners need the same.
+	TTL time.Duration
+	// StoreTimeout bounds each call of the key-value service; 1 s if 0.
+	StoreTimeout time.Duration
+	// MaxKeys bounds the keys held at a time; 65,536 if 0. Claims beyond
+	// are refused.
+	MaxKeys int
+	// Now returns the wall-clock time; time.Now if nil.
+	Now func() time.Time
+	// NewID returns a unique identifier; a random UUID if nil.
+	NewID  func() string
+	Logger *slog.Logger
+}
+
+func (c OwnerConfig) withDefaults() OwnerConfig {
+	if c.BatchInterval <= 0 {
+		c.BatchInterval = DefaultBatchInterval
+	}
+	if c.TTL <= 0 {
+		c.TTL = DefaultTTL
+	}
+	if c.StoreTimeout <= 0 {
+		c.StoreTimeout = defaultStoreTimeout
+	}
+	if c.MaxKeys <= 0 {
+		c.MaxKeys = defaultMaxKeys
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.NewID == nil {
+		c.NewID = uuid.NewString
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	return c
+}
