--- a/claim/sync.go
+++ b/claim/sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/snipestep/snipestep/core"
 )
 
 // errStale reports an owner that was paused for so long that its view of the
@@ -76,7 +77,7 @@
 	o.known = nil
 	o.next = 0
 	o.applyAll(entries, now, d)
-	o.restoreLost(before, now)
+	o.restoreLost(before, entries, now)
 	o.replayed = true
 	o.knownAt = now
 	return nil
@@ -97,23 +98,33 @@
 	}
 }
 
-// restoreLost keeps the claims of before that are missing in the state.
-func (o *Owner) restoreLost(before *state, now time.Time) {
-	o.restore = nil
+// restoreLost keeps the claims of before that the log does not mention.
+func (o *Owner) restoreLost(before *state, entries []logEntry, now time.Time) {
+	o.restore = make(map[core.Digest]*heldKey)
+	mentioned := mentionedClaims(entries)
 	for key := range before.keys {
 		held := before.lookup(key, now)
-		if held == nil || o.state.lookup(key, now) != nil {
+		if held == nil || mentioned[held.claim] || o.state.lookup(key, now) != nil {
 			continue
 		}
-		o.restore = append(o.restore, heldRestore{key: key, held: held})
-		o.state.keys[key] = held
-		o.state.order = append(o.state.order, sweepItem{key: key, claim: held.claim})
+		o.restore[key] = held
+		o.state.hold(key, held)
 	}
 	if len(o.restore) > 0 {
 		o.config.Logger.Warn("store lost claims", "shard", o.config.Shard, "claims", len(o.restore))
 	}
 }
 
+func mentionedClaims(entries []logEntry) map[string]bool {
+	claims := make(map[string]bool)
+	for _, entry := range entries {
+		for _, r := range entry.batch.GetRecords() {
+			claims[r.GetClaim()] = true
+		}
+	}
+	return claims
+}
+
 // dropUnsettled forgets batches whose claims have expired.
 func (o *Owner) dropUnsettled(now time.Time) {
 	for id, lost := range o.unsettled {
--- a/claim/unsettled.go
+++ b/claim/unsettled.go
@@ -11,9 +11,3 @@
 	at     time.Time
 	claims map[string]core.Digest
 }
-
-// heldRestore is a claim that the store lost and that is written again.
-type heldRestore struct {
-	key  core.Digest
-	held *heldKey
-}
