Decide faster on manifests of many chunks

Cause: one decision walked every chunk and hashed for each. Change: chunks that wait and chunks under way are kept in bitsets, the order of fetchers, the ties and the chains of regions are computed once per list of targets.

--- a/weights/layout.go
+++ b/weights/layout.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/snipestep/snipestep/core"
@@ -10,14 +11,17 @@
 // fetchers are chosen.
 const MaxFetchers = 8
 
+// fetcherOrder holds places of fetchers, in the order of a chunk.
+type fetcherOrder [MaxFetchers]uint8
+
 // Layout derives from the targets which instances fetch a chunk from the
 // origin and across region links. Every instance with the same targets gets
 // the same layout. A Layout is immutable.
 type Layout struct {
 	originRegion string
 	regions      []string // Sorted.
+	chains       [][]string
 	fetchers     map[string][]candidate
-	sizes        map[string]int
 }
 
 // NewLayout computes the layout of targets for the manifest.
@@ -25,7 +29,6 @@
 	l := &Layout{
 		originRegion: originRegion,
 		fetchers:     make(map[string][]candidate),
-		sizes:        make(map[string]int),
 	}
 	key := manifestKey(manifest)
 	members := make(map[string][]candidate)
@@ -35,18 +38,32 @@
 	}
 	for region, list := range members {
 		l.regions = append(l.regions, region)
-		l.sizes[region] = len(list)
 		ordered := rendezvous(list, key)
 		l.fetchers[region] = ordered[:min(MaxFetchers, len(ordered))]
 	}
 	slices.Sort(l.regions)
+	if len(l.regions) > 0 {
+		l.computeChains()
+	}
 	return l
 }
 
 // Chain returns the regions in the order in which a chunk crosses region
 // links. The first region draws it from the origin. The order rotates with
-// the chunk, so that the links share the load.
+// the chunk, so that the links share the load. The result must not change.
 func (l *Layout) Chain(chunk int) []string {
+	return l.chains[chunk%len(l.chains)]
+}
+
+// computeChains fills chains with one period of the rotation.
+func (l *Layout) computeChains() {
+	period := len(l.regions) * max(1, len(l.regions)-1)
+	for chunk := range period {
+		l.chains = append(l.chains, l.chain(chunk))
+	}
+}
+
+func (l *Layout) chain(chunk int) []string {
 	root := l.root(chunk)
 	others := make([]string, 0, len(l.regions))
 	for _, region := range l.regions {
@@ -71,14 +88,30 @@
 
 // Fetchers returns the region's fetchers of a chunk, the first fetcher first.
 func (l *Layout) Fetchers(region string, chunk int) []core.InstanceID {
-	ordered := rendezvous(l.fetchers[region], uint64(chunk))
-	ids := make([]core.InstanceID, len(ordered))
-	for i, c := range ordered {
-		ids[i] = c.id
+	order := l.order(region, chunk)
+	ids := make([]core.InstanceID, len(l.fetchers[region]))
+	for i := range ids {
+		ids[i] = l.fetchers[region][order[i]].id
 	}
 	return ids
 }
 
+// order returns the places in fetchers of the region's fetchers of a chunk,
+// the first fetcher first.
+func (l *Layout) order(region string, chunk int) fetcherOrder {
+	fetchers := l.fetchers[region]
+	var scores [MaxFetchers]uint64
+	var order fetcherOrder
+	for i, c := range fetchers {
+		scores[i] = hashPair(c.hash, uint64(chunk))
+		order[i] = uint8(i)
+	}
+	slices.SortFunc(order[:len(fetchers)], func(a, b uint8) int {
+		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
+	})
+	return order
+}
+
 // IsFetcher reports whether the instance is among the region's fetchers.
 func (l *Layout) IsFetcher(region string, id core.InstanceID) bool {
 	return slices.ContainsFunc(l.fetchers[region], func(c candidate) bool { return c.id == id })
--- a/weights/picker.go
+++ b/weights/picker.go
@@ -26,8 +26,16 @@
 	peers  map[core.InstanceID]*pickerPeer
 	// ranked lists the peers of the own region by preference as neighbours.
 	ranked []core.InstanceID
-	// own lists for each chunk the own region's fetchers, first one first.
-	own [][]core.InstanceID
+	// fetchers are the own region's fetchers; nil is the own instance.
+	fetchers []*pickerPeer
+	// able says which fetchers are able to fetch, as of the last Next.
+	able [MaxFetchers]bool
+	// orders holds for each chunk the places of fetchers.
+	orders []fetcherOrder
+	// ties breaks ties between chunks of equal rarity.
+	ties []uint64
+	// waiting and requested divide the chunks that are not stored.
+	waiting, requested bitset
 
 	peerFlights   int
 	regionFlights map[string]int
@@ -46,8 +54,16 @@
 		left:          cfg.Chunks,
 		peers:         make(map[core.InstanceID]*pickerPeer),
 		regionFlights: make(map[string]int),
+		orders:        make([]fetcherOrder, cfg.Chunks),
+		ties:          make([]uint64, cfg.Chunks),
+		waiting:       newBitset(cfg.Chunks),
+		requested:     newBitset(cfg.Chunks),
 		progress:      now,
 	}
+	for i := range p.chunks {
+		p.ties[i] = hashPair(p.seed, uint64(i))
+		p.waiting.add(i)
+	}
 	p.SetTargets(now, nil)
 	return p
 }
@@ -109,9 +125,12 @@
 		p.ranked = append(p.ranked, c.id)
 	}
 	p.layout = NewLayout(p.cfg.Manifest, p.cfg.OriginRegion, targets)
-	p.own = make([][]core.InstanceID, len(p.chunks))
-	for i := range p.own {
-		p.own[i] = p.layout.Fetchers(p.cfg.Self.Region, i)
+	p.fetchers = p.fetchers[:0]
+	for _, c := range p.layout.fetchers[p.cfg.Self.Region] {
+		p.fetchers = append(p.fetchers, p.peers[c.id])
+	}
+	for i := range p.orders {
+		p.orders[i] = p.layout.order(p.cfg.Self.Region, i)
 	}
 }
 
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -104,6 +104,10 @@
 		return false
 	}
 	p.chunks[i].flights = slices.Delete(flights, at, at+1)
+	if len(flights) == 1 {
+		p.requested.remove(i)
+		p.waiting.add(i)
+	}
 	peer := p.peers[source.Peer]
 	if peer != nil {
 		peer.outstanding--
@@ -146,6 +150,7 @@
 		cancel = append(cancel, chunk.flights[0].source)
 		p.endFlight(i, chunk.flights[0].source)
 	}
+	p.waiting.remove(i)
 	return cancel
 }
 
