--- a/claim/draft.go
+++ b/claim/draft.go
@@ -20,8 +20,8 @@
 	jobs  []*job
 	taken map[core.Digest]*heldKey
 	bytes int
-	// restored is the number of lost claims that the entry brings back.
-	restored int
+	// restored holds the lost claims that the entry brings back.
+	restored []core.Digest
 	// landed says that the entry is in the log; effective says which of
 	// its records had an effect.
 	landed    bool
--- a/claim/expire.go
+++ b/claim/expire.go
@@ -19,7 +19,7 @@
 func (o *Owner) deleteExpired(ctx context.Context) {
 	now := o.config.Now()
 	for range maxDeletes {
-		if len(o.known) < 2 || now.Sub(o.known[0].at) < o.config.TTL+retentionMargin {
+		if len(o.known) < 2 || !o.deletable(o.known[0], now) {
 			return
 		}
 		if err := o.log.remove(ctx, o.known[0]); err != nil {
@@ -28,3 +28,11 @@
 		o.known = o.known[1:]
 	}
 }
+
+// deletable reports whether an entry's claims have expired and every owner
+// that does not know the entry has ceased to trust its own view of the log. The
+// second matters for an entry whose write was delayed.
+func (o *Owner) deletable(e knownEntry, now time.Time) bool {
+	expired := now.Sub(e.at) >= o.config.TTL+retentionMargin
+	return expired && now.Sub(e.seenAt) > o.trustTime()
+}
--- a/claim/owner.go
+++ b/claim/owner.go
@@ -37,7 +37,7 @@
 	// entry may be in the log.
 	unsettled map[string]unsettledBatch
 	// restore holds claims that the store lost.
-	restore     []heldRestore
+	restore     map[core.Digest]*heldKey
 	refuseUntil time.Time
 }
 
--- a/cmd/snipestep-entry/process_test.go
+++ b/cmd/snipestep-entry/process_test.go
@@ -1,16 +1,17 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,13 +20,18 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/snipestep/snipestep/local/fakeserver"
+	"github.com/snipestep/snipestep/local/load"
+	"github.com/snipestep/snipestep/local/standins"
 )
 
 const (
 	testDeadline = 60 * time.Second
 	stopDeadline = 10 * time.Second
 	awaitPause   = 50 * time.Millisecond
+	firstNetwork = 100
+	lastNetwork  = 200
+	lockPort     = 7399
+	firstHost    = 2 // Of the programs; the stand-ins are at host 1.
 )
 
 // buildPrograms builds all programs once and returns their folder.
@@ -60,10 +66,10 @@
 	return p.log.String()
 }
 
-func start(t *testing.T, stdout io.Writer, program string, args ...string) *process {
+func start(t *testing.T, program string, args ...string) *process {
 	t.Helper()
 	p := &process{cmd: exec.Command(program, args...), ended: make(chan struct{})}
-	p.cmd.Stdout, p.cmd.Stderr = stdout, p
+	p.cmd.Stdout, p.cmd.Stderr = p, p
 	assert.NilError(t, p.cmd.Start())
 	go func() {
 		p.err = p.cmd.Wait()
@@ -102,8 +108,9 @@
 	ctx      context.Context
 	bin, dir string
 	programs map[string]*process // By the name of the settings file.
-	urls     []string            // Of the entries.
-	checks   []string            // Of readiness and metrics.
+	network  int
+	urls     []string // Of the entries.
+	checks   []string // Of readiness and metrics.
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -111,13 +118,16 @@
 	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
 	t.Cleanup(cancel)
 	f := &testFleet{t: t, ctx: ctx, bin: buildPrograms(t), dir: t.TempDir(), programs: map[string]*process{}}
-	settings := f.startFakes()
-	for _, path := range settings {
+	f.network = freeNetwork(t)
+	f.startFakes()
+	for host, name := range []string{"entry-1", "entry-2", "model-1", "plain-1"} {
 		program := "snipestep-agent"
-		if strings.HasPrefix(filepath.Base(path), "entry") {
+		if strings.HasPrefix(name, "entry") {
 			program = "snipestep-entry"
+			f.urls = append(f.urls, f.url(firstHost+host, 8080))
 		}
-		f.programs[filepath.Base(path)] = start(t, io.Discard, filepath.Join(f.bin, program), path)
+		f.checks = append(f.checks, f.url(firstHost+host, 9400))
+		f.programs[name] = start(t, filepath.Join(f.bin, program), filepath.Join(f.dir, name+".ini"))
 	}
 	for _, url := range f.checks {
 		f.until(url+" is ready", func() bool { return strings.HasPrefix(f.get(url+"/readyz"), "ok") })
@@ -126,26 +136,33 @@
 	return f
 }
 
-// startFakes returns the settings files of the programs.
-func (f *testFleet) startFakes() []string {
-	f.t.Helper()
-	r, w, err := os.Pipe()
-	assert.NilError(f.t, err)
-	f.programs["fakes"] = start(f.t, w, filepath.Join(f.bin, "snipestep-local"), "fakes", f.dir,
-		"--entries", "2", "--models", "1", "--plains", "1")
-	assert.NilError(f.t, w.Close())
-	defer r.Close()
-	var settings []string
-	for lines := bufio.NewScanner(r); lines.Scan() && lines.Text() != "ready"; {
-		fields := strings.Fields(lines.Text())
-		settings = append(settings, fields[0])
-		f.checks = append(f.checks, "http://"+fields[1])
-		if len(fields) > 2 {
-			f.urls = append(f.urls, "http://"+fields[2])
+// freeNetwork returns a number N whose addresses 127.N.0.x are free, and holds
+// it against other runs of the test.
+func freeNetwork(t *testing.T) int {
+	t.Helper()
+	for network := firstNetwork; network <= lastNetwork; network++ {
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", network, lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return network
 		}
 	}
-	assert.Equal(f.t, len(settings), 4, f.programs["fakes"].text())
-	return settings
+	t.Fatal("no loopback network is free")
+	return 0
+}
+
+func (f *testFleet) url(host, port int) string {
+	return fmt.Sprintf("http://127.%d.0.%d:%d", f.network, host, port)
+}
+
+// startFakes serves the stand-ins and waits until they answer.
+func (f *testFleet) startFakes() {
+	f.t.Helper()
+	f.programs["fakes"] = start(f.t, filepath.Join(f.bin, "snipestep-local"), "fakes", f.dir,
+		"--entries", "2", "--models", "1", "--plains", "1", "--network", strconv.Itoa(f.network))
+	for _, port := range []int{9000, 9001, 9002, 9003} {
+		f.until("the platform answers", func() bool { return f.get(f.url(1, port)+"/v1/instances") != "" })
+	}
 }
 
 // get returns the body of an answer, empty if there is none.
@@ -164,7 +181,7 @@
 // ctl runs snipestepctl and returns what it prints.
 func (f *testFleet) ctl(args ...string) string {
 	f.t.Helper()
-	args = slices.Concat([]string{"--config", filepath.Join(f.dir, fakeserver.ControlFile)}, args)
+	args = slices.Concat([]string{"--server", strings.Join(f.urls, ","), "--token", standins.OperatorToken}, args)
 	out, _ := exec.CommandContext(f.ctx, filepath.Join(f.bin, "snipestepctl"), args...).CombinedOutput()
 	return string(out)
 }
@@ -184,14 +201,14 @@
 // place places a version and waits until it is served.
 func (f *testFleet) place(version string) {
 	f.t.Helper()
-	plan := f.ctl("intent", "place", fakeserver.Model, version)
+	plan := f.ctl("intent", "place", load.ModelName, version)
 	fields := strings.Fields(plan)
 	assert.Assert(f.t, len(fields) > 1 && fields[0] == "plan", plan)
 	assert.Assert(f.t, strings.Contains(f.ctl("confirm", fields[1]), "made generation"))
 	f.until(version+" is served", func() bool {
 		for line := range strings.Lines(f.ctl("status")) {
 			row := strings.Fields(line)
-			if len(row) > 4 && row[0] == "model-1" && slices.Contains(row[3:5], fakeserver.Model+":"+version) {
+			if len(row) > 4 && row[0] == "model-1" && slices.Contains(row[3:5], load.ModelName+":"+version) {
 				return true
 			}
 		}
@@ -212,7 +229,7 @@
 	f.t.Helper()
 	req, err := http.NewRequestWithContext(f.ctx, http.MethodPost, f.urls[entry]+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
-	req.Header.Set("Authorization", "Bearer "+fakeserver.CallerToken)
+	req.Header.Set("Authorization", "Bearer "+standins.CallerToken)
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Idempotency-Key", "key")
 	answer, err := http.DefaultClient.Do(req)
--- a/cmd/snipestep-entry/session_test.go
+++ b/cmd/snipestep-entry/session_test.go
@@ -11,11 +11,11 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/snipestep/snipestep/local/fakeserver"
+	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
-const stream = `{"model":"` + fakeserver.Model + `","prompt":"p","max_tokens":60,"stream":true}`
+const stream = `{"model":"` + load.ModelName + `","prompt":"p","max_tokens":60,"stream":true}`
 
 // startStream starts a streamed call and reads its first event.
 func (f *testFleet) startStream(entry int) *bufio.Reader {
@@ -41,13 +41,13 @@
 
 func TestSeparateProcesses(t *testing.T) {
 	f := newTestFleet(t)
-	f.place(fakeserver.Version1)
-	purchase := "/v1/services/" + fakeserver.Service + "/" + fakeserver.OperationPurchase
+	f.place("v1")
+	purchase := "/v1/services/" + load.ServiceName + "/" + load.PurchaseName
 	for entry := range f.urls {
 		f.until("both endpoints are in routing", func() bool {
-			balance, _ := f.post(entry, "/v1/services/"+fakeserver.Service+"/"+fakeserver.OperationBalance, "{}")
-			short, _ := f.post(entry, "/v1/completions", `{"model":"`+fakeserver.Model+`","prompt":"p","max_tokens":1}`)
-			return balance == http.StatusOK && short == http.StatusOK
+			bought, _ := f.post(entry, purchase, "{}")
+			short, _ := f.post(entry, "/v1/completions", `{"model":"`+load.ModelName+`","prompt":"p","max_tokens":1}`)
+			return bought == http.StatusOK && short == http.StatusOK
 		})
 	}
 	status, first := f.post(0, purchase, "{}")
@@ -63,16 +63,16 @@
 	}
 
 	events := f.startStream(0)
-	f.programs["entry-1.ini"].stop(t)
+	f.programs["entry-1"].stop(t)
 	assertWhole(t, events)
-	f.programs["entry-1.ini"].assertEnded(t)
+	f.programs["entry-1"].assertEnded(t)
 
 	events = f.startStream(1)
-	f.programs["agent-model-1.ini"].stop(t)
+	f.programs["model-1"].stop(t)
 	assertWhole(t, events)
-	f.programs["agent-model-1.ini"].assertEnded(t)
+	f.programs["model-1"].assertEnded(t)
 
-	for _, name := range []string{"agent-plain-1.ini", "entry-2.ini", "fakes"} {
+	for _, name := range []string{"plain-1", "entry-2", "fakes"} {
 		f.programs[name].stop(t)
 		f.programs[name].assertEnded(t)
 	}
--- a/cmd/snipestep-local/main.go
+++ b/cmd/snipestep-local/main.go
@@ -20,7 +20,7 @@
 
 type commands struct {
 	Run   runCommand   `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
-	Fakes fakesCommand `cmd:"" help:"Serve the stand-ins for programs that run separately."`
+	Fakes fakesCommand `cmd:"" help:"Serve the stand-ins to programs that run as processes of their own."`
 }
 
 func main() {
