--- a/weights/swarm/fault_test.go
+++ b/weights/swarm/fault_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 )
 
 func newFaultFleet(t *testing.T) (*testFleet, testModel) {
@@ -40,7 +41,7 @@
 	f.origin.corrupt = func(call int64) bool { return call%9 == 0 }
 	f.grow(9)
 	f.push(m)
-	assert.Check(t, f.sum("corrupt_chunks") > 0)
+	assert.Check(t, f.sum(telemetry.MetricChunksCorrupt+"+") > 0)
 }
 
 // TestStalledLinks blocks all reads of some connections from their first
@@ -60,7 +61,7 @@
 	}
 	f.grow(9)
 	f.push(m)
-	assert.Check(t, f.sum("stalled_connections") > 0)
+	assert.Check(t, f.sum(faultCounter("stalled")) > 0)
 }
 
 // TestDeadListedNodes keeps dead nodes in the list, first fetchers among them.
--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -274,9 +275,13 @@
 	return n, errors.Join(err, pay(c.ctx, c.fleet.regionLink(from, to), n), pay(c.ctx, c.reader.link, n))
 }
 
-// counter returns a node's counter.
-func (n *testNode) counter(name string) int64 {
-	c := n.scope.Snapshot().Counters()["weights."+name+"+"]
+func faultCounter(fault string) string {
+	return telemetry.MetricChunkFaults + "+" + telemetry.TagFault + "=" + fault
+}
+
+// counter returns a node's counter by its name and tags, as in "name+tag=value".
+func (n *testNode) counter(id string) int64 {
+	c := n.scope.Snapshot().Counters()[id]
 	if c == nil {
 		return 0
 	}
--- a/weights/swarm/node_test.go
+++ b/weights/swarm/node_test.go
@@ -124,14 +124,14 @@
 		counter string
 		bytes   func(nonce []byte) []byte
 	}{
-		"long message":     {"malformed_frames", func([]byte) []byte { return []byte{255, 0, 0, 0, 0, 0, 0, 0} }},
-		"payload":          {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1} }},
-		"no protobuf":      {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 0, 255} }},
-		"no hello":         {"rejected_connections", func([]byte) []byte { return request(0) }},
-		"other key":        {"rejected_connections", func(nonce []byte) []byte { return hello([]byte("x"), nonce) }},
-		"replayed nonce":   {"rejected_connections", func([]byte) []byte { return hello(testKey, newNonce()) }},
-		"chunk out of set": {"malformed_frames", func(nonce []byte) []byte { return append(hello(testKey, nonce), request(8)...) }},
-		"second hello": {"malformed_frames", func(nonce []byte) []byte {
+		"long message":     {faultCounter("malformed"), func([]byte) []byte { return []byte{255, 0, 0, 0, 0, 0, 0, 0} }},
+		"payload":          {faultCounter("malformed"), func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1} }},
+		"no protobuf":      {faultCounter("malformed"), func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 0, 255} }},
+		"no hello":         {faultCounter("rejected"), func([]byte) []byte { return request(0) }},
+		"other key":        {faultCounter("rejected"), func(nonce []byte) []byte { return hello([]byte("x"), nonce) }},
+		"replayed nonce":   {faultCounter("rejected"), func([]byte) []byte { return hello(testKey, newNonce()) }},
+		"chunk out of set": {faultCounter("malformed"), func(nonce []byte) []byte { return append(hello(testKey, nonce), request(8)...) }},
+		"second hello": {faultCounter("malformed"), func(nonce []byte) []byte {
 			return append(hello(testKey, nonce), hello(testKey, nonce)...)
 		}},
 	}
--- a/weights/swarm/push_bench_test.go
+++ b/weights/swarm/push_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/snipestep/snipestep/telemetry"
 	"golang.org/x/time/rate"
 )
 
@@ -49,7 +50,7 @@
 	origin := float64(f.origin.served.Load())
 	var in, control float64
 	for _, n := range f.nodes {
-		control = max(control, float64(n.counter("control_bytes")))
+		control = max(control, float64(n.counter(telemetry.MetricChunkControlBytes+"+")))
 		in += float64(n.in.Load())
 		instance = max(instance, float64(n.in.Load()+n.out.Load())/size)
 	}
