Keep transfers moving at the tail and across lost regions

Cause: under machine load the only holder of a chunk refused everybody for 2 s, since it had sent its share; and a region that lost the others asked their peers one by one, each until a timeout. Change: the first copy of a chunk brought into the region is always sent and room is kept for copies to other regions; urgent requests get an eighth of a set more, not everything. Draws from the origin are paced too.

--- a/weights/picker.go
+++ b/weights/picker.go
@@ -1,8 +1,6 @@
 package weights
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/snipestep/snipestep/core"
@@ -26,6 +24,8 @@
 	peers  map[core.InstanceID]*pickerPeer
 	// ranked lists the peers of the own region by preference as neighbours.
 	ranked []core.InstanceID
+	// watched lists the neighbours, as of the last Neighbours.
+	watched []core.InstanceID
 	// fetchers are the own region's fetchers; nil is the own instance.
 	fetchers []*pickerPeer
 	// able says which fetchers are able to fetch, as of the last Next.
@@ -38,9 +38,12 @@
 	waiting, requested bitset
 
 	peerFlights   int
-	regionFlights map[string]int
+	regions       map[string]*regionState
 	origin, store sourceState
 	progress      time.Time // When a chunk was last new to the neighbourhood.
+	// resortUntil ends the time in which the origin is drawn on at once
+	// when no other region can be reached.
+	resortUntil time.Time
 }
 
 // NewPicker returns a Picker for a transfer that starts at now with no
@@ -48,17 +51,17 @@
 func NewPicker(cfg PickerConfig, now time.Time) *Picker {
 	cfg.setDefaults()
 	p := &Picker{
-		cfg:           cfg,
-		seed:          hashName(cfg.Seed, string(cfg.Self.ID)),
-		chunks:        make([]chunkState, cfg.Chunks),
-		left:          cfg.Chunks,
-		peers:         make(map[core.InstanceID]*pickerPeer),
-		regionFlights: make(map[string]int),
-		orders:        make([]fetcherOrder, cfg.Chunks),
-		ties:          make([]uint64, cfg.Chunks),
-		waiting:       newBitset(cfg.Chunks),
-		requested:     newBitset(cfg.Chunks),
-		progress:      now,
+		cfg:       cfg,
+		seed:      hashName(cfg.Seed, string(cfg.Self.ID)),
+		chunks:    make([]chunkState, cfg.Chunks),
+		left:      cfg.Chunks,
+		peers:     make(map[core.InstanceID]*pickerPeer),
+		regions:   make(map[string]*regionState),
+		orders:    make([]fetcherOrder, cfg.Chunks),
+		ties:      make([]uint64, cfg.Chunks),
+		waiting:   newBitset(cfg.Chunks),
+		requested: newBitset(cfg.Chunks),
+		progress:  now,
 	}
 	for i := range p.chunks {
 		p.ties[i] = hashPair(p.seed, uint64(i))
@@ -110,21 +113,20 @@
 
 func (p *Picker) rebuild(listed map[core.InstanceID]string) {
 	targets := make([]Target, 0, len(listed))
-	ranked := make([]candidate, 0, len(listed))
-	for id, region := range listed {
-		targets = append(targets, Target{ID: id, Region: region})
-		if id != p.cfg.Self.ID && region == p.cfg.Self.Region {
-			ranked = append(ranked, candidate{id: id, hash: hashName(p.seed, string(id))})
+	var region []core.InstanceID
+	for id, name := range listed {
+		targets = append(targets, Target{ID: id, Region: name})
+		if name == p.cfg.Self.Region {
+			region = append(region, id)
 		}
 	}
-	slices.SortFunc(ranked, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.id, b.id))
-	})
-	p.ranked = p.ranked[:0]
-	for _, c := range ranked {
-		p.ranked = append(p.ranked, c.id)
-	}
+	p.ranked = rankNeighbours(manifestKey(p.cfg.Manifest), p.cfg.Self.ID, region)
 	p.layout = NewLayout(p.cfg.Manifest, p.cfg.OriginRegion, targets)
+	for _, region := range p.layout.regions {
+		if p.regions[region] == nil {
+			p.regions[region] = &regionState{}
+		}
+	}
 	p.fetchers = p.fetchers[:0]
 	for _, c := range p.layout.fetchers[p.cfg.Self.Region] {
 		p.fetchers = append(p.fetchers, p.peers[c.id])
@@ -134,30 +136,37 @@
 	}
 }
 
-// Neighbours returns the peers to watch: a bounded random choice of the own
-// region and, for a fetcher, the region's other fetchers. Lost peers are left
-// out for a while.
+// Neighbours returns the peers to watch: a bounded choice of the own region
+// and, for a fetcher, the region's other fetchers. Peers that are up stay
+// chosen; lost ones are left out for a while.
 func (p *Picker) Neighbours(now time.Time) []core.InstanceID {
-	fetcher := p.layout.IsFetcher(p.cfg.Self.Region, p.cfg.Self.ID)
-	var ids []core.InstanceID
+	p.watched = p.watched[:0]
 	chosen := 0
 	for _, id := range p.ranked {
 		peer := p.peers[id]
-		peer.watched = false
-		if now.Before(peer.downUntil) {
+		peer.watched = peer.up
+		if peer.up {
+			p.watched = append(p.watched, id)
+			chosen++
+		}
+	}
+	fetcher := p.layout.IsFetcher(p.cfg.Self.Region, p.cfg.Self.ID)
+	for _, id := range p.ranked {
+		peer := p.peers[id]
+		if peer.watched || now.Before(peer.downUntil) {
 			continue
 		}
 		needed := fetcher && p.layout.IsFetcher(p.cfg.Self.Region, id)
-		if !needed && (chosen >= p.cfg.Neighbours || len(ids) >= maxNeighbourFactor*p.cfg.Neighbours) {
+		if !needed && (chosen >= p.cfg.Neighbours || len(p.watched) >= maxNeighbourFactor*p.cfg.Neighbours) {
 			continue
 		}
 		peer.watched = true
 		if peer.mayFetch(now, p.cfg.StartGrace) {
 			chosen++
 		}
-		ids = append(ids, id)
+		p.watched = append(p.watched, id)
 	}
-	return ids
+	return p.watched
 }
 
 // Left returns the number of chunks that are not stored yet.
--- a/weights/picker_test.go
+++ b/weights/picker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -182,7 +183,14 @@
 	targets := testTargets(3)
 	layout := NewLayout(testManifest, "r0", targets)
 	self := layout.Fetchers("r1", 0)[0]
-	remote := layout.Fetchers(layout.Chain(0)[0], 0)
+	chain := layout.Chain(0)
+	at := slices.Index(chain, "r1")
+	remote := layout.Fetchers(chain[at-1], 0)
+	for _, other := range chain {
+		if other != "r1" && other != chain[at-1] {
+			remote = append(remote, layout.Fetchers(other, 0)...)
+		}
+	}
 	p := testPicker(Target{ID: self, Region: "r1"}, targets)
 	for i := 1; i < testChunks; i++ {
 		p.Stored(testStart, i, Source{})
@@ -204,3 +212,33 @@
 	}
 	return sources
 }
+
+// TestRegionsLoseEachOther loses every peer of other regions as it is asked:
+// the region draws on the origin after a while and returns to its peers once
+// they answer again.
+func TestRegionsLoseEachOther(t *testing.T) {
+	targets := testTargets(8)
+	self := NewLayout(testManifest, "r0", targets).Fetchers("r1", 0)[0]
+	p := testPicker(Target{ID: self, Region: "r1"}, targets)
+	lose := func(now time.Time) (lost int, direct []Request) {
+		drain(p, now, func(r Request) {
+			if r.Source.Kind != SourceRegionPeer {
+				direct = append(direct, r)
+				p.Stored(now, r.Chunk, r.Source)
+				return
+			}
+			lost++
+			p.PeerDown(now, r.Source.Peer)
+		})
+		return lost, direct
+	}
+	lost, direct := lose(testStart)
+	assert.Check(t, lost <= 2*regionLostAfter+1, "%d", lost)
+	assert.Equal(t, len(direct), 0)
+	_, direct = lose(testStart.Add(4 * time.Second))
+	assert.Check(t, len(direct) > 0)
+	later := testStart.Add(2 * time.Minute)
+	for _, r := range p.Next(later) {
+		assert.Equal(t, r.Source.Kind, SourceRegionPeer)
+	}
+}
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -75,7 +75,7 @@
 	setDefault(&c.RegionRequests, 8)
 	setDefault(&c.RefusedRetry, 120*time.Millisecond)
 	setDefault(&c.MaxRefusedRetry, 240*time.Millisecond)
-	setDefault(&c.UrgentAfter, 400*time.Millisecond)
+	setDefault(&c.UrgentAfter, 500*time.Millisecond)
 	setDefault(&c.MissingRetry, 100*time.Millisecond)
 	setDefault(&c.DownTime, 5*time.Second)
 	setDefault(&c.BanTime, 500*time.Millisecond)
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -74,6 +74,9 @@
 		return
 	}
 	peer.downUntil = now.Add(p.cfg.DownTime)
+	if peer.outstanding > 0 {
+		p.regions[peer.region].lost(now, p.cfg.DownTime)
+	}
 	for i := range p.chunks {
 		if peer.up && peer.has.Has(i) {
 			p.chunks[i].holders--
@@ -116,7 +119,7 @@
 	case SourcePeer:
 		p.peerFlights--
 	case SourceRegionPeer:
-		p.regionFlights[peer.region]--
+		p.regions[peer.region].flights--
 	case SourceOrigin:
 		p.origin.flights--
 	case SourceStore:
@@ -136,6 +139,7 @@
 	}
 	if peer := p.peers[from.Peer]; peer != nil {
 		peer.corrupt = 0
+		p.regions[peer.region].answered()
 	}
 	p.endFlight(i, from)
 	chunk := &p.chunks[i]
@@ -166,6 +170,7 @@
 		state.failed(now, failure, p.cfg.SourceRetry, retryAfter)
 		return
 	}
+	p.regions[p.peers[from.Peer].region].answered()
 	switch failure {
 	case FailureRefused:
 		p.refused(now, chunk, from.Peer)
--- a/weights/pickerfirst.go
+++ b/weights/pickerfirst.go
@@ -74,25 +74,30 @@
 	if at == 0 {
 		return p.originSource(now)
 	}
-	if p.regionFlights[chain[at-1]] >= p.regionLimit() {
+	if p.regions[chain[at-1]].flights >= p.regionLimit() {
 		return Source{}, false
 	}
-	fetchers := p.remoteFetchers(i, chain[:at])
+	fetchers := p.remoteFetchers(i, chain, at)
 	id := p.chooseRemote(now, i, fetchers)
 	if p.lastResort(now, i, len(fetchers), id) {
+		p.resortUntil = now.Add(p.cfg.SuspectTime)
 		return p.originSource(now)
 	}
-	if id == "" || p.regionFlights[p.peers[id].region] >= p.regionLimit() {
+	if id == "" || p.regions[p.peers[id].region].flights >= p.regionLimit() {
 		return Source{}, false
 	}
 	return Source{Kind: SourceRegionPeer, Peer: id}, true
 }
 
-// remoteFetchers lists the fetchers of a chunk in the regions that get it
-// earlier, nearest region in the chain first.
-func (p *Picker) remoteFetchers(i int, earlier []string) []core.InstanceID {
+// remoteFetchers lists the fetchers of a chunk in the other regions: those
+// that get it earlier than place at of the chain, nearest first, then the
+// later ones.
+func (p *Picker) remoteFetchers(i int, chain []string, at int) []core.InstanceID {
 	var ids []core.InstanceID
-	for _, region := range slices.Backward(earlier) {
+	for _, region := range slices.Backward(chain[:at]) {
+		ids = append(ids, p.layout.Fetchers(region, i)...)
+	}
+	for _, region := range chain[at+1:] {
 		ids = append(ids, p.layout.Fetchers(region, i)...)
 	}
 	return ids
@@ -103,7 +108,8 @@
 func (p *Picker) chooseRemote(now time.Time, i int, fetchers []core.InstanceID) core.InstanceID {
 	for k := range fetchers {
 		id := fetchers[(p.chunks[i].attempts+k)%len(fetchers)]
-		if p.peers[id].mayAsk(now) {
+		peer := p.peers[id]
+		if peer.mayAsk(now) && !now.Before(p.regions[peer.region].lostUntil) {
 			return id
 		}
 	}
@@ -116,7 +122,7 @@
 func (p *Picker) lastResort(now time.Time, i, fetchers int, usable core.InstanceID) bool {
 	quiet := now.Sub(p.progress)
 	if usable == "" {
-		return quiet >= p.cfg.FallbackDelay
+		return quiet >= p.cfg.FallbackDelay || now.Before(p.resortUntil)
 	}
 	return quiet >= p.cfg.LastResortDelay && p.chunks[i].attempts >= fetchers
 }
--- a/weights/pickernext.go
+++ b/weights/pickernext.go
@@ -73,7 +73,7 @@
 func (p *Picker) chooseHolder(now time.Time, i int) core.InstanceID {
 	chunk := &p.chunks[i]
 	var best core.InstanceID
-	for _, id := range p.ranked {
+	for _, id := range p.watched {
 		peer := p.peers[id]
 		if !peer.up || !peer.mayAsk(now) || !peer.has.Has(i) || peer.outstanding >= p.cfg.RequestsPerPeer {
 			continue
@@ -110,7 +110,7 @@
 	case SourcePeer:
 		p.peerFlights++
 	case SourceRegionPeer:
-		p.regionFlights[peer.region]++
+		p.regions[peer.region].flights++
 	case SourceOrigin:
 		p.origin.flights++
 	case SourceStore:
--- a/weights/swarm/draw.go
+++ b/weights/swarm/draw.go
@@ -19,7 +19,9 @@
 	data, err := source.Chunk(ctx, t.digest, r.Chunk)
 	if err == nil {
 		bytes.Inc(int64(len(data)))
-		err = t.put(r.Chunk, data)
+		// A late answer is of use even if the transfer ends meanwhile.
+		_ = t.node.pace(t.ctx, len(data))
+		err = t.put(r.Chunk, data, r.Source.Kind)
 	}
 	if err == nil {
 		t.post(storedEvent{chunk: r.Chunk, source: r.Source})
--- a/weights/swarm/fault_test.go
+++ b/weights/swarm/fault_test.go
@@ -104,7 +104,11 @@
 	f.origin.models = append(f.origin.models, next)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	var mended atomic.Bool
 	f.origin.fail = func(int) error {
+		if mended.Load() {
+			return nil
+		}
 		if f.origin.calls.Load() == 20 {
 			cancel()
 		}
@@ -119,7 +123,7 @@
 		})
 	}
 	wg.Wait()
-	f.origin.fail = nil
+	mended.Store(true)
 	f.push(next)
 	for _, n := range f.nodes {
 		_, held := n.Set(old.manifest.Digest())
--- a/weights/swarm/link.go
+++ b/weights/swarm/link.go
@@ -226,7 +226,7 @@
 	}
 	l.send(ackFrame(index))
 	l.transfer.node.countReceived(l.peer, len(payload))
-	err := l.transfer.put(index, payload)
+	err := l.transfer.put(index, payload, l.kind)
 	var corrupt *weights.CorruptChunkError
 	if errors.As(err, &corrupt) {
 		l.transfer.post(failedEvent{chunk: index, source: l.source(), failure: weights.FailureCorrupt})
--- a/weights/swarm/pace.go
+++ b/weights/swarm/pace.go
@@ -38,7 +38,14 @@
 		return nil
 	}
 	n.adjustPace(time.Now())
-	return n.pacing.limiter.WaitN(ctx, bytes)
+	for bytes > 0 {
+		step := min(bytes, paceBurst)
+		if err := n.pacing.limiter.WaitN(ctx, step); err != nil {
+			return err
+		}
+		bytes -= step
+	}
+	return nil
 }
 
 func (n *Node) adjustPace(now time.Time) {
--- a/weights/swarm/serve_bench_test.go
+++ b/weights/swarm/serve_bench_test.go
@@ -77,7 +77,7 @@
 		Proof: proof(testKey, clientLabel, c.receive().GetChallenge().GetNonce(), nonce, []byte("b"), digest[:]),
 	}}})
 	for i := range serveWindow {
-		c.send(requestFrame(i, false, true))
+		c.send(requestFrame(i, true, true))
 	}
 	b.SetBytes(serveChunk)
 	next := serveWindow
@@ -87,7 +87,7 @@
 			data = c.receive().GetData()
 		}
 		c.send(ackFrame(int(data.Index)))
-		c.send(requestFrame(next%chunks, false, true))
+		c.send(requestFrame(next%chunks, true, true))
 		next++
 	}
 }
--- a/weights/swarm/server.go
+++ b/weights/swarm/server.go
@@ -203,18 +203,22 @@
 	}
 }
 
-// stored answers waiting requests for a new chunk and announces it.
-func (s *server) stored(d core.Digest, index int) {
+// stored answers waiting requests for a new chunk and announces it. first says
+// that the chunk came from outside the region.
+func (s *server) stored(d core.Digest, index int, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	v := s.servings[d]
 	if v == nil || v.set == nil {
 		return
 	}
+	if first {
+		v.uploads.First(index)
+	}
 	for c := range v.conns {
 		if _, ok := c.waiting[uint32(index)]; ok {
 			delete(c.waiting, uint32(index))
-			s.serve(c, uint32(index), true)
+			s.serve(c, uint32(index), weights.UploadRegion)
 		}
 	}
 	s.announce(v, index)
--- a/weights/swarm/servertraffic.go
+++ b/weights/swarm/servertraffic.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	if set != nil && set.Has(int(request.Index)) {
-		s.serve(c, request.Index, request.Urgent)
+		s.serve(c, request.Index, uploadPriority(request))
 		return nil
 	}
 	if !request.Wait {
@@ -141,10 +141,23 @@
 	return nil
 }
 
+// uploadPriority reads the priority of a request. Only fetchers of other
+// regions wait.
+func uploadPriority(request *wire.ChunkRequest) weights.UploadPriority {
+	switch {
+	case request.Wait:
+		return weights.UploadRegion
+	case request.Urgent:
+		return weights.UploadUrgent
+	default:
+		return weights.UploadNormal
+	}
+}
+
 // serve sends a held chunk or refuses to.
-func (s *server) serve(c *serverConn, index uint32, urgent bool) {
+func (s *server) serve(c *serverConn, index uint32, priority weights.UploadPriority) {
 	v := c.serving
-	switch v.uploads.Admit(time.Now(), int(index), v.set.Count(), urgent) {
+	switch v.uploads.Admit(time.Now(), int(index), v.set.Count(), priority) {
 	case weights.UploadBusy:
 		s.refuse(c, index, wire.ChunkRefusalReason_CHUNK_REFUSAL_BUSY)
 		return
--- a/weights/swarm/transfer.go
+++ b/weights/swarm/transfer.go
@@ -111,7 +111,7 @@
 }
 
 // put verifies and keeps a chunk, and offers it to peers.
-func (t *transfer) put(index int, data []byte) error {
+func (t *transfer) put(index int, data []byte, kind weights.SourceKind) error {
 	if t.set.Has(index) {
 		return nil
 	}
@@ -122,7 +122,7 @@
 		}
 		return err
 	}
-	t.node.server.stored(t.digest, index)
+	t.node.server.stored(t.digest, index, kind != weights.SourcePeer)
 	return nil
 }
 
--- a/weights/uploads.go
+++ b/weights/uploads.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// urgentPart is the part of a set, as a divisor, that urgent requests may get
+// beyond UploadLimits.Lead.
+const urgentPart = 8
+
 // UploadLimits bounds what an instance sends. Zero fields take defaults.
 type UploadLimits struct {
-	// Running is the number of uploads at once; urgent requests may use
-	// twice as many.
+	// Running is the number of uploads at once; urgent requests and
+	// those of other regions may use twice as many.
 	Running int
 	// PerChunk is the number of copies of a chunk sent within Window.
 	PerChunk int
@@ -29,8 +33,12 @@
 type Uploads struct {
 	limits UploadLimits
 	copies []uint8
+	first  []bool
 	last   []time.Time
 	served int
+	// firsts counts first, region the copies sent to other regions. Room is
+	// kept for the difference.
+	firsts, region int
 	// settled is served as of the last pause of Window.
 	settled  int
 	lastSent time.Time
@@ -40,14 +48,14 @@
 // NewUploads returns the state for a set of n chunks.
 func NewUploads(limits UploadLimits, n int) *Uploads {
 	limits.setDefaults()
-	return &Uploads{limits: limits, copies: make([]uint8, n), last: make([]time.Time, n)}
+	return &Uploads{limits: limits, copies: make([]uint8, n), first: make([]bool, n), last: make([]time.Time, n)}
 }
 
 // Admit decides on a request for chunk i by an instance that holds held
 // chunks. UploadServe counts as a running upload until Done.
-func (u *Uploads) Admit(now time.Time, i, held int, urgent bool) UploadVerdict {
+func (u *Uploads) Admit(now time.Time, i, held int, priority UploadPriority) UploadVerdict {
 	limit := u.limits.Running
-	if urgent {
+	if priority != UploadNormal {
 		limit *= 2
 	}
 	if u.running >= limit {
@@ -59,22 +67,40 @@
 	if now.Sub(u.lastSent) > u.limits.Window {
 		u.settled = u.served
 	}
-	if !urgent && u.spread(i, held) {
+	if u.spread(i, held, priority) {
 		return UploadSpread
 	}
 	u.copies[i] = min(u.copies[i], 254) + 1
 	u.last[i] = now
+	if priority == UploadRegion {
+		u.region++
+	}
 	u.lastSent = now
 	u.served++
 	u.running++
 	return UploadServe
 }
 
-func (u *Uploads) spread(i, held int) bool {
-	if int(u.copies[i]) >= u.limits.PerChunk {
-		return true
+// First records that the instance brought chunk i into its region, so that
+// perhaps no neighbour holds it.
+func (u *Uploads) First(i int) {
+	if !u.first[i] {
+		u.first[i] = true
+		u.firsts++
+	}
+}
+
+// spread reports whether another holder should serve the request. The first
+// copy of a chunk that others may lack is always sent.
+func (u *Uploads) spread(i, held int, priority UploadPriority) bool {
+	if priority == UploadRegion || (u.copies[i] == 0 && (u.first[i] || priority == UploadUrgent)) {
+		return false
+	}
+	limit := held + u.limits.Lead - max(0, u.firsts-u.region)
+	if priority == UploadUrgent {
+		return u.served-u.settled >= limit+len(u.copies)/urgentPart
 	}
-	return u.served-u.settled >= held+u.limits.Lead
+	return int(u.copies[i]) >= u.limits.PerChunk || u.served-u.settled >= limit
 }
 
 // Done records that n running uploads ended.
