Keep the store from completing a fetch that a test drops

Cause: TestDropAndStopEndFetches failed once in a full run: the origin failed in it, but the store could complete the small set before the drop. Change: the store fails too, so that the fetch is always under way. Conclusion: the test was wrong, the code is unchanged.

--- a/weights/swarm/node_test.go
+++ b/weights/swarm/node_test.go
@@ -63,6 +63,8 @@
 		reached <- struct{}{}
 		return io.ErrUnexpectedEOF
 	}
+	// The store must not complete the set before it is dropped.
+	f.store.fail = func(int) error { return io.ErrUnexpectedEOF }
 	failed := make(chan error, 1)
 	fetch := func() {
 		_, err := n.Fetch(context.Background(), m.manifest, f.peers)
