Keep calls that have begun from being shed

A call whose endpoint died waits as a suspect to run alone, and its rank's patience ended that wait; preempted calls that waited at a draining agent were refused, although no other endpoint served their version any more. Ruled out: a lack of slots (the fleet was two thirds idle). Change: a call that has begun tries again until its deadline while its version is served; a draining agent keeps waiting calls whose caller has a part of the answer. When no endpoint serves the version any more, the refusal says so (version_gone) at once. Resuming at a draining endpoint is left.

--- a/agent/events.go
+++ b/agent/events.go
@@ -43,15 +43,10 @@
 }
 
 func (e requeueEvent) apply(s *scheduler) {
-	id := e.job.call.ID
-	if s.closed {
-		s.queue.Done(s.now(), id)
-		s.refuse(id, refusal{code: s.reason})
-		return
-	}
+	e.job.owed = true
 	left := max(1, e.job.call.ExpectedTokens-len(e.job.produced))
-	if !s.queue.Requeue(s.now(), id, left) {
-		s.refuse(id, refusal{code: CodeBusy})
+	if !s.queue.Requeue(s.now(), e.job.call.ID, left) {
+		s.refuse(e.job.call.ID, refusal{code: CodeBusy})
 	}
 }
 
@@ -94,8 +89,10 @@
 	s.closed = false
 }
 
-// closeEvent refuses new and waiting calls; running ones go on. idle is
-// closed once none is left.
+// closeEvent refuses new and waiting calls. Running calls go on, and so do
+// waiting ones whose caller has a part of the answer: after a change of
+// version no other endpoint might serve theirs. idle is closed once none is
+// left.
 type closeEvent struct {
 	reason string
 	idle   chan struct{}
@@ -108,15 +105,16 @@
 	for _, c := range s.queue.Running() {
 		running[c.ID] = true
 	}
-	for id := range s.jobs {
-		if !running[id] && s.queue.Remove(id) {
+	for id, j := range s.jobs {
+		if !running[id] && !j.owed && s.queue.Remove(id) {
 			s.refuse(id, refusal{code: e.reason})
 		}
 	}
 	s.idle = append(s.idle, e.idle)
 }
 
-// interruptEvent stops every running job that may be resumed.
+// interruptEvent stops every job that may be resumed elsewhere, running or
+// waiting.
 type interruptEvent struct {
 	cause error
 }
--- a/agent/job.go
+++ b/agent/job.go
@@ -19,6 +19,9 @@
 // goroutine that serves the stream owns the rest.
 type job struct {
 	call routing.Call
+	// owed says that the caller has a part of the answer. Only the scheduler
+	// changes it.
+	owed bool
 	req  *wire.CallRequest
 	// started and refused hold at most one signal each.
 	started chan struct{}
@@ -34,6 +37,7 @@
 func newJob(id uint64, policy string, req *wire.CallRequest, now time.Time) *job {
 	return &job{
 		call:    jobCall(id, policy, req, now),
+		owed:    len(req.GetPrefixTokens()) > 0,
 		req:     req,
 		started: make(chan struct{}, 1),
 		refused: make(chan refusal, 1),
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -18,5 +18,6 @@
 	CodeLeaving         = "leaving"
 	CodeContentType     = "content_type"
 	CodeMethod          = "method_not_allowed"
+	CodeVersionGone     = "version_gone"
 	CodeRetriesExceeded = "retries_exceeded"
 )
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -19,6 +19,8 @@
 const (
 	maxRefusedAttempts = 8
 	maxBrokenAttempts  = 4
+	roomPauseMin       = 50 * time.Millisecond
+	roomPauseMax       = 500 * time.Millisecond
 )
 
 // tokenSink takes the answer of a model call as it grows.
@@ -52,9 +54,8 @@
 	tried    []core.InstanceID
 	handle   string
 	// resumes is set while the next attempt goes on with a broken answer.
-	resumes  bool
-	suspect  bool
-	lastWait time.Duration
+	resumes bool
+	suspect bool
 }
 
 // run blocks until the answer is whole, or returns *RefusedError.
@@ -64,10 +65,10 @@
 		m.suspect = m.svc.quarantine.suspect(m.fingerprint)
 		taken, err := m.svc.dispatcher.acquire(ctx, m.waiting(), m.request())
 		if err != nil {
-			if m.rebind(err) {
+			if m.rebind(err) || m.waitForRoom(ctx, err) {
 				continue
 			}
-			return m.refusal(err)
+			return m.refusal(m.versionGone(err))
 		}
 		end := m.attempt(ctx, taken.EndpointState)
 		if end.refused == nil {
@@ -107,7 +108,7 @@
 		return false
 	}
 	var refused *RefusedError
-	if !errors.As(err, &refused) || m.svc.dispatcher.routes.table.Load().Serves("", m.bound) {
+	if !errors.As(err, &refused) || m.boundServed() {
 		return false
 	}
 	m.bound = core.ModelRef{}
@@ -118,6 +119,40 @@
 	return true
 }
 
+// waitForRoom keeps a call that has begun from being shed: its caller is owed
+// the rest of the answer, so that it tries again until its deadline, or until
+// no endpoint serves its version.
+func (m *modelCall) waitForRoom(ctx context.Context, err error) bool {
+	var refused *RefusedError
+	if !m.begun || !errors.As(err, &refused) || refused.Code != CodeOverload {
+		return false
+	}
+	if !m.boundServed() {
+		return false
+	}
+	pause(ctx, min(max(refused.RetryAfter, roomPauseMin), roomPauseMax))
+	return ctx.Err() == nil
+}
+
+// boundServed reports whether any endpoint serves the version of the answer.
+func (m *modelCall) boundServed() bool {
+	return m.svc.dispatcher.routes.table.Load().Serves("", m.bound)
+}
+
+// versionGone names the cause of a refusal when the answer cannot go on since
+// no endpoint serves its version any more.
+func (m *modelCall) versionGone(err error) error {
+	if m.bound.IsZero() || m.boundServed() {
+		return err
+	}
+	return &RefusedError{
+		Status:     http.StatusBadGateway,
+		Code:       CodeVersionGone,
+		Detail:     "the answer broke and no endpoint serves version " + m.bound.Version + " any more",
+		RetryAfter: time.Second,
+	}
+}
+
 // attempt sends one attempt and keeps its tokens.
 func (m *modelCall) attempt(ctx context.Context, to routing.EndpointState) attemptEnd {
 	ctx, span := m.svc.tracer.Start(ctx, "entry.attempt", trace.WithAttributes(
@@ -181,23 +216,26 @@
 	}
 	m.tried = append(m.tried, at.ID)
 	if end.refused != nil {
-		return m.afterRefusal(end.refused)
+		return m.afterRefusal(ctx, end.refused)
 	}
 	return m.afterBreak(at, end.broken)
 }
 
-func (m *modelCall) afterRefusal(r *wire.CallRefused) error {
+func (m *modelCall) afterRefusal(ctx context.Context, r *wire.CallRefused) error {
 	m.refused++
-	m.lastWait = time.Duration(r.GetRetryAfterMs()) * time.Millisecond
-	if m.refused >= maxRefusedAttempts || r.GetCode() == agent.CodePatience {
-		return m.refusal(&RefusedError{
-			Status:     http.StatusTooManyRequests,
-			Code:       CodeOverload,
-			Detail:     "endpoints refused the call: " + r.GetCode(),
-			RetryAfter: m.lastWait,
-		})
+	if m.refused < maxRefusedAttempts && r.GetCode() != agent.CodePatience {
+		return nil
 	}
-	return nil
+	refused := &RefusedError{
+		Status:     http.StatusTooManyRequests,
+		Code:       CodeOverload,
+		Detail:     "endpoints refused the call: " + r.GetCode(),
+		RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond,
+	}
+	if m.waitForRoom(ctx, refused) {
+		return nil
+	}
+	return m.refusal(refused)
 }
 
 func (m *modelCall) afterBreak(at routing.EndpointState, b *wire.CallBroken) error {
