--- a/claim/owner_test.go
+++ b/claim/owner_test.go
@@ -177,3 +177,19 @@
 		assert.Assert(t, counts[id] > shards/8, "%s owns %d", id, counts[id])
 	}
 }
+
+func TestGrantWithoutACallerIsVoided(t *testing.T) {
+	f := newFixture()
+	o := f.owner()
+	j := newClaimJob(Request{Key: "k", Claim: "c1"})
+	f.kv.after = func() {
+		if f.kv.writes > 0 {
+			j.abandon()
+		}
+	}
+	o.flush(context.Background(), []*job{j})
+	f.kv.after = func() {}
+	assert.Equal(t, ask(f.owner(), "k", "c2").Kind, Held)
+	o.flush(context.Background(), nil)
+	assert.Equal(t, ask(f.owner(), "k", "c3").Kind, Granted)
+}
--- a/routing/call.go
+++ b/routing/call.go
@@ -9,7 +9,8 @@
 // Call is what the decisions need to know of one attempt of a call.
 type Call struct {
 	// ID is unique within one Queue or Overflow.
-	ID           uint64
+	ID uint64
+	// Rank must be valid.
 	Rank         core.Rank
 	Organisation core.OrganisationID
 	// Weight is the organisation's share within the rank; 0 stands for 1.
--- /dev/null
+++ b/routing/candidate.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/snipestep/snipestep/core"
+)
+
+// candidate is the part of an endpoint's state that a choice reads.
+type candidate struct {
+	index      int32
+	credits    [core.RankCount]int32
+	staleAfter int64 // Unix nanoseconds.
+	sent       *Sent
+	load       [core.RankCount]float64 // Reported load that the rank meets.
+	perCall    float64                 // Load of one more call.
+	usable     bool
+	local      bool
+	hash       uint64
+	manifest   core.Digest
+}
+
+func newCandidate(e *tableEndpoint, config TableConfig) candidate {
+	c := candidate{
+		staleAfter: e.FreshAt.Add(config.StaleAfter).UnixNano(),
+		sent:       e.sent,
+		perCall:    1 / float64(max(e.Slots, 1)),
+		usable:     !e.Draining && !e.Leaving,
+		local:      e.Location.Region == config.Region,
+		hash:       xxhash.Sum64String(string(e.ID)),
+		manifest:   e.Model.Manifest,
+	}
+	calls := e.Running
+	for rank, queued := range e.Queued {
+		calls += queued
+		c.load[rank] = float64(calls) * c.perCall
+		c.credits[rank] = int32(min(e.Credits[rank], math.MaxInt32))
+	}
+	return c
+}
+
+// serves reports whether the candidate serves the version that a request
+// needs.
+func (c *candidate) serves(v neededVersion) bool {
+	return v.any || c.manifest == v.manifest
+}
+
+// neededVersion is the version of a model that a request needs.
+type neededVersion struct {
+	any      bool
+	manifest core.Digest
+}
+
+func (r *Request) version() neededVersion {
+	return neededVersion{
+		any:      r.Service != "" || r.Model.Manifest.IsZero(),
+		manifest: r.Model.Manifest,
+	}
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -37,10 +37,10 @@
 	Exclude []core.InstanceID
 }
 
-// choice collects the endpoints that a request may go to.
+// choice collects the candidates that a request may go to.
 type choice struct {
 	count int
-	index [scanLimit]int32
+	at    [scanLimit]*candidate
 	load  [scanLimit]float64
 	total float64
 }
@@ -50,36 +50,45 @@
 // the target and does not allocate. ok is false when none can take the call
 // now.
 func Choose(t *Table, r Request, rnd uint64, now time.Time) (index int, ok bool) {
-	targets := t.byTarget[targetOf(r.Service, r.Model.Model)]
 	var c choice
-	start := firstTarget(len(targets), &r, rnd)
-	for k := range targets {
-		if c.count == scanLimit {
-			break
-		}
-		i := start + k
-		if i >= len(targets) {
-			i -= len(targets)
-		}
-		t.consider(&c, targets[i], &r, now)
-	}
+	t.collect(&c, &r, rnd, now.UnixNano())
 	if c.count == 0 {
 		return 0, false
 	}
 	if r.Suspect {
-		return t.idlest(&c)
+		return c.idlest()
 	}
 	if r.Prefix != 0 {
 		if i, ok := t.affine(&c, &r); ok {
 			return i, true
 		}
 	}
-	return t.leastLoaded(&c, rnd), true
+	return c.leastLoaded(rnd), true
 }
 
-// firstTarget returns where the scan begins; calls with the same prefix see
-// the same endpoints.
-func firstTarget(n int, r *Request, rnd uint64) int {
+// collect fills c with the usable candidates that have credit.
+func (t *Table) collect(c *choice, r *Request, rnd uint64, now int64) {
+	candidates := t.candidates(r)
+	version := r.version()
+	start := firstCandidate(len(candidates), r, rnd)
+	for k := range candidates {
+		i := start + k
+		if i >= len(candidates) {
+			i -= len(candidates)
+		}
+		candidate := &candidates[i]
+		if candidate.serves(version) && t.usable(candidate, r, now) {
+			c.consider(candidate, r.Rank)
+		}
+		if c.count == scanLimit {
+			return
+		}
+	}
+}
+
+// firstCandidate returns where the scan begins; calls with the same prefix
+// see the same endpoints.
+func firstCandidate(n int, r *Request, rnd uint64) int {
 	if n <= scanLimit {
 		return 0
 	}
@@ -90,52 +99,36 @@
 	return int(hi)
 }
 
-func (t *Table) consider(c *choice, i int32, r *Request, now time.Time) {
-	e := &t.endpoints[i]
-	if !t.usable(e, r, now) {
-		return
-	}
-	sentAtRank := int(e.sent.calls[r.Rank].Load())
-	if sentAtRank >= e.Credits[r.Rank] {
-		return
-	}
-	load := float64(e.Running+e.queued[r.Rank]+e.sent.total()) / float64(max(e.Slots, 1))
-	c.index[c.count] = i
-	c.load[c.count] = load
-	c.total += load
-	c.count++
-}
-
 // usable reports whether the endpoint may get the request at all.
-func (t *Table) usable(e *tableEndpoint, r *Request, now time.Time) bool {
-	if e.Draining || e.Leaving || now.Sub(e.FreshAt) > t.config.StaleAfter {
+func (t *Table) usable(c *candidate, r *Request, now int64) bool {
+	if !c.usable || now > c.staleAfter {
 		return false
 	}
-	return e.serves(r) && !slices.Contains(r.Exclude, e.ID)
+	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, t.endpoints[c.index].ID)
 }
 
-func (e *tableEndpoint) serves(r *Request) bool {
-	if e.Service != r.Service {
-		return false
-	}
-	if r.Service != "" {
-		return true
-	}
-	if e.Model.Model != r.Model.Model {
-		return false
+// consider adds a candidate if it has credit.
+func (c *choice) consider(candidate *candidate, rank core.Rank) {
+	sent := candidate.sent.load()
+	if sent.of(rank) >= candidate.credits[rank] {
+		return
 	}
-	return r.Model.Manifest.IsZero() || e.Model == r.Model
+	load := candidate.load[rank] + float64(sent.total())*candidate.perCall
+	c.at[c.count] = candidate
+	c.load[c.count] = load
+	c.total += load
+	c.count++
 }
 
 // idlest returns the endpoint with the least load if it is nearly idle.
-func (t *Table) idlest(c *choice) (int, bool) {
+func (c *choice) idlest() (int, bool) {
 	best := 0
 	for k := 1; k < c.count; k++ {
 		if c.load[k] < c.load[best] {
 			best = k
 		}
 	}
-	return int(c.index[best]), c.load[best] <= idleLoad
+	return int(c.at[best].index), c.load[best] <= idleLoad
 }
 
 // affine returns the endpoint for a prompt prefix: among those within the
@@ -149,11 +142,11 @@
 		if c.load[k] > bound {
 			continue
 		}
-		e := &t.endpoints[c.index[k]]
+		candidate := c.at[k]
 		score := prefixScore{
-			local:  e.local,
-			cached: slices.Contains(e.Prefixes, r.Prefix),
-			hash:   mix(e.hash ^ r.Prefix),
+			local:  candidate.local,
+			cached: slices.Contains(t.endpoints[candidate.index].Prefixes, r.Prefix),
+			hash:   mix(candidate.hash ^ r.Prefix),
 		}
 		if best < 0 || score.above(bestScore) {
 			best = k
@@ -163,7 +156,7 @@
 	if best < 0 {
 		return 0, false
 	}
-	return int(c.index[best]), true
+	return int(c.at[best].index), true
 }
 
 type prefixScore struct {
@@ -185,13 +178,13 @@
 // leastLoaded returns the endpoint with the least load; loads less than a
 // slot apart are in random order, so that entries with the same reports do
 // not all choose the same endpoint.
-func (t *Table) leastLoaded(c *choice, rnd uint64) int {
+func (c *choice) leastLoaded(rnd uint64) int {
 	best := 0
 	bestCost := math.Inf(1)
 	for k := range c.count {
-		e := &t.endpoints[c.index[k]]
-		cost := c.load[k] + jitter(rnd, k)/float64(max(e.Slots, 1))
-		if !e.local {
+		candidate := c.at[k]
+		cost := c.load[k] + jitter(rnd, k)*candidate.perCall
+		if !candidate.local {
 			cost += remotePenalty
 		}
 		if cost < bestCost {
@@ -199,7 +192,7 @@
 			bestCost = cost
 		}
 	}
-	return int(c.index[best])
+	return int(c.at[best].index)
 }
 
 // jitter returns a number in [0, 1).
--- /dev/null
+++ b/routing/quarantine_test.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func strikeAt(crash string, at time.Time) Strike {
+	return Strike{Fingerprint: 1, Crash: crash, At: at}
+}
+
+func TestQuarantineAtTheSecondCrash(t *testing.T) {
+	q := NewQuarantine(QuarantineConfig{})
+	assert.Assert(t, !q.Suspect(epoch, 1))
+	assert.Assert(t, q.Strike(epoch, strikeAt("crash-1", epoch)))
+	assert.Assert(t, !q.Strike(epoch, strikeAt("crash-1", epoch)), "the same crash counts once")
+	_, refused := q.Refused(epoch, 1)
+	assert.Assert(t, q.Suspect(epoch, 1) && !refused)
+	assert.Assert(t, q.Strike(epoch, strikeAt("crash-2", epoch)))
+	left, refused := q.Refused(epoch, 1)
+	assert.Assert(t, refused)
+	assert.Equal(t, left, defaultQuarantineTime)
+	q.Absolve(epoch, 1)
+	_, refused = q.Refused(epoch, 1)
+	assert.Assert(t, refused, "a quarantined request is not absolved")
+	_, refused = q.Refused(epoch.Add(defaultQuarantineTime), 1)
+	assert.Assert(t, !refused, "the quarantine lapses")
+}
+
+func TestStrikesLapseAndAreAbsolved(t *testing.T) {
+	q := NewQuarantine(QuarantineConfig{})
+	q.Strike(epoch, strikeAt("crash-1", epoch))
+	assert.Assert(t, !q.Suspect(epoch.Add(defaultStrikeMemory), 1))
+	assert.Assert(t, !q.Strike(epoch.Add(defaultStrikeMemory), strikeAt("crash-1", epoch)), "too old")
+	q.Strike(epoch, strikeAt("crash-2", epoch))
+	q.Absolve(epoch, 1)
+	assert.Assert(t, !q.Suspect(epoch, 1))
+	assert.Assert(t, !q.Strike(epoch, strikeAt("crash-2", epoch)), "an absolved crash does not come back")
+	assert.Assert(t, q.Strike(epoch, strikeAt("crash-3", epoch)))
+}
+
+func TestQuarantineIsBounded(t *testing.T) {
+	const limit = 10
+	q := NewQuarantine(QuarantineConfig{MaxFingerprints: limit})
+	for i := range uint64(3 * limit) {
+		q.Strike(epoch, Strike{Fingerprint: i + 1, Crash: "crash", At: epoch.Add(-time.Duration(i))})
+	}
+	assert.Equal(t, len(q.Strikes(epoch, time.Minute)), limit)
+}
+
+func TestRetryBudgetHoldsItsRatio(t *testing.T) {
+	b := NewRetryBudget(RetryBudgetConfig{Ratio: 0.1, Burst: 5})
+	retries := 0
+	const calls = 1000
+	for range calls {
+		b.Call()
+		if b.Retry() {
+			retries++
+		}
+	}
+	assert.Assert(t, retries >= 100 && retries <= 105, "%d retries", retries)
+}
+
+func TestFingerprintSeparatesItsParts(t *testing.T) {
+	assert.Assert(t, Fingerprint("a", "b", nil) != Fingerprint("ab", "", nil))
+	assert.Equal(t, Fingerprint("a", "b", []byte("c")), Fingerprint("a", "b", []byte("c")))
+}
--- a/routing/sent.go
+++ b/routing/sent.go
@@ -6,16 +6,39 @@
 	"github.com/snipestep/snipestep/core"
 )
 
+const (
+	sentBits = 21
+	sentMask = 1<<sentBits - 1
+)
+
 // Sent counts the calls that this entry has sent to an endpoint since its
 // last load report, by rank. It is safe for concurrent use.
 type Sent struct {
-	calls [core.RankCount]atomic.Int32
+	packed atomic.Uint64 // sentBits for each rank, most urgent lowest.
+}
+
+func (s *Sent) add(rank core.Rank) sentCounts {
+	return sentCounts(s.packed.Add(1 << (sentBits * rank)))
+}
+
+func (s *Sent) remove(rank core.Rank) {
+	s.packed.Add(-(uint64(1) << (sentBits * rank)))
+}
+
+func (s *Sent) load() sentCounts {
+	return sentCounts(s.packed.Load())
+}
+
+// sentCounts is one reading of Sent.
+type sentCounts uint64
+
+func (c sentCounts) of(rank core.Rank) int32 {
+	return int32(c >> (sentBits * rank) & sentMask)
 }
 
-func (s *Sent) total() int {
-	total := 0
-	for rank := range s.calls {
-		total += int(s.calls[rank].Load())
-	}
-	return total
+func (c sentCounts) total() int32 {
+	urgent := c & sentMask
+	normal := c >> sentBits & sentMask
+	background := c >> (2 * sentBits)
+	return int32(urgent + normal + background)
 }
--- /dev/null
+++ b/routing/simulation_test.go
@@ -0,0 +1,198 @@
+package routing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/snipestep/snipestep/core"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	simulationTick    = 5 * time.Millisecond
+	simulationService = 100 * time.Millisecond
+	simulationSlots   = 8
+	simulationTime    = 30 * time.Second
+	callTokens        = 20
+	// simulationRate is the endpoint's capacity in calls a second.
+	simulationRate = simulationSlots * float64(time.Second) / float64(simulationService)
+)
+
+// source offers calls at a steady rate.
+type source struct {
+	rank         core.Rank
+	organisation core.OrganisationID
+	perSecond    float64
+	resumable    bool
+	due          float64
+}
+
+// tally counts what became of one source's calls.
+type tally struct {
+	offered, answered, shed int
+	waits                   []time.Duration
+}
+
+func (t *tally) ratio() float64 {
+	return float64(t.answered) / float64(t.offered)
+}
+
+func (t *tally) waitP95() time.Duration {
+	slices.Sort(t.waits)
+	return t.waits[len(t.waits)*95/100]
+}
+
+// simulation runs a Queue in fixed steps; every call takes the same time, and
+// a preempted one starts anew.
+type simulation struct {
+	queue   *Queue
+	now     time.Time
+	nextID  uint64
+	owner   map[uint64]int
+	offered map[uint64]time.Time
+	ends    map[uint64]time.Time
+	tallies []tally
+}
+
+func simulate(t *testing.T, config QueueConfig, sources []source) []tally {
+	t.Helper()
+	s := &simulation{
+		queue:   NewQueue(config),
+		now:     epoch,
+		owner:   make(map[uint64]int),
+		offered: make(map[uint64]time.Time),
+		ends:    make(map[uint64]time.Time),
+		tallies: make([]tally, len(sources)),
+	}
+	for s.now.Before(epoch.Add(simulationTime)) {
+		s.step(t, sources)
+	}
+	return s.tallies
+}
+
+func (s *simulation) step(t *testing.T, sources []source) {
+	t.Helper()
+	s.now = s.now.Add(simulationTick)
+	s.finish()
+	s.queue.Expire(s.now)
+	for i := range sources {
+		sources[i].due += sources[i].perSecond * simulationTick.Seconds()
+		for sources[i].due >= 1 {
+			sources[i].due--
+			s.offer(t, i, sources[i])
+		}
+	}
+	s.start()
+	for id, ok := s.queue.Preempt(s.now); ok; id, ok = s.queue.Preempt(s.now) {
+		delete(s.ends, id)
+		s.queue.Requeue(s.now, id, callTokens)
+		s.start()
+	}
+}
+
+func (s *simulation) offer(t *testing.T, i int, from source) {
+	t.Helper()
+	s.nextID++
+	s.owner[s.nextID] = i
+	s.offered[s.nextID] = s.now
+	s.tallies[i].offered++
+	c := Call{
+		ID: s.nextID, Rank: from.rank, Organisation: from.organisation,
+		ExpectedTokens: callTokens, Resumable: from.resumable,
+	}
+	evicted, err := s.queue.Offer(s.now, c)
+	var shed *ShedError
+	if eris.As(err, &shed) {
+		s.tallies[i].shed++
+	} else {
+		assert.NilError(t, err)
+	}
+	for _, e := range evicted {
+		s.tallies[s.owner[e.ID]].shed++
+	}
+}
+
+func (s *simulation) start() {
+	for c, ok := s.queue.Next(s.now); ok; c, ok = s.queue.Next(s.now) {
+		s.ends[c.ID] = s.now.Add(simulationService)
+		of := &s.tallies[s.owner[c.ID]]
+		of.waits = append(of.waits, s.now.Sub(s.offered[c.ID]))
+	}
+}
+
+func (s *simulation) finish() {
+	for id, end := range s.ends {
+		if end.After(s.now) {
+			continue
+		}
+		delete(s.ends, id)
+		s.queue.Used(id, callTokens)
+		s.queue.Done(s.now, id)
+		s.tallies[s.owner[id]].answered++
+	}
+}
+
+func simulationConfig() QueueConfig {
+	return QueueConfig{
+		Slots:           simulationSlots,
+		Policies:        testPolicies(),
+		MaxWaiting:      200,
+		ServiceEstimate: simulationService,
+	}
+}
+
+func TestBackgroundFloodLeavesTheOthersAlone(t *testing.T) {
+	for _, factor := range []float64{5, 10} {
+		got := simulate(t, simulationConfig(), []source{
+			{rank: core.RankUrgent, organisation: "a", perSecond: 0.3 * simulationRate},
+			{rank: core.RankNormal, organisation: "a", perSecond: 0.3 * simulationRate},
+			{rank: core.RankBackground, organisation: "b", perSecond: factor * simulationRate},
+		})
+		assert.Assert(t, got[0].ratio() > 0.98, "urgent %v", got[0].ratio())
+		assert.Assert(t, got[1].ratio() > 0.98, "normal %v", got[1].ratio())
+		assert.Assert(t, got[0].waitP95() <= simulationService, "urgent waited %s", got[0].waitP95())
+		t.Logf("x%v: background answered %d of %d, urgent p95 %s", factor, got[2].answered, got[2].offered, got[0].waitP95())
+	}
+}
+
+func TestUrgentFloodLeavesTheGuaranteedShares(t *testing.T) {
+	for _, factor := range []float64{5, 10} {
+		got := simulate(t, simulationConfig(), []source{
+			{rank: core.RankUrgent, organisation: "a", perSecond: factor * simulationRate, resumable: true},
+			{rank: core.RankNormal, organisation: "a", perSecond: 0.24 * simulationRate},
+			{rank: core.RankBackground, organisation: "b", perSecond: 0.2 * simulationRate},
+		})
+		total := simulationRate * simulationTime.Seconds()
+		assert.Assert(t, got[1].ratio() > 0.95, "normal %v", got[1].ratio())
+		assert.Assert(t, float64(got[2].answered) > 0.12*total, "background %d of %v", got[2].answered, total)
+		assert.Assert(t, float64(got[0].answered) > 0.5*total, "urgent %d of %v", got[0].answered, total)
+		t.Logf("x%v: ratios %.3f %.3f %.3f", factor, got[0].ratio(), got[1].ratio(), got[2].ratio())
+	}
+}
+
+func TestUrgentPreemptsResumableBackground(t *testing.T) {
+	got := simulate(t, simulationConfig(), []source{
+		{rank: core.RankBackground, organisation: "b", perSecond: 5 * simulationRate, resumable: true},
+		{rank: core.RankUrgent, organisation: "a", perSecond: 0.3 * simulationRate},
+	})
+	assert.Assert(t, got[1].waitP95() <= simulationTick, "urgent waited %s", got[1].waitP95())
+}
+
+func TestLargeOrganisationDoesNotCrowdOutSmallOnes(t *testing.T) {
+	for _, room := range []int{40, 200, 2000} {
+		config := simulationConfig()
+		config.MaxWaiting = room
+		sources := []source{{rank: core.RankNormal, organisation: "large", perSecond: 5 * simulationRate}}
+		for _, id := range []core.OrganisationID{"a", "b", "c", "d", "e", "f", "g", "h", "i"} {
+			small := 5 * simulationRate / 81 // All small ones offer a tenth.
+			sources = append(sources, source{rank: core.RankNormal, organisation: id, perSecond: small})
+		}
+		got := simulate(t, config, sources)
+		for _, small := range got[1:] {
+			assert.Assert(t, small.ratio() > 0.95, "room %d: small answered %v", room, small.ratio())
+		}
+		t.Logf("room %d: large %.3f, small %.3f", room, got[0].ratio(), got[1].ratio())
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/snipestep/snipestep/core"
 )
 
@@ -29,15 +28,18 @@
 type Table struct {
 	config    TableConfig
 	endpoints []tableEndpoint
-	byTarget  map[string][]int32
+	targets   map[target][]candidate
 }
 
 type tableEndpoint struct {
 	EndpointState
-	sent   *Sent
-	hash   uint64
-	queued [core.RankCount]int // Queued at the rank or a more urgent one.
-	local  bool
+	sent *Sent
+}
+
+// target is what a request needs.
+type target struct {
+	service string
+	model   string
 }
 
 // NewTable returns a snapshot of the states. Endpoints whose report is the
@@ -51,7 +53,7 @@
 	t := &Table{
 		config:    config,
 		endpoints: make([]tableEndpoint, 0, len(states)),
-		byTarget:  make(map[string][]int32),
+		targets:   make(map[target][]candidate),
 	}
 	kept := previous.sentByID()
 	for _, state := range states {
@@ -78,32 +80,27 @@
 }
 
 func (t *Table) add(state EndpointState, kept keptSent) {
-	e := tableEndpoint{
-		EndpointState: state,
-		sent:          kept.sent,
-		hash:          xxhash.Sum64String(string(state.ID)),
-		local:         state.Location.Region == t.config.Region,
-	}
+	e := tableEndpoint{EndpointState: state, sent: kept.sent}
 	if e.sent == nil || !state.FreshAt.Equal(kept.freshAt) {
 		e.sent = new(Sent)
 	}
-	ahead := 0
-	for rank, n := range state.Queued {
-		ahead += n
-		e.queued[rank] = ahead
+	key := target{service: state.Service}
+	if state.Service == "" {
+		key.model = state.Model.Model
 	}
-	target := targetOf(state.Service, state.Model.Model)
-	t.byTarget[target] = append(t.byTarget[target], int32(len(t.endpoints)))
+	c := newCandidate(&e, t.config)
+	c.index = int32(len(t.endpoints))
+	t.targets[key] = append(t.targets[key], c)
 	t.endpoints = append(t.endpoints, e)
 }
 
-// targetOf returns the key of byTarget. A plain service and a model of the
-// same name share a key; Choose compares the whole target.
-func targetOf(service, model string) string {
-	if service != "" {
-		return service
+// candidates returns the endpoints that serve the request's service or model,
+// in whatever state and version.
+func (t *Table) candidates(r *Request) []candidate {
+	if r.Service != "" {
+		return t.targets[target{service: r.Service}]
 	}
-	return model
+	return t.targets[target{model: r.Model.Model}]
 }
 
 // Len returns the number of endpoints.
@@ -120,9 +117,8 @@
 // credits. It returns false and counts nothing when no credit is left.
 func (t *Table) Reserve(index int, rank core.Rank) bool {
 	e := &t.endpoints[index]
-	sent := e.sent.calls[rank].Add(1)
-	if int(sent) > e.Credits[rank] {
-		e.sent.calls[rank].Add(-1)
+	if int(e.sent.add(rank).of(rank)) > e.Credits[rank] {
+		e.sent.remove(rank)
 		return false
 	}
 	return true
@@ -130,15 +126,17 @@
 
 // Release takes back a reservation whose call was not sent.
 func (t *Table) Release(index int, rank core.Rank) {
-	t.endpoints[index].sent.calls[rank].Add(-1)
+	t.endpoints[index].sent.remove(rank)
 }
 
 // Serves reports whether any endpoint, in whatever state, serves the target.
 // An empty version matches every version.
 func (t *Table) Serves(service string, model core.ModelRef) bool {
 	r := Request{Service: service, Model: model}
-	return slices.ContainsFunc(t.byTarget[targetOf(service, model.Model)], func(i int32) bool {
-		return t.endpoints[i].serves(&r)
+	candidates := t.candidates(&r)
+	version := r.version()
+	return slices.ContainsFunc(candidates, func(c candidate) bool {
+		return c.serves(version)
 	})
 }
 
@@ -149,11 +147,13 @@
 	var capacity Capacity
 	var queued [core.RankCount]int
 	var service float64
-	for _, i := range t.byTarget[targetOf(r.Service, r.Model.Model)] {
-		e := &t.endpoints[i]
-		if !t.usable(e, &r, now) {
+	candidates := t.candidates(&r)
+	version := r.version()
+	for i := range candidates {
+		if !candidates[i].serves(version) || !t.usable(&candidates[i], &r, now.UnixNano()) {
 			continue
 		}
+		e := &t.endpoints[candidates[i].index]
 		slots := float64(e.Slots)
 		capacity.Slots += slots
 		service += slots * e.MeanService.Seconds()
