--- a/claim/expire.go
+++ b/claim/expire.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-const (
-	// retentionMargin is how much longer than the TTL an entry is kept, for
-	// owners whose clocks differ.
-	retentionMargin = time.Minute
-	// maxDeletes bounds the entries deleted after one write.
-	maxDeletes = 2
-)
+// maxDeletes bounds the entries deleted after one write.
+const maxDeletes = 2
 
 // deleteExpired removes the oldest entries once their claims have expired,
 // strictly in order and never the last one. Without an answer to a delete it
@@ -33,6 +28,6 @@
 // that does not know the entry has ceased to trust its own view of the log. The
 // second matters for an entry whose write was delayed.
 func (o *Owner) deletable(e knownEntry, now time.Time) bool {
-	expired := now.Sub(e.at) >= o.config.TTL+retentionMargin
+	expired := now.Sub(e.at) >= o.config.TTL+o.config.ClockSkew
 	return expired && now.Sub(e.seenAt) > o.trustTime()
 }
--- a/claim/owner_stateful_test.go
+++ b/claim/owner_stateful_test.go
@@ -183,7 +183,7 @@
 
 func drawPause(t *rapid.T) time.Duration {
 	return rapid.SampledFrom([]time.Duration{
-		time.Millisecond, syncInterval, testTTL / 3, testTTL, testTTL + retentionMargin, 3 * testTTL,
+		time.Millisecond, syncInterval, testTTL / 3, testTTL, testTTL + defaultClockSkew, 3 * testTTL,
 	}).Draw(t, "pause")
 }
 
--- a/claim/owner_test.go
+++ b/claim/owner_test.go
@@ -118,7 +118,7 @@
 		assert.Equal(t, ask(o, fmt.Sprint(i), fmt.Sprint(i)).Kind, Granted)
 		f.now = f.now.Add(testTTL / 10)
 	}
-	kept := int((testTTL+retentionMargin)/(testTTL/10)) + 1
+	kept := int((testTTL+defaultClockSkew)/(testTTL/10)) + 1
 	assert.Assert(t, len(f.kv.entries) <= kept, "%d entries", len(f.kv.entries))
 	assert.Assert(t, len(o.state.keys) <= kept)
 }
--- a/claim/ownerconfig.go
+++ b/claim/ownerconfig.go
@@ -14,6 +14,7 @@
 	// DefaultBatchInterval is the least time between two writes of a shard.
 	DefaultBatchInterval = 50 * time.Millisecond
 
+	defaultClockSkew    = time.Minute
 	defaultStoreTimeout = time.Second
 	defaultMaxKeys      = 1 << 16
 )
@@ -25,11 +26,13 @@
 	// BatchInterval is the least time between two writes;
 	// DefaultBatchInterval if 0.
 	BatchInterval time.Duration
-	// TTL is how long a claim holds its key, from when it was made. A
-	// granted call must have ended by half of it.
-	//
-	// DefaultTTL if 0. All owners need the same.
+	// TTL is how long a claim holds its key, from when it was made;
+	// DefaultTTL if 0. All owners need the same. A granted call must have
+	// ended within half of it.
 	TTL time.Duration
+	// ClockSkew is the greatest difference between the clocks of owners; 1
+	// min if 0. Log entries are kept longer by it.
+	ClockSkew time.Duration
 	// StoreTimeout bounds each call of the key-value service; 1 s if 0.
 	StoreTimeout time.Duration
 	// MaxKeys bounds the keys held at a time; 65,536 if 0. Claims beyond
@@ -49,6 +52,9 @@
 	if c.TTL <= 0 {
 		c.TTL = DefaultTTL
 	}
+	if c.ClockSkew <= 0 {
+		c.ClockSkew = defaultClockSkew
+	}
 	if c.StoreTimeout <= 0 {
 		c.StoreTimeout = defaultStoreTimeout
 	}
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -8,7 +8,7 @@
 )
 
 // DefaultShards is the number of shards of a fleet.
-const DefaultShards = 16
+const DefaultShards = 8
 
 // ShardOf returns the shard of a key, 0 to shards-1.
 func ShardOf(key string, shards int) int {
