Give the test fleet's programs ports that nothing else takes

Cause: a port probed on TCP was used for UDP too, and came from the range of outgoing connections; gnet binds UDP sockets so that two may share a port, so that an agent was never heard, or a program failed to start and the test waited for it for ever. Programs also left as planned at the end of each test, which waited up to 5 s for unused connections. Ruled out: a lost datagram; it is repeated each second. Change: ports below the outgoing range, probed for both, a new one each time; a program that does not start fails the test; programs are killed at the end.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -51,6 +50,7 @@
 	agents  []*agent.Agent
 	entries []*Entry
 	urls    map[string]string
+	running map[core.InstanceID]*running
 	logger  *slog.Logger
 	// engineConfig and plainConfig change the stand-ins that are added.
 	engineConfig func(*fakes.EngineConfig)
@@ -59,7 +59,8 @@
 
 func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+	// The programs are killed at the end, before ctx would make them leave.
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
 	t.Cleanup(cancel)
 	f := &testFleet{
 		t: t, ctx: ctx,
@@ -68,7 +69,7 @@
 		origin: fakes.NewOrigin(),
 		store:  fakes.NewWeightStore(0, 0, time.Now),
 		ledger: fakes.NewLedger(),
-		urls:   map[string]string{},
+		urls:   map[string]string{}, running: map[core.InstanceID]*running{},
 		logger: slog.New(slog.DiscardHandler),
 	}
 	for _, option := range options {
@@ -98,13 +99,6 @@
 	return server.URL
 }
 
-func (f *testFleet) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(f.t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *testFleet) instance(id string, role core.InstanceRole, i int) core.Instance {
 	region := fmt.Sprintf("r%d", i%2)
 	return core.Instance{
@@ -159,25 +153,11 @@
 	deps.Logger = f.logger.With("at", cfg.Instance.ID)
 	a, err := agent.New(cfg, deps)
 	assert.NilError(f.t, err)
-	f.run(a.Run, a.Kill)
-	<-a.Ready()
+	f.run(cfg.Instance.ID, a)
 	f.agents = append(f.agents, a)
 	f.list.Put(cfg.Instance)
 }
 
-// run runs a program until the test ends; then it is killed.
-func (f *testFleet) run(program func(context.Context) error, kill func()) {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = program(f.ctx)
-	}()
-	f.t.Cleanup(func() {
-		kill()
-		<-ended
-	})
-}
-
 func (f *testFleet) addEntry(i int) {
 	instance := f.instance(fmt.Sprintf("entry-%d", i), core.RoleEntry, i)
 	e, err := New(Config{
@@ -191,8 +171,7 @@
 		Logger:       f.logger.With("at", instance.ID),
 	})
 	assert.NilError(f.t, err)
-	f.run(e.Run, e.Kill)
-	<-e.Ready()
+	f.run(instance.ID, e)
 	f.entries = append(f.entries, e)
 	f.list.Put(instance)
 }
