--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -55,6 +55,7 @@
 	// engineConfig and plainConfig change the stand-ins that are added.
 	engineConfig func(*fakes.EngineConfig)
 	plainConfig  func(*fakes.PlainConfig)
+	callTimeout  time.Duration // Of entries, 0 for the default.
 }
 
 func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
@@ -163,7 +164,7 @@
 	e, err := New(Config{
 		Instance: instance, HTTPAddr: f.freeAddr(), FleetKey: testKey, OriginRegion: "r0",
 		OperatorTokenDigests: []string{fleet.TokenDigest(operatorToken).String()},
-		InitialDocument:      testDocument(), ClaimShards: 2,
+		InitialDocument:      testDocument(), ClaimShards: 2, CallTimeout: f.callTimeout,
 	}, Deps{
 		KeyValue:     platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
 		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
--- a/entry/running_test.go
+++ b/entry/running_test.go
@@ -22,6 +22,7 @@
 // running is a program of the fleet.
 type running struct {
 	leave context.CancelFunc // Stops it as planned.
+	kill  func()
 	ended chan struct{}
 }
 
@@ -30,14 +31,15 @@
 func (f *testFleet) run(id core.InstanceID, p program) {
 	f.t.Helper()
 	ctx, leave := context.WithCancel(f.ctx)
-	r := &running{leave: leave, ended: make(chan struct{})}
+	r := &running{leave: leave, kill: p.Kill, ended: make(chan struct{})}
+	f.running[id] = r
 	var failure error
 	go func() {
 		defer close(r.ended)
 		failure = p.Run(ctx)
 	}()
 	f.t.Cleanup(func() {
-		p.Kill()
+		f.killAll()
 		<-r.ended
 	})
 	select {
@@ -45,7 +47,12 @@
 	case <-r.ended:
 		f.t.Fatalf("%s did not start: %v", id, failure)
 	}
-	f.running[id] = r
+}
+
+func (f *testFleet) killAll() {
+	for _, r := range f.running {
+		r.kill()
+	}
 }
 
 // The ports of a test's programs lie below those that the system gives to
