--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -57,10 +56,11 @@
 	agents  []*agent.Agent
 	entries []*Entry
 	urls    map[string]string
+	running map[core.InstanceID]*running
+	logger  *slog.Logger
 
-	mu     sync.Mutex // Guards heard.
-	heard  []string   // Traceparents of the engines' completions.
-	logger *slog.Logger
+	mu    sync.Mutex // Guards heard.
+	heard []string   // Traceparents of the engines' completions.
 	// Metrics and spans of all entries and of all agents.
 	entryScope, agentScope tally.TestScope
 	spans                  *tracetest.InMemoryExporter
@@ -68,11 +68,13 @@
 	// engineConfig and plainConfig change the stand-ins that are added.
 	engineConfig func(*fakes.EngineConfig)
 	plainConfig  func(*fakes.PlainConfig)
+	callTimeout  time.Duration // Of entries, 0 for the default.
 }
 
 func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), testDeadline)
+	// The programs are killed at the end, before ctx would make them leave.
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
 	t.Cleanup(cancel)
 	f := &testFleet{
 		t: t, ctx: ctx,
@@ -81,7 +83,7 @@
 		origin: fakes.NewOrigin(),
 		store:  fakes.NewWeightStore(0, 0, time.Now),
 		ledger: fakes.NewLedger(),
-		urls:   map[string]string{},
+		urls:   map[string]string{}, running: map[core.InstanceID]*running{},
 		logger: slog.New(slog.DiscardHandler),
 
 		entryScope: tally.NewTestScope("", nil),
@@ -134,13 +136,6 @@
 	return f.heard
 }
 
-func (f *testFleet) freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(f.t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *testFleet) instance(id string, role core.InstanceRole, i int) core.Instance {
 	region := fmt.Sprintf("r%d", i%2)
 	return core.Instance{
@@ -196,31 +191,17 @@
 	deps.Scope, deps.Tracer = f.agentScope, f.tracer
 	a, err := agent.New(cfg, deps)
 	assert.NilError(f.t, err)
-	f.run(a.Run, a.Kill)
-	<-a.Ready()
+	f.run(cfg.Instance.ID, a)
 	f.agents = append(f.agents, a)
 	f.list.Put(cfg.Instance)
 }
 
-// run runs a program until the test ends; then it is killed.
-func (f *testFleet) run(program func(context.Context) error, kill func()) {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = program(f.ctx)
-	}()
-	f.t.Cleanup(func() {
-		kill()
-		<-ended
-	})
-}
-
 func (f *testFleet) addEntry(i int) {
 	instance := f.instance(fmt.Sprintf("entry-%d", i), core.RoleEntry, i)
 	e, err := New(Config{
 		Instance: instance, HTTPAddr: f.freeAddr(), FleetKey: testKey, OriginRegion: "r0",
 		OperatorTokenDigests: []string{fleet.TokenDigest(operatorToken).String()},
-		InitialDocument:      testDocument(), ClaimShards: 2,
+		InitialDocument:      testDocument(), ClaimShards: 2, CallTimeout: f.callTimeout,
 	}, Deps{
 		KeyValue:     platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
 		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
@@ -230,8 +211,7 @@
 		Tracer:       f.tracer,
 	})
 	assert.NilError(f.t, err)
-	f.run(e.Run, e.Kill)
-	<-e.Ready()
+	f.run(instance.ID, e)
 	f.entries = append(f.entries, e)
 	f.list.Put(instance)
 }
