Give ranks their exact share of slots, and credits for the report interval

Cause: shares were rounded to whole slots, so that a rank with 0.3 of 8 slots got 0.25 in a flood of urgent calls, and one without a whole slot was shed. Credits did not cover the calls that start between two reports. Change: whole slots are rounded down; the rest of a share is taken by turns beyond them, on slots that no rank keeps. QueueConfig.ReportInterval sizes credits. A suspect that waits its time also stops preemption.

--- a/routing/credits.go
+++ b/routing/credits.go
@@ -1,6 +1,11 @@
 package routing
 
-import "github.com/snipestep/snipestep/core"
+import (
+	"math"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
 
 // Credits returns how many calls of each rank every one of peers entries may
 // send now. Ranks keep room for their guaranteed slots; rounding up may grant
@@ -30,5 +35,13 @@
 		}
 	}
 	kept := q.guaranteed[rank] - q.runningRank[rank] - q.room.waiting[rank]
-	return max(max(free, kept, -q.room.waiting[rank])+q.config.QueueAhead, 0)
+	return max(max(free, kept, -q.room.waiting[rank])+q.creditAhead(), 0)
+}
+
+// creditAhead returns how many calls of a rank may wait beyond the free slots:
+// what starts until the next report, and QueueAhead.
+func (q *Queue) creditAhead() int {
+	mean := max(q.meanService, time.Millisecond)
+	starts := float64(q.config.Slots) * float64(q.config.ReportInterval) / float64(mean)
+	return q.config.QueueAhead + int(math.Ceil(starts))
 }
--- a/routing/guarantee.go
+++ b/routing/guarantee.go
@@ -2,8 +2,11 @@
 
 import "github.com/snipestep/snipestep/core"
 
-// guaranteedSlots rounds the ranks' shares to whole slots. Each rank with a
-// share gets at least one slot while there are enough, the most urgent rank
+// shareRounding forgives the error of shares such as 3/7 in floating point.
+const shareRounding = 1e-9
+
+// guaranteedSlots returns the whole slots in the ranks' shares. Each rank with
+// a share gets at least one slot while there are enough, the most urgent rank
 // always gets one, and the sum is at most slots.
 func guaranteedSlots(policies Policies, slots int) [core.RankCount]int {
 	var guaranteed [core.RankCount]int
@@ -15,29 +18,11 @@
 			left--
 		}
 	}
-	for left > 0 {
-		rank, ok := mostShort(policies, guaranteed, slots)
-		if !ok {
-			break
-		}
-		guaranteed[rank]++
-		left--
-	}
-	return guaranteed
-}
-
-// mostShort returns the rank whose whole slots are furthest below its share,
-// by at least half a slot.
-func mostShort(policies Policies, guaranteed [core.RankCount]int, slots int) (int, bool) {
-	const halfSlot = 0.5
-	found := -1
-	most := 0.0
 	for rank, p := range policies {
-		short := p.GuaranteedShare*float64(slots) - float64(guaranteed[rank])
-		if short >= halfSlot && short > most {
-			found = rank
-			most = short
-		}
+		whole := int(p.GuaranteedShare*float64(slots) + shareRounding)
+		more := min(max(whole-guaranteed[rank], 0), left)
+		guaranteed[rank] += more
+		left -= more
 	}
-	return found, found >= 0
+	return guaranteed
 }
--- a/routing/preempt.go
+++ b/routing/preempt.go
@@ -12,7 +12,7 @@
 // once; cancel it at the endpoint, then call Requeue, or Done when it
 // continues elsewhere.
 func (q *Queue) Preempt(now time.Time) (id uint64, ok bool) {
-	if q.suspect || len(q.running) < q.config.Slots {
+	if q.suspect || q.heldForSuspect(now) || len(q.running) < q.config.Slots {
 		return 0, false
 	}
 	rank, ok := q.unserved()
@@ -33,9 +33,12 @@
 	d := q.demand()
 	free := 0
 	for _, r := range q.running {
-		if r.yielding {
+		if !r.yielding {
+			continue
+		}
+		free++
+		if !r.byTurn {
 			d.running[r.Rank]--
-			free++
 		}
 	}
 	for range free {
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -9,6 +9,9 @@
 // serviceSmoothing is the weight of a new sample in the mean service time.
 const serviceSmoothing = 1.0 / 16
 
+// maxTurns bounds the turns that a rank may save.
+const maxTurns = 2
+
 // Queue decides which calls an endpoint runs. Ranks below their guaranteed
 // slots go first, then the most urgent rank; within a rank, organisations
 // share by the tokens they use. It is not safe for concurrent use.
@@ -18,12 +21,13 @@
 	running     map[uint64]*runningCall
 	runningRank [core.RankCount]int
 	guaranteed  [core.RankCount]int
-	// turns lets ranks with a share but no whole slot start calls.
-	turns        [core.RankCount]float64
-	starts       [core.RankCount]decayingRate
-	meanService  time.Duration
-	suspect      bool // A suspect is running.
-	suspectEnded time.Time
+	// turns lets ranks start the part of their share that is no whole slot.
+	turns         [core.RankCount]float64
+	runningByTurn [core.RankCount]int
+	starts        [core.RankCount]decayingRate
+	meanService   time.Duration
+	suspect       bool // A suspect is running.
+	suspectEnded  time.Time
 }
 
 // NewQueue returns an empty queue.
@@ -48,7 +52,7 @@
 
 // Offer queues a call. It returns *ShedError for a call that would wait too
 // long or finds the room full, and *DuplicateCallError. Calls evicted to make
-// room have not run and need their final answer.
+// room need their final answer; they have not run unless they were requeued.
 func (q *Queue) Offer(now time.Time, c Call) (evicted []Call, err error) {
 	if q.known(c.ID) {
 		return nil, &DuplicateCallError{ID: c.ID}
@@ -78,8 +82,9 @@
 
 func (q *Queue) capacity(now time.Time) Capacity {
 	capacity := Capacity{Slots: float64(q.config.Slots), MeanService: q.meanService}
-	for rank := range core.RankCount {
-		capacity.Guaranteed[rank] = float64(q.guaranteed[rank])
+	for rank, p := range q.config.Policies {
+		share := p.GuaranteedShare * capacity.Slots
+		capacity.Guaranteed[rank] = max(float64(q.guaranteed[rank]), share)
 		capacity.StartRate[rank] = q.starts[rank].perSecond(now)
 	}
 	return capacity
@@ -90,26 +95,36 @@
 	if q.suspect || len(q.running) >= q.config.Slots {
 		return Call{}, false
 	}
-	if w := q.room.lanes[suspectLane].head(); w != nil {
-		due := q.suspectDue(now, w)
-		others := q.ordinaryWaiting()
-		if len(q.running) == 0 && (due || others == 0) {
-			return q.start(now, w), true
-		}
-		if due {
-			return Call{}, false
-		}
+	held := q.heldForSuspect(now)
+	if len(q.running) == 0 && (held || q.onlySuspectsWait()) {
+		return q.start(now, q.room.lanes[suspectLane].head()), true
+	}
+	if held {
+		return Call{}, false
 	}
 	d := q.demand()
 	rank, ok := d.pick()
 	if !ok {
 		return Call{}, false
 	}
-	q.takeTurn(rank)
-	return q.start(now, q.room.lanes[rank].head()), true
+	byTurn := d.start(rank)
+	q.turns = d.turns
+	q.addTurns()
+	c := q.start(now, q.room.lanes[rank].head())
+	if byTurn {
+		q.running[c.ID].byTurn = true
+		q.runningByTurn[rank]++
+	}
+	return c, true
 }
 
-func (q *Queue) suspectDue(now time.Time, w *waitingCall) bool {
+// heldForSuspect reports whether no other call may start, so that the endpoint
+// becomes free for a suspect that has waited its time.
+func (q *Queue) heldForSuspect(now time.Time) bool {
+	w := q.room.lanes[suspectLane].head()
+	if w == nil {
+		return false
+	}
 	since := w.enqueued
 	if q.suspectEnded.After(since) {
 		since = q.suspectEnded
@@ -117,8 +132,8 @@
 	return now.Sub(since) >= q.config.SuspectHold
 }
 
-func (q *Queue) ordinaryWaiting() int {
-	return q.room.len() - q.room.lanes[suspectLane].waiting
+func (q *Queue) onlySuspectsWait() bool {
+	return q.room.len() > 0 && q.room.len() == q.room.lanes[suspectLane].waiting
 }
 
 func (q *Queue) start(now time.Time, w *waitingCall) Call {
@@ -131,17 +146,16 @@
 	return w.Call
 }
 
-// takeTurn moves the turns of ranks that have a share but no whole slot.
-func (q *Queue) takeTurn(started core.Rank) {
+// addTurns moves the turns of ranks whose share is more than their whole
+// slots, by one start.
+func (q *Queue) addTurns() {
 	for rank, p := range q.config.Policies {
-		if q.guaranteed[rank] > 0 || p.GuaranteedShare <= 0 || q.room.lanes[rank].waiting == 0 {
+		short := p.GuaranteedShare - float64(q.guaranteed[rank])/float64(q.config.Slots)
+		if short <= shareRounding || q.room.lanes[rank].waiting == 0 {
 			q.turns[rank] = 0
 			continue
 		}
-		q.turns[rank] += p.GuaranteedShare
-	}
-	if q.turns[started] >= 1 {
-		q.turns[started]--
+		q.turns[rank] = min(q.turns[rank]+short, maxTurns)
 	}
 }
 
@@ -178,6 +192,9 @@
 func (q *Queue) stop(now time.Time, r *runningCall) {
 	delete(q.running, r.ID)
 	q.runningRank[r.Rank]--
+	if r.byTurn {
+		q.runningByTurn[r.Rank]--
+	}
 	r.lane.finish(r.organisation, r.correction())
 	if r.Suspect {
 		q.suspect = false
@@ -191,7 +208,8 @@
 }
 
 // Expire removes the calls that have waited longer than their patience or
-// past their deadline. They have not run and need their final answer.
+// past their deadline. They need their final answer, and have not run unless
+// they were requeued.
 func (q *Queue) Expire(now time.Time) []Call {
 	return q.room.expire(now)
 }
--- a/routing/queue_stateful_test.go
+++ b/routing/queue_stateful_test.go
@@ -22,13 +22,15 @@
 
 // queueModel is the oracle: where each call is, by its ID.
 type queueModel struct {
-	queue   *Queue
-	config  QueueConfig
-	now     time.Time
-	nextID  uint64
-	waiting map[uint64]Call
-	since   map[uint64]time.Time
-	running map[uint64]Call
+	queue  *Queue
+	config QueueConfig
+	// guaranteed is drawn; the shares in config follow from it.
+	guaranteed [core.RankCount]int
+	now        time.Time
+	nextID     uint64
+	waiting    map[uint64]Call
+	since      map[uint64]time.Time
+	running    map[uint64]Call
 }
 
 func (m *queueModel) leave(t *rapid.T, calls []Call) {
@@ -87,7 +89,7 @@
 func (m *queueModel) wantRank() core.Rank {
 	running, _ := m.runningByRank()
 	waiting, _ := m.waitingByRank()
-	for rank, n := range m.queue.guaranteed {
+	for rank, n := range m.guaranteed {
 		if waiting[rank] > 0 && running[rank] < n {
 			return core.Rank(rank)
 		}
@@ -154,7 +156,7 @@
 	c, known := m.running[id]
 	assert.Assert(t, known && c.Resumable && !c.Suspect)
 	running, _ := m.runningByRank()
-	assert.Assert(t, running[c.Rank] > m.queue.guaranteed[c.Rank])
+	assert.Assert(t, running[c.Rank] > m.guaranteed[c.Rank])
 	assert.Assert(t, m.queue.Requeue(m.now, id, c.ExpectedTokens))
 	delete(m.running, id)
 	m.waiting[id] = c
@@ -196,19 +198,30 @@
 
 func TestQueueStateful(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		guaranteed := [core.RankCount]int{
+			rapid.IntRange(1, 3).Draw(t, "urgent"),
+			rapid.IntRange(0, 3).Draw(t, "normal"),
+			rapid.IntRange(0, 2).Draw(t, "background"),
+		}
+		slots := guaranteed[0] + guaranteed[1] + guaranteed[2] + rapid.IntRange(0, 3).Draw(t, "shared")
+		policies := testPolicies()
+		for rank, n := range guaranteed {
+			policies[rank].GuaranteedShare = float64(n) / float64(slots)
+		}
 		config := QueueConfig{
-			Slots:           rapid.IntRange(3, 8).Draw(t, "slots"),
-			Policies:        testPolicies(),
+			Slots:           slots,
+			Policies:        policies,
 			MaxWaiting:      rapid.IntRange(4, 30).Draw(t, "room"),
 			ServiceEstimate: 100 * time.Millisecond,
 		}
 		m := &queueModel{
-			queue:   NewQueue(config),
-			config:  config,
-			now:     epoch,
-			waiting: make(map[uint64]Call),
-			since:   make(map[uint64]time.Time),
-			running: make(map[uint64]Call),
+			queue:      NewQueue(config),
+			config:     config,
+			guaranteed: guaranteed,
+			now:        epoch,
+			waiting:    make(map[uint64]Call),
+			since:      make(map[uint64]time.Time),
+			running:    make(map[uint64]Call),
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"":        m.check,
--- a/routing/queueconfig.go
+++ b/routing/queueconfig.go
@@ -21,6 +21,9 @@
 	// QueueAhead is how many calls of each rank may wait beyond the free
 	// slots when credits are granted; half of Slots by default.
 	QueueAhead int
+	// ReportInterval is the time between two load reports. Credits cover
+	// the calls that may start meanwhile.
+	ReportInterval time.Duration
 	// SuspectHold is how long a suspect waits for a pause in other work
 	// before other calls are held back for it; 250 ms by default.
 	SuspectHold time.Duration
--- a/routing/runningcall.go
+++ b/routing/runningcall.go
@@ -9,6 +9,7 @@
 	used     int // Tokens made so far.
 	charged  int // Tokens charged to the organisation.
 	yielding bool
+	byTurn   bool // Started beyond the rank's whole slots.
 }
 
 // correction is the cost still to be charged at the end.
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -168,6 +168,15 @@
 		assert.Assert(t, got[1].ratio() > 0.95, "normal %v", got[1].ratio())
 		assert.Assert(t, float64(got[2].answered) > 0.12*total, "background %d of %v", got[2].answered, total)
 		assert.Assert(t, float64(got[0].answered) > 0.5*total, "urgent %d of %v", got[0].answered, total)
+		more := simulate(t, simulationConfig(), []source{
+			{rank: core.RankUrgent, organisation: "a", perSecond: factor * simulationRate},
+			{rank: core.RankNormal, organisation: "a", perSecond: simulationRate},
+			{rank: core.RankBackground, organisation: "b", perSecond: simulationRate},
+		})
+		for i, p := range testPolicies() {
+			share := float64(more[i].answered) / total
+			assert.Assert(t, share > 0.97*p.GuaranteedShare, "rank %d got %v", i, share)
+		}
 		t.Logf("x%v: ratios %.3f %.3f %.3f", factor, got[0].ratio(), got[1].ratio(), got[2].ratio())
 	}
 }
