snipestep-local slopes: measure how costs grow with the fleet

Cause: the capacity page rests on slopes measured on one machine. Change: the subcommand runs 16 to 128 agents and 3 to 12 entries, each idle, under calls and in a push, fits lines by least squares and draws plots; raw figures and plots stand under docs/slopes. The generator now lasts the whole load also without calls. The fit is own code: gonum's would need a change of the module file. Conclusion: ready for the capacity page; to be run again on a quiet machine.

--- a/cmd/snipestep-local/main.go
+++ b/cmd/snipestep-local/main.go
@@ -19,8 +19,9 @@
 )
 
 type commands struct {
-	Run   runCommand   `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
-	Fakes fakesCommand `cmd:"" help:"Serve the stand-ins to programs that run as processes of their own."`
+	Run    runCommand    `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
+	Slopes slopesCommand `cmd:"" help:"Measure how costs grow with the fleet; takes a few minutes."`
+	Fakes  fakesCommand  `cmd:"" help:"Serve the stand-ins to programs that run as processes of their own."`
 }
 
 func main() {
--- a/local/load/generator.go
+++ b/local/load/generator.go
@@ -43,7 +43,8 @@
 	calls.Wait()
 }
 
-// send starts the calls of the schedule, each in a goroutine of its own.
+// send starts the calls of the schedule, each in a goroutine of its own, and
+// blocks until the end of the load.
 func (g *Generator) send(ctx context.Context, calls *sync.WaitGroup) {
 	start := time.Now()
 	schedule := NewSchedule(g.config.Scenario)
@@ -51,8 +52,12 @@
 	caller := &caller{client: g.client, recorder: g.recorder}
 	for {
 		arrival, ok := schedule.Next()
+		if !ok {
+			pause(ctx, time.Until(start.Add(g.config.Scenario.Load.Duration)))
+			return
+		}
 		due := start.Add(arrival.At)
-		if !ok || !pause(ctx, time.Until(due)) {
+		if !pause(ctx, time.Until(due)) {
 			return
 		}
 		select {
--- a/local/report/json.go
+++ b/local/report/json.go
@@ -16,7 +16,12 @@
 
 // WriteJSON writes the report to a file, or to stdout for StandardOutput.
 func (r *Report) WriteJSON(path string, stdout io.Writer) error {
-	data, err := json.MarshalIndent(r, "", "  ")
+	return WriteJSON(path, r, stdout)
+}
+
+// WriteJSON writes any value as Report.WriteJSON does.
+func WriteJSON(path string, value any, stdout io.Writer) error {
+	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		return eris.Wrap(err, "encode the report")
 	}
--- a/local/runner/options.go
+++ b/local/runner/options.go
@@ -14,4 +14,6 @@
 	Progress io.Writer
 	// Logger receives the logs of entries and agents.
 	Logger *slog.Logger
+	// Usage receives what the process spent; nil for no measurement.
+	Usage *Usage
 }
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -29,6 +29,7 @@
 // Run runs a scenario and blocks until it has ended. It returns ErrNotReady,
 // or the error of a part that did not start.
 func Run(ctx context.Context, options Options) (*report.Report, error) {
+	usage := newUsageMeter(options.Usage)
 	f, err := startFleet(ctx, options)
 	if err != nil {
 		return nil, err
@@ -38,6 +39,7 @@
 		fleet:   f,
 		actions: newActions(f, options.Progress),
 		report:  &report.Report{},
+		usage:   usage,
 	}
 	r.faults = newFaults(f, r.actions)
 	if err := r.prepare(ctx); err != nil {
@@ -54,6 +56,7 @@
 	faults   *faults
 	versions []fakes.Weights
 	report   *report.Report
+	usage    *usageMeter
 
 	mu   sync.Mutex
 	push *pushWatch // The latest one.
@@ -142,7 +145,9 @@
 		})
 	}
 	r.actions.say("load starts")
+	r.usage.start()
 	generator.Run(ctx)
+	r.usage.end()
 	r.actions.say("load ends")
 	for _, refusal := range generator.Refusals() {
 		r.actions.say("refused %d sends: %s", refusal.Sends, refusal)
