--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,7 +15,12 @@
 	"github.com/snipestep/snipestep/wire"
 )
 
-const stopTimeout = 5 * time.Second
+const (
+	stopTimeout = 5 * time.Second
+	// leaveLinger is how long a leaving agent still refuses calls, so that
+	// entries that have not heard yet get an answer.
+	leaveLinger = 300 * time.Millisecond
+)
 
 // Agent is the process beside one endpoint.
 type Agent struct {
@@ -33,7 +38,9 @@
 	sync     *configSync
 	calls    *callServer
 	tasks    *tasks
+	counts   counts
 
+	faults   wire.Faults
 	listener *wire.Listener
 	plane    *wire.Plane
 	node     *swarm.Node
@@ -125,6 +132,7 @@
 		tracer: a.deps.Tracer,
 		now:    a.deps.Now,
 		policy: a.cfg.Policy,
+		counts: &a.counts,
 	}
 	return nil
 }
@@ -159,9 +167,9 @@
 
 func (a *Agent) newRunner() runner {
 	if a.deps.Engine != nil {
-		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched}
+		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched, counts: &a.counts}
 	}
-	return &plainRunner{service: a.cfg.Instance.Service, plain: a.deps.Plain, state: a.state}
+	return &plainRunner{service: a.cfg.Instance.Service, plain: a.deps.Plain, state: a.state, counts: &a.counts}
 }
 
 // Run serves until ctx ends, then leaves: it announces it, refuses new calls
@@ -176,8 +184,9 @@
 	a.tasks.start(a.reporter.run)
 	a.tasks.start(a.control.watch)
 	a.tasks.start(a.sync.run)
+	a.tasks.start(a.sampler().Run)
 	a.readyOnce.Do(func() { close(a.ready) })
-	a.deps.Logger.Info("agent runs", "instance", a.cfg.Instance.ID, "incarnation", a.cfg.Incarnation)
+	a.deps.Logger.Info("agent runs", "incarnation", a.cfg.Incarnation)
 	select {
 	case <-ctx.Done():
 		a.leave()
@@ -195,7 +204,7 @@
 	}
 	a.plane = plane
 	a.reporter.plane = plane
-	self := wire.Identity{Instance: a.cfg.Instance.ID, Incarnation: a.cfg.Incarnation, Key: a.cfg.FleetKey}
+	self := wire.Identity{Instance: a.cfg.Instance.ID, Incarnation: a.cfg.Incarnation, Key: a.cfg.FleetKey, Faults: &a.faults}
 	a.listener, err = wire.Listen(a.cfg.Instance.SessionAddr, self, a.serve, a.entries.opened)
 	if err != nil {
 		return err
@@ -209,6 +218,7 @@
 // receive takes a datagram of an entry on the event loop of the plane.
 func (a *Agent) receive(d *wire.Datagram) {
 	if !a.entries.heard(d, a.deps.Now()) {
+		a.counts.old.Add(1)
 		return
 	}
 	if a.reporter.strikes.add(d.GetStrikes(), a.deps.Now()) {
@@ -226,7 +236,7 @@
 	case *wire.StreamHeader_Call:
 		a.calls.serve(ctx, st, h)
 	case *wire.StreamHeader_Order:
-		a.control.serve(st, req.Order)
+		a.countOrder(req.Order, a.control.serve(st, req.Order))
 	case *wire.StreamHeader_Status:
 		_ = st.Send(a.status())
 	case *wire.StreamHeader_Config:
@@ -292,12 +302,20 @@
 	return a.plane.SentBytes()
 }
 
-// leave announces that the agent goes and waits for its running calls.
+// leave announces that the agent goes and waits until its running calls have
+// ended and every call has got its final event.
 func (a *Agent) leave() {
 	a.reporter.announceLeave()
+	linger := time.NewTimer(leaveLinger)
+	defer linger.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), a.cfg.LeaveGrace)
 	defer cancel()
 	a.control.quiesce(ctx, a.cfg.LeaveGrace/2, true)
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	a.calls.active.wait(ctx)
 }
 
 // shutdown stops everything; the fields may be nil after a failed open.
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -12,6 +13,10 @@
 	"github.com/snipestep/snipestep/wire"
 )
 
+// finalReadTimeout bounds the wait for the entry to read a final event.
+
+const finalReadTimeout = time.Second
+
 // callServer serves the call streams of entries: it queues each attempt,
 // runs it at the endpoint and sends its events.
 type callServer struct {
@@ -20,12 +25,16 @@
 	tracer trace.Tracer
 	now    clock
 	policy string
+	counts *counts
+	active activeCalls
 	ids    atomic.Uint64
 }
 
 // serve runs one attempt to its end. It blocks until the final event is sent
 // or the entry closes the stream.
 func (c *callServer) serve(ctx context.Context, st *wire.Stream, h *wire.StreamHeader) {
+	c.active.begin()
+	defer c.active.end()
 	req := h.GetCall()
 	ctx = telemetry.Extract(ctx, h.GetTraceparent())
 	ctx, span := c.tracer.Start(ctx, "agent.call", trace.WithAttributes(
@@ -38,8 +47,20 @@
 	go watchCaller(st, cancel)
 	j := newJob(c.ids.Add(1), c.policy, req, c.now())
 	end := c.attempt(ctx, st, j)
-	if end != nil {
-		_ = st.Send(end)
+	if end != nil && st.Send(end) == nil {
+		awaitRead(ctx)
+	}
+}
+
+// awaitRead blocks until the entry has read the final event and closed the
+// stream, for at most finalReadTimeout: a session that ends earlier could lose
+// the event.
+func awaitRead(ctx context.Context) {
+	timer := time.NewTimer(finalReadTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -65,6 +86,7 @@
 		}
 		end, err := c.runOnce(ctx, st, j)
 		if errors.Is(err, errPreempted) {
+			c.counts.preempted.Add(1)
 			c.sched.post(requeueEvent{job: j})
 			continue
 		}
@@ -101,6 +123,7 @@
 	ctx, span := c.tracer.Start(ctx, "endpoint.call")
 	defer span.End()
 	end := c.runner.run(ctx, j, st.Send)
+	c.counts.ended(end)
 	if end.GetDone() != nil {
 		return end, nil
 	}
--- a/cmd/snipestep-local/fakes.go
+++ b/cmd/snipestep-local/fakes.go
@@ -16,6 +16,7 @@
 	Entries int    `default:"2" help:"Number of entries."`
 	Models  int    `default:"3" help:"Number of model engines."`
 	Plains  int    `default:"1" help:"Number of plain services."`
+	Network int    `default:"1" help:"Second byte of all addresses, which are 127.NETWORK.0.x."`
 }
 
 // Run serves the stand-ins until a signal ends them.
@@ -28,6 +29,7 @@
 		Entries:  c.Entries,
 		Models:   c.Models,
 		Plains:   c.Plains,
+		Network:  c.Network,
 		Progress: os.Stdout,
 	})
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -15,6 +15,7 @@
 	kind         string
 	rank         core.Rank
 	fingerprint  uint64
+	started      time.Time
 	deadline     time.Time
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,7 @@
 	swarm      *swarmServer
 	operators  *operatorService
 
+	faults   wire.Faults
 	listener *wire.Listener
 	plane    *wire.Plane
 	server   *http.Server
@@ -71,6 +72,7 @@
 func New(cfg Config, deps Deps) (*Entry, error) {
 	deps = deps.withDefaults()
 	cfg = cfg.withDefaults(deps.Now())
+	deps.KeyValue = countedKeyValue(deps)
 	tokens, err := parseDigests(cfg.OperatorTokenDigests)
 	if err != nil {
 		return nil, err
@@ -114,7 +116,7 @@
 }
 
 func (e *Entry) identity() wire.Identity {
-	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey}
+	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey, Faults: &e.faults}
 }
 
 // wireRequests connects the parts on the path of a call.
@@ -146,6 +148,7 @@
 		claims:     e.claims,
 		tracer:     e.deps.Tracer,
 		scope:      e.deps.Scope,
+		now:        e.deps.Now,
 		budget:     routing.NewRetryBudget(routing.RetryBudgetConfig{Ratio: retryRatio, Burst: retryBurst}),
 	}
 }
@@ -220,14 +223,14 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.runExecutor,
+		e.routes.run, e.dispatcher.run, e.beacon.run, e.runStore, e.runExecutor, e.sampler().Run,
 	} {
 		e.wg.Go(func() { task(e.running) })
 	}
 	failed := make(chan error, 1)
 	go func() { failed <- e.server.Serve(listener) }()
 	close(e.ready)
-	e.deps.Logger.Info("entry runs", "instance", string(e.cfg.Instance.ID), "http", e.cfg.HTTPAddr)
+	e.deps.Logger.Info("entry runs", "http", e.cfg.HTTPAddr)
 	select {
 	case <-ctx.Done():
 		e.leave()
--- a/local/standins/layout.go
+++ b/local/standins/layout.go
@@ -27,16 +27,17 @@
 // member is one instance of the layout.
 type member struct {
 	core.Instance
-	host int
+	network int
+	host    int
 }
 
 // addr returns an address of the member.
 func (m member) addr(port int) string {
-	return hostAddr(m.host, port)
+	return hostAddr(m.network, m.host, port)
 }
 
-func hostAddr(host, port int) string {
-	return fmt.Sprintf("127.1.0.%d:%d", host, port)
+func hostAddr(network, host, port int) string {
+	return fmt.Sprintf("127.%d.0.%d:%d", network, host, port)
 }
 
 // layout lists the instances, entries first.
@@ -44,7 +45,7 @@
 	var members []member
 	add := func(role core.InstanceRole, count int) {
 		for i := range count {
-			members = append(members, newMember(role, i, firstInstance+len(members)))
+			members = append(members, newMember(o.Network, role, i, firstInstance+len(members)))
 		}
 	}
 	add(core.RoleEntry, o.Entries)
@@ -53,9 +54,9 @@
 	return members
 }
 
-func newMember(role core.InstanceRole, number, host int) member {
+func newMember(network int, role core.InstanceRole, number, host int) member {
 	region := fmt.Sprintf("region-%d", number%regionCount+1)
-	made := member{host: host}
+	made := member{network: network, host: host}
 	made.Instance = core.Instance{
 		ID:           core.InstanceID(fmt.Sprintf("%s-%d", role, number+1)),
 		Role:         role,
--- a/local/standins/options.go
+++ b/local/standins/options.go
@@ -10,6 +10,8 @@
 	Entries int
 	Models  int
 	Plains  int
+	// Network is the second byte of all addresses, 127.Network.0.x.
+	Network int
 	// Progress receives the commands that start the programs.
 	Progress io.Writer
 }
--- a/local/standins/serve.go
+++ b/local/standins/serve.go
@@ -78,10 +78,10 @@
 		store.Publish(made)
 	}
 	return map[string]http.Handler{
-		hostAddr(platformHost, keyValuePort): fakes.NewKeyValue(time.Now),
-		hostAddr(platformHost, listPort):     list,
-		hostAddr(platformHost, storePort):    store,
-		hostAddr(platformHost, originPort):   origin,
+		hostAddr(o.Network, platformHost, keyValuePort): fakes.NewKeyValue(time.Now),
+		hostAddr(o.Network, platformHost, listPort):     list,
+		hostAddr(o.Network, platformHost, storePort):    store,
+		hostAddr(o.Network, platformHost, originPort):   origin,
 	}
 }
 
--- a/local/standins/settings.go
+++ b/local/standins/settings.go
@@ -43,10 +43,10 @@
 func valuesOf(m member) values {
 	return values{
 		member:         m,
-		KeyValueURL:    "http://" + hostAddr(platformHost, keyValuePort),
-		ListURL:        "http://" + hostAddr(platformHost, listPort),
-		StoreURL:       "http://" + hostAddr(platformHost, storePort),
-		OriginURL:      "http://" + hostAddr(platformHost, originPort),
+		KeyValueURL:    "http://" + hostAddr(m.network, platformHost, keyValuePort),
+		ListURL:        "http://" + hostAddr(m.network, platformHost, listPort),
+		StoreURL:       "http://" + hostAddr(m.network, platformHost, storePort),
+		OriginURL:      "http://" + hostAddr(m.network, platformHost, originPort),
 		OperatorDigest: fleet.TokenDigest(OperatorToken).String(),
 		CallerDigest:   fleet.TokenDigest(CallerToken).String(),
 		Service:        load.ServiceName,
--- a/local/standins/standins_test.go
+++ b/local/standins/standins_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestWrittenSettingsLoad(t *testing.T) {
-	o := Options{Dir: t.TempDir(), Entries: 2, Models: 2, Plains: 1, Progress: io.Discard}
+	o := Options{Dir: t.TempDir(), Network: 1, Entries: 2, Models: 2, Plains: 1, Progress: io.Discard}
 	for _, m := range layout(o) {
 		path, err := writeSettings(o.Dir, m)
 		assert.NilError(t, err)
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -15,6 +15,7 @@
 	MetricGeneration        = "config_generation"
 	MetricKnownInstances    = "known_instances"
 	MetricSessions          = "sessions"
+	MetricProtocolFaults    = "protocol_faults_total"
 	MetricDatagramsSent     = "datagrams_sent_total"
 	MetricDatagramsReceived = "datagrams_received_total"
 	MetricDatagramsRejected = "datagrams_rejected_total"
@@ -30,6 +31,11 @@
 	MetricChunkBytesFetched = "chunk_bytes_fetched_total"
 	MetricChunkBytesServed  = "chunk_bytes_served_total"
 	MetricChunksCorrupt     = "corrupt_chunks_total"
+	MetricChunksFetched     = "chunks_fetched_total"
+	MetricChunksServed      = "chunks_served_total"
+	MetricRegionChunkBytes  = "region_chunk_bytes_total"
+	MetricChunkControlBytes = "chunk_control_bytes_total"
+	MetricChunkFaults       = "chunk_faults_total"
 	MetricWeightsVerified   = "weights_verified_ratio"
 	MetricOrders            = "orders_total"
 	MetricServing           = "serving"
@@ -45,6 +51,7 @@
 	TagSource  = "source"
 	TagCall    = "call"
 	TagOrder   = "order"
+	TagFault   = "fault"
 )
 
 // The programs that report metrics.
