--- a/local/load/caller.go
+++ b/local/load/caller.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const (
@@ -41,7 +43,7 @@
 	if sent.outcome == OutcomeAnswered || !arrival.Resend {
 		return []result{sent}
 	}
-	if !pause(ctx, min(sent.retryAfter, maxRetryAfter)) {
+	if !wait.For(ctx, min(sent.retryAfter, maxRetryAfter)) {
 		return []result{sent}
 	}
 	return []result{sent, c.client.send(ctx, arrival, c.client.balancer.other(first, 1))}
@@ -59,7 +61,7 @@
 	}
 	var group sync.WaitGroup
 	group.Go(func() { sends[0] = c.client.send(ctx, arrival, first) })
-	pause(ctx, overlapDelay)
+	wait.For(ctx, overlapDelay)
 	sends[1] = c.client.send(ctx, arrival, other)
 	group.Wait()
 	return sends
@@ -70,21 +72,9 @@
 	var sends []result
 	for i := range crashSends {
 		sends = append(sends, c.client.send(ctx, arrival, c.client.balancer.other(first, i)))
-		if !pause(ctx, crashPause) {
+		if !wait.For(ctx, crashPause) {
 			break
 		}
 	}
 	return sends
 }
-
-// pause blocks for a time; it returns false when ctx ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/local/load/generator.go
+++ b/local/load/generator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const (
@@ -53,11 +54,11 @@
 	for {
 		arrival, ok := schedule.Next()
 		if !ok {
-			pause(ctx, time.Until(start.Add(g.config.Scenario.Load.Duration)))
+			wait.For(ctx, time.Until(start.Add(g.config.Scenario.Load.Duration)))
 			return
 		}
 		due := start.Add(arrival.At)
-		if !pause(ctx, time.Until(due)) {
+		if !wait.For(ctx, time.Until(due)) {
 			return
 		}
 		select {
--- a/local/runner/configwatch.go
+++ b/local/runner/configwatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const generationInterval = 20 * time.Millisecond
@@ -33,7 +34,7 @@
 
 // run samples until ctx ends.
 func (c *configWatch) run(ctx context.Context) {
-	for pause(ctx, generationInterval) {
+	for wait.For(ctx, generationInterval) {
 		c.sample(time.Now())
 	}
 	c.finish(time.Now())
--- a/local/runner/faults.go
+++ b/local/runner/faults.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const (
@@ -86,7 +87,7 @@
 		deaths.Go(func() { f.fleet.kill(victim) })
 	}
 	deaths.Wait()
-	if !pause(ctx, replaceDelay) {
+	if !wait.For(ctx, replaceDelay) {
 		return
 	}
 	for _, victim := range victims {
@@ -137,7 +138,7 @@
 // end stops a program that an intent took out of service, and takes it off
 // the list.
 func (f *faults) end(ctx context.Context, n *node) {
-	pause(ctx, leaveGrace+streamGrace)
+	wait.For(ctx, leaveGrace+streamGrace)
 	leaving := n.instance
 	leaving.State = core.StateLeaving
 	f.fleet.join(leaving)
--- a/local/runner/operate.go
+++ b/local/runner/operate.go
@@ -12,6 +12,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/operator"
 )
 
@@ -88,7 +89,7 @@
 		}
 		last = err
 		a.say("intent is tried again: %v", err)
-		if !pause(ctx, confirmPause) {
+		if !wait.For(ctx, confirmPause) {
 			break
 		}
 	}
@@ -129,21 +130,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !holds() {
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return ErrNotReady
 		}
 	}
 	return nil
 }
-
-// pause blocks for a time; it returns false when ctx ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/local/runner/pushwatch.go
+++ b/local/runner/pushwatch.go
@@ -7,6 +7,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const servingInterval = 10 * time.Millisecond
@@ -45,7 +46,7 @@
 			p.all = since
 			return
 		}
-		if !pause(ctx, servingInterval) {
+		if !wait.For(ctx, servingInterval) {
 			return
 		}
 	}
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -11,6 +11,7 @@
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/settings"
 )
 
@@ -139,7 +140,7 @@
 	watches.Go(func() { config.run(watching) })
 	for _, e := range r.events() {
 		events.Go(func() {
-			if pause(ctx, e.at) {
+			if wait.For(ctx, e.at) {
 				e.run(ctx)
 			}
 		})
@@ -195,7 +196,7 @@
 
 // cancelWhenReplaced ends the watch of a push that a later one replaced.
 func (r *run) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, watch *pushWatch) {
-	for pause(ctx, pollInterval) {
+	for wait.For(ctx, pollInterval) {
 		r.mu.Lock()
 		replaced := r.push != watch
 		r.mu.Unlock()
