--- a/local/load/generator.go
+++ b/local/load/generator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 )
 
 const (
@@ -43,7 +44,8 @@
 	calls.Wait()
 }
 
-// send starts the calls of the schedule, each in a goroutine of its own.
+// send starts the calls of the schedule, each in a goroutine of its own, and
+// blocks until the end of the load.
 func (g *Generator) send(ctx context.Context, calls *sync.WaitGroup) {
 	start := time.Now()
 	schedule := NewSchedule(g.config.Scenario)
@@ -51,8 +53,12 @@
 	caller := &caller{client: g.client, recorder: g.recorder}
 	for {
 		arrival, ok := schedule.Next()
+		if !ok {
+			wait.For(ctx, time.Until(start.Add(g.config.Scenario.Load.Duration)))
+			return
+		}
 		due := start.Add(arrival.At)
-		if !ok || !pause(ctx, time.Until(due)) {
+		if !wait.For(ctx, time.Until(due)) {
 			return
 		}
 		select {
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -11,6 +11,7 @@
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/settings"
 )
 
@@ -29,6 +30,7 @@
 // Run runs a scenario and blocks until it has ended. It returns ErrNotReady,
 // or the error of a part that did not start.
 func Run(ctx context.Context, options Options) (*report.Report, error) {
+	usage := newUsageMeter(options.Usage)
 	f, err := startFleet(ctx, options)
 	if err != nil {
 		return nil, err
@@ -38,6 +40,7 @@
 		fleet:   f,
 		actions: newActions(f, options.Progress),
 		report:  &report.Report{},
+		usage:   usage,
 	}
 	r.faults = newFaults(f, r.actions)
 	if err := r.prepare(ctx); err != nil {
@@ -54,6 +57,7 @@
 	faults   *faults
 	versions []fakes.Weights
 	report   *report.Report
+	usage    *usageMeter
 
 	mu   sync.Mutex
 	push *pushWatch // The latest one.
@@ -136,13 +140,15 @@
 	watches.Go(func() { config.run(watching) })
 	for _, e := range r.events() {
 		events.Go(func() {
-			if pause(ctx, e.at) {
+			if wait.For(ctx, e.at) {
 				e.run(ctx)
 			}
 		})
 	}
 	r.actions.say("load starts")
+	r.usage.start()
 	generator.Run(ctx)
+	r.usage.end()
 	r.actions.say("load ends")
 	for _, refusal := range generator.Refusals() {
 		r.actions.say("refused %d sends: %s", refusal.Sends, refusal)
@@ -190,7 +196,7 @@
 
 // cancelWhenReplaced ends the watch of a push that a later one replaced.
 func (r *run) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, watch *pushWatch) {
-	for pause(ctx, pollInterval) {
+	for wait.For(ctx, pollInterval) {
 		r.mu.Lock()
 		replaced := r.push != watch
 		r.mu.Unlock()
