--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -38,7 +38,8 @@
 	UrgentAfter time.Duration
 	// MissingRetry is the pause of a chunk after a peer did not get it.
 	MissingRetry time.Duration
-	// DownTime is how long a lost peer is left out.
+	// DownTime is how long a lost peer is left out. It doubles with each loss
+	// without an answer in between.
 	DownTime time.Duration
 	// BanTime is how long a peer that sent a corrupt chunk is left out. It
 	// doubles with each one in a row.
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -10,6 +10,9 @@
 // maxBanDoublings bounds the growth of BanTime.
 const maxBanDoublings = 16
 
+// maxLossDoublings bounds the growth of DownTime.
+const maxLossDoublings = 4
+
 // PeerUp records that a watched peer takes part and holds the chunks of has.
 func (p *Picker) PeerUp(now time.Time, id core.InstanceID, has Bitmap, served int) {
 	peer := p.peers[id]
@@ -73,7 +76,8 @@
 	if peer == nil {
 		return
 	}
-	peer.downUntil = now.Add(p.cfg.DownTime)
+	peer.downUntil = now.Add(p.cfg.DownTime << min(peer.losses, maxLossDoublings))
+	peer.losses++
 	if peer.outstanding > 0 {
 		p.regions[peer.region].lost(now, p.cfg.DownTime)
 	}
@@ -139,7 +143,7 @@
 	}
 	if peer := p.peers[from.Peer]; peer != nil {
 		peer.corrupt = 0
-		p.regions[peer.region].answered()
+		p.answered(peer)
 	}
 	p.endFlight(i, from)
 	chunk := &p.chunks[i]
@@ -170,7 +174,7 @@
 		state.failed(now, failure, p.cfg.SourceRetry, retryAfter)
 		return
 	}
-	p.regions[p.peers[from.Peer].region].answered()
+	p.answered(p.peers[from.Peer])
 	switch failure {
 	case FailureRefused:
 		p.refused(now, chunk, from.Peer)
@@ -183,6 +187,12 @@
 	}
 }
 
+// answered records that a peer answered a request in any way.
+func (p *Picker) answered(peer *pickerPeer) {
+	peer.losses = 0
+	p.regions[peer.region].answered()
+}
+
 // ban leaves a peer out after a corrupt chunk, longer each time until it sends
 // a good one.
 func (p *Picker) ban(now time.Time, peer *pickerPeer) {
--- a/weights/pickerpeer.go
+++ b/weights/pickerpeer.go
@@ -13,6 +13,7 @@
 	outstanding int // Requests to the peer.
 	downUntil   time.Time
 	bannedUntil time.Time
+	losses      int // Times lost since it last answered.
 	corrupt     int // Corrupt chunks since the last good one.
 	// suspectUntil ends the time in which the peer is not relied on to
 	// fetch chunks first.
--- a/weights/swarm/transfer.go
+++ b/weights/swarm/transfer.go
@@ -188,6 +188,7 @@
 		}
 		if now.UnixNano()-l.lastRead.Load() > int64(t.node.cfg.StallTimeout) {
 			t.node.metrics.stalled.Inc(1)
+			t.node.deps.Logger.Warn("closing chunk link", "peer", id, "error", ErrStalled)
 			t.closeLink(id)
 			t.picker.PeerDown(now, id)
 		}
