Skip unchanged lists of targets

Cause: a transfer compared the whole list of targets 20 times a second. Change: a list that is the same slice as before is not compared. Conclusion: matters for lists of a thousand targets.

--- a/weights/swarm/fetch.go
+++ b/weights/swarm/fetch.go
@@ -14,7 +14,8 @@
 
 // Fetch blocks until every chunk of m is held and verified, and serves the
 // chunks meanwhile and afterwards. peers returns the current targets and is
-// called several times a second; the own instance may be among them. Parallel
+// called several times a second; the own instance may be among them, and a
+// returned slice must not change afterwards. Parallel
 // calls for one manifest share a transfer, which uses the first caller's
 // peers and ends when the last caller's ctx does. It returns ctx's error,
 // ErrStopped, ErrDropped or *weights.ManifestError.
--- a/weights/swarm/transfer.go
+++ b/weights/swarm/transfer.go
@@ -36,6 +36,7 @@
 	picker *weights.Picker
 	known  map[core.InstanceID]Peer
 	links  map[core.InstanceID]*link
+	listed []Peer // As of the last updateTargets.
 	pinged time.Time
 }
 
@@ -200,6 +201,10 @@
 
 func (t *transfer) updateTargets(now time.Time) {
 	peers := t.peers()
+	if sameSlice(peers, t.listed) {
+		return
+	}
+	t.listed = peers
 	targets := make([]weights.Target, 0, len(peers))
 	known := make(map[core.InstanceID]Peer, len(peers))
 	for _, p := range peers {
@@ -218,6 +223,11 @@
 	}
 }
 
+// sameSlice reports whether two slices share their elements.
+func sameSlice(a, b []Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (t *transfer) closeLink(id core.InstanceID) {
 	t.links[id].cancel()
 	delete(t.links, id)
