--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -89,8 +89,12 @@
 		if err != nil {
 			return m.failure(ctx, j, unexpectedEnd(err))
 		}
+		if token.Version != j.req.GetVersion() {
+			m.state.suspect()
+			return brokenEvent(j, CodeWrongModel, "", "engine answered with another version")
+		}
 		if token.Done {
-			return m.finish(j, token, next)
+			return doneEventOf(j, &wire.CallDone{Tokens: uint32(next), ModelVersion: token.Version})
 		}
 		if token.Index != next {
 			return brokenEvent(j, CodeUnknown, "", "engine sent a token out of order")
@@ -114,13 +118,6 @@
 	return err
 }
 
-func (m *modelRunner) finish(j *job, token endpoint.Token, count int) *wire.CallEvent {
-	if token.Version != j.req.GetVersion() {
-		return brokenEvent(j, CodeWrongModel, "", "engine answered with another version")
-	}
-	return doneEventOf(j, &wire.CallDone{Tokens: uint32(count), ModelVersion: token.Version})
-}
-
 // failure turns an engine's error into the attempt's final event.
 func (m *modelRunner) failure(ctx context.Context, j *job, err error) *wire.CallEvent {
 	var notStarted *endpoint.NotStartedError
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"testing/fstest"
@@ -60,6 +61,9 @@
 
 func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
 	t.Helper()
+	if test, ok := t.(*testing.T); ok {
+		test.Parallel()
+	}
 	// The programs are killed at the end, before ctx would make them leave.
 	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
 	t.Cleanup(cancel)
@@ -195,17 +199,33 @@
 	}
 }
 
+func weightsOf(version string) []byte {
+	return []byte(strings.Repeat(version+"-weights-", 20000))
+}
+
+func (f *testFleet) manifest(version string) *weights.Manifest {
+	f.t.Helper()
+	files := fstest.MapFS{"w.bin": {Data: weightsOf(version)}}
+	m, err := weights.Build("letters", version, files, testChunk)
+	assert.NilError(f.t, err)
+	return m
+}
+
 // publish makes a version of the model known to the platform.
 func (f *testFleet) publish(version string) core.ModelRef {
 	f.t.Helper()
-	data := []byte(strings.Repeat(version+"-weights-", 20000))
-	m, err := weights.Build("letters", version, fstest.MapFS{"w.bin": {Data: data}}, testChunk)
-	assert.NilError(f.t, err)
+	return f.publishWith(version, func(read fakes.ChunkReader) fakes.ChunkReader { return read })
+}
+
+// publishWith is publish with a reader of chunks around the usual one.
+func (f *testFleet) publishWith(version string, around func(fakes.ChunkReader) fakes.ChunkReader) core.ModelRef {
+	f.t.Helper()
+	m := f.manifest(version)
 	var chunks [][]byte
-	for i := 0; i < len(data); i += testChunk {
-		chunks = append(chunks, data[i:min(len(data), i+testChunk)])
+	for chunk := range slices.Chunk(weightsOf(version), testChunk) {
+		chunks = append(chunks, chunk)
 	}
-	w := fakes.Weights{Ref: m.Ref(), Manifest: m.Encode(), Chunks: len(chunks), Read: fakes.ChunksOf(chunks)}
+	w := fakes.Weights{Ref: m.Ref(), Manifest: m.Encode(), Chunks: len(chunks), Read: around(fakes.ChunksOf(chunks))}
 	f.origin.Publish(w)
 	f.store.Publish(w)
 	return m.Ref()
