Resume broken answers at draining endpoints

Change: a call whose caller has a part of the answer may go to a draining endpoint; its agent takes it until the last call there has ended, and nothing after that, so that a load never meets a call.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"strings"
@@ -291,3 +292,36 @@
 	}
 	assert.NilError(t, <-r.ended)
 }
+
+// TestDrainingAgentEndsAnswersThatOthersBegan sends the rest of a broken
+// answer to an agent that drains for another version.
+func TestDrainingAgentEndsAnswersThatOthersBegan(t *testing.T) {
+	r := newRig(t, 2, 2*time.Millisecond)
+	m1, m2 := r.hold("v1"), r.hold("v2")
+	r.serve(m1)
+	running := r.call(m1, core.RankNormal, "long", 100)
+	assert.NilError(t, running.Recv(&wire.CallEvent{}))
+	assert.Assert(t, r.order(2, serveOrder(m2)).GetAccepted())
+	r.await(func(s *wire.AgentStatus) bool { return s.GetSwapping() })
+	var fresh *wire.CallEvent
+	for i := 0; fresh == nil || fresh.GetRefused() == nil; i++ {
+		prompt := fmt.Sprintf("fresh-%d", i)
+		fresh = r.read(r.call(m1, core.RankNormal, prompt, 1), prompt, "v1")
+	}
+	assert.Equal(t, fresh.GetRefused().GetCode(), CodeDraining)
+	st, err := r.session.Open(&wire.StreamHeader{Request: &wire.StreamHeader_Call{Call: &wire.CallRequest{
+		Attempt: "rest", Organisation: "o", Model: m1.Model, Version: m1.Version, Manifest: m1.Manifest[:],
+		Prompt: "p", MaxTokens: 3, PrefixTokens: []string{"a", "b"}, Idempotent: true, DeadlineMs: 60000,
+	}}})
+	assert.NilError(t, err)
+	rest := &wire.CallEvent{}
+	assert.NilError(t, st.Recv(rest))
+	assert.Equal(t, rest.GetToken().GetText(), fakes.TokenText("p", "v1", 2))
+	assert.NilError(t, st.Recv(rest))
+	assert.Equal(t, rest.GetDone().GetTokens(), uint32(3))
+	for e := (&wire.CallEvent{}); e.GetDone() == nil; {
+		assert.NilError(t, running.Recv(e))
+	}
+	r.await(func(s *wire.AgentStatus) bool { return wire.ToModelRef(s.GetServing()) == m2 })
+	assert.Equal(t, r.engine.Counts().CutBySwap, uint64(0))
+}
--- a/agent/events.go
+++ b/agent/events.go
@@ -17,7 +17,7 @@
 }
 
 func (e offerEvent) apply(s *scheduler) {
-	if s.closed {
+	if !s.admits(e.job) {
 		e.job.refused <- refusal{code: s.reason}
 		return
 	}
@@ -87,6 +87,7 @@
 
 func (openEvent) apply(s *scheduler) {
 	s.closed = false
+	s.sealed = false
 }
 
 // closeEvent refuses new and waiting calls. Running calls go on, and so do
@@ -100,6 +101,7 @@
 
 func (e closeEvent) apply(s *scheduler) {
 	s.closed = true
+	s.sealed = false
 	s.reason = e.reason
 	running := make(map[uint64]bool)
 	for _, c := range s.queue.Running() {
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -27,6 +27,9 @@
 	jobs   map[uint64]*job
 	closed bool // No new calls.
 	reason string
+	// sealed says that the last call has ended after the scheduler closed;
+	// from then on the endpoint may be changed, and nothing is let in.
+	sealed bool
 	idle   []chan struct{} // Closed once nothing is queued or running.
 
 	load atomic.Pointer[routing.Load]
@@ -112,6 +115,15 @@
 	}
 }
 
+// admits reports whether a job may enter the queue: while a drain goes on,
+// only one whose caller has a part of the answer.
+func (s *scheduler) admits(j *job) bool {
+	if !s.closed {
+		return true
+	}
+	return j.owed && !s.sealed && s.reason == CodeDraining
+}
+
 // refuse ends a waiting job.
 func (s *scheduler) refuse(id uint64, r refusal) {
 	j := s.jobs[id]
@@ -133,6 +145,7 @@
 	if len(s.jobs) > 0 {
 		return
 	}
+	s.sealed = s.closed
 	for _, c := range s.idle {
 		close(c)
 	}
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -97,6 +97,7 @@
 		Model:   model,
 		Prefix:  m.prefix,
 		Suspect: m.suspect,
+		Owed:    len(m.produced) > 0,
 		Exclude: m.tried,
 	}
 }
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -16,6 +16,7 @@
 	load       [core.RankCount]float64 // Reported load that the rank meets.
 	perCall    float64                 // Load of one more call.
 	usable     bool
+	draining   bool // Takes only calls that are owed.
 	local      bool
 	hash       uint64
 	manifest   core.Digest
@@ -27,6 +28,7 @@
 		sent:       e.sent,
 		perCall:    1 / float64(max(e.Slots, 1)),
 		usable:     !e.Draining && !e.Leaving,
+		draining:   e.Draining && !e.Leaving,
 		local:      e.Location.Region == config.Region,
 		hash:       xxhash.Sum64String(string(e.ID)),
 		manifest:   e.Model.Manifest,
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -33,6 +33,9 @@
 	// Prefix is the hash of the prompt's prefix, 0 for none.
 	Prefix  uint64
 	Suspect bool
+	// Owed says that the caller has a part of the answer. Such a call may go
+	// to a draining endpoint, which may be the last one with its version.
+	Owed bool
 	// Exclude lists endpoints that were tried already.
 	Exclude []core.InstanceID
 }
@@ -101,7 +104,8 @@
 
 // usable reports whether the endpoint may get the request at all.
 func (t *Table) usable(c *candidate, r *Request, now int64) bool {
-	if !c.usable || now > c.staleAfter {
+	takes := c.usable || (r.Owed && c.draining)
+	if !takes || now > c.staleAfter {
 		return false
 	}
 	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, t.endpoints[c.index].ID)
