local/runner: name the engines at which planned work cut streams

Change: a progress line names the engine and which of the two it was. Conclusion: the fault is open.

--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -211,6 +211,7 @@
 	if r.push != nil {
 		r.push.fill(&r.report.Weights)
 	}
+	r.fleet.sayCuts(r.actions)
 	r.fleet.fillSafety(&r.report.Safety)
 	config.fill(&r.report.Safety)
 }
