Pace weight transfers on links that calls share

Cause: with slow instance links a push doubles the first token of live calls. Change: the agent's fetch rates reach the swarm; snipestep-local leaves weights the whole link while idle and four fifths of it when every slot is in use.

--- a/agent/config.go
+++ b/agent/config.go
@@ -29,6 +29,11 @@
 	Policy       string
 	// LeaveGrace bounds the wait for running calls at a stop.
 	LeaveGrace time.Duration
+	// IdleFetchRate and BusyFetchRate bound the fetching of weights in bytes
+	// a second, while no call runs and while every slot is in use; 0 for no
+	// bound.
+	IdleFetchRate float64
+	BusyFetchRate float64
 	// Seed fixes the random choices of the swarm.
 	Seed uint64
 }
@@ -57,3 +62,12 @@
 	}
 	return c
 }
+
+// busyFetchShare returns the part of IdleFetchRate left while every slot is in
+// use.
+func (c Config) busyFetchShare() float64 {
+	if c.IdleFetchRate <= 0 || c.BusyFetchRate <= 0 {
+		return 0
+	}
+	return min(1, c.BusyFetchRate/c.IdleFetchRate)
+}
--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -17,6 +17,7 @@
 )
 
 const (
+	bitsPerByte     = 8
 	sourceTimeout   = 30 * time.Second
 	endpointTimeout = 30 * time.Second
 )
@@ -60,6 +61,8 @@
 		OriginRegion:  s.OriginRegion,
 		Policy:        s.Policy,
 		LeaveGrace:    s.StopTimeout,
+		IdleFetchRate: float64(s.Weights.IdleRate) / bitsPerByte,
+		BusyFetchRate: float64(s.Weights.BusyRate) / bitsPerByte,
 	}
 }
 
--- a/local/runner/node.go
+++ b/local/runner/node.go
@@ -76,7 +76,15 @@
 	weights := platform.HTTPConfig{BaseURL: f.platform.originURL, Client: f.platform.client(instance), Timeout: chunkTimeout}
 	store := weights
 	store.BaseURL = f.platform.storeURL
-	config := agent.Config{Instance: instance, ChecksFencing: !ignores, Slots: f.scenario.Engines.Slots, Seed: seed}
+	link := float64(f.scenario.Links.InstanceMbps) * bytesPerMegabit
+	config := agent.Config{
+		Instance:      instance,
+		ChecksFencing: !ignores,
+		Slots:         f.scenario.Engines.Slots,
+		IdleFetchRate: link,
+		BusyFetchRate: link * busyFetchShare,
+		Seed:          seed,
+	}
 	return f.startNode(&node{number: number, engine: engine, server: served}, config, agent.Deps{
 		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: served.URL(), Timeout: endpointTimeout}),
 		Origin: platform.NewHTTPOrigin(weights),
@@ -84,6 +92,13 @@
 	})
 }
 
+// bytesPerMegabit converts megabits to bytes.
+const bytesPerMegabit = 1e6 / 8
+
+// busyFetchShare is the part of an instance's link that weights may fill
+// while every slot runs a call.
+const busyFetchShare = 0.8
+
 // modelCycle is the number of engines over which the ratio of those that
 // ignore fencing is spread.
 const modelCycle = 10
