--- a/claim/flush.go
+++ b/claim/flush.go
@@ -70,11 +70,16 @@
 	return o.readBack(ctx, d, err)
 }
 
+// trustTime is how long the known end of the log may be relied on.
+func (o *Owner) trustTime() time.Duration {
+	return o.config.TTL / 2
+}
+
 // trusted reports whether an entry that was just written is surely at the end
 // of the log. It is not after a long pause, when an entry of another owner at
 // the same place may have come and gone.
 func (o *Owner) trusted() bool {
-	return o.config.Now().Sub(o.knownAt) < o.config.TTL/2
+	return o.config.Now().Sub(o.knownAt) < o.trustTime()
 }
 
 // readBack reads the log after a failed write. It returns cause if the write
@@ -137,14 +142,14 @@
 
 // draftOwn adds the claims to be restored and voided.
 func (o *Owner) draftOwn(d *draft) {
-	for _, r := range o.restore {
+	for key, held := range o.restore {
 		if d.full() {
 			return
 		}
-		d.restored++
-		d.add(claimedRecord(r.key, r.held.claim, r.held.request, r.held.at), nil)
-		if r.held.ended != nil {
-			d.add(endedRecord(r.key, r.held.claim, r.held.ended), nil)
+		d.restored = append(d.restored, key)
+		d.add(claimedRecord(key, held.claim, held.request, held.at), nil)
+		if held.ended != nil {
+			d.add(endedRecord(key, held.claim, held.ended), nil)
 		}
 	}
 	for claim, key := range o.voids {
@@ -161,7 +166,9 @@
 
 // settle answers the jobs of an entry that is in the log.
 func (o *Owner) settle(d *draft) {
-	o.restore = o.restore[d.restored:]
+	for _, key := range d.restored {
+		delete(o.restore, key)
+	}
 	for i, j := range d.jobs {
 		if j == nil {
 			continue
@@ -225,6 +232,7 @@
 		version:  entry.version,
 		batch:    id,
 		at:       entry.at(),
+		seenAt:   o.config.Now(),
 	})
 	if d != nil && d.batch.GetId() == id {
 		d.landed = true
--- a/claim/knownentry.go
+++ b/claim/knownentry.go
@@ -7,5 +7,6 @@
 	sequence uint64
 	version  uint64
 	batch    string
-	at       time.Time
+	at       time.Time // When it was drafted.
+	seenAt   time.Time // When this owner first knew of it.
 }
--- a/claim/state.go
+++ b/claim/state.go
@@ -58,11 +58,15 @@
 	}
 	held := &heldKey{claim: claim, at: at}
 	copy(held.request[:], c.GetRequestDigest())
-	s.keys[key] = held
-	s.order = append(s.order, sweepItem{key: key, claim: claim})
+	s.hold(key, held)
 	return true
 }
 
+func (s *state) hold(key core.Digest, held *heldKey) {
+	s.keys[key] = held
+	s.order = append(s.order, sweepItem{key: key, claim: held.claim})
+}
+
 func (s *state) applyEnded(key core.Digest, claim string, e *claimpb.Ended) bool {
 	if !s.open(key, claim) {
 		return false
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -9,7 +9,6 @@
 	CodeUnknownService  = "unknown_operation"
 	CodeQuarantined     = "quarantined"
 	CodeOverload        = "overload"
-	CodeNoEndpoint      = "no_endpoint"
 	CodeBroken          = "broken"
 	CodeDeadline        = "deadline"
 	CodeClaimHeld       = "idempotency_key_in_use"
@@ -19,5 +18,6 @@
 	CodeLeaving         = "leaving"
 	CodeContentType     = "content_type"
 	CodeMethod          = "method_not_allowed"
+	CodeVersionGone     = "version_gone"
 	CodeRetriesExceeded = "retries_exceeded"
 )
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -10,10 +10,15 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/fstest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/agent"
@@ -24,6 +29,7 @@
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -53,6 +59,13 @@
 	urls    map[string]string
 	running map[core.InstanceID]*running
 	logger  *slog.Logger
+
+	mu    sync.Mutex // Guards heard.
+	heard []string   // Traceparents of the engines' completions.
+	// Metrics and spans of all entries and of all agents.
+	entryScope, agentScope tally.TestScope
+	spans                  *tracetest.InMemoryExporter
+	tracer                 trace.Tracer
 	// engineConfig and plainConfig change the stand-ins that are added.
 	engineConfig func(*fakes.EngineConfig)
 	plainConfig  func(*fakes.PlainConfig)
@@ -76,7 +89,12 @@
 		ledger: fakes.NewLedger(),
 		urls:   map[string]string{}, running: map[core.InstanceID]*running{},
 		logger: slog.New(slog.DiscardHandler),
+
+		entryScope: tally.NewTestScope("", nil),
+		agentScope: tally.NewTestScope("", nil),
+		spans:      tracetest.NewInMemoryExporter(),
 	}
+	f.tracer = sdktrace.NewTracerProvider(sdktrace.WithSyncer(f.spans)).Tracer("test")
 	for _, option := range options {
 		option(f)
 	}
@@ -104,6 +122,24 @@
 	return server.URL
 }
 
+// listening notes the traceparents that an engine gets.
+func (f *testFleet) listening(engine http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/completions" {
+			f.mu.Lock()
+			f.heard = append(f.heard, r.Header.Get(telemetry.TraceparentHeader))
+			f.mu.Unlock()
+		}
+		engine.ServeHTTP(w, r)
+	})
+}
+
+func (f *testFleet) traceparents() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
 func (f *testFleet) instance(id string, role core.InstanceRole, i int) core.Instance {
 	region := fmt.Sprintf("r%d", i%2)
 	return core.Instance{
@@ -133,7 +169,7 @@
 	instance.ChunkAddr = f.freeAddr()
 	f.engines = append(f.engines, engine)
 	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
-		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(engine), Timeout: testDeadline}),
+		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(f.listening(engine)), Timeout: testDeadline}),
 		Origin: platform.NewHTTPOrigin(platform.HTTPConfig{BaseURL: f.urls["origin"]}),
 		Store:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
 	})
@@ -156,6 +192,7 @@
 func (f *testFleet) runAgent(cfg agent.Config, deps agent.Deps) {
 	cfg.FleetKey, cfg.Slots, cfg.OriginRegion = testKey, 4, "r0"
 	deps.Logger = f.logger.With("at", cfg.Instance.ID)
+	deps.Scope, deps.Tracer = f.agentScope, f.tracer
 	a, err := agent.New(cfg, deps)
 	assert.NilError(f.t, err)
 	f.run(cfg.Instance.ID, a)
@@ -174,6 +211,8 @@
 		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
 		WeightStore:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
 		Logger:       f.logger.With("at", instance.ID),
+		Scope:        f.entryScope,
+		Tracer:       f.tracer,
 	})
 	assert.NilError(f.t, err)
 	f.run(instance.ID, e)
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -91,6 +91,13 @@
 
 func TestBadInputGetsProblemDocuments(t *testing.T) {
 	f := newTestFleet(t, 0, 0, 1)
+	for _, path := range []string{"/v1/chat/completions", "/v1/completions", "/v1/services/counter/purchase"} {
+		answer, err := http.Get("http://" + f.entries[0].cfg.HTTPAddr + path)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		assert.Equal(t, answer.StatusCode, http.StatusMethodNotAllowed)
+		assert.Equal(t, answer.Header.Get("Content-Type"), problem.ContentType)
+	}
 	f.until("configuration", func() bool { return f.entries[0].Generation() > 0 })
 	chat := "/v1/chat/completions"
 	long := `{"model":"letters","prompt":"` + strings.Repeat("x", defaultMaxBody) + `"}`
@@ -121,3 +128,14 @@
 		assert.Equal(t, p.Run, problem.RunNotRun)
 	}
 }
+
+// TestCallWaitsForTheFirstEndpoint sends a call while the weights still move;
+// it was shed at once, with a time to come back of a minute.
+func TestCallWaitsForTheFirstEndpoint(t *testing.T) {
+	f := newTestFleet(t, 2, 0, 1)
+	f.awaitAgents()
+	f.publish("v1")
+	f.carryOut(0, place("v1"))
+	text, _ := f.ask(0, "background", "early", 8)
+	assert.Equal(t, text, wholeAnswer("early", "v1", 8))
+}
--- a/local/runner/operate.go
+++ b/local/runner/operate.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -11,6 +12,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/operator"
 )
 
@@ -26,9 +28,11 @@
 
 // actions are the operator's part of a run.
 type actions struct {
-	client   *operator.Client
+	client  *operator.Client
+	started time.Time
+
+	mu       sync.Mutex
 	progress io.Writer
-	started  time.Time
 }
 
 func newActions(f *fleetRun, progress io.Writer) *actions {
@@ -46,6 +50,8 @@
 // say writes a progress line.
 func (a *actions) say(format string, values ...any) {
 	line := fmt.Sprintf(format, values...)
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	// A lost progress line changes nothing.
 	_, _ = fmt.Fprintf(a.progress, "%7.2fs %s\n", time.Since(a.started).Seconds(), line)
 }
@@ -83,7 +89,7 @@
 		}
 		last = err
 		a.say("intent is tried again: %v", err)
-		if !pause(ctx, confirmPause) {
+		if !wait.For(ctx, confirmPause) {
 			break
 		}
 	}
@@ -124,21 +130,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for !holds() {
-		if !pause(ctx, pollInterval) {
+		if !wait.For(ctx, pollInterval) {
 			return ErrNotReady
 		}
 	}
 	return nil
 }
-
-// pause blocks for a time; it returns false when ctx ends first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -9,10 +9,17 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/load"
+	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/report"
+	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/settings"
 )
 
+const (
+	bytesPerMB       = 1_000_000
+	firstWeightBytes = 64 << 10
+)
+
 // A push that has not ended after this many times its ideal time, and the
 // slack, counts as not done.
 const (
@@ -23,6 +30,7 @@
 // Run runs a scenario and blocks until it has ended. It returns ErrNotReady,
 // or the error of a part that did not start.
 func Run(ctx context.Context, options Options) (*report.Report, error) {
+	usage := newUsageMeter(options.Usage)
 	f, err := startFleet(ctx, options)
 	if err != nil {
 		return nil, err
@@ -32,6 +40,7 @@
 		fleet:   f,
 		actions: newActions(f, options.Progress),
 		report:  &report.Report{},
+		usage:   usage,
 	}
 	r.faults = newFaults(f, r.actions)
 	if err := r.prepare(ctx); err != nil {
@@ -48,6 +57,7 @@
 	faults   *faults
 	versions []fakes.Weights
 	report   *report.Report
+	usage    *usageMeter
 
 	mu   sync.Mutex
 	push *pushWatch // The latest one.
@@ -64,7 +74,7 @@
 	if err := r.makeVersions(); err != nil {
 		return err
 	}
-	first := makeWeights(s.Run.Seed, "v0", firstWeightBytes)
+	first := madeweights.Make(s.Run.Seed, "v0", firstWeightBytes)
 	r.fleet.platform.publish(first)
 	if err := r.actions.push(ctx, first.Ref); err != nil {
 		return err
@@ -105,9 +115,9 @@
 func (r *run) makeVersion(version string) (fakes.Weights, error) {
 	s := r.fleet.scenario
 	if s.Weights.Dir != "" {
-		return readWeights(s.Weights.Dir, version)
+		return madeweights.Read(s.Weights.Dir, version)
 	}
-	return makeWeights(s.Run.Seed, version, int64(s.Weights.SizeMB)*bytesPerMB), nil
+	return madeweights.Make(s.Run.Seed, version, int64(s.Weights.SizeMB)*bytesPerMB), nil
 }
 
 func (r *run) pushTimes() []time.Duration {
@@ -130,14 +140,19 @@
 	watches.Go(func() { config.run(watching) })
 	for _, e := range r.events() {
 		events.Go(func() {
-			if pause(ctx, e.at) {
+			if wait.For(ctx, e.at) {
 				e.run(ctx)
 			}
 		})
 	}
 	r.actions.say("load starts")
+	r.usage.start()
 	generator.Run(ctx)
+	r.usage.end()
 	r.actions.say("load ends")
+	for _, refusal := range generator.Refusals() {
+		r.actions.say("refused %d sends: %s", refusal.Sends, refusal)
+	}
 	control.fill(&r.report.Control)
 	events.Wait()
 	endWatch()
@@ -156,7 +171,7 @@
 
 // pushVersion pushes a version and follows it to its end.
 func (r *run) pushVersion(ctx context.Context, w fakes.Weights) {
-	size, err := sizeOf(w)
+	size, err := madeweights.Size(w)
 	if err != nil {
 		r.actions.say("no push: %v", err)
 		return
@@ -181,7 +196,7 @@
 
 // cancelWhenReplaced ends the watch of a push that a later one replaced.
 func (r *run) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, watch *pushWatch) {
-	for pause(ctx, pollInterval) {
+	for wait.For(ctx, pollInterval) {
 		r.mu.Lock()
 		replaced := r.push != watch
 		r.mu.Unlock()
--- /dev/null
+++ b/local/standins/options.go
@@ -0,0 +1,17 @@
+package standins
+
+import "io"
+
+// Options say what to serve.
+type Options struct {
+	// Dir receives the settings files.
+	Dir string
+	// Entries, Models and Plains are the numbers of instances.
+	Entries int
+	Models  int
+	Plains  int
+	// Network is the second byte of all addresses, 127.Network.0.x.
+	Network int
+	// Progress receives the commands that start the programs.
+	Progress io.Writer
+}
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -38,7 +38,8 @@
 	UrgentAfter time.Duration
 	// MissingRetry is the pause of a chunk after a peer did not get it.
 	MissingRetry time.Duration
-	// DownTime is how long a lost peer is left out.
+	// DownTime is how long a lost peer is left out. It doubles with each loss
+	// without an answer in between.
 	DownTime time.Duration
 	// BanTime is how long a peer that sent a corrupt chunk is left out. It
 	// doubles with each one in a row.
@@ -75,7 +76,7 @@
 	setDefault(&c.RegionRequests, 8)
 	setDefault(&c.RefusedRetry, 120*time.Millisecond)
 	setDefault(&c.MaxRefusedRetry, 240*time.Millisecond)
-	setDefault(&c.UrgentAfter, 400*time.Millisecond)
+	setDefault(&c.UrgentAfter, 500*time.Millisecond)
 	setDefault(&c.MissingRetry, 100*time.Millisecond)
 	setDefault(&c.DownTime, 5*time.Second)
 	setDefault(&c.BanTime, 500*time.Millisecond)
--- a/weights/swarm/node_test.go
+++ b/weights/swarm/node_test.go
@@ -63,6 +63,8 @@
 		reached <- struct{}{}
 		return io.ErrUnexpectedEOF
 	}
+	// The store must not complete the set before it is dropped.
+	f.store.fail = func(int) error { return io.ErrUnexpectedEOF }
 	failed := make(chan error, 1)
 	fetch := func() {
 		_, err := n.Fetch(context.Background(), m.manifest, f.peers)
@@ -124,14 +126,14 @@
 		counter string
 		bytes   func(nonce []byte) []byte
 	}{
-		"long message":     {"malformed_frames", func([]byte) []byte { return []byte{255, 0, 0, 0, 0, 0, 0, 0} }},
-		"payload":          {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1} }},
-		"no protobuf":      {"malformed_frames", func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 0, 255} }},
-		"no hello":         {"rejected_connections", func([]byte) []byte { return request(0) }},
-		"other key":        {"rejected_connections", func(nonce []byte) []byte { return hello([]byte("x"), nonce) }},
-		"replayed nonce":   {"rejected_connections", func([]byte) []byte { return hello(testKey, newNonce()) }},
-		"chunk out of set": {"malformed_frames", func(nonce []byte) []byte { return append(hello(testKey, nonce), request(8)...) }},
-		"second hello": {"malformed_frames", func(nonce []byte) []byte {
+		"long message":     {faultCounter("malformed"), func([]byte) []byte { return []byte{255, 0, 0, 0, 0, 0, 0, 0} }},
+		"payload":          {faultCounter("malformed"), func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 1} }},
+		"no protobuf":      {faultCounter("malformed"), func([]byte) []byte { return []byte{0, 0, 0, 1, 0, 0, 0, 0, 255} }},
+		"no hello":         {faultCounter("rejected"), func([]byte) []byte { return request(0) }},
+		"other key":        {faultCounter("rejected"), func(nonce []byte) []byte { return hello([]byte("x"), nonce) }},
+		"replayed nonce":   {faultCounter("rejected"), func([]byte) []byte { return hello(testKey, newNonce()) }},
+		"chunk out of set": {faultCounter("malformed"), func(nonce []byte) []byte { return append(hello(testKey, nonce), request(8)...) }},
+		"second hello": {faultCounter("malformed"), func(nonce []byte) []byte {
 			return append(hello(testKey, nonce), hello(testKey, nonce)...)
 		}},
 	}
--- a/weights/swarm/transfer.go
+++ b/weights/swarm/transfer.go
@@ -36,6 +36,7 @@
 	picker *weights.Picker
 	known  map[core.InstanceID]Peer
 	links  map[core.InstanceID]*link
+	listed []Peer // As of the last updateTargets.
 	pinged time.Time
 }
 
@@ -111,7 +112,7 @@
 }
 
 // put verifies and keeps a chunk, and offers it to peers.
-func (t *transfer) put(index int, data []byte) error {
+func (t *transfer) put(index int, data []byte, kind weights.SourceKind) error {
 	if t.set.Has(index) {
 		return nil
 	}
@@ -122,7 +123,7 @@
 		}
 		return err
 	}
-	t.node.server.stored(t.digest, index)
+	t.node.server.stored(t.digest, index, kind != weights.SourcePeer)
 	return nil
 }
 
@@ -188,6 +189,7 @@
 		}
 		if now.UnixNano()-l.lastRead.Load() > int64(t.node.cfg.StallTimeout) {
 			t.node.metrics.stalled.Inc(1)
+			t.node.deps.Logger.Warn("closing chunk link", "peer", id, "error", ErrStalled)
 			t.closeLink(id)
 			t.picker.PeerDown(now, id)
 		}
@@ -199,6 +201,10 @@
 
 func (t *transfer) updateTargets(now time.Time) {
 	peers := t.peers()
+	if sameSlice(peers, t.listed) {
+		return
+	}
+	t.listed = peers
 	targets := make([]weights.Target, 0, len(peers))
 	known := make(map[core.InstanceID]Peer, len(peers))
 	for _, p := range peers {
@@ -217,6 +223,11 @@
 	}
 }
 
+// sameSlice reports whether two slices share their elements.
+func sameSlice(a, b []Peer) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 func (t *transfer) closeLink(id core.InstanceID) {
 	t.links[id].cancel()
 	delete(t.links, id)
