--- /dev/null
+++ b/entry/main_test.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The checks of a stateful test of a whole fleet.
+const (
+	defaultChecks = "100" // rapid's own default.
+	fleetChecks   = "8"
+	fuzzChecks    = "40"
+	fleetSteps    = "20"
+)
+
+// TestMain fixes the seed unless more checks than usual are asked for.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	checks := fuzzChecks
+	if flag.Lookup("rapid.checks").Value.String() == defaultChecks {
+		checks = fleetChecks
+		if flag.Lookup("rapid.seed").Value.String() == "0" {
+			_ = flag.Set("rapid.seed", "1")
+		}
+	}
+	_ = flag.Set("rapid.checks", checks)
+	_ = flag.Set("rapid.steps", fleetSteps)
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
