Tell a plain service's lost answer from its crash

Cause: a dropped connection was taken as a crash, so that an idempotent call that lost two answers in a row, such as the balance check, was refused for ten minutes to its whole organisation. Ruled out: clearing strikes on success alone; the retry follows the first loss at once. Change: the agent asks the service whether it is up; only one that is down, or answers 503, crashed. Conclusion: a service that restarts within a millisecond goes unnoticed.

--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/wire"
 )
 
+// upTimeout bounds the look at a service after a broken call.
+const upTimeout = time.Second
+
 // plainRunner runs calls of a plain service.
 type plainRunner struct {
 	service string
@@ -47,5 +51,16 @@
 		p.counts.dropped.Add(1)
 		return brokenEvent(j, CodeUnknown, "", err.Error())
 	}
+	return p.broken(j, err)
+}
+
+// broken tells a crash of the service from an answer that was lost, which
+// says nothing against the request.
+func (p *plainRunner) broken(j *job, err error) *wire.CallEvent {
+	ctx, cancel := context.WithTimeout(context.Background(), upTimeout)
+	defer cancel()
+	if p.plain.Up(ctx) {
+		return brokenEvent(j, CodeUnknown, "", err.Error())
+	}
 	return brokenEvent(j, CodeCrash, "", p.state.suspect())
 }
--- a/endpoint/httpplain.go
+++ b/endpoint/httpplain.go
@@ -34,6 +34,13 @@
 	return plainAnswer(request.Attempt, response)
 }
 
+// Up implements Plain. Any answer but 503 counts, also to a path that the
+// service does not know.
+func (p *HTTPPlain) Up(ctx context.Context) bool {
+	response, err := p.client.Do(ctx, httpcall.Request{Method: http.MethodGet, Path: "/"}, MaxPlainBytes)
+	return err == nil && response.Status != http.StatusServiceUnavailable
+}
+
 func plainCall(request PlainRequest) httpcall.Request {
 	header := http.Header{"Content-Type": {"application/octet-stream"}}
 	header.Set(AttemptHeader, request.Attempt)
--- a/entry/modelfaults_test.go
+++ b/entry/modelfaults_test.go
@@ -15,6 +15,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/problem"
+	"github.com/snipestep/snipestep/routing"
 )
 
 const doneMark = "[DONE]"
@@ -228,6 +229,15 @@
 	callers.Wait()
 }
 
+// awaitQuarantined blocks until an entry has heard of two crashes.
+func (f *testFleet) awaitQuarantined(entry int, fingerprint uint64) {
+	f.t.Helper()
+	f.until("a request is quarantined", func() bool {
+		_, refused := f.entries[entry].quarantine.refused(fingerprint)
+		return refused
+	})
+}
+
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	const tokens = 60
 	f, v1 := serving(t, 4, 2, slowTokens)
@@ -244,10 +254,9 @@
 	_, refused := f.open(0, crasher, 5)
 	assert.Equal(t, refused.Code, CodeQuarantined, refused.Detail)
 	assert.Equal(t, refused.Run, problem.RunUnknown)
-	f.until("the other entry knows", func() bool {
-		_, refused := f.open(1, crasher, 5)
-		return refused.Code == CodeQuarantined
-	})
+	f.awaitQuarantined(1, routing.Fingerprint("school", "", []byte(crasher)))
+	_, refused = f.open(1, crasher, 5)
+	assert.Equal(t, refused.Code, CodeQuarantined, refused.Detail)
 	bystanders.Wait()
 	for i, s := range streams {
 		assert.Check(t, s.whole && s.tokens == tokens, "stream %d: %v", i, s.failure)
--- a/entry/purchase_test.go
+++ b/entry/purchase_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/problem"
 )
@@ -241,5 +242,25 @@
 	for i := range 4 {
 		status, _, body := f.post(0, "/v1/services/counter/purchase", `{}`, "Idempotency-Key", fmt.Sprint(i))
 		assert.Equal(t, status, http.StatusBadGateway, body)
+		status, _, body = f.post(0, "/v1/services/counter/balance", `{}`)
+		assert.Equal(t, status, http.StatusBadGateway, body)
 	}
 }
+
+func TestCrashingOperationIsQuarantined(t *testing.T) {
+	f := newTestFleet(t, 0, 3, 2, func(f *testFleet) {
+		f.plainConfig = func(c *fakes.PlainConfig) { c.Service, c.Restart = time.Millisecond, 100*time.Millisecond }
+	})
+	f.awaitAgents()
+	f.awaitCounter(0, 3)
+	const body = `{"for":"` + fakes.CrashMarker + `"}`
+	status, _, answer := f.post(0, "/v1/services/counter/balance", body)
+	assert.Equal(t, status, http.StatusUnprocessableEntity, answer)
+	balance := fleet.Operation{Name: "balance", Idempotent: true}
+	f.awaitQuarantined(1, operationFingerprint(&call{organisation: "school"}, "counter", balance, "", []byte(body)))
+	status, _, answer = f.post(1, "/v1/services/counter/balance", body)
+	assert.Equal(t, status, http.StatusUnprocessableEntity, answer)
+	assert.Equal(t, f.ledger.Runs("balance", "", []byte(body)), 2)
+	status, _, answer = f.post(1, "/v1/services/counter/balance", `{}`)
+	assert.Equal(t, status, http.StatusOK, answer)
+}
--- a/internal/fakes/plain.go
+++ b/internal/fakes/plain.go
@@ -63,6 +63,10 @@
 
 // ServeHTTP implements http.Handler.
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if _, up := p.current(); !up {
+		p.refuse(w, http.StatusServiceUnavailable, codeRestarting)
+		return
+	}
 	p.mux.ServeHTTP(w, r)
 }
 
