Read a token of each call before the agent leaves

Cause: TestLeavingAgentSendsEveryFinalEvent waited for a status with every call running, which never comes when they end first on a busy machine; it then hung. Change: it reads the first token of each call instead. Conclusion: the test waits for what surely comes.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -145,7 +145,12 @@
 // read reads a call to its end and checks every token.
 func (r *rig) read(st *wire.Stream, prompt, version string) *wire.CallEvent {
 	r.t.Helper()
-	next := uint32(0)
+	return r.readFrom(0, st, prompt, version)
+}
+
+// readFrom reads a call whose tokens before next were read.
+func (r *rig) readFrom(next uint32, st *wire.Stream, prompt, version string) *wire.CallEvent {
+	r.t.Helper()
 	for {
 		e := &wire.CallEvent{}
 		assert.NilError(r.t, st.Recv(e))
@@ -281,12 +286,14 @@
 	r.serve(m)
 	streams := make(map[string]*wire.Stream)
 	for _, prompt := range strings.Split("abcdefgh", "") {
-		streams[prompt] = r.call(m, core.RankNormal, prompt, 30)
+		st := r.call(m, core.RankNormal, prompt, 30)
+		assert.NilError(t, st.Recv(&wire.CallEvent{})) // The first token.
+		streams[prompt] = st
 	}
-	r.await(func(s *wire.AgentStatus) bool { return s.GetRunning() == calls })
 	r.stop()
 	for prompt, st := range streams {
-		assert.Equal(t, r.read(st, prompt, "v1").GetDone().GetTokens(), uint32(30))
+		end := r.readFrom(1, st, prompt, "v1")
+		assert.Equal(t, end.GetDone().GetTokens(), uint32(30))
 		assert.NilError(t, st.Close())
 	}
 	assert.NilError(t, <-r.ended)
