Cancel an interrupted attempt at the engine before its connection goes

Ruled out: lost answers, every call was answered. Change: an attempt's stream outlives the interruption until the engine has been told; a KV cache is exported before that.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -217,6 +217,9 @@
 		next++
 	}
 	assert.Assert(t, r.engine.BegunAttempt("a-slow") >= 2)
+	// The engine was told; it saw no caller vanish.
+	assert.Equal(t, r.engine.Counts().Abandoned, uint64(0))
+	assert.Assert(t, r.engine.Counts().Cancelled >= 1)
 }
 
 func TestSwapLetsRunningCallEnd(t *testing.T) {
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -28,7 +28,9 @@
 	if !m.serves(serving, j.req) {
 		return refusedEvent(j, refusal{code: CodeWrongModel})
 	}
-	stream, err := m.engine.Generate(ctx, generateRequest(j, serving))
+	run := newEngineRun(ctx, m, j)
+	defer run.finish()
+	stream, err := m.engine.Generate(run.stream, generateRequest(j, serving))
 	if err != nil {
 		return m.failure(ctx, j, err)
 	}
@@ -38,9 +40,9 @@
 	if ctx.Err() == nil || end.GetDone() != nil {
 		return end
 	}
-	defer m.cancelAtEngine(j)
+	run.finish()
 	if errors.Is(context.Cause(ctx), errMoved) {
-		return brokenEvent(j, CodeMoved, m.exportCache(j), errMoved.Error())
+		return brokenEvent(j, CodeMoved, run.handle, errMoved.Error())
 	}
 	return end
 }
