Record the outcomes of claims before an entry leaves

Cause: a leaving entry ended its reports, so that the keys of its last purchases stayed held until they expired. Change: the entry waits for the reports within its grace.

--- a/entry/claimservice.go
+++ b/entry/claimservice.go
@@ -41,6 +41,9 @@
 	mu     sync.Mutex // Guards owners.
 	owners map[int]*claim.Owner
 	wg     sync.WaitGroup
+
+	// reports are the outcomes on their way to the log.
+	reports sync.WaitGroup
 }
 
 // owner returns this entry's owner of a shard and starts it at first use.
@@ -75,7 +78,7 @@
 	session := s.ownerSession(ctx, shard)
 	verdict, err := s.askAt(ctx, session, shard, r)
 	if err != nil {
-		go s.report(claim.Outcome{Key: r.Key, Claim: r.Claim, NotRun: true})
+		s.reportLater(claim.Outcome{Key: r.Key, Claim: r.Claim, NotRun: true})
 		verdict = claim.Verdict{Kind: claim.Refused, RetryAfter: claimHeldRetry}
 	}
 	s.scope.Tagged(map[string]string{telemetry.TagOutcome: verdict.Kind.String()}).
@@ -120,6 +123,25 @@
 	return nil
 }
 
+// reportLater reports in the background; awaitReports waits for it.
+func (s *claimService) reportLater(o claim.Outcome) {
+	s.reports.Go(func() { s.report(o) })
+}
+
+// awaitReports blocks until the outcomes of the calls that have ended are
+// recorded or given up, or ctx ends.
+func (s *claimService) awaitReports(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		s.reports.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // report records how a granted claim ended. It tries a few times; a claim
 // whose end is lost stays held until it expires.
 func (s *claimService) report(o claim.Outcome) {
@@ -248,7 +270,7 @@
 
 // ran records the answer for resends.
 func (k *keyClaim) ran(a plainAnswer) {
-	go k.svc.report(claim.Outcome{
+	k.svc.reportLater(claim.Outcome{
 		Key:    k.request.Key,
 		Claim:  k.request.Claim,
 		Status: a.status,
@@ -258,5 +280,5 @@
 
 // notRun frees the key: no endpoint can have begun the call.
 func (k *keyClaim) notRun() {
-	go k.svc.report(claim.Outcome{Key: k.request.Key, Claim: k.request.Claim, NotRun: true})
+	k.svc.reportLater(claim.Outcome{Key: k.request.Key, Claim: k.request.Claim, NotRun: true})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -401,6 +401,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.LeaveGrace)
 	defer cancel()
 	_ = e.server.Shutdown(ctx)
+	e.claims.awaitReports(ctx)
 	e.beacon.leaving.Store(true)
 	for range leaveRepeats {
 		e.beacon.broadcast()
