Shed by what is really ahead of an organisation's call

The estimate of the wait took one call of every other organisation as ahead, however much these had used. A call that waited at the entry also waited a whole patience at the agent (p95 728 ms). Change: the estimate compares virtual times; the time waited at the entry counts against the patience at the agent; one call a rank waits at an agent beyond its slots, since credits come back as calls end; the rooms' start rates count calls that did not wait.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,7 +74,7 @@
 }
 
 func queueConfig(cfg Config) routing.QueueConfig {
-	return routing.QueueConfig{Slots: cfg.Slots, MaxWaiting: cfg.MaxWaiting}
+	return routing.QueueConfig{Slots: cfg.Slots, MaxWaiting: cfg.MaxWaiting, QueueAhead: 1}
 }
 
 // wire connects the parts with one another.
--- a/agent/job.go
+++ b/agent/job.go
@@ -59,6 +59,7 @@
 		Weight:         weight,
 		ExpectedTokens: max(1, int(req.GetMaxTokens())),
 		Deadline:       now.Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond),
+		Waited:         time.Duration(req.GetWaitedMs()) * time.Millisecond,
 		Resumable:      req.GetService() == "",
 		Suspect:        req.GetSuspect(),
 	}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -16,6 +16,8 @@
 	dispatchTick   = 20 * time.Millisecond
 	dispatchEvents = 1024
 	minRetryAfter  = time.Second
+	// roomLife is how long an empty room keeps its rates.
+	roomLife = time.Minute
 )
 
 // dispatcher gives calls endpoints that have credit for them. Calls without
@@ -26,10 +28,13 @@
 	policies func() routing.Policies
 	now      func() time.Time
 	offers   chan *waiter
-	gone     chan *waiter
-	freed    chan struct{} // Signals a credit given back, holds at most one.
-	done     chan struct{}
-	ids      atomic.Uint64
+	// direct carries calls that found an endpoint without waiting, for the
+	// rooms' rates; one is dropped when the loop is behind.
+	direct chan *waiter
+	gone   chan *waiter
+	freed  chan struct{} // Signals a credit given back, holds at most one.
+	done   chan struct{}
+	ids    atomic.Uint64
 	// waiting counts the waiting calls by rank.
 	waiting [core.RankCount]atomic.Int64
 
@@ -43,6 +48,7 @@
 		policies: policies,
 		now:      now,
 		offers:   make(chan *waiter, dispatchEvents),
+		direct:   make(chan *waiter, dispatchEvents),
 		gone:     make(chan *waiter, dispatchEvents),
 		freed:    make(chan struct{}, 1),
 		done:     make(chan struct{}),
@@ -55,16 +61,21 @@
 func (d *dispatcher) acquire(ctx context.Context, call routing.Call, req routing.Request) (*reservation, error) {
 	if d.noneAhead(req.Rank) {
 		if r, ok := d.choose(d.routes.table.Load(), req); ok {
+			d.note(call, req)
 			return r, nil
 		}
 	}
 	call.ID = d.ids.Add(1)
+	offered := d.now()
 	w := &waiter{call: call, request: req, answer: make(chan grant, 1)}
 	if !d.post(d.offers, w) {
 		return nil, leavingRefusal()
 	}
 	select {
 	case g := <-w.answer:
+		if g.reservation != nil {
+			g.reservation.waited = d.now().Sub(offered)
+		}
 		return g.reservation, g.err
 	case <-ctx.Done():
 		d.post(d.gone, w)
@@ -74,6 +85,14 @@
 	}
 }
 
+// note tells the loop of a call that did not wait.
+func (d *dispatcher) note(call routing.Call, req routing.Request) {
+	select {
+	case d.direct <- &waiter{call: call, request: req}:
+	default:
+	}
+}
+
 func (d *dispatcher) post(to chan *waiter, w *waiter) bool {
 	select {
 	case to <- w:
@@ -125,6 +144,9 @@
 			return
 		case w := <-d.offers:
 			d.roomOf(w).offer(d, w)
+		case w := <-d.direct:
+			d.roomOf(w).overflow.Sent(d.now(), w.call.Rank)
+			continue
 		case w := <-d.gone:
 			d.roomOf(w).withdraw(w)
 		case <-d.routes.changed:
@@ -143,6 +165,7 @@
 		r = newRoom(target, d.policies(), d.cfg.MaxWaiting)
 		d.rooms[key] = r
 	}
+	r.used = d.now()
 	return r
 }
 
@@ -151,7 +174,7 @@
 	var waiting [core.RankCount]int
 	for key, r := range d.rooms {
 		r.step(d)
-		if r.overflow.Len() == 0 {
+		if r.overflow.Len() == 0 && d.now().Sub(r.used) > roomLife {
 			delete(d.rooms, key)
 			continue
 		}
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -70,7 +70,7 @@
 			}
 			return m.refusal(m.versionGone(err))
 		}
-		end := m.attempt(ctx, taken.EndpointState)
+		end := m.attempt(ctx, taken)
 		if end.refused == nil {
 			taken.release()
 		}
@@ -155,7 +155,7 @@
 }
 
 // attempt sends one attempt and keeps its tokens.
-func (m *modelCall) attempt(ctx context.Context, to routing.EndpointState) attemptEnd {
+func (m *modelCall) attempt(ctx context.Context, to *reservation) attemptEnd {
 	ctx, span := m.svc.tracer.Start(ctx, "entry.attempt", trace.WithAttributes(
 		attribute.String("instance", string(to.ID)),
 	))
@@ -178,7 +178,7 @@
 	})
 }
 
-func (m *modelCall) wireRequest(to routing.EndpointState) *wire.CallRequest {
+func (m *modelCall) wireRequest(to *reservation) *wire.CallRequest {
 	return &wire.CallRequest{
 		Attempt:      m.svc.attemptID(m.id),
 		Call:         m.id,
@@ -198,6 +198,7 @@
 		PromptPrefix: m.prefix,
 		Suspect:      m.suspect,
 		KvHandle:     m.handle,
+		WaitedMs:     uint32(to.waited.Milliseconds()),
 	}
 }
 
--- a/entry/plaincall.go
+++ b/entry/plaincall.go
@@ -86,7 +86,7 @@
 		if err != nil {
 			return plainAnswer{}, finalRefusal(err, p.begun)
 		}
-		end := p.attempt(ctx, taken.EndpointState, suspect)
+		end := p.attempt(ctx, taken, suspect)
 		if end.refused == nil {
 			taken.release()
 		}
@@ -100,7 +100,7 @@
 	}
 }
 
-func (p *plainCall) attempt(ctx context.Context, to routing.EndpointState, suspect bool) attemptEnd {
+func (p *plainCall) attempt(ctx context.Context, to *reservation, suspect bool) attemptEnd {
 	ctx, span := p.svc.tracer.Start(ctx, "entry.attempt")
 	defer span.End()
 	return runAttempt(ctx, p.svc.pool, &p.svc.dropped, to.ID, &wire.CallRequest{
@@ -118,6 +118,7 @@
 		DeadlineMs:     uint32(max(0, time.Until(p.deadline).Milliseconds())),
 		Fingerprint:    p.fingerprint,
 		Suspect:        suspect,
+		WaitedMs:       uint32(to.waited.Milliseconds()),
 	}, func(*wire.CallToken) error { return nil })
 }
 
--- a/entry/reservation.go
+++ b/entry/reservation.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/routing"
 )
@@ -13,7 +15,9 @@
 	table *routing.Table
 	index int
 	rank  core.Rank
-	freed func()
+	// waited is how long the call waited for the credit.
+	waited time.Duration
+	freed  func()
 }
 
 // release gives the credit back once the attempt has ended. The agent's next
--- a/entry/room.go
+++ b/entry/room.go
@@ -23,6 +23,8 @@
 	overflow *routing.Overflow
 	waiters  map[uint64]*waiter
 	target   routing.Request // What every call of the room needs.
+	policies routing.Policies
+	used     time.Time // When a call last came.
 }
 
 func newRoom(target routing.Request, policies routing.Policies, maxWaiting int) *room {
@@ -30,6 +32,7 @@
 		overflow: routing.NewOverflow(policies, maxWaiting),
 		waiters:  make(map[uint64]*waiter),
 		target:   target,
+		policies: policies,
 	}
 }
 
@@ -38,7 +41,10 @@
 	now := d.now()
 	policies := d.policies()
 	w.limitWait(now, policies[w.call.Rank].Patience)
-	r.overflow.SetConfig(policies, d.cfg.MaxWaiting)
+	if policies != r.policies {
+		r.policies = policies
+		r.overflow.SetConfig(policies, d.cfg.MaxWaiting)
+	}
 	capacity, queued := r.capacity(d, w, now)
 	evicted, err := r.overflow.Offer(now, w.call, capacity, queued)
 	for _, c := range evicted {
--- a/local/runner/document.go
+++ b/local/runner/document.go
@@ -16,7 +16,7 @@
 
 // rankPolicies is the service that the ranks of a run get.
 var rankPolicies = []fleet.RankPolicy{
-	{Rank: core.RankUrgent, GuaranteedShare: 0.5, PatienceMS: (2 * time.Second).Milliseconds()},
+	{Rank: core.RankUrgent, GuaranteedShare: 0.5, PatienceMS: (600 * time.Millisecond).Milliseconds()},
 	{Rank: core.RankNormal, GuaranteedShare: 0.25, PatienceMS: (10 * time.Second).Milliseconds()},
 	{Rank: core.RankBackground, GuaranteedShare: 0.1, PatienceMS: (30 * time.Second).Milliseconds()},
 }
--- a/routing/call.go
+++ b/routing/call.go
@@ -19,6 +19,9 @@
 	ExpectedTokens int
 	// Deadline ends the call; the zero time stands for none.
 	Deadline time.Time
+	// Waited is how long the call has waited elsewhere; it counts against the
+	// rank's patience until the call is requeued.
+	Waited time.Duration
 	// Resumable calls can be cancelled and continued.
 	Resumable bool
 	// Suspect calls were in flight at a crash and run alone.
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -69,7 +69,7 @@
 func check(now time.Time, c Call, p Policy, wait time.Duration) error {
 	if p.Patience > 0 {
 		accepted := time.Duration(acceptedPatience * float64(p.Patience))
-		if wait > accepted {
+		if wait+c.Waited > accepted {
 			return &ShedError{Rank: c.Rank, RetryAfter: retryAfter(wait, accepted), Reason: ShedPatience}
 		}
 	}
--- a/routing/lane.go
+++ b/routing/lane.go
@@ -113,19 +113,27 @@
 }
 
 // ahead estimates how many waiting calls start before one offered by the
-// organisation now.
+// organisation now: those whose virtual time comes first. The calls of others
+// are taken to cost as much as this one.
 func (l *lane) ahead(c Call) float64 {
-	own := 1.0
+	cost := float64(max(c.ExpectedTokens, minCallCost))
+	own := 0.0
+	start := l.virtual
 	if o, ok := l.organisations[c.Organisation]; ok {
-		own += float64(o.waiting.Len())
+		own = float64(o.waiting.Len())
+		start = o.virtual
+		if o.idle() {
+			start = math.Max(o.virtual, l.virtual)
+		}
 	}
-	perWeight := own / c.weight()
-	ahead := own - 1
+	start += own * cost / c.weight()
+	ahead := own
 	for _, o := range l.active {
-		if o.id == c.Organisation {
+		if o.id == c.Organisation || o.virtual > start {
 			continue
 		}
-		ahead += math.Min(float64(o.waiting.Len()), perWeight*o.weight)
+		first := math.Floor((start-o.virtual)*o.weight/cost) + 1
+		ahead += math.Min(float64(o.waiting.Len()), first)
 	}
 	return ahead
 }
--- a/routing/preempt.go
+++ b/routing/preempt.go
@@ -122,6 +122,7 @@
 	q.stop(now, r)
 	c := r.Call
 	c.ExpectedTokens = expectedTokens
+	c.Waited = 0
 	q.room.insert(&waitingCall{Call: c, enqueued: now, yields: r.yields + 1}, true)
 	return true
 }
--- a/routing/room.go
+++ b/routing/room.go
@@ -68,7 +68,7 @@
 	if patience <= 0 {
 		return w.Deadline
 	}
-	expiry := w.enqueued.Add(patience)
+	expiry := w.enqueued.Add(patience - w.Waited)
 	if !w.Deadline.IsZero() && w.Deadline.Before(expiry) {
 		return w.Deadline
 	}
