Keep begun calls without tokens, and forget callers that have gone

Cause: reading the path of a call: one that had begun without a token was looked up as version '' and refused at once, and a caller that left between two events of the dispatcher could be queued and granted a credit. Change: before the first token any version counts as served; the dispatcher skips calls whose caller has gone.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -67,7 +67,7 @@
 	}
 	call.ID = d.ids.Add(1)
 	offered := d.now()
-	w := &waiter{call: call, request: req, answer: make(chan grant, 1)}
+	w := &waiter{call: call, request: req, answer: make(chan grant, 1), gone: ctx.Done()}
 	if !d.post(d.offers, w) {
 		return nil, leavingRefusal()
 	}
@@ -143,7 +143,9 @@
 		case <-ctx.Done():
 			return
 		case w := <-d.offers:
-			d.roomOf(w).offer(d, w)
+			if !w.left() {
+				d.roomOf(w).offer(d, w)
+			}
 		case w := <-d.direct:
 			d.roomOf(w).overflow.Sent(d.now(), w.call.Rank)
 			continue
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -88,13 +88,9 @@
 }
 
 func (m *modelCall) request() routing.Request {
-	model := m.bound
-	if model.IsZero() {
-		model.Model = m.model
-	}
 	return routing.Request{
 		Rank:    m.rank,
-		Model:   model,
+		Model:   m.wanted(),
 		Prefix:  m.prefix,
 		Suspect: m.suspect,
 		Owed:    len(m.produced) > 0,
@@ -102,6 +98,15 @@
 	}
 }
 
+// wanted returns the version that the answer is bound to, or any version of
+// the model before the first token.
+func (m *modelCall) wanted() core.ModelRef {
+	if m.bound.IsZero() {
+		return core.ModelRef{Model: m.model}
+	}
+	return m.bound
+}
+
 // rebind starts the answer anew with any version when no endpoint serves the
 // bound one and the caller has seen nothing of it.
 func (m *modelCall) rebind(err error) bool {
@@ -109,7 +114,7 @@
 		return false
 	}
 	var refused *RefusedError
-	if !errors.As(err, &refused) || m.boundServed() {
+	if !errors.As(err, &refused) || m.served() {
 		return false
 	}
 	m.bound = core.ModelRef{}
@@ -128,22 +133,22 @@
 	if !m.begun || !errors.As(err, &refused) || refused.Code != CodeOverload {
 		return false
 	}
-	if !m.boundServed() {
+	if !m.served() {
 		return false
 	}
 	pause(ctx, min(max(refused.RetryAfter, roomPauseMin), roomPauseMax))
 	return ctx.Err() == nil
 }
 
-// boundServed reports whether any endpoint serves the version of the answer.
-func (m *modelCall) boundServed() bool {
-	return m.svc.dispatcher.routes.table.Load().Serves("", m.bound)
+// served reports whether any endpoint serves what the call wants.
+func (m *modelCall) served() bool {
+	return m.svc.dispatcher.routes.table.Load().Serves("", m.wanted())
 }
 
 // versionGone names the cause of a refusal when the answer cannot go on since
 // no endpoint serves its version any more.
 func (m *modelCall) versionGone(err error) error {
-	if m.bound.IsZero() || m.boundServed() {
+	if m.bound.IsZero() || m.served() {
 		return err
 	}
 	return &RefusedError{
--- a/entry/room.go
+++ b/entry/room.go
@@ -112,9 +112,14 @@
 	return open
 }
 
-// send gives the call an endpoint if one has credit.
+// send gives the call an endpoint if one has credit. A call that has left
+// counts as sent.
 func (r *room) send(d *dispatcher, table *routing.Table, c routing.Call) bool {
 	w := r.waiters[c.ID]
+	if w.left() {
+		delete(r.waiters, c.ID)
+		return true
+	}
 	taken, ok := d.choose(table, w.request)
 	if !ok && len(w.request.Exclude) > 0 {
 		again := w.request
--- a/entry/waiter.go
+++ b/entry/waiter.go
@@ -11,6 +11,8 @@
 	call    routing.Call
 	request routing.Request
 	answer  chan grant // Holds one.
+	// gone is closed when the call no longer waits for its answer.
+	gone    <-chan struct{}
 	limited bool
 }
 
@@ -31,3 +33,13 @@
 		w.call.Deadline = end
 	}
 }
+
+// left reports whether nobody waits for the answer any more.
+func (w *waiter) left() bool {
+	select {
+	case <-w.gone:
+		return true
+	default:
+		return false
+	}
+}
