--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -56,16 +57,20 @@
 	tallies []tally
 }
 
-func simulate(t *testing.T, config QueueConfig, sources []source) []tally {
-	t.Helper()
-	s := &simulation{
+func newSimulation(config QueueConfig, sources int) *simulation {
+	return &simulation{
 		queue:   NewQueue(config),
 		now:     epoch,
 		owner:   make(map[uint64]int),
 		offered: make(map[uint64]time.Time),
 		ends:    make(map[uint64]time.Time),
-		tallies: make([]tally, len(sources)),
+		tallies: make([]tally, sources),
 	}
+}
+
+func simulate(t *testing.T, config QueueConfig, sources []source) []tally {
+	t.Helper()
+	s := newSimulation(config, len(sources))
 	for s.now.Before(epoch.Add(simulationTime)) {
 		s.step(t, sources)
 	}
@@ -76,7 +81,9 @@
 	t.Helper()
 	s.now = s.now.Add(simulationTick)
 	s.finish()
-	s.queue.Expire(s.now)
+	for _, c := range s.queue.Expire(s.now) {
+		s.tallies[s.owner[c.ID]].shed++
+	}
 	for i := range sources {
 		sources[i].due += sources[i].perSecond * simulationTick.Seconds()
 		for sources[i].due >= 1 {
@@ -123,8 +130,8 @@
 }
 
 func (s *simulation) finish() {
-	for id, end := range s.ends {
-		if end.After(s.now) {
+	for _, id := range slices.Sorted(maps.Keys(s.ends)) {
+		if s.ends[id].After(s.now) {
 			continue
 		}
 		delete(s.ends, id)
