--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,13 +11,11 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/problem"
-	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -103,101 +101,6 @@
 	return e, nil
 }
 
-func parseDigests(texts []string) ([]core.Digest, error) {
-	digests := make([]core.Digest, 0, len(texts))
-	for _, text := range texts {
-		d, err := core.ParseDigest(text)
-		if err != nil {
-			return nil, err
-		}
-		digests = append(digests, d)
-	}
-	return digests, nil
-}
-
-func (e *Entry) identity() wire.Identity {
-	return wire.Identity{Instance: e.cfg.Instance.ID, Incarnation: e.cfg.Incarnation, Key: e.cfg.FleetKey, Faults: &e.faults}
-}
-
-// wireRequests connects the parts on the path of a call.
-func (e *Entry) wireRequests() {
-	e.pool = newSessionPool(e.deps.Dial, e.identity(), e.serve, e.deps.Now)
-	e.routes = newRoutes(e.cfg, e.deps, e.pool)
-	e.routes.onAgent = e.onAgent
-	e.quarantine = newQuarantine(e.deps.Now)
-	policies := func() routing.Policies { return rankPolicies(e.held.Policy()) }
-	e.dispatcher = newDispatcher(e.cfg, e.routes, policies, e.deps.Now)
-	e.claims = &claimService{
-		cfg:    e.cfg,
-		kv:     e.deps.KeyValue,
-		routes: e.routes,
-		pool:   e.pool,
-		logger: e.deps.Logger,
-		scope:  e.deps.Scope,
-		now:    e.deps.Now,
-		ctx:    e.running,
-		owners: make(map[int]*claim.Owner),
-	}
-	e.calls = &callService{
-		cfg:        e.cfg,
-		held:       e.held,
-		routes:     e.routes,
-		pool:       e.pool,
-		dispatcher: e.dispatcher,
-		quarantine: e.quarantine,
-		claims:     e.claims,
-		tracer:     e.deps.Tracer,
-		scope:      e.deps.Scope,
-		now:        e.deps.Now,
-		budget:     routing.NewRetryBudget(routing.RetryBudgetConfig{Ratio: retryRatio, Burst: retryBurst}),
-	}
-}
-
-// wireOperations connects the parts that carry out operators' intents.
-func (e *Entry) wireOperations() {
-	e.beacon = &beacon{
-		cfg:     e.cfg,
-		routes:  e.routes,
-		held:    e.held,
-		strikes: e.quarantine.recent,
-		kick:    make(chan struct{}, 1),
-	}
-	e.quarantine.onStrike = e.beacon.urge
-	collector := &collector{routes: e.routes, pool: e.pool}
-	e.executor = &executor{
-		lease: configuration.NewExecutor(configuration.ExecutorConfig{
-			KeyValue: e.deps.KeyValue,
-			Clock:    configuration.Clock{Now: e.deps.Now},
-			Holder:   e.calls.uniqueID(0),
-			MinFence: collector.highestFence,
-			Logger:   e.deps.Logger,
-		}),
-		held:      e.held,
-		collector: collector,
-		pool:      e.pool,
-		logger:    e.deps.Logger,
-		scope:     e.deps.Scope,
-		now:       e.deps.Now,
-	}
-	e.swarm = &swarmServer{
-		held:      e.held,
-		routes:    e.routes,
-		store:     e.deps.WeightStore,
-		manifests: make(map[core.Digest][]byte),
-	}
-	e.operators = &operatorService{
-		kv:        e.deps.KeyValue,
-		store:     e.store,
-		weights:   e.deps.WeightStore,
-		held:      e.held,
-		collector: collector,
-		executor:  e.executor,
-		now:       e.deps.Now,
-		logger:    e.deps.Logger,
-		instance:  e.cfg.Instance.ID,
-	}
-}
-
 // Handler serves callers and operators.
 func (e *Entry) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -245,55 +148,12 @@
 	return err
 }
 
-// runStore follows the configuration, and writes the first one where the
-// key-value service holds none.
-func (e *Entry) runStore(ctx context.Context) {
-	e.writeInitial(ctx)
-	watch := &duty{
-		name:   dutyWatch,
-		routes: e.routes,
-		task:   e.store.Run,
-		idle:   func(ctx context.Context) { _ = e.store.Load(ctx) },
-	}
-	watch.run(ctx)
-}
-
 // runExecutor stands for the executor's lease while that falls to this entry.
 func (e *Entry) runExecutor(ctx context.Context) {
 	stand := &duty{name: dutyExecutor, routes: e.routes, task: e.executor.run}
 	stand.run(ctx)
 }
 
-// writeInitial makes Config.InitialDocument generation 1. Losing the race to
-// another entry is fine: one of them is the first.
-func (e *Entry) writeInitial(ctx context.Context) {
-	if e.cfg.InitialDocument == nil {
-		return
-	}
-	for ctx.Err() == nil {
-		if err := e.store.Load(ctx); err != nil {
-			pause(ctx, campaignPause)
-			continue
-		}
-		if e.held.Generation() > 0 {
-			return
-		}
-		first := e.cfg.InitialDocument.Clone()
-		first.Generation = 1
-		err := e.store.Commit(ctx, first)
-		if err == nil {
-			return
-		}
-		e.deps.Logger.Warn("first configuration not written", "error", err.Error())
-		pause(ctx, campaignPause)
-	}
-}
-
-// peerGeneration returns the highest generation that agents have shown.
-func (e *Entry) peerGeneration() core.Generation {
-	return core.Generation(e.peers.Load())
-}
-
 // open binds the sockets.
 func (e *Entry) open(ctx context.Context) (net.Listener, error) {
 	plane, err := wire.ListenPlane(e.cfg.Instance.DatagramAddr, e.cfg.FleetKey, e.routes.receive)
@@ -328,50 +188,6 @@
 	}
 }
 
-func (e *Entry) serveConfig(st *wire.Stream, r *wire.ConfigRequest) {
-	answer, err := configuration.Respond(e.held, r)
-	if err != nil {
-		e.deps.Logger.Error("configuration cannot be sent", "error", err.Error())
-		return
-	}
-	_ = st.Send(answer)
-}
-
-// onAgent takes what an agent's datagram says beside its load.
-func (e *Entry) onAgent(d *wire.Datagram) {
-	e.quarantine.merge(d.GetStrikes())
-	if core.Generation(d.GetGeneration()) <= e.held.Generation() {
-		return
-	}
-	// Only the loop of the routes writes peers.
-	e.peers.Store(max(e.peers.Load(), d.GetGeneration()))
-	if e.fetching.CompareAndSwap(false, true) {
-		go e.fetchFrom(core.InstanceID(d.GetInstance()))
-	}
-}
-
-// fetchFrom takes a newer configuration from an agent, which matters when the
-// key-value service is away or came back older.
-func (e *Entry) fetchFrom(agent core.InstanceID) {
-	defer e.fetching.Store(false)
-	session := e.pool.open(agent)
-	if session == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(e.running, configAskTimeout)
-	defer cancel()
-	answer := &wire.ConfigResponse{}
-	err := session.Ask(ctx, &wire.StreamHeader{Request: &wire.StreamHeader_Config{
-		Config: &wire.ConfigRequest{Generation: uint64(e.held.Generation())},
-	}}, answer)
-	if err != nil || len(answer.GetDocument()) == 0 {
-		return
-	}
-	if doc, err := fleet.DecodeDocument(answer.GetDocument()); err == nil {
-		e.store.Offer(doc)
-	}
-}
-
 // Ready is closed once the entry serves.
 func (e *Entry) Ready() <-chan struct{} {
 	return e.ready
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"mime"
@@ -13,8 +12,6 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/problem"
 	"github.com/snipestep/snipestep/routing"
@@ -104,72 +101,6 @@
 	return body, nil
 }
 
-// completion serves a call of a model.
-func (h *callerHandler) completion(w http.ResponseWriter, r *http.Request) {
-	c, err := h.admit(r)
-	if err != nil {
-		h.fail(w, err)
-		return
-	}
-	m, err := h.parseCompletion(w, r, c)
-	if err != nil {
-		h.fail(w, err)
-		return
-	}
-	err = m.run(r.Context())
-	h.count(c, err)
-	if err == nil {
-		return
-	}
-	if stream, ok := m.sink.(*streamSink); ok && stream.started {
-		stream.fail(problemOf(finalRefusal(err, true)))
-		return
-	}
-	h.fail(w, err)
-}
-
-func (h *callerHandler) parseCompletion(w http.ResponseWriter, r *http.Request, c *call) (*modelCall, error) {
-	body, err := h.readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
-	var req chatRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		return nil, refuse(http.StatusBadRequest, CodeBadRequest, err.Error())
-	}
-	if req.MaxTokens == 0 {
-		req.MaxTokens = defaultMaxTokens
-	}
-	if req.MaxTokens < 0 || req.MaxTokens > limitMaxTokens {
-		return nil, refuse(http.StatusBadRequest, CodeBadRequest, "max_tokens is out of range")
-	}
-	prompt := promptOf(req)
-	if prompt == "" {
-		return nil, refuse(http.StatusBadRequest, CodeBadRequest, "the request has no prompt")
-	}
-	if !h.knownModel(req.Model) {
-		return nil, refuse(http.StatusNotFound, CodeUnknownModel, "model "+req.Model+" is not placed")
-	}
-	c.fingerprint = routing.Fingerprint(c.organisation, c.kind, []byte(prompt))
-	if err := h.checkQuarantine(c); err != nil {
-		return nil, err
-	}
-	return &modelCall{
-		call:      c,
-		svc:       h.svc,
-		model:     req.Model,
-		prompt:    prompt,
-		prefix:    endpoint.PromptPrefix(prompt),
-		maxTokens: req.MaxTokens,
-		sink:      sinkFor(w, req, c.id),
-	}, nil
-}
-
-func (h *callerHandler) knownModel(name string) bool {
-	_, ok := h.svc.held.Policy().Model(name)
-	return ok
-}
-
 func (h *callerHandler) checkQuarantine(c *call) error {
 	if wait, ok := h.svc.quarantine.refused(c.fingerprint); ok {
 		return quarantineRefusal(wait)
@@ -177,74 +108,6 @@
 	return nil
 }
 
-func promptOf(req chatRequest) string {
-	if len(req.Messages) == 0 {
-		return req.Prompt
-	}
-	contents := make([]string, 0, len(req.Messages))
-	for _, m := range req.Messages {
-		contents = append(contents, m.Content)
-	}
-	return strings.Join(contents, "\n")
-}
-
-func sinkFor(w http.ResponseWriter, req chatRequest, id string) tokenSink {
-	if req.Stream {
-		return newStreamSink(w, id, req.Model)
-	}
-	return &wholeSink{w: w, id: id, model: req.Model}
-}
-
-// operation serves a call of a plain service.
-func (h *callerHandler) operation(w http.ResponseWriter, r *http.Request) {
-	c, err := h.admit(r)
-	if err != nil {
-		h.fail(w, err)
-		return
-	}
-	p, err := h.parseOperation(w, r, c)
-	if err != nil {
-		h.fail(w, err)
-		return
-	}
-	answer, err := p.run(r.Context())
-	h.count(c, err)
-	if err != nil {
-		h.fail(w, err)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(answer.status)
-	_, _ = w.Write(answer.body)
-}
-
-func (h *callerHandler) parseOperation(w http.ResponseWriter, r *http.Request, c *call) (*plainCall, error) {
-	service, name := r.PathValue("service"), r.PathValue("operation")
-	op, ok := h.svc.held.Policy().Operation(service, name)
-	if !ok {
-		return nil, refuse(http.StatusNotFound, CodeUnknownService, "operation "+service+"/"+name+" does not exist")
-	}
-	body, err := h.readBody(w, r)
-	if err != nil {
-		return nil, err
-	}
-	c.rank = op.Rank
-	key := r.Header.Get(endpoint.IdempotencyKeyHeader)
-	c.fingerprint = operationFingerprint(c, service, op, key, body)
-	if err := h.checkQuarantine(c); err != nil {
-		return nil, err
-	}
-	return &plainCall{
-		call:       c,
-		svc:        h.svc,
-		service:    service,
-		operation:  name,
-		idempotent: op.Idempotent,
-		key:        key,
-		body:       body,
-	}, nil
-}
-
 // operationFingerprint identifies a call of a plain service. Calls that are
 // not idempotent differ by their keys: two purchases with equal bodies are two
 // requests.
@@ -290,8 +153,3 @@
 	p.RetryAfterMS = r.RetryAfter.Milliseconds()
 	return p
 }
-
-// scopedKey keeps the idempotency keys of organisations apart.
-func scopedKey(organisation core.OrganisationID, service, operation, key string) string {
-	return strings.Join([]string{string(organisation), service, operation, key}, "\x00")
-}
