Policies: one home for their names in core

Cause: settings, agent and entry each had the names of the policies. Change: core has them; settings and local use them. Conclusion: agent and entry can follow with aliases of these constants.

--- a/local/runner/run_test.go
+++ b/local/runner/run_test.go
@@ -9,10 +9,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/local/report"
 	"github.com/snipestep/snipestep/local/runner"
 	"github.com/snipestep/snipestep/local/scenario"
-	"github.com/snipestep/snipestep/settings"
 )
 
 const testLimit = 90 * time.Second
@@ -47,7 +47,7 @@
 }
 
 func TestRun(t *testing.T) {
-	for _, policy := range []string{settings.PolicySnipestep, settings.PolicyBaseline} {
+	for _, policy := range []string{core.PolicySnipestep, core.PolicyBaseline} {
 		t.Run(policy, func(t *testing.T) {
 			s := short(t)
 			s.Run.Policy = policy
--- a/local/scenario/schema.go
+++ b/local/scenario/schema.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/settings"
 )
 
@@ -116,6 +117,6 @@
 func runSection(r *Run) settings.Section {
 	return settings.Section{Name: "run", Doc: "The run.", Keys: []settings.Key{
 		{Name: "seed", Default: "1", Value: settings.Seed(&r.Seed), Doc: "Seed of all randomness."},
-		{Name: "policy", Default: settings.PolicySnipestep, Value: settings.Choice(&r.Policy, settings.PolicySnipestep, settings.PolicyBaseline), Doc: "Policy of routing and weight distribution."},
+		{Name: "policy", Default: core.PolicySnipestep, Value: settings.Choice(&r.Policy, core.PolicySnipestep, core.PolicyBaseline), Doc: "Policy of routing and weight distribution."},
 	}}
 }
--- a/settings/fleetkey.go
+++ b/settings/fleetkey.go
@@ -65,21 +65,13 @@
 	return raw, nil
 }
 
-// policy keys shared by the programs.
-const (
-	// PolicySnipestep is the policy of the product.
-	PolicySnipestep = "snipestep"
-	// PolicyBaseline draws every copy from the origin and queues calls in
-	// one FIFO queue, fewest running calls first.
-	PolicyBaseline = "baseline"
-)
-
+// policyKeys are the policy keys that the programs share.
 func policyKeys(policy *string, origin *string) []Key {
 	return []Key{
 		{
 			Name:    "policy",
-			Default: PolicySnipestep,
-			Value:   Choice(policy, PolicySnipestep, PolicyBaseline),
+			Default: core.PolicySnipestep,
+			Value:   Choice(policy, core.PolicySnipestep, core.PolicyBaseline),
 			Doc:     "Policy of routing and weight distribution. baseline is for comparisons only.",
 		},
 		{
