Bearer tokens: one package reads and writes them

Cause: three places had the header and the prefix of a bearer token. Change: internal/bearer; operator and local/load use it.

--- a/local/load/client.go
+++ b/local/load/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/bearer"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -125,7 +126,7 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", contentTypeJSON)
-	request.Header.Set("Authorization", "Bearer "+arrival.From.Token)
+	bearer.SetToken(request, arrival.From.Token)
 	request.Header.Set(CallIDHeader, arrival.ID)
 	if arrival.Class == ClassPurchase {
 		request.Header.Set(IdempotencyKey, arrival.ID)
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/bearer"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -154,7 +155,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "make request")
 	}
-	request.Header.Set("Authorization", bearerPrefix+c.token)
+	bearer.SetToken(request, c.token)
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -7,18 +7,17 @@
 	"log/slog"
 	"mime"
 	"net/http"
-	"strings"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/bearer"
 	"github.com/snipestep/snipestep/problem"
 )
 
 const (
 	maxIntentBytes = 256 << 10
 	maxPlanIDBytes = 64
-	bearerPrefix   = "Bearer "
 )
 
 type handler struct {
@@ -65,7 +64,7 @@
 
 func (h *handler) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		token, ok := bearer.Token(r)
 		if !ok || !h.tokens[fleet.TokenDigest(token)] {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			refuse(w, http.StatusUnauthorized, CodeUnauthorised, "an operator's bearer token is needed")
