SplitMix64: one package for its mixing

Cause: fleet and routing each had a function called mix, and they differed: routing's adds the increment first. Change: internal/splitmix has both under names of their own. Conclusion: the choices of peers and endpoints stay as they were.

--- a/fleet/subset.go
+++ b/fleet/subset.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/splitmix"
 )
 
 // Subset returns the peers that self keeps sessions and heartbeats with, at
@@ -142,13 +143,13 @@
 func (s *subsetter) score(chooser hashedID) {
 	for _, domain := range s.domains {
 		for _, peer := range domain.peers {
-			peer.score = mix(chooser.hash ^ mix(peer.hash))
+			peer.score = splitmix.Finalise(chooser.hash ^ splitmix.Finalise(peer.hash))
 			peer.chosen = false
 		}
 	}
 	sort.Slice(s.domains, func(i, j int) bool {
 		a, b := s.domains[i].hash, s.domains[j].hash
-		return mix(chooser.hash^mix(a)) < mix(chooser.hash^mix(b))
+		return splitmix.Finalise(chooser.hash^splitmix.Finalise(a)) < splitmix.Finalise(chooser.hash^splitmix.Finalise(b))
 	})
 }
 
@@ -188,16 +189,6 @@
 	return p.instance
 }
 
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	x ^= x >> 31
-	return x
-}
-
 func contains(instances []core.Instance, id core.InstanceID) bool {
 	for _, i := range instances {
 		if i.ID == id {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/splitmix"
 )
 
 const (
@@ -96,7 +97,7 @@
 		return 0
 	}
 	if r.Prefix != 0 {
-		rnd = mix(r.Prefix)
+		rnd = splitmix.Next(r.Prefix)
 	}
 	hi, _ := bits.Mul64(rnd, uint64(n))
 	return int(hi)
@@ -150,7 +151,7 @@
 		score := prefixScore{
 			local:  candidate.local,
 			cached: slices.Contains(t.endpoints[candidate.index].Prefixes, r.Prefix),
-			hash:   mix(candidate.hash ^ r.Prefix),
+			hash:   splitmix.Next(candidate.hash ^ r.Prefix),
 		}
 		if best < 0 || score.above(bestScore) {
 			best = k
@@ -202,13 +203,5 @@
 // jitter returns a number in [0, 1).
 func jitter(rnd uint64, k int) float64 {
 	const fractionBits = 53
-	return float64(mix(rnd+uint64(k))>>(64-fractionBits)) / (1 << fractionBits)
-}
-
-// mix is the finaliser of SplitMix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
+	return float64(splitmix.Next(rnd+uint64(k))>>(64-fractionBits)) / (1 << fractionBits)
 }
