--- /dev/null
+++ b/claim/claimpb/doc.go
@@ -0,0 +1,2 @@
+// Package claimpb has the generated messages of the log of claims.
+package claimpb
--- /dev/null
+++ b/cmd/snipestep-agent/doc.go
@@ -0,0 +1,2 @@
+// Command snipestep-agent runs the agent beside one endpoint.
+package main
--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -1,4 +1,3 @@
-// Command snipestep-agent runs the agent beside one endpoint.
 package main
 
 import (
--- /dev/null
+++ b/internal/daemon/doc.go
@@ -0,0 +1,3 @@
+// Package daemon is the frame that the long-running programs share: checking
+// settings, telemetry, the metrics server, signals and exit statuses.
+package daemon
--- /dev/null
+++ b/local/wait/doc.go
@@ -0,0 +1,2 @@
+// Package wait blocks for a time or until a context ends.
+package wait
--- a/local/wait/wait.go
+++ b/local/wait/wait.go
@@ -1,4 +1,3 @@
-// Package wait blocks for a time or until a context ends.
 package wait
 
 import (
