--- /dev/null
+++ b/operator/cells.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/intent"
+)
+
+const (
+	shownInstances   = 6
+	bytesPerMegabyte = 1_000_000
+)
+
+func capacities(ranks []intent.RankCapacity) string {
+	if len(ranks) == 0 {
+		return "none"
+	}
+	parts := []string{fmt.Sprintf("%d slots", ranks[0].Slots)}
+	for _, r := range ranks {
+		parts = append(parts, fmt.Sprintf("%s %d", r.Rank, r.Guaranteed))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func names(ids []core.InstanceID) string {
+	var parts []string
+	for _, id := range ids {
+		parts = append(parts, string(id))
+	}
+	sort.Strings(parts)
+	if len(parts) > shownInstances {
+		parts = append(parts[:shownInstances], fmt.Sprintf("and %d more", len(ids)-shownInstances))
+	}
+	return strings.Join(parts, " ")
+}
+
+func megabytes(n int64) string {
+	return fmt.Sprintf("%.1f MB", float64(n)/bytesPerMegabyte)
+}
+
+func milliseconds(ms int64) string {
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "none"
+	}
+	return text
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
