--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,43 @@
-.PHONY: test lint fmt generate fuzz
+.PHONY: test lint fmt generate fuzz bench
+
+MODULE := github.com/snipestep/snipestep
+
+# The cases of each property test, the time limit of a package with such tests,
+# and the time of each fuzz target.
+RAPID_CHECKS ?= 2000
+RAPID_TIMEOUT ?= 30m
+FUZZ_TIME ?= 30s
+BENCH ?= .
+
+# -rapid.checks is known only to the packages that have property tests.
+RAPID_PACKAGES := \
+	./claim \
+	./configuration \
+	./entry \
+	./fleet \
+	./intent \
+	./internal/fakes \
+	./local/load \
+	./routing \
+	./weights
 
 test:
 	go test ./...
 
 fmt:
-	gofumpt -l -w .
+	golangci-lint fmt ./...
 
 lint:
 	golangci-lint run ./...
 
 generate:
-	protoc -I wire/proto --go_out=. --go_opt=module=github.com/snipestep/snipestep wire/proto/*.proto
-	protoc -I claim/proto --go_out=. --go_opt=module=github.com/snipestep/snipestep claim/proto/*.proto
+	protoc -I wire/proto --go_out=. --go_opt=module=$(MODULE) wire/proto/*.proto
+	protoc -I claim/proto --go_out=. --go_opt=module=$(MODULE) claim/proto/*.proto
 
 fuzz:
-	go test ./... -run 'Fuzz|Stateful|Rapid' -rapid.checks=2000
+	go test $(RAPID_PACKAGES) -timeout $(RAPID_TIMEOUT) -rapid.checks=$(RAPID_CHECKS)
+	go test ./weights -run '^$$' -fuzz '^FuzzDecodeManifest$$' -fuzztime $(FUZZ_TIME)
+	go test ./wire -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZ_TIME)
+
+bench:
+	go test ./... -run '^$$' -bench '$(BENCH)' -benchmem
