--- a/claim/draft.go
+++ b/claim/draft.go
@@ -3,9 +3,10 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/snipestep/snipestep/claim/claimpb"
 	"github.com/snipestep/snipestep/core"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/claim/keyvalue_test.go
+++ b/claim/keyvalue_test.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
 	"github.com/snipestep/snipestep/platform"
 )
 
--- a/claim/owner_stateful_test.go
+++ b/claim/owner_stateful_test.go
@@ -6,9 +6,10 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 const (
--- a/claim/owner_test.go
+++ b/claim/owner_test.go
@@ -9,9 +9,10 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 // ask steps an owner with one request and returns its verdict.
--- a/claim/ownerconfig.go
+++ b/claim/ownerconfig.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/uuid"
+
 	"github.com/snipestep/snipestep/platform"
 )
 
--- a/claim/shard.go
+++ b/claim/shard.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/snipestep/snipestep/core"
 )
 
--- a/claim/shardlog.go
+++ b/claim/shardlog.go
@@ -9,9 +9,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/snipestep/snipestep/claim/claimpb"
 	"github.com/snipestep/snipestep/platform"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
--- a/claim/sync.go
+++ b/claim/sync.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
 	"github.com/snipestep/snipestep/core"
 )
 
--- a/routing/candidate.go
+++ b/routing/candidate.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/snipestep/snipestep/core"
 )
 
--- a/routing/choose_test.go
+++ b/routing/choose_test.go
@@ -7,8 +7,9 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 var testModel = core.ModelRef{Model: "m", Version: "1", Manifest: core.Digest{1}}
--- a/routing/credits_test.go
+++ b/routing/credits_test.go
@@ -4,8 +4,9 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 // fill offers and starts calls of one rank.
--- a/routing/fingerprint.go
+++ b/routing/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+
 	"github.com/snipestep/snipestep/core"
 )
 
--- a/routing/overflow_test.go
+++ b/routing/overflow_test.go
@@ -5,8 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 var (
--- a/routing/queue_stateful_test.go
+++ b/routing/queue_stateful_test.go
@@ -5,9 +5,10 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/routing/simulation_test.go
+++ b/routing/simulation_test.go
@@ -6,8 +6,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/snipestep/snipestep/core"
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 const (
