Media types: one package checks them

Cause: operator, problem and entry parsed the content type in the same lines. Change: internal/mediatype; operator and problem use it.

--- /dev/null
+++ b/internal/mediatype/doc.go
@@ -0,0 +1,2 @@
+// Package mediatype checks the media type of an HTTP body.
+package mediatype
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -5,13 +5,13 @@
 	"errors"
 	"io"
 	"log/slog"
-	"mime"
 	"net/http"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/mediatype"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -92,8 +92,7 @@
 // readIntent decodes and checks the body, or returns the refusal.
 func readIntent(w http.ResponseWriter, r *http.Request) (intent.Intent, *problem.Problem) {
 	var in intent.Intent
-	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	if err != nil || media != "application/json" {
+	if !mediatype.Is(r.Header, mediatype.JSON) {
 		return in, problem.New(http.StatusUnsupportedMediaType, CodeMediaType, "the body must be application/json")
 	}
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxIntentBytes))
--- a/problem/read.go
+++ b/problem/read.go
@@ -3,8 +3,9 @@
 import (
 	"encoding/json"
 	"io"
-	"mime"
 	"net/http"
+
+	"github.com/snipestep/snipestep/internal/mediatype"
 )
 
 const maxProblemBytes = 64 << 10
@@ -14,8 +15,7 @@
 // 64 KiB and does not close the body.
 func Read(r *http.Response) *Problem {
 	fallback := New(r.StatusCode, "", "the answer is not a problem document")
-	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	if err != nil || media != ContentType {
+	if !mediatype.Is(r.Header, ContentType) {
 		return fallback
 	}
 	var p Problem
