fakes: the oracle test in steps of their own

Change: each action is a method; draws and assertions are the same. Conclusion: each action reads by itself.

--- a/internal/fakes/keyvalue_oracle_test.go
+++ b/internal/fakes/keyvalue_oracle_test.go
@@ -1,6 +1,7 @@
 package fakes_test
 
 import (
+	"context"
 	"errors"
 	"net/http/httptest"
 	"testing"
@@ -38,6 +39,116 @@
 	delete(o.ends, key)
 }
 
+// oracleRun compares a service with the oracle.
+type oracleRun struct {
+	ctx     context.Context
+	clock   *manualClock
+	service *fakes.KeyValue
+	client  *platform.HTTPKeyValue
+	oracle  *keyValueOracle
+	down    bool
+}
+
+func newOracleRun(ctx context.Context, clock *manualClock, service *fakes.KeyValue, server *httptest.Server) *oracleRun {
+	return &oracleRun{
+		ctx:     ctx,
+		clock:   clock,
+		service: service,
+		client:  platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: server.URL, Client: server.Client()}),
+		oracle:  &keyValueOracle{values: map[string]string{}, versions: map[string]uint64{}, ends: map[string]time.Time{}},
+	}
+}
+
+func drawKey(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"a", "b"}).Draw(t, "key")
+}
+
+func (r *oracleRun) version(key string) uint64 {
+	return r.oracle.version(key, r.clock.Now())
+}
+
+// settle checks the error of a write and applies it to the oracle.
+func (r *oracleRun) settle(t *rapid.T, err error, apply func()) {
+	if r.down {
+		assert.Assert(t, isUnavailable(err), "got %v", err)
+		return
+	}
+	var unknown *platform.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		assert.NilError(t, err)
+	}
+	apply()
+}
+
+func (r *oracleRun) swap(t *rapid.T) {
+	k, value := drawKey(t), rapid.String().Draw(t, "value")
+	_, err := r.client.CompareAndSwap(r.ctx, k, r.version(k), []byte(value), 0)
+	r.settle(t, err, func() { r.oracle.put(k, value) })
+}
+
+func (r *oracleRun) swapWithLease(t *rapid.T) {
+	k := drawKey(t)
+	lease, err := r.client.Grant(r.ctx, time.Minute)
+	if err != nil {
+		return
+	}
+	_, err = r.client.CompareAndSwap(r.ctx, k, r.version(k), nil, lease)
+	r.settle(t, err, func() {
+		r.oracle.put(k, "")
+		r.oracle.ends[k] = r.clock.Now().Add(time.Minute)
+	})
+}
+
+func (r *oracleRun) swapWrongVersion(t *rapid.T) {
+	k := drawKey(t)
+	_, err := r.client.CompareAndSwap(r.ctx, k, r.version(k)+1, nil, 0)
+	var conflict *platform.ConflictError
+	assert.Assert(t, r.down || errors.As(err, &conflict), "got %v", err)
+}
+
+func (r *oracleRun) remove(t *rapid.T) {
+	k := drawKey(t)
+	version := r.version(k)
+	if version == 0 {
+		return
+	}
+	r.settle(t, r.client.Delete(r.ctx, k, version), func() {
+		delete(r.oracle.values, k)
+		delete(r.oracle.ends, k)
+	})
+}
+
+func (r *oracleRun) passTime(t *rapid.T) {
+	r.clock.Advance(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
+}
+
+func (r *oracleRun) outage(t *rapid.T) {
+	r.down = rapid.Bool().Draw(t, "down")
+	r.service.SetDown(r.down)
+}
+
+func (r *oracleRun) loseAnswers(t *rapid.T) {
+	r.service.SetLoseAnswerRatio(rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "ratio"), 1)
+}
+
+// check compares what the service holds.
+func (r *oracleRun) check(t *rapid.T) {
+	for _, k := range []string{"a", "b"} {
+		entry, err := r.client.Get(r.ctx, k)
+		want := r.version(k)
+		switch {
+		case r.down:
+			assert.Assert(t, isUnavailable(err), "got %v", err)
+		case want == 0:
+			assert.ErrorIs(t, err, platform.ErrKeyNotFound)
+		default:
+			assert.NilError(t, err)
+			assert.Equal(t, entry.Version, want)
+			assert.Equal(t, string(entry.Value), r.oracle.values[k])
+		}
+	}
+}
+
 // TestKeyValueAgainstOracle writes with right and wrong versions, loses
 // answers, lapses leases and has outages, and settles each lost answer by
 // reading back.
@@ -47,84 +158,16 @@
 		service := fakes.NewKeyValue(clock.Now)
 		server := httptest.NewServer(service)
 		defer server.Close()
-		client := platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: server.URL, Client: server.Client()})
-		oracle := &keyValueOracle{values: map[string]string{}, versions: map[string]uint64{}, ends: map[string]time.Time{}}
-		ctx := t.Context()
-		key := rapid.SampledFrom([]string{"a", "b"})
-		down := false
-
-		settle := func(t *rapid.T, err error, apply func()) {
-			if down {
-				assert.Assert(t, isUnavailable(err), "got %v", err)
-				return
-			}
-			var unknown *platform.UnknownOutcomeError
-			if !errors.As(err, &unknown) {
-				assert.NilError(t, err)
-			}
-			apply()
-		}
+		r := newOracleRun(t.Context(), clock, service, server)
 		t.Repeat(map[string]func(*rapid.T){
-			"swap": func(t *rapid.T) {
-				k, value := key.Draw(t, "key"), rapid.String().Draw(t, "value")
-				_, err := client.CompareAndSwap(ctx, k, oracle.version(k, clock.Now()), []byte(value), 0)
-				settle(t, err, func() { oracle.put(k, value) })
-			},
-			"swap with a lease": func(t *rapid.T) {
-				k := key.Draw(t, "key")
-				lease, err := client.Grant(ctx, time.Minute)
-				if err != nil {
-					return
-				}
-				_, err = client.CompareAndSwap(ctx, k, oracle.version(k, clock.Now()), nil, lease)
-				settle(t, err, func() {
-					oracle.put(k, "")
-					oracle.ends[k] = clock.Now().Add(time.Minute)
-				})
-			},
-			"swap with a wrong version": func(t *rapid.T) {
-				k := key.Draw(t, "key")
-				_, err := client.CompareAndSwap(ctx, k, oracle.version(k, clock.Now())+1, nil, 0)
-				var conflict *platform.ConflictError
-				assert.Assert(t, down || errors.As(err, &conflict), "got %v", err)
-			},
-			"delete": func(t *rapid.T) {
-				k := key.Draw(t, "key")
-				version := oracle.version(k, clock.Now())
-				if version == 0 {
-					return
-				}
-				settle(t, client.Delete(ctx, k, version), func() {
-					delete(oracle.values, k)
-					delete(oracle.ends, k)
-				})
-			},
-			"pass time": func(t *rapid.T) {
-				clock.Advance(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
-			},
-			"outage": func(t *rapid.T) {
-				down = rapid.Bool().Draw(t, "down")
-				service.SetDown(down)
-			},
-			"lose answers": func(t *rapid.T) {
-				service.SetLoseAnswerRatio(rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "ratio"), 1)
-			},
-			"": func(t *rapid.T) {
-				for _, k := range []string{"a", "b"} {
-					entry, err := client.Get(ctx, k)
-					want := oracle.version(k, clock.Now())
-					switch {
-					case down:
-						assert.Assert(t, isUnavailable(err), "got %v", err)
-					case want == 0:
-						assert.ErrorIs(t, err, platform.ErrKeyNotFound)
-					default:
-						assert.NilError(t, err)
-						assert.Equal(t, entry.Version, want)
-						assert.Equal(t, string(entry.Value), oracle.values[k])
-					}
-				}
-			},
+			"swap":                      r.swap,
+			"swap with a lease":         r.swapWithLease,
+			"swap with a wrong version": r.swapWrongVersion,
+			"delete":                    r.remove,
+			"pass time":                 r.passTime,
+			"outage":                    r.outage,
+			"lose answers":              r.loseAnswers,
+			"":                          r.check,
 		})
 	})
 }
