Property tests: one package fixes their seed

Change: internal/rapidseed. With more checks than usual fakes now draws new cases, as the others do; its usual run draws as before.

--- a/fleet/main_test.go
+++ b/fleet/main_test.go
@@ -1,18 +1,14 @@
 package fleet_test
 
 import (
-	"flag"
 	"os"
 	"testing"
-)
 
-// defaultChecks is rapid's own default; more checks than that draw new seeds.
-const defaultChecks = "100"
+	"github.com/snipestep/snipestep/internal/rapidseed"
+)
 
+// TestMain fixes rapid's seed.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.checks").Value.String() == defaultChecks && flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
+	rapidseed.Fix()
 	os.Exit(m.Run())
 }
--- a/internal/fakes/main_test.go
+++ b/internal/fakes/main_test.go
@@ -1,16 +1,14 @@
 package fakes_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/snipestep/snipestep/internal/rapidseed"
 )
 
-// TestMain fixes rapid's seed unless the command line gives one.
+// TestMain fixes rapid's seed.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
+	rapidseed.Fix()
 	os.Exit(m.Run())
 }
