--- a/operator/handler.go
+++ b/operator/handler.go
@@ -5,20 +5,19 @@
 	"errors"
 	"io"
 	"log/slog"
-	"mime"
 	"net/http"
-	"strings"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/mediatype"
 	"github.com/snipestep/snipestep/problem"
 )
 
 const (
 	maxIntentBytes = 256 << 10
 	maxPlanIDBytes = 64
-	bearerPrefix   = "Bearer "
 )
 
 type handler struct {
@@ -65,7 +64,7 @@
 
 func (h *handler) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+		token, ok := bearer.Token(r)
 		if !ok || !h.tokens[fleet.TokenDigest(token)] {
 			w.Header().Set("WWW-Authenticate", "Bearer")
 			refuse(w, http.StatusUnauthorized, CodeUnauthorised, "an operator's bearer token is needed")
@@ -93,8 +92,7 @@
 // readIntent decodes and checks the body, or returns the refusal.
 func readIntent(w http.ResponseWriter, r *http.Request) (intent.Intent, *problem.Problem) {
 	var in intent.Intent
-	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	if err != nil || media != "application/json" {
+	if !mediatype.Is(r.Header, mediatype.JSON) {
 		return in, problem.New(http.StatusUnsupportedMediaType, CodeMediaType, "the body must be application/json")
 	}
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxIntentBytes))
