--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -11,6 +11,7 @@
 
 const (
 	schedulerTick   = 10 * time.Millisecond
+	schedulerIdle   = time.Second
 	schedulerEvents = 1024
 )
 
@@ -59,8 +60,10 @@
 // run handles events until ctx ends.
 func (s *scheduler) run(ctx context.Context) {
 	defer close(s.done)
-	tick := time.NewTicker(schedulerTick)
+	// Time alone matters only while calls wait or run.
+	tick := time.NewTicker(schedulerIdle)
 	defer tick.Stop()
+	busy := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,7 +73,18 @@
 		case <-tick.C:
 		}
 		s.step()
+		if now := len(s.jobs) > 0; now != busy {
+			busy = now
+			tick.Reset(tickFor(busy))
+		}
+	}
+}
+
+func tickFor(busy bool) time.Duration {
+	if busy {
+		return schedulerTick
 	}
+	return schedulerIdle
 }
 
 // post hands an event to the loop. It returns once the loop has stopped.
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -14,6 +14,7 @@
 
 const (
 	dispatchTick   = 20 * time.Millisecond
+	idleTick       = time.Second
 	dispatchEvents = 1024
 	minRetryAfter  = time.Second
 	// roomLife is how long an empty room keeps its rates.
@@ -136,7 +137,9 @@
 // run owns the rooms until ctx ends; then every waiting call is refused.
 func (d *dispatcher) run(ctx context.Context) {
 	defer close(d.done)
-	tick := time.NewTicker(dispatchTick)
+	ticking := false
+	// Time alone matters only while calls wait.
+	tick := time.NewTicker(idleTick)
 	defer tick.Stop()
 	for {
 		select {
@@ -156,7 +159,22 @@
 		case <-tick.C:
 		}
 		d.step()
+		if waits := d.anyWaiting(); waits != ticking {
+			ticking = waits
+			tick.Reset(d.tickFor(waits))
+		}
+	}
+}
+
+func (d *dispatcher) anyWaiting() bool {
+	return !d.noneAhead(core.RankBackground)
+}
+
+func (d *dispatcher) tickFor(waits bool) time.Duration {
+	if waits {
+		return dispatchTick
 	}
+	return idleTick
 }
 
 func (d *dispatcher) roomOf(w *waiter) *room {
--- a/internal/fakes/instancelist.go
+++ b/internal/fakes/instancelist.go
@@ -1,13 +1,13 @@
 package fakes
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/platform"
 )
 
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	content lagged[[]core.Instance]
 	calls   uint64
+	bytes   uint64
 }
 
 // NewInstanceList returns an empty list.
@@ -67,7 +68,34 @@
 		refuse(w, http.StatusNotFound, platform.CodeNotFound)
 		return
 	}
-	httpcall.WriteJSON(w, platform.InstancesDocument{Instances: l.shown()})
+	l.answer(w, r, platform.InstancesDocument{Instances: l.shown()})
+}
+
+// answer sends the list with its entity tag, or 304 to who holds it already.
+func (l *InstanceList) answer(w http.ResponseWriter, r *http.Request, document platform.InstancesDocument) {
+	body, err := json.Marshal(document)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	tag := `"` + core.SumDigest(body).String() + `"`
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	n, _ := w.Write(body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.bytes += uint64(n)
+}
+
+// Bytes returns the bytes of lists sent so far.
+func (l *InstanceList) Bytes() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
 }
 
 func (l *InstanceList) set(instances []core.Instance) {
