--- a/entry/executor.go
+++ b/entry/executor.go
@@ -6,9 +6,8 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
--- a/weights/swarm/push_bench_test.go
+++ b/weights/swarm/push_bench_test.go
@@ -5,8 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/telemetry"
 	"golang.org/x/time/rate"
+
+	"github.com/snipestep/snipestep/telemetry"
 )
 
 // Rates of the links in bytes a second.
