Start an unseen answer anew when its version is only at drained endpoints

Cause: a whole answer that was moved stayed bound to a version that only a drained endpoint served, and waited there until its deadline. Ruled out: a lost moved event; the engines show one begun attempt. Change: after a refusal for draining, an answer that its caller has seen nothing of starts anew with any version. The whole package was not run again after this change. Conclusion: streams that were begun still wait for their version.

--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -112,12 +112,30 @@
 	if !errors.As(err, &refused) || m.boundServed() {
 		return false
 	}
+	m.startAnew()
+	return true
+}
+
+// startAnew forgets an answer that the caller has seen nothing of.
+func (m *modelCall) startAnew() {
 	m.bound = core.ModelRef{}
 	m.produced = nil
 	m.resumes = false
 	m.handle = ""
 	m.sink.restart()
-	return true
+}
+
+// boundOpen reports whether an endpoint that takes new calls serves the
+// version of the answer.
+func (m *modelCall) boundOpen() bool {
+	table := m.svc.dispatcher.routes.table.Load()
+	for i := range table.Len() {
+		e := table.Endpoint(i)
+		if e.Model == m.bound && !e.Draining && !e.Leaving {
+			return true
+		}
+	}
+	return false
 }
 
 // waitForRoom keeps a call that has begun from being shed: its caller is owed
@@ -224,6 +242,11 @@
 
 func (m *modelCall) afterRefusal(ctx context.Context, r *wire.CallRefused) error {
 	m.refused++
+	stuck := r.GetCode() == agent.CodeDraining && !m.bound.IsZero() && !m.boundOpen()
+	if stuck && !m.sink.delivered() {
+		m.startAnew()
+		return nil
+	}
 	if m.refused < maxRefusedAttempts && r.GetCode() != agent.CodePatience {
 		return nil
 	}
--- a/entry/planned_test.go
+++ b/entry/planned_test.go
@@ -119,3 +119,40 @@
 	f.readWhole(streams, tokens)
 	<-f.running["entry-0"].ended
 }
+
+// TestAnswerStartsAnewWhenItsVersionIsDrained moves an answer, of which its
+// caller has seen nothing, away from the last endpoint of its version.
+func TestAnswerStartsAnewWhenItsVersionIsDrained(t *testing.T) {
+	f := newTestFleet(t, 2, 0, 1, slowTokens, func(f *testFleet) { f.callTimeout = 10 * time.Second })
+	f.awaitAgents()
+	v1, v2 := f.publish("v1"), f.publish("v2")
+	for i, region := range []string{"r0", "r1"} {
+		in := place([]string{"v1", "v2"}[i])
+		in.Place.Region = region
+		f.carryOut(0, in)
+	}
+	f.awaitEndpoints(0, v1, 1)
+	f.awaitEndpoints(0, v2, 1)
+	type answer struct{ text, version string }
+	answers := make(chan answer, 8)
+	for i := range cap(answers) {
+		go func() {
+			text, version := f.ask(0, "urgent", fmt.Sprint("anew", i), 100)
+			assert.Check(t, text == wholeAnswer(fmt.Sprint("anew", i), version, 100))
+			answers <- answer{text, version}
+		}()
+	}
+	f.until("a call runs at each", func() bool {
+		return f.engines[0].Counts().Begun > 0 && f.engines[1].Counts().Begun > 0
+	})
+	drain := &intent.Drain{Selector: intent.Selector{Region: "r0"}, StreamGraceMS: 20, Move: true, AcceptLess: true}
+	f.carryOut(0, intent.Intent{Drain: drain})
+	for range cap(answers) {
+		select {
+		case a := <-answers:
+			assert.Equal(t, a.version, "v2")
+		case <-f.ctx.Done():
+			t.Fatal("an answer is missing")
+		}
+	}
+}
