Make the answers of the drain test outlast its plan

Cause: one run in eight ended an answer at v1 before the plan was confirmed. Change: 400 tokens in place of 100. Conclusion: the whole package was not run again.

--- a/entry/planned_test.go
+++ b/entry/planned_test.go
@@ -133,12 +133,14 @@
 	}
 	f.awaitEndpoints(0, v1, 1)
 	f.awaitEndpoints(0, v2, 1)
+	// The answers are long, so that none ends before the drain.
+	const tokens = 400
 	type answer struct{ text, version string }
 	answers := make(chan answer, 8)
 	for i := range cap(answers) {
 		go func() {
-			text, version := f.ask(0, "urgent", fmt.Sprint("anew", i), 100)
-			assert.Check(t, text == wholeAnswer(fmt.Sprint("anew", i), version, 100))
+			text, version := f.ask(0, "urgent", fmt.Sprint("anew", i), tokens)
+			assert.Check(t, text == wholeAnswer(fmt.Sprint("anew", i), version, tokens))
 			answers <- answer{text, version}
 		}()
 	}
