Tell no targets of weights before the configuration that places them

Cause: an entry whose configuration was behind answered an agent's question for targets with an empty list. The agent took itself for the only target and drew from the origin alone until its next question 2 s later. Change: such an entry ends the stream without an answer; the agent asks again after its usual pause, perhaps at another entry.

--- a/entry/swarmserver.go
+++ b/entry/swarmserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,10 +32,16 @@
 	manifests map[core.Digest][]byte
 }
 
-// serve answers one request; a manifest that cannot be had is left empty.
+// serve answers one request. It ends the stream without an answer when the
+// manifest cannot be had or the configuration in force does not place it: an
+// entry whose configuration is behind cannot know the targets.
 func (s *swarmServer) serve(ctx context.Context, st *wire.Stream, r *wire.SwarmRequest) {
 	digest := wire.ToDigest(r.GetManifest())
-	answer := &wire.SwarmResponse{Peers: s.targets(digest)}
+	peers, placed := s.targets(digest)
+	if !placed {
+		return
+	}
+	answer := &wire.SwarmResponse{Peers: peers}
 	if r.GetWantManifest() {
 		manifest, err := s.manifest(ctx, digest)
 		if err != nil {
@@ -74,9 +81,13 @@
 	s.manifests[digest] = manifest
 }
 
-// targets returns the agents that the configuration gives a manifest to.
-func (s *swarmServer) targets(digest core.Digest) []*wire.Peer {
+// targets returns the agents that the configuration gives a manifest to, or
+// false if it places the manifest nowhere.
+func (s *swarmServer) targets(digest core.Digest) ([]*wire.Peer, bool) {
 	doc := s.held.Current()
+	if !places(doc, digest) {
+		return nil, false
+	}
 	view := intent.FleetView{}
 	for _, instance := range s.routes.membership.View().Usable(core.RoleModel) {
 		view.Agents = append(view.Agents, intent.AgentView{Instance: instance, Healthy: true})
@@ -95,5 +106,12 @@
 			ChunkAddr:     a.Instance.ChunkAddr,
 		})
 	}
-	return peers
+	return peers, true
+}
+
+// places reports whether a configuration names a manifest.
+func places(doc *fleet.Document, digest core.Digest) bool {
+	return slices.ContainsFunc(doc.Placements, func(p fleet.Placement) bool {
+		return p.Model.Manifest == digest
+	})
 }
--- /dev/null
+++ b/entry/swarmserver_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
+)
+
+// newTestSwarm returns a server that knows two listed agents and holds the
+// empty configuration.
+func newTestSwarm(now time.Time) *swarmServer {
+	membership := fleet.NewMembership(fleet.DefaultTiming)
+	membership.List([]core.Instance{
+		{ID: "a", Role: core.RoleModel, State: core.StateLive},
+		{ID: "b", Role: core.RoleModel, State: core.StateLive},
+	}, now)
+	return &swarmServer{held: fleet.NewGenerations(), routes: &routes{membership: membership}}
+}
+
+func placing(ref core.ModelRef) *fleet.Document {
+	return &fleet.Document{Generation: 1, Placements: []fleet.Placement{{Model: ref}}}
+}
+
+func TestNoTargetsBeforeTheConfiguration(t *testing.T) {
+	ref := core.ModelRef{Model: "m", Version: "v1", Manifest: core.Digest{1}}
+	s := newTestSwarm(time.Unix(0, 0))
+	_, placed := s.targets(ref.Manifest)
+	assert.Assert(t, !placed)
+	s.held.Apply(placing(ref))
+	peers, placed := s.targets(ref.Manifest)
+	assert.Assert(t, placed)
+	assert.Equal(t, len(peers), 2)
+}
