Tell the targets of weights from the list, not from heartbeats

Cause: an entry left agents that it had not heard for 6 s out of the targets. Agents that left its subset, and on a busy machine others, are then missing at some entries: answers of one push held 24 to 96 of 96 targets, often 48. Each answer moves the choice of first fetchers and closes links to the peers that are missing, so that more instances drew from the origin. Change: targets are the listed agents that do not leave; every entry reads the same list. The transfer passes over lost targets as before.

--- a/entry/swarmserver.go
+++ b/entry/swarmserver.go
@@ -89,8 +89,13 @@
 		return nil, false
 	}
 	view := intent.FleetView{}
-	for _, instance := range s.routes.membership.View().Usable(core.RoleModel) {
-		view.Agents = append(view.Agents, intent.AgentView{Instance: instance, Healthy: true})
+	// Heartbeats do not count: those of agents that left this entry's subset
+	// end, and every entry shall give the same answer. The transfer itself
+	// passes over targets that are lost.
+	for _, m := range s.routes.membership.View().Instances {
+		if m.Listed && !m.Leaving && m.Instance.Role == core.RoleModel {
+			view.Agents = append(view.Agents, intent.AgentView{Instance: m.Instance, Healthy: true})
+		}
 	}
 	var peers []*wire.Peer
 	assigned := intent.Assign(doc, view)
--- a/entry/swarmserver_test.go
+++ b/entry/swarmserver_test.go
@@ -35,3 +35,18 @@
 	assert.Assert(t, placed)
 	assert.Equal(t, len(peers), 2)
 }
+
+func TestTargetsOutliveHeartbeats(t *testing.T) {
+	ref := core.ModelRef{Model: "m", Version: "v1", Manifest: core.Digest{1}}
+	start := time.Unix(0, 0)
+	s := newTestSwarm(start)
+	s.held.Apply(placing(ref))
+	membership := s.routes.membership
+	membership.Heartbeat(fleet.Heartbeat{Instance: "a", Incarnation: 1, Sequence: 1}, start)
+	membership.Tick(start.Add(fleet.DefaultTiming.DeadAfter))
+	peers, _ := s.targets(ref.Manifest)
+	assert.Equal(t, len(peers), 2)
+	membership.Heartbeat(fleet.Heartbeat{Instance: "a", Incarnation: 1, Sequence: 2, Leaving: true}, start)
+	peers, _ = s.targets(ref.Manifest)
+	assert.Equal(t, len(peers), 1)
+}
