local/runner: try an intent for longer than the outage

Cause: an intent was tried 20 times, 250 ms apart, about 6 s. A push in a longer outage of the key-value service was given up and reported as 0 of 0. Change: an intent is tried until 10 s after the length of the outage. A push that is given up reports the engines it was meant for.

--- a/local/runner/operate.go
+++ b/local/runner/operate.go
@@ -12,15 +12,17 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/local/scenario"
 	"github.com/snipestep/snipestep/local/wait"
 	"github.com/snipestep/snipestep/operator"
 )
 
 const (
-	pollInterval    = 50 * time.Millisecond
-	startTimeout    = 60 * time.Second
-	confirmAttempts = 20
-	confirmPause    = 250 * time.Millisecond
+	pollInterval = 50 * time.Millisecond
+	startTimeout = 60 * time.Second
+	// confirmTime is how long an intent is tried beyond an outage.
+	confirmTime  = 10 * time.Second
+	confirmPause = 250 * time.Millisecond
 )
 
 // ErrNotReady reports a fleet that did not come up in time.
@@ -30,6 +32,8 @@
 type actions struct {
 	client  *operator.Client
 	started time.Time
+	// patience is how long an intent is tried again.
+	patience time.Duration
 
 	mu       sync.Mutex
 	progress io.Writer
@@ -44,9 +48,18 @@
 		client:   operator.NewClient(urls, operatorToken, nil),
 		progress: progress,
 		started:  time.Now(),
+		patience: patience(f.scenario.Faults),
 	}
 }
 
+// patience outlasts the outage of the key-value service, if there is one.
+func patience(faults scenario.Faults) time.Duration {
+	if !faults.StoreDown() {
+		return confirmTime
+	}
+	return faults.StoreDownFor + confirmTime
+}
+
 // say writes a progress line.
 func (a *actions) say(format string, values ...any) {
 	line := fmt.Sprintf(format, values...)
@@ -78,8 +91,10 @@
 // a service that is away, are tried again with a new plan, as an operator
 // would.
 func (a *actions) carryOut(ctx context.Context, in intent.Intent) (*intent.Plan, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.patience)
+	defer cancel()
 	var last error
-	for range confirmAttempts {
+	for {
 		plan, err := a.client.Propose(ctx, in)
 		if err == nil {
 			_, err = a.client.Confirm(ctx, plan.ID)
@@ -87,13 +102,14 @@
 		if err == nil {
 			return plan, nil
 		}
-		last = err
-		a.say("intent is tried again: %v", err)
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
 		if !wait.For(ctx, confirmPause) {
-			break
+			return nil, eris.Wrap(last, "carry out an intent")
 		}
+		a.say("intent is tried again: %v", err)
 	}
-	return nil, eris.Wrap(last, "carry out an intent")
 }
 
 // push places a version at every engine.
--- a/local/runner/run.go
+++ b/local/runner/run.go
@@ -178,6 +178,9 @@
 	}
 	if err := r.actions.push(ctx, w.Ref); err != nil {
 		r.actions.say("no push: %v", err)
+		r.mu.Lock()
+		r.report.Weights.Replicas = len(r.fleet.liveModels())
+		r.mu.Unlock()
 		return
 	}
 	r.faults.stallLinks()
