Stage chunks again for an engine that restarted while it drained

Change: engines publish what is staged; after the drain the agent reads it and stages again what is missing before it orders the load. A crash within the milliseconds between the read and the order can still make such a load; it is found by the read-back and never routed to.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -335,3 +335,27 @@
 	r.await(func(s *wire.AgentStatus) bool { return wire.ToModelRef(s.GetServing()) == m2 })
 	assert.Equal(t, r.engine.Counts().CutBySwap, uint64(0))
 }
+
+// TestEngineThatRestartsDuringADrainLoadsAWholeModel crashes the engine after
+// the chunks of the next version were staged.
+func TestEngineThatRestartsDuringADrainLoadsAWholeModel(t *testing.T) {
+	r := newRig(t, 2, 2*time.Millisecond)
+	m1, m2 := r.hold("v1"), r.hold("v2")
+	r.serve(m1)
+	st := r.call(m1, core.RankNormal, "long", 1000)
+	assert.NilError(t, st.Recv(&wire.CallEvent{}))
+	assert.Assert(t, r.order(2, serveOrder(m2)).GetAccepted())
+	for staged := 0; staged < r.agent.weights.chunks(m2.Manifest); {
+		status, err := r.agent.deps.Engine.Status(t.Context())
+		assert.NilError(t, err)
+		staged = status.StagedChunks(m2.Manifest)
+	}
+	r.engine.Crash()
+	for r.engine.Serving() != m2 {
+		if r.engine.Counts().MixedWeights > 0 {
+			break
+		}
+		r.order(2, serveOrder(m2))
+	}
+	assert.Equal(t, r.engine.Counts().MixedWeights, uint64(0))
+}
--- a/agent/errors.go
+++ b/agent/errors.go
@@ -20,6 +20,9 @@
 // ErrNoEntry reports that no entry has a session to this agent.
 var ErrNoEntry = eris.New("no entry is connected")
 
+// ErrNotStaged reports an engine that keeps losing its staged chunks.
+var ErrNotStaged = eris.New("engine does not hold the staged chunks")
+
 // ServingError reports an endpoint that does not serve what it was ordered
 // to.
 type ServingError struct {
--- a/agent/swaptask.go
+++ b/agent/swaptask.go
@@ -10,6 +10,9 @@
 	"github.com/snipestep/snipestep/endpoint"
 )
 
+// stageAttempts bounds how often chunks are handed over for one swap.
+const stageAttempts = 3
+
 // swapTask brings one whole model into service: stage, drain, load, check,
 // rejoin. Repeating it is safe.
 type swapTask struct {
@@ -34,6 +37,9 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
+	if err := s.restage(ctx); err != nil {
+		return eris.Wrap(err, "stage chunks again")
+	}
 	// A paused agent may have been overtaken while it drained.
 	if err := s.control.fences.admit(s.fence); err != nil {
 		return err
@@ -45,6 +51,26 @@
 	return s.check(ctx)
 }
 
+// restage hands the chunks over again if the engine lost them, as one does
+// that restarted while its calls drained. An engine must not be ordered to
+// load a manifest that it does not hold whole.
+func (s *swapTask) restage(ctx context.Context) error {
+	total := s.control.weights.chunks(s.model.Manifest)
+	for range stageAttempts {
+		status, err := s.control.engine.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if status.StagedChunks(s.model.Manifest) >= total {
+			return nil
+		}
+		if err := s.control.weights.stage(ctx, s.control.engine, s.model.Manifest); err != nil {
+			return err
+		}
+	}
+	return ErrNotStaged
+}
+
 func (s *swapTask) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -170,6 +170,15 @@
 	return ok && set.Complete()
 }
 
+// chunks returns the number of chunks of a held manifest.
+func (w *weightKeeper) chunks(manifest core.Digest) int {
+	set, ok := w.node.Set(manifest)
+	if !ok {
+		return 0
+	}
+	return set.Len()
+}
+
 // stage hands every chunk that the engine does not have yet to it.
 func (w *weightKeeper) stage(ctx context.Context, engine endpoint.Engine, manifest core.Digest) error {
 	set, ok := w.node.Set(manifest)
--- a/endpoint/enginestatus.go
+++ b/endpoint/enginestatus.go
@@ -18,4 +18,23 @@
 	Queued  int        `json:"queued"`
 	// CachedPrefixes are values of PromptPrefix.
 	CachedPrefixes []uint64 `json:"cached_prefixes,omitempty"`
+	// Staged are the manifests with staged chunks; exact. An engine that
+	// restarted has lost them.
+	Staged []StagedManifest `json:"staged,omitempty"`
+}
+
+// StagedManifest counts the staged chunks of one manifest.
+type StagedManifest struct {
+	Manifest core.Digest `json:"manifest"`
+	Chunks   int         `json:"chunks"`
+}
+
+// StagedChunks returns the number of staged chunks of a manifest.
+func (s EngineStatus) StagedChunks(manifest core.Digest) int {
+	for _, staged := range s.Staged {
+		if staged.Manifest == manifest {
+			return staged.Chunks
+		}
+	}
+	return 0
 }
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -191,6 +191,7 @@
 		Running:        load.running,
 		Queued:         load.queued,
 		CachedPrefixes: e.cache.shown(now),
+		Staged:         e.staged.counts(),
 	}
 	e.mu.Unlock()
 	httpcall.WriteJSON(w, status)
--- a/internal/fakes/stagedchunks.go
+++ b/internal/fakes/stagedchunks.go
@@ -1,6 +1,9 @@
 package fakes
 
-import "github.com/snipestep/snipestep/core"
+import (
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/endpoint"
+)
 
 const maxStagedManifests = 8
 
@@ -31,6 +34,15 @@
 	}
 }
 
+// counts returns the staged chunks of each manifest, oldest first.
+func (s *stagedChunks) counts() []endpoint.StagedManifest {
+	var out []endpoint.StagedManifest
+	for _, manifest := range s.order {
+		out = append(out, endpoint.StagedManifest{Manifest: manifest, Chunks: len(s.chunks[manifest])})
+	}
+	return out
+}
+
 // compare returns how many of the manifest's chunks are missing and how many
 // differ.
 func (s *stagedChunks) compare(manifest core.Digest, want []core.Digest) (missing, corrupt int) {
