Let a resume of every place forget drained instances that are gone

Cause: TestModelCallsStateful at more checks never ended: a drained instance that was replaced matched no selector any more, so that its stop stood in the configuration for ever and each resume was refused. Change: a resume that names no place also takes drained instances that the view does not show. Where those stood is not known, so that a resume of one place leaves them.

--- a/intent/apply.go
+++ b/intent/apply.go
@@ -1,6 +1,8 @@
 package intent
 
 import (
+	"slices"
+
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 )
@@ -141,6 +143,9 @@
 	ids := selectInstances(view, s, func(a AgentView) bool {
 		return stopped[a.Instance.ID].Drain
 	})
+	if s.everywhere() {
+		ids = append(ids, absentDrained(stopped, view)...)
+	}
 	if len(ids) == 0 {
 		return &NoMatchError{Kind: KindResume, Selector: s}
 	}
@@ -148,6 +153,21 @@
 	return nil
 }
 
+// absentDrained returns the drained instances that the view does not show,
+// such as replaced ones. Where they stood is not known, so that only a resume
+// of every place takes them.
+func absentDrained(stopped map[core.InstanceID]fleet.Stop, view FleetView) []core.InstanceID {
+	present := view.byID()
+	var absent []core.InstanceID
+	for id, stop := range stopped {
+		if _, ok := present[id]; !ok && stop.Drain {
+			absent = append(absent, id)
+		}
+	}
+	slices.Sort(absent)
+	return absent
+}
+
 // selectInstances returns the eligible instances that the selector takes,
 // sorted by failure domain round and ID.
 func selectInstances(view FleetView, s Selector, eligible func(AgentView) bool) []core.InstanceID {
--- a/intent/selector.go
+++ b/intent/selector.go
@@ -20,6 +20,11 @@
 	Count int `json:"count,omitempty"`
 }
 
+// everywhere reports whether the selector names no place and no number.
+func (s Selector) everywhere() bool {
+	return s.Region == "" && s.FailureDomain == "" && s.Rack == "" && s.Count == 0
+}
+
 // Matches reports whether an instance is in the selected place and role.
 func (s Selector) Matches(i core.Instance) bool {
 	return matches(s.Region, i.Location.Region) &&
