End an order with the engine's life in which it arrived

Cause: TestModelCallsStateful still counted a load of weights that were not staged whole after agents read back what is staged. The stand-in's handler went on after its own crash: an order that waited for its turn, or was being decoded, loaded the emptied memory of the restarted engine. A crashed process takes its requests with it. Change: the stand-in drops an order whose life has ended. The count itself is unchanged.

--- a/internal/fakes/engineorder.go
+++ b/internal/fakes/engineorder.go
@@ -41,6 +41,7 @@
 
 // order runs one order at a time.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	life := e.life()
 	var order endpoint.Order
 	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxOrderBytes)).Decode(&order) != nil {
 		refuse(w, http.StatusBadRequest, codeBadRequest)
@@ -48,6 +49,9 @@
 	}
 	e.ordering.Lock()
 	defer e.ordering.Unlock()
+	if e.life() != life {
+		abort()
+	}
 	if highest, accepted := e.acceptFence(order.Fence); !accepted {
 		document := httpcall.ErrorDocument{Code: endpoint.CodeFenced, HighestFence: uint64(highest)}
 		httpcall.WriteError(w, http.StatusConflict, document)
@@ -62,7 +66,7 @@
 		refuse(w, http.StatusUnprocessableEntity, codeBadManifest)
 		return
 	}
-	e.swap(w, r, order, digests)
+	e.swap(w, r, order, digests, life)
 }
 
 // acceptFence raises the highest fencing number seen. An engine that ignores
@@ -93,32 +97,46 @@
 }
 
 // swap ends the running attempts and loads the staged chunks.
-func (e *Engine) swap(w http.ResponseWriter, r *http.Request, order endpoint.Order, digests []core.Digest) {
-	restarts := e.beginLoad()
+func (e *Engine) swap(w http.ResponseWriter, r *http.Request, order endpoint.Order, digests []core.Digest, life uint64) {
+	if !e.beginLoad(life) {
+		abort()
+	}
 	_ = e.sleep(context.WithoutCancel(r.Context()), e.config.Load)
-	serving, loaded := e.endLoad(restarts, order.Model, digests)
+	serving, loaded := e.endLoad(life, order.Model, digests)
 	if !loaded {
 		abort()
 	}
 	e.finish(w, order, serving)
 }
 
-func (e *Engine) beginLoad() uint64 {
+// life numbers the engine's process. A request ends with the life in which it
+// arrived.
+func (e *Engine) life() uint64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.restarts
+}
+
+// beginLoad returns false when the engine crashed since the order arrived.
+func (e *Engine) beginLoad(life uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.restarts != life {
+		return false
+	}
 	e.loading = true
 	e.serving = core.ModelRef{}
 	e.cache = newPrefixCache(e.config, e.chance)
 	e.counts.Loads++
 	e.endRunning(errEndedBySwap)
-	return e.restarts
+	return true
 }
 
 // endLoad returns false when the engine crashed during the load.
-func (e *Engine) endLoad(restarts uint64, model core.ModelRef, digests []core.Digest) (core.ModelRef, bool) {
+func (e *Engine) endLoad(life uint64, model core.ModelRef, digests []core.Digest) (core.ModelRef, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.restarts != restarts {
+	if e.restarts != life {
 		return core.ModelRef{}, false
 	}
 	e.loading = false
