Let every setting take effect

Cause: header_timeout, idle_rate and busy_rate were read and used nowhere, and a stop_timeout of 0s meant 30s. Change: they reach the server and the swarm; busy_rate above idle_rate and a stop_timeout under 100 ms are refused. Conclusion: the settings page describes what happens.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -144,7 +144,13 @@
 		ChunkAddr: a.cfg.Instance.ChunkAddr,
 	}
 	return swarm.NewNode(
-		swarm.Config{Self: self, OriginRegion: a.cfg.OriginRegion, Seed: a.cfg.Seed},
+		swarm.Config{
+			Self:         self,
+			OriginRegion: a.cfg.OriginRegion,
+			Seed:         a.cfg.Seed,
+			RateBytes:    a.cfg.FetchRate,
+			MinRateShare: a.cfg.BusyShare,
+		},
 		swarm.Deps{
 			Dial:     a.deps.Dial,
 			Origin:   a.deps.Origin,
--- a/agent/config.go
+++ b/agent/config.go
@@ -29,6 +29,10 @@
 	Policy       string
 	// LeaveGrace bounds the wait for running calls at a stop.
 	LeaveGrace time.Duration
+	// FetchRate bounds fetching from peers in bytes a second, 0 for no bound.
+	FetchRate float64
+	// BusyShare is the part of FetchRate left while every slot is in use.
+	BusyShare float64
 	// Seed fixes the random choices of the swarm.
 	Seed uint64
 }
--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -19,6 +19,7 @@
 const (
 	sourceTimeout   = 30 * time.Second
 	endpointTimeout = 30 * time.Second
+	bitsPerByte     = 8
 )
 
 type flags struct {
@@ -60,9 +61,20 @@
 		OriginRegion:  s.OriginRegion,
 		Policy:        s.Policy,
 		LeaveGrace:    s.StopTimeout,
+		FetchRate:     float64(s.Weights.IdleRate) / bitsPerByte,
+		BusyShare:     busyShare(s.Weights),
 	}
 }
 
+// busyShare is the part of the idle rate that the busy rate is, 0 for the
+// default.
+func busyShare(w settings.AgentWeights) float64 {
+	if w.IdleRate == 0 {
+		return 0
+	}
+	return float64(w.BusyRate) / float64(w.IdleRate)
+}
+
 func agentDeps(s *settings.Agent, t *telemetry.Telemetry) agent.Deps {
 	deps := agent.Deps{Logger: t.Logger, Scope: t.Scope, Tracer: t.Tracer}
 	endpointConfig := endpoint.HTTPConfig{BaseURL: s.Endpoint.URL, Timeout: endpointTimeout}
--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -58,6 +58,7 @@
 		Policy:               s.Policy,
 		MaxWaiting:           s.Limits.MaxWaiting,
 		MaxBody:              s.Limits.MaxBodyBytes,
+		HeaderTimeout:        s.Limits.HeaderTimeout,
 		LeaveGrace:           s.Limits.StopTimeout,
 	}
 }
--- a/entry/config.go
+++ b/entry/config.go
@@ -38,17 +38,20 @@
 	CallTimeout time.Duration
 	// ClaimShards is the number of logs of claims, equal at every entry.
 	ClaimShards int
+	// HeaderTimeout bounds the time to read a request's header.
+	HeaderTimeout time.Duration
 	// LeaveGrace bounds the wait for running calls at a stop.
 	LeaveGrace time.Duration
 }
 
 const (
-	defaultSubsetSize  = 20
-	defaultMaxWaiting  = 256
-	defaultMaxBody     = 1 << 20
-	defaultCallTimeout = 60 * time.Second
-	defaultClaimShards = 16
-	defaultLeaveGrace  = 30 * time.Second
+	defaultSubsetSize    = 20
+	defaultMaxWaiting    = 256
+	defaultMaxBody       = 1 << 20
+	defaultCallTimeout   = 60 * time.Second
+	defaultClaimShards   = 16
+	defaultHeaderTimeout = 5 * time.Second
+	defaultLeaveGrace    = 30 * time.Second
 )
 
 func (c Config) withDefaults(now time.Time) Config {
@@ -63,6 +66,7 @@
 	c.MaxBody = orDefault(c.MaxBody, defaultMaxBody)
 	c.CallTimeout = orDefault(c.CallTimeout, defaultCallTimeout)
 	c.ClaimShards = orDefault(c.ClaimShards, defaultClaimShards)
+	c.HeaderTimeout = orDefault(c.HeaderTimeout, defaultHeaderTimeout)
 	c.LeaveGrace = orDefault(c.LeaveGrace, defaultLeaveGrace)
 	return c
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,11 +22,10 @@
 )
 
 const (
-	stopTimeout       = 5 * time.Second
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 16 << 10
-	configAskTimeout  = 2 * time.Second
+	stopTimeout      = 5 * time.Second
+	idleTimeout      = 2 * time.Minute
+	maxHeaderBytes   = 16 << 10
+	configAskTimeout = 2 * time.Second
 )
 
 // Entry is one entry instance.
@@ -96,7 +95,7 @@
 	e.wireOperations()
 	e.server = &http.Server{
 		Handler:           e.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
+		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -34,8 +34,9 @@
 type AgentWeights struct {
 	OriginURL      string
 	WeightStoreURL string
-	// IdleRate and BusyRate bound fetching in bits a second, without and
-	// with live calls at the endpoint. 0 is unbounded.
+	// IdleRate and BusyRate bound fetching from peers in bits a second,
+	// without live calls and with one in every slot. An IdleRate of 0 is
+	// unbounded, a BusyRate of 0 a part of IdleRate.
 	IdleRate int64
 	BusyRate int64
 }
--- a/settings/agent_loader.go
+++ b/settings/agent_loader.go
@@ -22,6 +22,8 @@
 const (
 	maxSlots    = 4096
 	maxPaceRate = 400_000_000_000 // Bits a second.
+	// minStopTimeout is the least time that running calls get at a shutdown.
+	minStopTimeout = 100 * time.Millisecond
 )
 
 // requirement says that a key must be given, or must be empty.
@@ -45,6 +47,9 @@
 			return nil, file.ErrorAt(r.section, r.key, &ConflictError{Detail: "does not belong to role " + string(l.agent.Instance.Role)})
 		}
 	}
+	if l.agent.Weights.BusyRate > l.agent.Weights.IdleRate {
+		return nil, file.ErrorAt("weights", "busy_rate", &ConflictError{Detail: "is above idle_rate"})
+	}
 	l.agent.FleetKey = key
 	return l.agent, nil
 }
@@ -79,7 +84,7 @@
 		{Name: "session_address", Required: true, Value: Address(&instance.SessionAddr), Doc: "TCP address that accepts sessions of other processes."},
 		{Name: "datagram_address", Required: true, Value: Address(&instance.DatagramAddr), Doc: "UDP address that receives datagrams of other processes."},
 		{Name: "chunk_address", Value: OptionalAddress(&instance.ChunkAddr), Doc: "TCP address that serves chunks; required for role model, empty for role plain."},
-		{Name: "stop_timeout", Default: "60s", Value: Duration(&l.agent.StopTimeout, 0, time.Hour), Doc: "Longest time that running calls get at a shutdown."},
+		{Name: "stop_timeout", Default: "60s", Value: Duration(&l.agent.StopTimeout, minStopTimeout, time.Hour), Doc: "Longest time that running calls get at a shutdown."},
 	}
 	return Section{Name: "instance", Doc: "This instance.", Keys: append(keys, locationKeys(&instance.Location)...)}
 }
@@ -110,8 +115,8 @@
 		Keys: []Key{
 			{Name: "origin_url", Value: OptionalURL(&w.OriginURL), Doc: "Origin of weights; required for role model."},
 			{Name: "weight_store_url", Value: OptionalURL(&w.WeightStoreURL), Doc: "Weight store; required for role model."},
-			{Name: "idle_rate", Default: "0bps", Value: Rate(&w.IdleRate, 0, maxPaceRate), Doc: "Most bits a second fetched while the endpoint runs no call; 0bps for no bound."},
-			{Name: "busy_rate", Default: "0bps", Value: Rate(&w.BusyRate, 0, maxPaceRate), Doc: "Most bits a second fetched while the endpoint runs calls; 0bps for no bound."},
+			{Name: "idle_rate", Default: "0bps", Value: Rate(&w.IdleRate, 0, maxPaceRate), Doc: "Most bits a second fetched from peers while the endpoint runs no call; 0bps for no bound, also with calls."},
+			{Name: "busy_rate", Default: "0bps", Value: Rate(&w.BusyRate, 0, maxPaceRate), Doc: "The same while every slot is in use, at most idle_rate; the bound falls evenly with the slots in use. 0bps for a quarter of idle_rate."},
 		},
 	}
 }
