--- a/agent/agent.go
+++ b/agent/agent.go
@@ -148,8 +148,8 @@
 			Self:         self,
 			OriginRegion: a.cfg.OriginRegion,
 			Seed:         a.cfg.Seed,
-			RateBytes:    a.cfg.FetchRate,
-			MinRateShare: a.cfg.BusyShare,
+			RateBytes:    a.cfg.IdleFetchRate,
+			MinRateShare: a.cfg.busyFetchShare(),
 		},
 		swarm.Deps{
 			Dial:     a.deps.Dial,
--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -17,9 +17,9 @@
 )
 
 const (
+	bitsPerByte     = 8
 	sourceTimeout   = 30 * time.Second
 	endpointTimeout = 30 * time.Second
-	bitsPerByte     = 8
 )
 
 type flags struct {
@@ -61,18 +61,9 @@
 		OriginRegion:  s.OriginRegion,
 		Policy:        s.Policy,
 		LeaveGrace:    s.StopTimeout,
-		FetchRate:     float64(s.Weights.IdleRate) / bitsPerByte,
-		BusyShare:     busyShare(s.Weights),
-	}
-}
-
-// busyShare is the part of the idle rate that the busy rate is, 0 for the
-// default.
-func busyShare(w settings.AgentWeights) float64 {
-	if w.IdleRate == 0 {
-		return 0
+		IdleFetchRate: float64(s.Weights.IdleRate) / bitsPerByte,
+		BusyFetchRate: float64(s.Weights.BusyRate) / bitsPerByte,
 	}
-	return float64(w.BusyRate) / float64(w.IdleRate)
 }
 
 func agentDeps(s *settings.Agent, t *telemetry.Telemetry) agent.Deps {
--- a/entry/purchase_test.go
+++ b/entry/purchase_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/problem"
 )
@@ -72,24 +73,23 @@
 }
 
 // check compares the ledger with what all sends of a purchase were told.
-func (f *testFleet) check(key string, sends []purchase) {
-	f.t.Helper()
+func (f *testFleet) check(t assert.TestingT, key string, sends []purchase) {
 	runs := f.runs(key)
-	assert.Assert(f.t, runs <= 1, "%s ran %d times", key, runs)
+	assert.Assert(t, runs <= 1, "%s ran %d times", key, runs)
 	if runs == 0 {
 		for _, p := range sends {
-			assert.Assert(f.t, !p.answered(), "%s was answered, not run", key)
+			assert.Assert(t, !p.answered(), "%s was answered, not run", key)
 		}
 		return
 	}
 	told := false
 	for _, p := range sends {
 		if p.answered() {
-			assert.Equal(f.t, p.body, purchaseAnswer(key))
+			assert.Equal(t, p.body, purchaseAnswer(key))
 		}
 		told = told || p.answered() || p.run == problem.RunUnknown
 	}
-	assert.Assert(f.t, told, "%s ran, every send was told not-run: %v", key, sends)
+	assert.Assert(t, told, "%s ran, every send was told not-run: %v", key, sends)
 }
 
 // awaitCounter blocks until an entry may send to n replicas of the counter.
@@ -207,7 +207,7 @@
 	}
 	callers.Wait()
 	for i := range n {
-		f.check(fmt.Sprintf("k%d", i), sends[i])
+		f.check(f.t, fmt.Sprintf("k%d", i), sends[i])
 	}
 }
 
@@ -242,5 +242,25 @@
 	for i := range 4 {
 		status, _, body := f.post(0, "/v1/services/counter/purchase", `{}`, "Idempotency-Key", fmt.Sprint(i))
 		assert.Equal(t, status, http.StatusBadGateway, body)
+		status, _, body = f.post(0, "/v1/services/counter/balance", `{}`)
+		assert.Equal(t, status, http.StatusBadGateway, body)
 	}
 }
+
+func TestCrashingOperationIsQuarantined(t *testing.T) {
+	f := newTestFleet(t, 0, 3, 2, func(f *testFleet) {
+		f.plainConfig = func(c *fakes.PlainConfig) { c.Service, c.Restart = time.Millisecond, 100*time.Millisecond }
+	})
+	f.awaitAgents()
+	f.awaitCounter(0, 3)
+	const body = `{"for":"` + fakes.CrashMarker + `"}`
+	status, _, answer := f.post(0, "/v1/services/counter/balance", body)
+	assert.Equal(t, status, http.StatusUnprocessableEntity, answer)
+	balance := fleet.Operation{Name: "balance", Idempotent: true}
+	f.awaitQuarantined(1, operationFingerprint(&call{organisation: "school"}, "counter", balance, "", []byte(body)))
+	status, _, answer = f.post(1, "/v1/services/counter/balance", body)
+	assert.Equal(t, status, http.StatusUnprocessableEntity, answer)
+	assert.Equal(t, f.ledger.Runs("balance", "", []byte(body)), 2)
+	status, _, answer = f.post(1, "/v1/services/counter/balance", `{}`)
+	assert.Equal(t, status, http.StatusOK, answer)
+}
