--- a/agent/config.go
+++ b/agent/config.go
@@ -8,8 +8,8 @@
 
 // The policies of a fleet.
 const (
-	PolicySnipestep = "snipestep"
-	PolicyBaseline  = "baseline"
+	PolicySnipestep = core.PolicySnipestep
+	PolicyBaseline  = core.PolicyBaseline
 )
 
 // Config are the settings of an agent. Zero durations and counts get the
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -13,6 +12,8 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/mediatype"
 	"github.com/snipestep/snipestep/problem"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/telemetry"
@@ -20,7 +21,6 @@
 
 const (
 	kindHeader       = "Snipestep-Kind"
-	bearerPrefix     = "Bearer "
 	defaultMaxTokens = 256
 	limitMaxTokens   = 1 << 16
 )
@@ -63,7 +63,7 @@
 
 // admit checks the caller's token and returns the call without its rank.
 func (h *callerHandler) admit(r *http.Request) (*call, error) {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	token, ok := bearer.Token(r)
 	if !ok {
 		return nil, refuse(http.StatusUnauthorized, CodeUnauthorised, "a bearer token is required")
 	}
@@ -86,8 +86,7 @@
 
 // readBody reads a bounded body of the wanted media type.
 func (h *callerHandler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	media, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
-	if err != nil || media != "application/json" {
+	if !mediatype.Is(r.Header, mediatype.JSON) {
 		return nil, refuse(http.StatusUnsupportedMediaType, CodeContentType, "the body must be application/json")
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.svc.cfg.MaxBody))
