Bound the bytes of status polls and target lists

Cause: CAPACITY.md, by arithmetic at 1,300 instances: the executor's polls in a push cost 36.5 kB/s and the target lists of a fetching agent 35.1 kB/s, above the 10 kB/s of a node. Change: a round of the executor asks only agents that fetch, swap, were ordered something or are silent, 8 ms apart; the others at the idle interval. An agent asks for targets with the hash of what it holds and gets them only if changed. By arithmetic, 73 B a status makes 9.1 kB/s at 1,300 agents; an unchanged target list costs one message without peers.

--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -86,7 +85,7 @@
 }
 
 func (w *weightKeeper) fetchOnce(ctx context.Context, model core.ModelRef) error {
-	answer, err := w.askSwarm(ctx, model.Manifest, true)
+	answer, err := w.askSwarm(ctx, &wire.SwarmRequest{Manifest: model.Manifest[:], WantManifest: true})
 	if err != nil {
 		return eris.Wrap(err, "ask for the manifest")
 	}
@@ -97,12 +96,11 @@
 	if w.policy == PolicyBaseline {
 		return w.drawFromOrigin(ctx, manifest)
 	}
-	var peers atomic.Pointer[[]swarm.Peer]
-	peers.Store(swarmPeers(answer))
+	targets := newTargetList(answer)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go w.refreshPeers(ctx, model.Manifest, &peers)
-	_, err = w.node.Fetch(ctx, manifest, func() []swarm.Peer { return *peers.Load() })
+	go w.refreshTargets(ctx, model.Manifest, targets)
+	_, err = w.node.Fetch(ctx, manifest, targets.peers)
 	return err
 }
 
@@ -122,7 +120,8 @@
 	return nil
 }
 
-func (w *weightKeeper) refreshPeers(ctx context.Context, manifest core.Digest, peers *atomic.Pointer[[]swarm.Peer]) {
+// refreshTargets keeps the targets of a transfer new until ctx ends.
+func (w *weightKeeper) refreshTargets(ctx context.Context, manifest core.Digest, targets *targetList) {
 	tick := time.NewTicker(peerRefresh)
 	defer tick.Stop()
 	for {
@@ -131,14 +130,14 @@
 			return
 		case <-tick.C:
 		}
-		answer, err := w.askSwarm(ctx, manifest, false)
-		if err == nil && len(answer.GetPeers()) > 0 {
-			peers.Store(swarmPeers(answer))
+		answer, err := w.askSwarm(ctx, &wire.SwarmRequest{Manifest: manifest[:], TargetsHash: targets.hash()})
+		if err == nil {
+			targets.update(answer)
 		}
 	}
 }
 
-func (w *weightKeeper) askSwarm(ctx context.Context, manifest core.Digest, want bool) (*wire.SwarmResponse, error) {
+func (w *weightKeeper) askSwarm(ctx context.Context, req *wire.SwarmRequest) (*wire.SwarmResponse, error) {
 	session, err := w.entries.session("")
 	if err != nil {
 		return nil, err
@@ -146,24 +145,10 @@
 	ctx, cancel := context.WithTimeout(ctx, swarmAskTimeout)
 	defer cancel()
 	answer := &wire.SwarmResponse{}
-	err = session.Ask(ctx, &wire.StreamHeader{Request: &wire.StreamHeader_Swarm{
-		Swarm: &wire.SwarmRequest{Manifest: manifest[:], WantManifest: want},
-	}}, answer)
+	err = session.Ask(ctx, &wire.StreamHeader{Request: &wire.StreamHeader_Swarm{Swarm: req}}, answer)
 	return answer, err
 }
 
-func swarmPeers(answer *wire.SwarmResponse) *[]swarm.Peer {
-	peers := make([]swarm.Peer, 0, len(answer.GetPeers()))
-	for _, p := range answer.GetPeers() {
-		peers = append(peers, swarm.Peer{
-			ID:        core.InstanceID(p.GetInstance()),
-			Location:  core.Location{Region: p.GetRegion(), FailureDomain: p.GetFailureDomain()},
-			ChunkAddr: p.GetChunkAddr(),
-		})
-	}
-	return &peers
-}
-
 // complete reports whether all chunks of a manifest are held and verified.
 func (w *weightKeeper) complete(manifest core.Digest) bool {
 	set, ok := w.node.Set(manifest)
--- a/entry/collector.go
+++ b/entry/collector.go
@@ -31,6 +31,12 @@
 // blocks until all have answered or timed out; silent agents count as not
 // healthy.
 func (c *collector) collect(ctx context.Context) intent.FleetView {
+	return c.collectDue(ctx, func(core.Instance) (intent.AgentView, bool) { return intent.AgentView{}, false })
+}
+
+// collectDue is collect with the statuses that known returns taken as they
+// are.
+func (c *collector) collectDue(ctx context.Context, known func(core.Instance) (intent.AgentView, bool)) intent.FleetView {
 	instances := c.routes.membership.View().Usable(core.RoleModel, core.RolePlain)
 	var (
 		mu     sync.Mutex
@@ -39,6 +45,12 @@
 	)
 	group.SetLimit(collectParallel)
 	for _, instance := range instances {
+		if view, ok := known(instance); ok {
+			mu.Lock()
+			agents = append(agents, view)
+			mu.Unlock()
+			continue
+		}
 		group.Go(func() error {
 			view := c.ask(ctx, instance)
 			mu.Lock()
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -20,7 +20,7 @@
 const (
 	busyInterval     = 200 * time.Millisecond
 	idleInterval     = 2 * time.Second
-	busyPerAgent     = 2 * time.Millisecond
+	busyPerAgent     = 8 * time.Millisecond
 	idlePerAgent     = 20 * time.Millisecond
 	orderTimeout     = 3 * time.Second
 	campaignPause    = 500 * time.Millisecond
@@ -69,9 +69,10 @@
 
 // work reconciles until the lease ends.
 func (x *executor) work(ctx context.Context, tenure *configuration.Tenure) {
+	statuses := newStatusCache(x.now)
 	for {
 		changed := x.held.Changed()
-		wait := x.step(ctx, tenure)
+		wait := x.step(ctx, tenure, statuses)
 		select {
 		case <-ctx.Done():
 			return
@@ -83,29 +84,20 @@
 	}
 }
 
-// step does one round and returns the time to the next one. Both bounds grow
-// with the fleet, so that the bytes a second stay bounded.
-func (x *executor) step(ctx context.Context, tenure *configuration.Tenure) time.Duration {
-	view := x.collector.collect(ctx)
+// step does one round and returns the time to the next one. It grows with the
+// number of agents to ask, so that the bytes a second stay bounded.
+func (x *executor) step(ctx context.Context, tenure *configuration.Tenure, statuses *statusCache) time.Duration {
+	view := x.collector.collectDue(ctx, statuses.known)
 	orders := intent.Reconcile(x.held.Current(), view, x.reconcile)
+	statuses.keep(view, orders)
 	if len(orders) > 0 && tenure.Valid(x.now()) {
 		x.send(ctx, tenure.Fence, orders)
 	}
-	agents := time.Duration(len(view.Agents))
-	if len(orders) > 0 || unsettled(view) {
-		return max(busyInterval, agents*busyPerAgent)
+	asked := statuses.asked(view)
+	if asked == 0 {
+		return idleInterval
 	}
-	return max(idleInterval, agents*idlePerAgent)
-}
-
-// unsettled reports whether any agent fetches or swaps.
-func unsettled(view intent.FleetView) bool {
-	for _, a := range view.Agents {
-		if a.Swapping || a.ChunksHave < a.ChunksTotal || a.Fetching != a.Serving {
-			return true
-		}
-	}
-	return false
+	return max(busyInterval, time.Duration(asked)*busyPerAgent)
 }
 
 // send gives every order to its agent at the same time. A lost order is
--- /dev/null
+++ b/entry/statuscache_test.go
@@ -0,0 +1,37 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/intent"
+)
+
+func TestOnlyAgentsWithWorkAreAskedAgain(t *testing.T) {
+	now := time.Unix(0, 0)
+	cache := newStatusCache(func() time.Time { return now })
+	agent := func(id core.InstanceID) intent.AgentView {
+		return intent.AgentView{Instance: core.Instance{ID: id}, Healthy: true}
+	}
+	idle, swapping, ordered, silent := agent("idle"), agent("swapping"), agent("ordered"), agent("silent")
+	swapping.Swapping = true
+	silent.Healthy = false
+	view := intent.FleetView{Agents: []intent.AgentView{idle, swapping, ordered, silent}}
+	cache.keep(view, []intent.Order{{Instance: "ordered"}})
+	assert.Equal(t, cache.asked(view), 3)
+	_, ok := cache.known(idle.Instance)
+	assert.Assert(t, ok)
+	moved := idle.Instance
+	moved.SessionAddr = "127.0.0.1:1"
+	_, ok = cache.known(moved)
+	assert.Assert(t, !ok, "an instance that changed is asked")
+	// A status that is used again does not live longer for it.
+	now = now.Add(idleInterval - time.Millisecond)
+	cache.keep(intent.FleetView{Agents: []intent.AgentView{idle}}, nil)
+	now = now.Add(time.Millisecond)
+	_, ok = cache.known(idle.Instance)
+	assert.Assert(t, !ok)
+}
--- a/entry/swarmserver.go
+++ b/entry/swarmserver.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/snipestep/snipestep/core"
@@ -41,7 +42,10 @@
 	if !placed {
 		return
 	}
-	answer := &wire.SwarmResponse{Peers: peers}
+	answer := &wire.SwarmResponse{TargetsHash: targetsHash(peers)}
+	if answer.GetTargetsHash() != r.GetTargetsHash() {
+		answer.Peers = peers
+	}
 	if r.GetWantManifest() {
 		manifest, err := s.manifest(ctx, digest)
 		if err != nil {
@@ -114,6 +118,16 @@
 	return peers, true
 }
 
+// targetsHash identifies a list of targets; it is never 0.
+func targetsHash(peers []*wire.Peer) uint64 {
+	hash := xxhash.New()
+	for _, p := range peers {
+		// Writing to a hash does not fail.
+		_, _ = hash.WriteString(p.GetInstance() + "\x00" + p.GetChunkAddr() + "\x00")
+	}
+	return max(hash.Sum64(), 1)
+}
+
 // places reports whether a configuration names a manifest.
 func places(doc *fleet.Document, digest core.Digest) bool {
 	return slices.ContainsFunc(doc.Placements, func(p fleet.Placement) bool {
