--- a/cmd/snipestep-local/slopes.go
+++ b/cmd/snipestep-local/slopes.go
@@ -4,13 +4,15 @@
 	"context"
 	"os"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/snipestep/snipestep/local/report"
 	"github.com/snipestep/snipestep/local/slopes"
 )
 
 type slopesCommand struct {
 	JSON  string `name:"json" placeholder:"FILE" default:"-" help:"Write points and lines as JSON to a file, or to standard output for -."`
-	Plots string `type:"existingdir" placeholder:"DIR" help:"Write a plot of each cost as SVG into a directory."`
+	Plots string `type:"path" placeholder:"DIR" help:"Write a plot of each cost as SVG into a directory."`
 }
 
 // Run measures fleets of several sizes and writes how their costs grow.
@@ -20,6 +22,9 @@
 		return err
 	}
 	if c.Plots != "" {
+		if err := os.MkdirAll(c.Plots, dirPermission); err != nil {
+			return eris.Wrap(err, "make the directory of the plots")
+		}
 		if err := result.WritePlots(c.Plots); err != nil {
 			return err
 		}
