--- a/agent/config.go
+++ b/agent/config.go
@@ -6,12 +6,6 @@
 	"github.com/snipestep/snipestep/core"
 )
 
-// The policies of a fleet.
-const (
-	PolicySnipestep = core.PolicySnipestep
-	PolicyBaseline  = core.PolicyBaseline
-)
-
 // Config are the settings of an agent. Zero durations and counts get the
 // defaults.
 type Config struct {
@@ -58,7 +52,7 @@
 		c.LeaveGrace = defaultLeaveGrace
 	}
 	if c.Policy == "" {
-		c.Policy = PolicySnipestep
+		c.Policy = core.PolicySnipestep
 	}
 	return c
 }
--- a/agent/deps.go
+++ b/agent/deps.go
@@ -7,10 +7,10 @@
 
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
-	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -32,15 +32,9 @@
 	if d.Dial == nil {
 		d.Dial = (&net.Dialer{}).DialContext
 	}
-	if d.Logger == nil {
-		d.Logger = slog.New(slog.DiscardHandler)
-	}
-	if d.Scope == nil {
-		d.Scope = tally.NoopScope
-	}
-	if d.Tracer == nil {
-		d.Tracer = noop.NewTracerProvider().Tracer("")
-	}
+	d.Logger = telemetry.LoggerOrNone(d.Logger)
+	d.Scope = telemetry.ScopeOrNone(d.Scope)
+	d.Tracer = telemetry.TracerOrNone(d.Tracer)
 	if d.Now == nil {
 		d.Now = time.Now
 	}
--- a/agent/job.go
+++ b/agent/job.go
@@ -45,7 +45,7 @@
 }
 
 func jobCall(id uint64, policy string, req *wire.CallRequest, now time.Time) routing.Call {
-	if policy == PolicyBaseline {
+	if policy == core.PolicyBaseline {
 		return baselineCall(id, req, now)
 	}
 	weight := req.GetWeight()
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return eris.Wrap(err, "decode the manifest")
 	}
-	if w.policy == PolicyBaseline {
+	if w.policy == core.PolicyBaseline {
 		return w.drawFromOrigin(ctx, manifest)
 	}
 	targets := newTargetList(answer)
--- a/entry/config.go
+++ b/entry/config.go
@@ -8,12 +8,6 @@
 	"github.com/snipestep/snipestep/fleet"
 )
 
-// The policies of a fleet.
-const (
-	PolicySnipestep = core.PolicySnipestep
-	PolicyBaseline  = core.PolicyBaseline
-)
-
 // Config are the settings of an entry. Zero values get the defaults.
 type Config struct {
 	Instance core.Instance
@@ -59,7 +53,7 @@
 		c.Incarnation = uint64(now.UnixNano())
 	}
 	if c.Policy == "" {
-		c.Policy = PolicySnipestep
+		c.Policy = core.PolicySnipestep
 	}
 	c.SubsetSize = orDefault(c.SubsetSize, defaultSubsetSize)
 	c.MaxWaiting = orDefault(c.MaxWaiting, defaultMaxWaiting)
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -174,7 +174,7 @@
 		state.Running += int(at(load.GetRunning(), rank))
 		state.Queued[rank] = int(at(load.GetQueued(), rank))
 		state.Credits[rank] = int(at(load.GetCredits(), rank))
-		if r.cfg.Policy == PolicyBaseline {
+		if r.cfg.Policy == core.PolicyBaseline {
 			state.Credits[rank] = baselineCredit
 		}
 	}
--- a/weights/swarm/deps.go
+++ b/weights/swarm/deps.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/telemetry"
 )
 
 // Deps are what a Node uses. Origin, Store and FleetKey are required.
@@ -27,12 +28,8 @@
 	if d.Dial == nil {
 		d.Dial = (&net.Dialer{}).DialContext
 	}
-	if d.Logger == nil {
-		d.Logger = slog.New(slog.DiscardHandler)
-	}
-	if d.Scope == nil {
-		d.Scope = tally.NoopScope
-	}
+	d.Logger = telemetry.LoggerOrNone(d.Logger)
+	d.Scope = telemetry.ScopeOrNone(d.Scope)
 	if d.Live == nil {
 		d.Live = func() (int, int) { return 0, 0 }
 	}
