Convert a rank's policy in one place and drop what nothing reads

Cause: entry and agent each turned a configured rank into the queue's policy; an error and the address of a pooled session had no reader. Change: routing.PolicyOf serves both; the dead parts are gone. An agent still takes ranks as the document lists them, an entry with the defaults.

--- a/agent/configsync.go
+++ b/agent/configsync.go
@@ -105,10 +105,7 @@
 func queuePolicies(doc *fleet.Document) routing.Policies {
 	var policies routing.Policies
 	for _, r := range doc.Ranks {
-		policies[r.Rank] = routing.Policy{
-			GuaranteedShare: r.GuaranteedShare,
-			Patience:        time.Duration(r.PatienceMS) * time.Millisecond,
-		}
+		policies[r.Rank] = routing.PolicyOf(r)
 	}
 	return policies
 }
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -12,9 +12,6 @@
 // ErrNoSession reports an instance without an open session.
 var ErrNoSession = eris.New("no session to the instance")
 
-// ErrNotExecutor reports that this entry does not hold the executor's lease.
-var ErrNotExecutor = eris.New("executor's lease is held elsewhere")
-
 // RefusedError is the final refusal of a call.
 type RefusedError struct {
 	Status     int // HTTP status.
--- a/entry/policies.go
+++ b/entry/policies.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/routing"
@@ -12,11 +10,7 @@
 func rankPolicies(p *fleet.Policy) routing.Policies {
 	var out routing.Policies
 	for _, rank := range core.Ranks {
-		r := p.RankPolicy(rank)
-		out[rank] = routing.Policy{
-			GuaranteedShare: r.GuaranteedShare,
-			Patience:        time.Duration(r.PatienceMS) * time.Millisecond,
-		}
+		out[rank] = routing.PolicyOf(p.RankPolicy(rank))
 	}
 	return out
 }
--- a/entry/sessionpool.go
+++ b/entry/sessionpool.go
@@ -32,7 +32,6 @@
 // pooledSession is one session with the time of its last use.
 type pooledSession struct {
 	session *wire.Session
-	addr    string
 	used    time.Time
 }
 
@@ -89,7 +88,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.sessions[to.ID] = &pooledSession{session: s, addr: to.SessionAddr, used: p.now()}
+	p.sessions[to.ID] = &pooledSession{session: s, used: p.now()}
 	return s, nil
 }
 
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/fleet"
 )
 
 // Policy is the service that a rank gets.
@@ -18,3 +19,11 @@
 
 // Policies holds one Policy for each rank.
 type Policies [core.RankCount]Policy
+
+// PolicyOf returns the service that a configuration gives a rank.
+func PolicyOf(r fleet.RankPolicy) Policy {
+	return Policy{
+		GuaranteedShare: r.GuaranteedShare,
+		Patience:        time.Duration(r.PatienceMS) * time.Millisecond,
+	}
+}
