--- /dev/null
+++ b/internal/loopback/doc.go
@@ -0,0 +1,3 @@
+// Package loopback keeps fleets of one machine on loopback networks of their
+// own.
+package loopback
--- a/local/runner/addresses.go
+++ b/local/runner/addresses.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
-	"github.com/rotisserie/eris"
+	"github.com/snipestep/snipestep/internal/loopback"
 )
 
 // The ports of each instance.
@@ -14,7 +13,6 @@
 	datagramPort = 7401
 	chunkPort    = 7402
 	httpPort     = 8080
-	lockPort     = 7399
 )
 
 const (
@@ -23,36 +21,28 @@
 	hostsPerByte = 250
 )
 
-// ErrNoNetwork reports that other runs hold every loopback network.
-var ErrNoNetwork = eris.New("no loopback network 127.x.0.0/16 is free")
-
-// addresses gives out IP numbers of one loopback network. Holding a lock port
-// keeps other runs away from it.
+// addresses gives out IP numbers of one loopback network.
 type addresses struct {
-	lock    net.Listener
-	network int
+	network *loopback.Network
 	given   int
 }
 
 func newAddresses(ctx context.Context) (*addresses, error) {
-	var config net.ListenConfig
-	for network := firstNetwork; network <= lastNetwork; network++ {
-		lock, err := config.Listen(ctx, "tcp", fmt.Sprintf("127.%d.0.1:%d", network, lockPort))
-		if err == nil {
-			return &addresses{lock: lock, network: network}, nil
-		}
+	network, err := loopback.Reserve(ctx, firstNetwork, lastNetwork)
+	if err != nil {
+		return nil, err
 	}
-	return nil, ErrNoNetwork
+	return &addresses{network: network}, nil
 }
 
 // next returns the next IP number.
 func (a *addresses) next() string {
 	a.given++
-	return fmt.Sprintf("127.%d.%d.%d", a.network, 1+a.given/hostsPerByte, 1+a.given%hostsPerByte)
+	return fmt.Sprintf("127.%d.%d.%d", a.network.Number, 1+a.given/hostsPerByte, 1+a.given%hostsPerByte)
 }
 
 func (a *addresses) close() {
-	_ = a.lock.Close()
+	_ = a.network.Close()
 }
 
 func address(ip string, port int) string {
