--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -15,7 +15,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -63,7 +63,7 @@
 	})
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
-	origin := platform.NewHTTPOrigin(platform.HTTPConfig{BaseURL: "http://127.0.0.1:1"})
+	origin := backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: "http://127.0.0.1:1"})
 	a, err := New(Config{
 		Instance: core.Instance{
 			ID: "m1", Role: core.RoleModel,
--- a/agent/deps.go
+++ b/agent/deps.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/snipestep/snipestep/endpoint"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -19,8 +19,8 @@
 type Deps struct {
 	Engine endpoint.Engine
 	Plain  endpoint.Plain
-	Origin platform.ChunkSource
-	Store  platform.ChunkSource
+	Origin backing.ChunkSource
+	Store  backing.ChunkSource
 	Dial   wire.Dialer
 	Logger *slog.Logger
 	Scope  tally.Scope
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -11,7 +11,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
@@ -31,7 +31,7 @@
 type weightKeeper struct {
 	node       *swarm.Node
 	entries    *entryTable
-	origin     platform.ChunkSource
+	origin     backing.ChunkSource
 	policy     string
 	logger     *slog.Logger
 	background func(func(ctx context.Context))
--- a/platform/http_test.go
+++ b/backing/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"context"
@@ -13,21 +13,21 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
-func serve(t *testing.T, handler http.Handler) platform.HTTPConfig {
+func serve(t *testing.T, handler http.Handler) backing.HTTPConfig {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
-	return platform.HTTPConfig{BaseURL: server.URL, Client: server.Client()}
+	return backing.HTTPConfig{BaseURL: server.URL, Client: server.Client()}
 }
 
-func closedConfig(t *testing.T) platform.HTTPConfig {
+func closedConfig(t *testing.T) backing.HTTPConfig {
 	t.Helper()
 	server := httptest.NewServer(http.NotFoundHandler())
 	server.Close()
-	return platform.HTTPConfig{BaseURL: server.URL}
+	return backing.HTTPConfig{BaseURL: server.URL}
 }
 
 func answer(status int, code string) http.Handler {
@@ -42,7 +42,7 @@
 
 func cutAnswer(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "100")
-	w.Header().Set(platform.VersionHeader, "1")
+	w.Header().Set(backing.VersionHeader, "1")
 	_, _ = w.Write([]byte("part"))
 	panic(http.ErrAbortHandler)
 }
@@ -57,19 +57,19 @@
 }
 
 func TestErrorsOfReadsAndWrites(t *testing.T) {
-	unavailable := matches[*platform.UnavailableError]
-	unknown := matches[*platform.UnknownOutcomeError]
-	limited := matches[*platform.LimitedError]
-	rejected := matches[*platform.RejectedError]
+	unavailable := matches[*backing.UnavailableError]
+	unknown := matches[*backing.UnknownOutcomeError]
+	limited := matches[*backing.LimitedError]
+	rejected := matches[*backing.RejectedError]
 	for name, test := range map[string]struct {
-		config func(*testing.T) platform.HTTPConfig
+		config func(*testing.T) backing.HTTPConfig
 		read   func(error) bool
 		write  func(error) bool
 	}{
 		"connection refused":    {closedConfig, unavailable, unavailable},
-		"503":                   {serving(answer(503, platform.CodeUnavailable)), unavailable, unavailable},
-		"429":                   {serving(answer(429, platform.CodeLimited)), limited, limited},
-		"400":                   {serving(answer(400, platform.CodeBadRequest)), rejected, rejected},
+		"503":                   {serving(answer(503, backing.CodeUnavailable)), unavailable, unavailable},
+		"429":                   {serving(answer(429, backing.CodeLimited)), limited, limited},
+		"400":                   {serving(answer(400, backing.CodeBadRequest)), rejected, rejected},
 		"404 of something else": {serving(http.NotFoundHandler()), rejected, rejected},
 		"500":                   {serving(answer(500, "")), unavailable, unknown},
 		"502":                   {serving(answer(502, "")), unavailable, unknown},
@@ -78,7 +78,7 @@
 		"garbage":               {serving(http.HandlerFunc(garbage)), unavailable, unknown},
 	} {
 		t.Run(name, func(t *testing.T) {
-			client := platform.NewHTTPKeyValue(test.config(t))
+			client := backing.NewHTTPKeyValue(test.config(t))
 			_, err := client.Get(t.Context(), "k")
 			assert.Assert(t, test.read(err), "get: %v", err)
 			_, err = client.CompareAndSwap(t.Context(), "k", 0, nil, 0)
@@ -89,8 +89,8 @@
 	}
 }
 
-func serving(handler http.Handler) func(*testing.T) platform.HTTPConfig {
-	return func(t *testing.T) platform.HTTPConfig { return serve(t, handler) }
+func serving(handler http.Handler) func(*testing.T) backing.HTTPConfig {
+	return func(t *testing.T) backing.HTTPConfig { return serve(t, handler) }
 }
 
 func TestWriteGivenUpHasUnknownOutcome(t *testing.T) {
@@ -99,17 +99,17 @@
 		giveUp()
 		<-ctx.Done()
 	}))
-	_, err := platform.NewHTTPKeyValue(config).CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
-	assert.Assert(t, matches[*platform.UnknownOutcomeError](err), "got %v", err)
+	_, err := backing.NewHTTPKeyValue(config).CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	assert.Assert(t, matches[*backing.UnknownOutcomeError](err), "got %v", err)
 	assert.ErrorIs(t, err, context.Canceled)
-	_, err = platform.NewHTTPKeyValue(config).CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
-	assert.Assert(t, matches[*platform.UnavailableError](err), "not sent: %v", err)
+	_, err = backing.NewHTTPKeyValue(config).CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	assert.Assert(t, matches[*backing.UnavailableError](err), "not sent: %v", err)
 }
 
 func TestInstanceListLags(t *testing.T) {
 	now := time.Unix(1000, 0)
 	list := fakes.NewInstanceList(time.Minute, func() time.Time { return now })
-	client := platform.NewHTTPInstanceList(serve(t, list))
+	client := backing.NewHTTPInstanceList(serve(t, list))
 	shown := func() int {
 		instances, err := client.Instances(t.Context())
 		assert.NilError(t, err)
@@ -143,7 +143,7 @@
 	store := fakes.NewWeightStore(10, 4, func() time.Time { return now })
 	weights := testWeights()
 	store.Publish(weights)
-	client := platform.NewHTTPWeightStore(serve(t, store))
+	client := backing.NewHTTPWeightStore(serve(t, store))
 	ref, err := client.Resolve(t.Context(), "org/model", "v1")
 	assert.NilError(t, err)
 	assert.Equal(t, ref, weights.Ref)
@@ -154,21 +154,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), "one")
 	_, err = client.Resolve(t.Context(), "org/model", "v2")
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, backing.ErrNotFound)
 	_, err = client.Chunk(t.Context(), ref.Manifest, 0)
-	var limited *platform.LimitedError
+	var limited *backing.LimitedError
 	assert.Assert(t, errors.As(err, &limited), "got %v", err)
 	assert.Equal(t, limited.RetryAfterMS, int64(100))
 	store.SetDown(true)
 	_, err = client.Manifest(t.Context(), ref.Manifest)
-	assert.Assert(t, matches[*platform.UnavailableError](err), "got %v", err)
+	assert.Assert(t, matches[*backing.UnavailableError](err), "got %v", err)
 }
 
 func TestOriginCountsAndCorrupts(t *testing.T) {
 	origin := fakes.NewOrigin()
 	weights := testWeights()
 	origin.Publish(weights)
-	client := platform.NewHTTPOrigin(serve(t, origin))
+	client := backing.NewHTTPOrigin(serve(t, origin))
 	data, err := client.Chunk(t.Context(), weights.Ref.Manifest, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), "zero")
@@ -179,5 +179,5 @@
 	assert.Equal(t, origin.Bytes()[weights.Ref.Manifest], uint64(8))
 	assert.Equal(t, origin.Corrupted(), uint64(1))
 	_, err = client.Chunk(t.Context(), weights.Ref.Manifest, 2)
-	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.ErrorIs(t, err, backing.ErrNotFound)
 }
--- a/platform/httpinstancelist_test.go
+++ b/backing/httpinstancelist_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package backing_test
 
 import (
 	"net/http/httptest"
@@ -9,7 +9,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 func TestUnchangedInstanceListIsNotSentAgain(t *testing.T) {
@@ -17,7 +17,7 @@
 	list.Put(core.Instance{ID: "a", Role: core.RoleEntry})
 	server := httptest.NewServer(list)
 	defer server.Close()
-	client := platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: server.URL})
+	client := backing.NewHTTPInstanceList(backing.HTTPConfig{BaseURL: server.URL})
 	first, err := client.Instances(t.Context())
 	assert.NilError(t, err)
 	sent := list.Bytes()
--- a/platform/httpkeyvalue.go
+++ b/backing/httpkeyvalue.go
@@ -1,4 +1,4 @@
-package platform
+package backing
 
 import (
 	"context"
--- a/claim/flush.go
+++ b/claim/flush.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // maxAttempts bounds the writes of one flush; another process that wins every
@@ -61,7 +61,7 @@
 		o.knownAt = started
 		return nil
 	}
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	if errors.As(err, &unavailable) {
 		return err
 	}
--- a/claim/keyvalue_test.go
+++ b/claim/keyvalue_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 var errTest = eris.New("test fault")
@@ -28,11 +28,11 @@
 // testKeyValue is an in-memory key-value service with faults. Leases and
 // watches are not used by this package.
 type testKeyValue struct {
-	platform.KeyValue
+	backing.KeyValue
 	mu          sync.Mutex
-	entries     map[string]platform.KeyValueEntry
+	entries     map[string]backing.KeyValueEntry
 	lastVersion uint64
-	delayed     []platform.KeyValueEntry
+	delayed     []backing.KeyValueEntry
 	reads       int
 	writes      int
 	// before and after run around each call, outside the lock.
@@ -42,21 +42,21 @@
 
 func newTestKeyValue() *testKeyValue {
 	return &testKeyValue{
-		entries: make(map[string]platform.KeyValueEntry),
+		entries: make(map[string]backing.KeyValueEntry),
 		before:  func() fault { return faultNone },
 		after:   func() {},
 	}
 }
 
-func (kv *testKeyValue) List(_ context.Context, prefix, after string, limit int) ([]platform.KeyValueEntry, error) {
+func (kv *testKeyValue) List(_ context.Context, prefix, after string, limit int) ([]backing.KeyValueEntry, error) {
 	if kv.before() != faultNone {
-		return nil, &platform.UnavailableError{Service: "test", Cause: errTest}
+		return nil, &backing.UnavailableError{Service: "test", Cause: errTest}
 	}
 	defer kv.after()
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.reads++
-	var found []platform.KeyValueEntry
+	var found []backing.KeyValueEntry
 	for _, key := range slices.Sorted(maps.Keys(kv.entries)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(found) < limit {
 			found = append(found, kv.entries[key])
@@ -65,18 +65,18 @@
 	return found, nil
 }
 
-func (kv *testKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, _ platform.LeaseID) (uint64, error) {
+func (kv *testKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, _ backing.LeaseID) (uint64, error) {
 	fault := kv.before()
 	defer kv.after()
 	kv.mu.Lock()
 	defer kv.mu.Unlock()
 	kv.writes++
-	unknown := &platform.UnknownOutcomeError{Service: "test", Cause: errTest}
+	unknown := &backing.UnknownOutcomeError{Service: "test", Cause: errTest}
 	switch fault {
 	case faultDown:
-		return 0, &platform.UnavailableError{Service: "test", Cause: errTest}
+		return 0, &backing.UnavailableError{Service: "test", Cause: errTest}
 	case faultDelayed:
-		kv.delayed = append(kv.delayed, platform.KeyValueEntry{Key: key, Value: value, Version: version})
+		kv.delayed = append(kv.delayed, backing.KeyValueEntry{Key: key, Value: value, Version: version})
 		return 0, unknown
 	}
 	written, err := kv.put(key, version, value)
@@ -88,10 +88,10 @@
 
 func (kv *testKeyValue) put(key string, version uint64, value []byte) (uint64, error) {
 	if actual := kv.entries[key].Version; actual != version {
-		return 0, &platform.ConflictError{Key: key, Actual: actual}
+		return 0, &backing.ConflictError{Key: key, Actual: actual}
 	}
 	kv.lastVersion++
-	kv.entries[key] = platform.KeyValueEntry{Key: key, Value: value, Version: kv.lastVersion}
+	kv.entries[key] = backing.KeyValueEntry{Key: key, Value: value, Version: kv.lastVersion}
 	return kv.lastVersion, nil
 }
 
@@ -112,18 +112,18 @@
 	defer kv.mu.Unlock()
 	kv.writes++
 	if fault == faultDown || fault == faultDelayed {
-		return &platform.UnavailableError{Service: "test", Cause: errTest}
+		return &backing.UnavailableError{Service: "test", Cause: errTest}
 	}
 	entry, ok := kv.entries[key]
 	switch {
 	case !ok:
-		return platform.ErrKeyNotFound
+		return backing.ErrKeyNotFound
 	case entry.Version != version:
-		return &platform.ConflictError{Key: key, Actual: entry.Version}
+		return &backing.ConflictError{Key: key, Actual: entry.Version}
 	}
 	delete(kv.entries, key)
 	if fault == faultLost {
-		return &platform.UnknownOutcomeError{Service: "test", Cause: errTest}
+		return &backing.UnknownOutcomeError{Service: "test", Cause: errTest}
 	}
 	return nil
 }
--- a/claim/ownerconfig.go
+++ b/claim/ownerconfig.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 const (
@@ -23,7 +23,7 @@
 // OwnerConfig sets an Owner.
 type OwnerConfig struct {
 	Shard    int
-	KeyValue platform.KeyValue
+	KeyValue backing.KeyValue
 	// BatchInterval is the least time between two writes;
 	// DefaultBatchInterval if 0.
 	BatchInterval time.Duration
--- a/claim/replay_test.go
+++ b/claim/replay_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // BenchmarkReplay starts an owner on a log of the greatest length that the
@@ -57,14 +57,14 @@
 	log *shardLog
 }
 
-func (kv pagedKeyValue) List(_ context.Context, prefix, after string, limit int) ([]platform.KeyValueEntry, error) {
+func (kv pagedKeyValue) List(_ context.Context, prefix, after string, limit int) ([]backing.KeyValueEntry, error) {
 	time.Sleep(storeLatency)
 	from := uint64(0)
 	if after != "" {
 		last, _ := strconv.ParseUint(strings.TrimPrefix(after, prefix), 10, 64)
 		from = last + 1
 	}
-	var page []platform.KeyValueEntry
+	var page []backing.KeyValueEntry
 	for len(page) < limit {
 		entry, ok := kv.entries[kv.log.key(from+uint64(len(page)))]
 		if !ok {
--- a/claim/shardlog.go
+++ b/claim/shardlog.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/snipestep/snipestep/claim/claimpb"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // shardLog reads and writes a shard's log in the key-value service.
 type shardLog struct {
-	kv           platform.KeyValue
+	kv           backing.KeyValue
 	prefix       string
 	storeTimeout time.Duration
 	writes       int // Calls that may have written.
@@ -77,14 +77,14 @@
 	}
 }
 
-func (l *shardLog) list(ctx context.Context, after string) ([]platform.KeyValueEntry, error) {
+func (l *shardLog) list(ctx context.Context, after string) ([]backing.KeyValueEntry, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.storeTimeout)
 	defer cancel()
 	page, err := l.kv.List(ctx, l.prefix, after, listLimit)
 	return page, eris.Wrap(err, "read the log")
 }
 
-func (l *shardLog) decode(kv platform.KeyValueEntry) (logEntry, error) {
+func (l *shardLog) decode(kv backing.KeyValueEntry) (logEntry, error) {
 	sequence, err := strconv.ParseUint(strings.TrimPrefix(kv.Key, l.prefix), 10, 64)
 	if err != nil {
 		return logEntry{}, &CorruptEntryError{Key: kv.Key, Cause: err}
@@ -115,7 +115,7 @@
 	defer cancel()
 	l.writes++
 	err := l.kv.Delete(ctx, l.key(e.sequence), e.version)
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, backing.ErrKeyNotFound) {
 		return nil
 	}
 	return eris.Wrap(err, "delete from the log")
--- a/claim/ways_test.go
+++ b/claim/ways_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // storeLatency is the time of one call of the key-value service in benchmarks.
@@ -24,12 +24,12 @@
 	*testKeyValue
 }
 
-func (kv slowKeyValue) List(ctx context.Context, prefix, after string, limit int) ([]platform.KeyValueEntry, error) {
+func (kv slowKeyValue) List(ctx context.Context, prefix, after string, limit int) ([]backing.KeyValueEntry, error) {
 	time.Sleep(storeLatency)
 	return kv.testKeyValue.List(ctx, prefix, after, limit)
 }
 
-func (kv slowKeyValue) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (kv slowKeyValue) CompareAndSwap(ctx context.Context, key string, version uint64, value []byte, lease backing.LeaseID) (uint64, error) {
 	time.Sleep(storeLatency)
 	return kv.testKeyValue.CompareAndSwap(ctx, key, version, value, lease)
 }
@@ -48,7 +48,7 @@
 // keyWay writes one key of the store for each claim, and again for its outcome
 // and its removal.
 type keyWay struct {
-	kv platform.KeyValue
+	kv backing.KeyValue
 }
 
 func (w keyWay) claim(ctx context.Context, key string) {
--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -10,7 +10,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/daemon"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/settings"
 	"github.com/snipestep/snipestep/telemetry"
 )
@@ -73,11 +73,11 @@
 		return deps
 	}
 	deps.Engine = endpoint.NewHTTPEngine(endpointConfig)
-	deps.Origin = platform.NewHTTPOrigin(sourceConfig(s.Weights.OriginURL))
-	deps.Store = platform.NewHTTPWeightStore(sourceConfig(s.Weights.WeightStoreURL))
+	deps.Origin = backing.NewHTTPOrigin(sourceConfig(s.Weights.OriginURL))
+	deps.Store = backing.NewHTTPWeightStore(sourceConfig(s.Weights.WeightStoreURL))
 	return deps
 }
 
-func sourceConfig(url string) platform.HTTPConfig {
-	return platform.HTTPConfig{BaseURL: url, Timeout: sourceTimeout}
+func sourceConfig(url string) backing.HTTPConfig {
+	return backing.HTTPConfig{BaseURL: url, Timeout: sourceTimeout}
 }
--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/snipestep/snipestep/entry"
 	"github.com/snipestep/snipestep/internal/daemon"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/settings"
 	"github.com/snipestep/snipestep/telemetry"
 )
@@ -63,15 +63,15 @@
 
 func entryDeps(s *settings.Entry, t *telemetry.Telemetry) entry.Deps {
 	return entry.Deps{
-		KeyValue:     platform.NewHTTPKeyValue(platformConfig(s.Platform.KeyValueURL)),
-		InstanceList: platform.NewHTTPInstanceList(platformConfig(s.Platform.InstanceListURL)),
-		WeightStore:  platform.NewHTTPWeightStore(platformConfig(s.Platform.WeightStoreURL)),
+		KeyValue:     backing.NewHTTPKeyValue(platformConfig(s.Platform.KeyValueURL)),
+		InstanceList: backing.NewHTTPInstanceList(platformConfig(s.Platform.InstanceListURL)),
+		WeightStore:  backing.NewHTTPWeightStore(platformConfig(s.Platform.WeightStoreURL)),
 		Logger:       t.Logger,
 		Scope:        t.Scope,
 		Tracer:       t.Tracer,
 	}
 }
 
-func platformConfig(url string) platform.HTTPConfig {
-	return platform.HTTPConfig{BaseURL: url, Timeout: platformTimeout}
+func platformConfig(url string) backing.HTTPConfig {
+	return backing.HTTPConfig{BaseURL: url, Timeout: platformTimeout}
 }
--- a/configuration/commit.go
+++ b/configuration/commit.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Commit makes next the configuration in force. Its generation must be one
@@ -75,7 +75,7 @@
 }
 
 func (c *commit) written(err error) (done bool, _ error) {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case err == nil:
 		c.store.holder.Apply(c.doc)
@@ -91,8 +91,8 @@
 
 // tookNoEffect reports whether a failed write certainly changed nothing.
 func tookNoEffect(err error) bool {
-	var unavailable *platform.UnavailableError
-	var limited *platform.LimitedError
+	var unavailable *backing.UnavailableError
+	var limited *backing.LimitedError
 	var size *fleet.DocumentSizeError
 	return errors.As(err, &unavailable) || errors.As(err, &limited) || errors.As(err, &size)
 }
--- a/configuration/config.go
+++ b/configuration/config.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // DocumentKey is the key of the configuration document.
@@ -19,7 +19,7 @@
 
 // Config holds what a Store needs.
 type Config struct {
-	KeyValue platform.KeyValue
+	KeyValue backing.KeyValue
 	Clock    Clock
 	// PeerGeneration returns the highest generation that peers announced. It
 	// keeps a node from committing on a document that a restored service
--- a/configuration/executor.go
+++ b/configuration/executor.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 const fenceBase = 10
@@ -79,13 +79,13 @@
 	return err
 }
 
-func (e *Executor) watchHolder(ctx context.Context, version uint64) (platform.KeyValueEntry, error) {
+func (e *Executor) watchHolder(ctx context.Context, version uint64) (backing.KeyValueEntry, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, defaultWatchTimeout)
 	defer cancel()
 	entry, err := e.cfg.KeyValue.Watch(watchCtx, ExecutorKey, version)
 	switch {
-	case errors.Is(err, platform.ErrKeyNotFound):
-		return platform.KeyValueEntry{}, nil
+	case errors.Is(err, backing.ErrKeyNotFound):
+		return backing.KeyValueEntry{}, nil
 	case err != nil && watchCtx.Err() != nil && ctx.Err() == nil:
 		return e.holder(ctx)
 	case err != nil:
@@ -95,19 +95,19 @@
 }
 
 // holder returns the key's entry, of version 0 when nobody holds it.
-func (e *Executor) holder(ctx context.Context) (platform.KeyValueEntry, error) {
+func (e *Executor) holder(ctx context.Context) (backing.KeyValueEntry, error) {
 	return e.get(ctx, ExecutorKey)
 }
 
-func (e *Executor) get(ctx context.Context, key string) (platform.KeyValueEntry, error) {
+func (e *Executor) get(ctx context.Context, key string) (backing.KeyValueEntry, error) {
 	callCtx, cancel := context.WithTimeout(ctx, e.cfg.CallTimeout)
 	defer cancel()
 	entry, err := e.cfg.KeyValue.Get(callCtx, key)
-	if errors.Is(err, platform.ErrKeyNotFound) {
-		return platform.KeyValueEntry{}, nil
+	if errors.Is(err, backing.ErrKeyNotFound) {
+		return backing.KeyValueEntry{}, nil
 	}
 	if err != nil {
-		return platform.KeyValueEntry{}, eris.Wrapf(err, "read %s", key)
+		return backing.KeyValueEntry{}, eris.Wrapf(err, "read %s", key)
 	}
 	return entry, nil
 }
@@ -134,7 +134,7 @@
 }
 
 // claim writes the key. A lost answer is settled by reading back.
-func (e *Executor) claim(ctx context.Context, lease platform.LeaseID) (bool, error) {
+func (e *Executor) claim(ctx context.Context, lease backing.LeaseID) (bool, error) {
 	value := e.cfg.Holder + " " + strconv.FormatUint(uint64(lease), fenceBase)
 	callCtx, cancel := context.WithTimeout(ctx, e.cfg.CallTimeout)
 	defer cancel()
@@ -181,7 +181,7 @@
 	return err
 }
 
-func decodeFence(entry platform.KeyValueEntry) (core.Fence, error) {
+func decodeFence(entry backing.KeyValueEntry) (core.Fence, error) {
 	if entry.Version == 0 {
 		return 0, nil
 	}
@@ -194,7 +194,7 @@
 
 // revoke frees the key at once, also after ctx ended. Without an answer the
 // lease lapses by itself.
-func (e *Executor) revoke(ctx context.Context, lease platform.LeaseID) {
+func (e *Executor) revoke(ctx context.Context, lease backing.LeaseID) {
 	callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
 	defer cancel()
 	_ = e.cfg.KeyValue.Revoke(callCtx, lease)
--- a/configuration/executor_test.go
+++ b/configuration/executor_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 const testTTL = 6 * time.Second
@@ -45,7 +45,7 @@
 	return instantly(d)
 }
 
-func newExecutor(kv platform.KeyValue, name string, minFence core.Fence) (*configuration.Executor, *handClock) {
+func newExecutor(kv backing.KeyValue, name string, minFence core.Fence) (*configuration.Executor, *handClock) {
 	clock := &handClock{now: time.Unix(1000, 0), tick: make(chan time.Time), idle: make(chan struct{}, 16)}
 	return configuration.NewExecutor(configuration.ExecutorConfig{
 		KeyValue: kv,
@@ -78,7 +78,7 @@
 	held.Resign()
 	taken := <-next
 	assert.Assert(t, taken.Fence > held.Fence)
-	kv.restore(configuration.FenceKey, platform.KeyValueEntry{}, false)
+	kv.restore(configuration.FenceKey, backing.KeyValueEntry{}, false)
 	taken.Resign()
 	third, _ := newExecutor(kv, "c", taken.Fence)
 	assert.Assert(t, campaign(t, third).Fence > taken.Fence)
--- a/configuration/executorconfig.go
+++ b/configuration/executorconfig.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 const (
@@ -25,7 +25,7 @@
 
 // ExecutorConfig holds what an Executor needs.
 type ExecutorConfig struct {
-	KeyValue platform.KeyValue
+	KeyValue backing.KeyValue
 	Clock    Clock
 	// Holder names this entry and its process, e.g. instance and incarnation.
 	Holder string
--- a/configuration/keyvalue_test.go
+++ b/configuration/keyvalue_test.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // fault is what happens to one call of a memoryKeyValue.
@@ -21,11 +21,11 @@
 // memoryKeyValue is a key-value service in memory. Its leases end by expire.
 type memoryKeyValue struct {
 	mu        sync.Mutex
-	entries   map[string]platform.KeyValueEntry
-	bound     map[string]platform.LeaseID
+	entries   map[string]backing.KeyValueEntry
+	bound     map[string]backing.LeaseID
 	versions  map[string]uint64
-	leases    map[platform.LeaseID]bool
-	lastLease platform.LeaseID
+	leases    map[backing.LeaseID]bool
+	lastLease backing.LeaseID
 	faults    []fault
 	changed   chan struct{}
 	beforeCAS func()
@@ -34,10 +34,10 @@
 
 func newMemoryKeyValue() *memoryKeyValue {
 	return &memoryKeyValue{
-		entries:  make(map[string]platform.KeyValueEntry),
-		bound:    make(map[string]platform.LeaseID),
+		entries:  make(map[string]backing.KeyValueEntry),
+		bound:    make(map[string]backing.LeaseID),
 		versions: make(map[string]uint64),
-		leases:   make(map[platform.LeaseID]bool),
+		leases:   make(map[backing.LeaseID]bool),
 		changed:  make(chan struct{}),
 	}
 }
@@ -57,26 +57,26 @@
 	m.changed = make(chan struct{})
 }
 
-func unavailable() error { return &platform.UnavailableError{Service: "key-value"} }
+func unavailable() error { return &backing.UnavailableError{Service: "key-value"} }
 
-func (m *memoryKeyValue) Get(_ context.Context, key string) (platform.KeyValueEntry, error) {
+func (m *memoryKeyValue) Get(_ context.Context, key string) (backing.KeyValueEntry, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fault() != faultNone {
-		return platform.KeyValueEntry{}, unavailable()
+		return backing.KeyValueEntry{}, unavailable()
 	}
 	return m.get(key)
 }
 
-func (m *memoryKeyValue) get(key string) (platform.KeyValueEntry, error) {
+func (m *memoryKeyValue) get(key string) (backing.KeyValueEntry, error) {
 	entry, ok := m.entries[key]
 	if !ok {
-		return entry, platform.ErrKeyNotFound
+		return entry, backing.ErrKeyNotFound
 	}
 	return entry, nil
 }
 
-func (m *memoryKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (m *memoryKeyValue) CompareAndSwap(_ context.Context, key string, version uint64, value []byte, lease backing.LeaseID) (uint64, error) {
 	if hook := m.beforeCAS; hook != nil {
 		m.beforeCAS = nil
 		hook()
@@ -87,23 +87,23 @@
 	case faultUnavailable:
 		return 0, unavailable()
 	case faultLostBefore:
-		return 0, &platform.UnknownOutcomeError{Service: "key-value"}
+		return 0, &backing.UnknownOutcomeError{Service: "key-value"}
 	case faultLostAfter:
 		_, _ = m.swap(key, version, value, lease)
-		return 0, &platform.UnknownOutcomeError{Service: "key-value"}
+		return 0, &backing.UnknownOutcomeError{Service: "key-value"}
 	}
 	return m.swap(key, version, value, lease)
 }
 
-func (m *memoryKeyValue) swap(key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (m *memoryKeyValue) swap(key string, version uint64, value []byte, lease backing.LeaseID) (uint64, error) {
 	if lease != 0 && !m.leases[lease] {
-		return 0, platform.ErrLeaseNotFound
+		return 0, backing.ErrLeaseNotFound
 	}
 	if m.entries[key].Version != version {
-		return 0, &platform.ConflictError{Key: key, Actual: m.entries[key].Version}
+		return 0, &backing.ConflictError{Key: key, Actual: m.entries[key].Version}
 	}
 	m.versions[key]++
-	m.entries[key] = platform.KeyValueEntry{Key: key, Value: value, Version: m.versions[key]}
+	m.entries[key] = backing.KeyValueEntry{Key: key, Value: value, Version: m.versions[key]}
 	m.bound[key] = lease
 	m.notify()
 	return m.versions[key], nil
@@ -113,23 +113,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.entries[key].Version != version {
-		return &platform.ConflictError{Key: key, Actual: m.entries[key].Version}
+		return &backing.ConflictError{Key: key, Actual: m.entries[key].Version}
 	}
 	delete(m.entries, key)
 	m.notify()
 	return nil
 }
 
-func (m *memoryKeyValue) List(context.Context, string, string, int) ([]platform.KeyValueEntry, error) {
+func (m *memoryKeyValue) List(context.Context, string, string, int) ([]backing.KeyValueEntry, error) {
 	return nil, unavailable()
 }
 
-func (m *memoryKeyValue) Watch(ctx context.Context, key string, version uint64) (platform.KeyValueEntry, error) {
+func (m *memoryKeyValue) Watch(ctx context.Context, key string, version uint64) (backing.KeyValueEntry, error) {
 	for {
 		m.mu.Lock()
 		if m.fault() != faultNone {
 			m.mu.Unlock()
-			return platform.KeyValueEntry{}, unavailable()
+			return backing.KeyValueEntry{}, unavailable()
 		}
 		entry, err := m.get(key)
 		changed := m.changed
@@ -139,13 +139,13 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.KeyValueEntry{}, ctx.Err()
+			return backing.KeyValueEntry{}, ctx.Err()
 		case <-changed:
 		}
 	}
 }
 
-func (m *memoryKeyValue) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+func (m *memoryKeyValue) Grant(context.Context, time.Duration) (backing.LeaseID, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fault() != faultNone {
@@ -156,24 +156,24 @@
 	return m.lastLease, nil
 }
 
-func (m *memoryKeyValue) KeepAlive(_ context.Context, lease platform.LeaseID) error {
+func (m *memoryKeyValue) KeepAlive(_ context.Context, lease backing.LeaseID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.fault() != faultNone {
 		return unavailable()
 	}
 	if !m.leases[lease] {
-		return platform.ErrLeaseNotFound
+		return backing.ErrLeaseNotFound
 	}
 	return nil
 }
 
-func (m *memoryKeyValue) Revoke(_ context.Context, lease platform.LeaseID) error {
+func (m *memoryKeyValue) Revoke(_ context.Context, lease backing.LeaseID) error {
 	m.expire(lease)
 	return nil
 }
 
-func (m *memoryKeyValue) expire(lease platform.LeaseID) {
+func (m *memoryKeyValue) expire(lease backing.LeaseID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.leases, lease)
@@ -187,7 +187,7 @@
 }
 
 // restore puts an older value back, as after a restored backup.
-func (m *memoryKeyValue) restore(key string, entry platform.KeyValueEntry, exists bool) {
+func (m *memoryKeyValue) restore(key string, entry backing.KeyValueEntry, exists bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.entries, key)
--- a/configuration/run.go
+++ b/configuration/run.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Run keeps the holder and the service in step until ctx ends, with one watch
@@ -63,7 +63,7 @@
 		}
 	}()
 	entry, err := s.cfg.KeyValue.Watch(watchCtx, DocumentKey, version)
-	if errors.Is(err, platform.ErrKeyNotFound) && version != 0 {
+	if errors.Is(err, backing.ErrKeyNotFound) && version != 0 {
 		return nil
 	}
 	if err != nil {
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -8,7 +8,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Store keeps a fleet.Generations and the key-value service in step. Its
@@ -81,7 +81,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
 	entry, err := s.cfg.KeyValue.Get(callCtx, DocumentKey)
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, backing.ErrKeyNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -135,7 +135,7 @@
 
 // mayRetry reports whether a write failed in a way that reading back settles.
 func mayRetry(err error) bool {
-	var conflict *platform.ConflictError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *backing.ConflictError
+	var unknown *backing.UnknownOutcomeError
 	return errors.As(err, &conflict) || errors.As(err, &unknown)
 }
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -14,7 +14,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 type node struct {
@@ -97,7 +97,7 @@
 func TestStatefulConfiguration(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNodes(rapid.IntRange(1, 4).Draw(t, "nodes"))
-		var backup platform.KeyValueEntry
+		var backup backing.KeyValueEntry
 		backedUp := false
 		draw := func(t *rapid.T) *node { return rapid.SampledFrom(n.all).Draw(t, "node") }
 		t.Repeat(map[string]func(*rapid.T){
--- a/configuration/tenure.go
+++ b/configuration/tenure.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Tenure is one holding of the executor's lease. Its methods may be called
@@ -20,14 +20,14 @@
 	Done <-chan struct{}
 
 	cfg        ExecutorConfig
-	lease      platform.LeaseID
+	lease      backing.LeaseID
 	validUntil atomic.Int64 // Unix time in nanoseconds.
 	done       chan struct{}
 	stop       chan struct{}
 	stopOnce   sync.Once
 }
 
-func newTenure(cfg ExecutorConfig, lease platform.LeaseID, fence core.Fence, granted time.Time) *Tenure {
+func newTenure(cfg ExecutorConfig, lease backing.LeaseID, fence core.Fence, granted time.Time) *Tenure {
 	done := make(chan struct{})
 	t := &Tenure{
 		Fence: fence,
@@ -92,7 +92,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, min(t.cfg.CallTimeout, t.cfg.TTL/keepAlivesPerTTL))
 	defer cancel()
 	err := t.cfg.KeyValue.KeepAlive(callCtx, t.lease)
-	if errors.Is(err, platform.ErrLeaseNotFound) {
+	if errors.Is(err, backing.ErrLeaseNotFound) {
 		return false
 	}
 	if err == nil {
--- a/entry/claimservice.go
+++ b/entry/claimservice.go
@@ -11,7 +11,7 @@
 
 	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -29,7 +29,7 @@
 // the key-value service decides which claim is first.
 type claimService struct {
 	cfg    Config
-	kv     platform.KeyValue
+	kv     backing.KeyValue
 	routes *routes
 	pool   *sessionPool
 	logger *slog.Logger
--- a/entry/deps.go
+++ b/entry/deps.go
@@ -8,16 +8,16 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
 
 // Deps are the outside parts that an entry uses.
 type Deps struct {
-	KeyValue     platform.KeyValue
-	InstanceList platform.InstanceList
-	WeightStore  platform.WeightStore
+	KeyValue     backing.KeyValue
+	InstanceList backing.InstanceList
+	WeightStore  backing.WeightStore
 	Dial         wire.Dialer
 	Logger       *slog.Logger
 	Scope        tally.Scope
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -28,7 +28,7 @@
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
@@ -170,8 +170,8 @@
 	f.engines = append(f.engines, engine)
 	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
 		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.serve(f.listening(engine)), Timeout: testDeadline}),
-		Origin: platform.NewHTTPOrigin(platform.HTTPConfig{BaseURL: f.urls["origin"]}),
-		Store:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
+		Origin: backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: f.urls["origin"]}),
+		Store:  backing.NewHTTPWeightStore(backing.HTTPConfig{BaseURL: f.urls["store"]}),
 	})
 }
 
@@ -207,9 +207,9 @@
 		OperatorTokenDigests: []string{fleet.TokenDigest(operatorToken).String()},
 		InitialDocument:      testDocument(), ClaimShards: 2, CallTimeout: f.callTimeout,
 	}, Deps{
-		KeyValue:     platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
-		InstanceList: platform.NewHTTPInstanceList(platform.HTTPConfig{BaseURL: f.urls["list"]}),
-		WeightStore:  platform.NewHTTPWeightStore(platform.HTTPConfig{BaseURL: f.urls["store"]}),
+		KeyValue:     backing.NewHTTPKeyValue(backing.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
+		InstanceList: backing.NewHTTPInstanceList(backing.HTTPConfig{BaseURL: f.urls["list"]}),
+		WeightStore:  backing.NewHTTPWeightStore(backing.HTTPConfig{BaseURL: f.urls["store"]}),
 		Logger:       f.logger.With("at", instance.ID),
 		Scope:        f.entryScope,
 		Tracer:       f.tracer,
--- a/entry/generations_test.go
+++ b/entry/generations_test.go
@@ -12,7 +12,7 @@
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -46,7 +46,7 @@
 // stored returns the generation in the key-value service.
 func (f *testFleet) stored() core.Generation {
 	f.t.Helper()
-	kv := platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: f.urls["kv"]})
+	kv := backing.NewHTTPKeyValue(backing.HTTPConfig{BaseURL: f.urls["kv"]})
 	held, err := kv.Get(f.ctx, configuration.DocumentKey)
 	assert.NilError(f.t, err)
 	doc, err := fleet.DecodeDocument(held.Value)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -7,7 +7,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -25,15 +25,15 @@
 }
 
 // countedKeyValue returns the key-value service with its calls counted.
-func countedKeyValue(deps Deps) platform.KeyValue {
-	calls := make(map[string]tally.Counter, len(platform.KeyValueCalls))
-	faults := make(map[string]tally.Counter, len(platform.KeyValueCalls))
-	for _, name := range platform.KeyValueCalls {
+func countedKeyValue(deps Deps) backing.KeyValue {
+	calls := make(map[string]tally.Counter, len(backing.KeyValueCalls))
+	faults := make(map[string]tally.Counter, len(backing.KeyValueCalls))
+	for _, name := range backing.KeyValueCalls {
 		scope := deps.Scope.Tagged(map[string]string{telemetry.TagCall: name})
 		calls[name] = scope.Counter(telemetry.MetricStoreCalls)
 		faults[name] = scope.Counter(telemetry.MetricStoreErrors)
 	}
-	return platform.NewCountedKeyValue(deps.KeyValue, func(call string, failed bool) {
+	return backing.NewCountedKeyValue(deps.KeyValue, func(call string, failed bool) {
 		calls[call].Inc(1)
 		if failed {
 			faults[call].Inc(1)
--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -16,7 +16,7 @@
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -27,9 +27,9 @@
 
 // operatorService makes, keeps and confirms plans.
 type operatorService struct {
-	kv        platform.KeyValue
+	kv        backing.KeyValue
 	store     *configuration.Store
-	weights   platform.WeightStore
+	weights   backing.WeightStore
 	held      *fleet.Generations
 	collector *collector
 	executor  *executor
@@ -95,7 +95,7 @@
 // Plan returns a kept plan, or operator.ErrPlanNotFound.
 func (o *operatorService) Plan(ctx context.Context, id string) (*intent.Plan, error) {
 	entry, err := o.kv.Get(ctx, intent.Key(id))
-	if errors.Is(err, platform.ErrKeyNotFound) {
+	if errors.Is(err, backing.ErrKeyNotFound) {
 		return nil, operator.ErrPlanNotFound
 	}
 	if err != nil {
--- a/entry/swarmserver.go
+++ b/entry/swarmserver.go
@@ -12,7 +12,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -25,7 +25,7 @@
 type swarmServer struct {
 	held   *fleet.Generations
 	routes *routes
-	store  platform.WeightStore
+	store  backing.WeightStore
 
 	flights singleflight.Group
 
--- a/internal/fakes/answer.go
+++ b/internal/fakes/answer.go
@@ -5,7 +5,7 @@
 	"strconv"
 
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // refuse answers with an error document.
@@ -15,7 +15,7 @@
 
 // refuseLimited answers 429.
 func refuseLimited(w http.ResponseWriter, retryAfterMS int64) {
-	document := httpcall.ErrorDocument{Code: platform.CodeLimited, RetryAfterMS: retryAfterMS}
+	document := httpcall.ErrorDocument{Code: backing.CodeLimited, RetryAfterMS: retryAfterMS}
 	httpcall.WriteError(w, http.StatusTooManyRequests, document)
 }
 
--- a/internal/fakes/engineorder.go
+++ b/internal/fakes/engineorder.go
@@ -13,10 +13,10 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
-const maxOrderBytes = 2 * platform.MaxManifestBytes
+const maxOrderBytes = 2 * backing.MaxManifestBytes
 
 // stage keeps the digest of a chunk.
 func (e *Engine) stage(w http.ResponseWriter, r *http.Request) {
@@ -27,7 +27,7 @@
 		return
 	}
 	hasher := blake3.New()
-	if _, err := io.Copy(hasher, http.MaxBytesReader(w, r.Body, platform.MaxChunkBytes)); err != nil {
+	if _, err := io.Copy(hasher, http.MaxBytesReader(w, r.Body, backing.MaxChunkBytes)); err != nil {
 		refuse(w, http.StatusBadRequest, codeBadRequest)
 		return
 	}
--- a/internal/fakes/health.go
+++ b/internal/fakes/health.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Health makes a service fail or answer slowly. It is safe for concurrent
@@ -45,7 +45,7 @@
 func (h *Health) admit(w http.ResponseWriter, r *http.Request) bool {
 	h.wait(context.WithoutCancel(r.Context()))
 	if h.Down() {
-		refuse(w, http.StatusServiceUnavailable, platform.CodeUnavailable)
+		refuse(w, http.StatusServiceUnavailable, backing.CodeUnavailable)
 		return false
 	}
 	return true
--- a/internal/fakes/instancelist.go
+++ b/internal/fakes/instancelist.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // InstanceList is the platform's instance list. It shows each change after a
@@ -65,14 +65,14 @@
 		return
 	}
 	if r.Method != http.MethodGet || r.URL.Path != "/v1/instances" {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeNotFound)
 		return
 	}
-	l.answer(w, r, platform.InstancesDocument{Instances: l.shown()})
+	l.answer(w, r, backing.InstancesDocument{Instances: l.shown()})
 }
 
 // answer sends the list with its entity tag, or 304 to who holds it already.
-func (l *InstanceList) answer(w http.ResponseWriter, r *http.Request, document platform.InstancesDocument) {
+func (l *InstanceList) answer(w http.ResponseWriter, r *http.Request, document backing.InstancesDocument) {
 	body, err := json.Marshal(document)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/fakes/keyvalue_oracle_test.go
+++ b/internal/fakes/keyvalue_oracle_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // keyValueOracle is a key-value service with one lease per key.
@@ -44,7 +44,7 @@
 	ctx     context.Context
 	clock   *manualClock
 	service *fakes.KeyValue
-	client  *platform.HTTPKeyValue
+	client  *backing.HTTPKeyValue
 	oracle  *keyValueOracle
 	down    bool
 }
@@ -54,7 +54,7 @@
 		ctx:     ctx,
 		clock:   clock,
 		service: service,
-		client:  platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: server.URL, Client: server.Client()}),
+		client:  backing.NewHTTPKeyValue(backing.HTTPConfig{BaseURL: server.URL, Client: server.Client()}),
 		oracle:  &keyValueOracle{values: map[string]string{}, versions: map[string]uint64{}, ends: map[string]time.Time{}},
 	}
 }
@@ -73,7 +73,7 @@
 		assert.Assert(t, isUnavailable(err), "got %v", err)
 		return
 	}
-	var unknown *platform.UnknownOutcomeError
+	var unknown *backing.UnknownOutcomeError
 	if !errors.As(err, &unknown) {
 		assert.NilError(t, err)
 	}
@@ -102,7 +102,7 @@
 func (r *oracleRun) swapWrongVersion(t *rapid.T) {
 	k := drawKey(t)
 	_, err := r.client.CompareAndSwap(r.ctx, k, r.version(k)+1, nil, 0)
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	assert.Assert(t, r.down || errors.As(err, &conflict), "got %v", err)
 }
 
@@ -140,7 +140,7 @@
 		case r.down:
 			assert.Assert(t, isUnavailable(err), "got %v", err)
 		case want == 0:
-			assert.ErrorIs(t, err, platform.ErrKeyNotFound)
+			assert.ErrorIs(t, err, backing.ErrKeyNotFound)
 		default:
 			assert.NilError(t, err)
 			assert.Equal(t, entry.Version, want)
@@ -173,6 +173,6 @@
 }
 
 func isUnavailable(err error) bool {
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	return errors.As(err, &unavailable)
 }
--- a/internal/fakes/keyvalue_test.go
+++ b/internal/fakes/keyvalue_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // manualClock is a clock that a test moves.
@@ -36,13 +36,13 @@
 	c.now = c.now.Add(duration)
 }
 
-func startKeyValue(t *testing.T) (*fakes.KeyValue, *platform.HTTPKeyValue, *manualClock) {
+func startKeyValue(t *testing.T) (*fakes.KeyValue, *backing.HTTPKeyValue, *manualClock) {
 	t.Helper()
 	clock := newManualClock()
 	service := fakes.NewKeyValue(clock.Now)
 	server := httptest.NewServer(service)
 	t.Cleanup(server.Close)
-	return service, platform.NewHTTPKeyValue(platform.HTTPConfig{BaseURL: server.URL, Client: server.Client()}), clock
+	return service, backing.NewHTTPKeyValue(backing.HTTPConfig{BaseURL: server.URL, Client: server.Client()}), clock
 }
 
 func TestKeyValueSwapsOnlyTheExpectedVersion(t *testing.T) {
@@ -52,12 +52,12 @@
 	assert.NilError(t, err)
 	assert.Equal(t, version, uint64(1))
 	_, err = client.CompareAndSwap(ctx, "a/b c", 0, []byte("two"), 0)
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	assert.Assert(t, errors.As(err, &conflict))
 	assert.Equal(t, conflict.Actual, uint64(1))
 	assert.NilError(t, client.Delete(ctx, "a/b c", 1))
 	_, err = client.Get(ctx, "a/b c")
-	assert.ErrorIs(t, err, platform.ErrKeyNotFound)
+	assert.ErrorIs(t, err, backing.ErrKeyNotFound)
 	version, err = client.CompareAndSwap(ctx, "a/b c", 0, nil, 0)
 	assert.NilError(t, err)
 	assert.Equal(t, version, uint64(2), "versions never repeat")
@@ -71,14 +71,14 @@
 	}
 	page, err := client.List(t.Context(), "x/", "x/1", 1)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, page, []platform.KeyValueEntry{{Key: "x/2", Value: []byte("x/2"), Version: 1}})
+	assert.DeepEqual(t, page, []backing.KeyValueEntry{{Key: "x/2", Value: []byte("x/2"), Version: 1}})
 }
 
 func TestKeyValueWriteWithLostAnswerTookEffect(t *testing.T) {
 	service, client, _ := startKeyValue(t)
 	service.SetLoseAnswerRatio(1, 1)
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, []byte("v"), 0)
-	var unknown *platform.UnknownOutcomeError
+	var unknown *backing.UnknownOutcomeError
 	assert.Assert(t, errors.As(err, &unknown), "got %v", err)
 	entry, err := client.Get(t.Context(), "k")
 	assert.NilError(t, err)
@@ -90,11 +90,11 @@
 	service, client, _ := startKeyValue(t)
 	service.SetDown(true)
 	_, err := client.CompareAndSwap(t.Context(), "k", 0, []byte("v"), 0)
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	assert.Assert(t, errors.As(err, &unavailable), "got %v", err)
 	service.SetDown(false)
 	_, err = client.Get(t.Context(), "k")
-	assert.ErrorIs(t, err, platform.ErrKeyNotFound)
+	assert.ErrorIs(t, err, backing.ErrKeyNotFound)
 }
 
 func TestKeyValueLapsedLeaseEndsWatch(t *testing.T) {
@@ -116,8 +116,8 @@
 	}()
 	clock.Advance(time.Minute)
 	service.Sweep()
-	assert.ErrorIs(t, <-watched, platform.ErrKeyNotFound)
-	assert.ErrorIs(t, client.KeepAlive(ctx, lease), platform.ErrLeaseNotFound)
+	assert.ErrorIs(t, <-watched, backing.ErrKeyNotFound)
+	assert.ErrorIs(t, client.KeepAlive(ctx, lease), backing.ErrLeaseNotFound)
 }
 
 func TestKeyValueWatchShowsRestoredContent(t *testing.T) {
@@ -143,14 +143,14 @@
 		watched <- err
 	}()
 	service.SetDown(true)
-	var unavailable *platform.UnavailableError
+	var unavailable *backing.UnavailableError
 	assert.Assert(t, errors.As(<-watched, &unavailable))
 }
 
 func TestKeyValueRefusesLongValue(t *testing.T) {
 	_, client, _ := startKeyValue(t)
-	_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, platform.MaxValueBytes+1), 0)
-	var rejected *platform.RejectedError
+	_, err := client.CompareAndSwap(t.Context(), "k", 0, make([]byte, backing.MaxValueBytes+1), 0)
+	var rejected *backing.RejectedError
 	assert.Assert(t, errors.As(err, &rejected), "got %v", err)
-	assert.Equal(t, rejected.Code, platform.CodeTooLarge)
+	assert.Equal(t, rejected.Code, backing.CodeTooLarge)
 }
--- a/internal/fakes/keyvaluehandlers.go
+++ b/internal/fakes/keyvaluehandlers.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // acknowledge ends a write: it drops the connection, or answers the error, or
@@ -25,7 +25,7 @@
 }
 
 func (k *KeyValue) get(w http.ResponseWriter, r *http.Request) {
-	var entry platform.KeyValueEntry
+	var entry backing.KeyValueEntry
 	var err error
 	k.read(&k.counts.Get, func() { entry, err = k.state.get(r.URL.Query().Get("key")) })
 	if err != nil {
@@ -37,21 +37,21 @@
 }
 
 func (k *KeyValue) compareAndSwap(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, backing.MaxValueBytes))
 	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, platform.CodeTooLarge)
+		refuse(w, http.StatusRequestEntityTooLarge, backing.CodeTooLarge)
 		return
 	}
 	version, valid := queryUint(r, "version")
 	if !valid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	lease, _ := queryUint(r, "lease")
 	var written uint64
 	lost, err := k.write(&k.counts.CompareAndSwap, func() error {
 		var failure error
-		written, failure = k.state.swap(r.URL.Query().Get("key"), version, value, platform.LeaseID(lease))
+		written, failure = k.state.swap(r.URL.Query().Get("key"), version, value, backing.LeaseID(lease))
 		return failure
 	})
 	if acknowledge(w, lost, err) {
@@ -62,7 +62,7 @@
 func (k *KeyValue) remove(w http.ResponseWriter, r *http.Request) {
 	version, valid := queryUint(r, "version")
 	if !valid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	lost, err := k.write(&k.counts.Delete, func() error { return k.state.remove(r.URL.Query().Get("key"), version) })
@@ -72,13 +72,13 @@
 func (k *KeyValue) list(w http.ResponseWriter, r *http.Request) {
 	limit, valid := queryUint(r, "limit")
 	if !valid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	query := r.URL.Query()
-	var document platform.ListDocument
+	var document backing.ListDocument
 	k.read(&k.counts.List, func() {
-		document.Entries = k.state.list(query.Get("prefix"), query.Get("after"), int(min(limit, platform.MaxListLimit)))
+		document.Entries = k.state.list(query.Get("prefix"), query.Get("after"), int(min(limit, backing.MaxListLimit)))
 	})
 	httpcall.WriteJSON(w, document)
 }
@@ -86,10 +86,10 @@
 func (k *KeyValue) grant(w http.ResponseWriter, r *http.Request) {
 	ttl, valid := queryUint(r, "ttl_ms")
 	if !valid || ttl == 0 {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
-	var document platform.LeaseDocument
+	var document backing.LeaseDocument
 	lost, err := k.write(&k.counts.Grant, func() error {
 		document.Lease = k.state.grant(time.Duration(ttl)*time.Millisecond, k.clock())
 		return nil
@@ -111,25 +111,25 @@
 	acknowledge(w, lost, err)
 }
 
-func pathLease(r *http.Request) platform.LeaseID {
+func pathLease(r *http.Request) backing.LeaseID {
 	// Lease 0 does not exist.
 	lease, _ := strconv.ParseUint(r.PathValue("lease"), 10, 64)
-	return platform.LeaseID(lease)
+	return backing.LeaseID(lease)
 }
 
 func setVersion(w http.ResponseWriter, version uint64) {
-	w.Header().Set(platform.VersionHeader, strconv.FormatUint(version, 10))
+	w.Header().Set(backing.VersionHeader, strconv.FormatUint(version, 10))
 }
 
 func refuseKeyValue(w http.ResponseWriter, err error) {
-	var conflict *platform.ConflictError
+	var conflict *backing.ConflictError
 	switch {
 	case errors.As(err, &conflict):
-		document := httpcall.ErrorDocument{Code: platform.CodeConflict, Version: conflict.Actual}
+		document := httpcall.ErrorDocument{Code: backing.CodeConflict, Version: conflict.Actual}
 		httpcall.WriteError(w, http.StatusConflict, document)
-	case errors.Is(err, platform.ErrLeaseNotFound):
-		refuse(w, http.StatusNotFound, platform.CodeLeaseNotFound)
+	case errors.Is(err, backing.ErrLeaseNotFound):
+		refuse(w, http.StatusNotFound, backing.CodeLeaseNotFound)
 	default:
-		refuse(w, http.StatusNotFound, platform.CodeKeyNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeKeyNotFound)
 	}
 }
--- a/internal/fakes/keyvaluestate.go
+++ b/internal/fakes/keyvaluestate.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // keyValueState is the content of the key-value service.
@@ -15,14 +15,14 @@
 	entries map[string]storedEntry
 	// versions keeps the last version of each key, deleted ones included.
 	versions  map[string]uint64
-	leases    map[platform.LeaseID]storedLease
-	lastLease platform.LeaseID
+	leases    map[backing.LeaseID]storedLease
+	lastLease backing.LeaseID
 }
 
 type storedEntry struct {
 	value   []byte
 	version uint64
-	lease   platform.LeaseID
+	lease   backing.LeaseID
 }
 
 type storedLease struct {
@@ -34,7 +34,7 @@
 	return &keyValueState{
 		entries:  map[string]storedEntry{},
 		versions: map[string]uint64{},
-		leases:   map[platform.LeaseID]storedLease{},
+		leases:   map[backing.LeaseID]storedLease{},
 	}
 }
 
@@ -72,7 +72,7 @@
 	return next, !next.IsZero()
 }
 
-func (s *keyValueState) endLease(id platform.LeaseID) {
+func (s *keyValueState) endLease(id backing.LeaseID) {
 	delete(s.leases, id)
 	for key, entry := range s.entries {
 		if entry.lease == id {
@@ -81,44 +81,44 @@
 	}
 }
 
-func (s *keyValueState) grant(ttl time.Duration, now time.Time) platform.LeaseID {
+func (s *keyValueState) grant(ttl time.Duration, now time.Time) backing.LeaseID {
 	s.lastLease++
 	s.leases[s.lastLease] = storedLease{ttl: ttl, ends: now.Add(ttl)}
 	return s.lastLease
 }
 
-func (s *keyValueState) keepAlive(id platform.LeaseID, now time.Time) error {
+func (s *keyValueState) keepAlive(id backing.LeaseID, now time.Time) error {
 	lease, found := s.leases[id]
 	if !found {
-		return platform.ErrLeaseNotFound
+		return backing.ErrLeaseNotFound
 	}
 	lease.ends = now.Add(lease.ttl)
 	s.leases[id] = lease
 	return nil
 }
 
-func (s *keyValueState) revoke(id platform.LeaseID) error {
+func (s *keyValueState) revoke(id backing.LeaseID) error {
 	if _, found := s.leases[id]; !found {
-		return platform.ErrLeaseNotFound
+		return backing.ErrLeaseNotFound
 	}
 	s.endLease(id)
 	return nil
 }
 
-func (s *keyValueState) get(key string) (platform.KeyValueEntry, error) {
+func (s *keyValueState) get(key string) (backing.KeyValueEntry, error) {
 	entry, found := s.entries[key]
 	if !found {
-		return platform.KeyValueEntry{}, platform.ErrKeyNotFound
+		return backing.KeyValueEntry{}, backing.ErrKeyNotFound
 	}
-	return platform.KeyValueEntry{Key: key, Value: entry.value, Version: entry.version}, nil
+	return backing.KeyValueEntry{Key: key, Value: entry.value, Version: entry.version}, nil
 }
 
-func (s *keyValueState) swap(key string, version uint64, value []byte, lease platform.LeaseID) (uint64, error) {
+func (s *keyValueState) swap(key string, version uint64, value []byte, lease backing.LeaseID) (uint64, error) {
 	if actual := s.entries[key].version; actual != version {
-		return 0, &platform.ConflictError{Key: key, Actual: actual}
+		return 0, &backing.ConflictError{Key: key, Actual: actual}
 	}
 	if _, found := s.leases[lease]; lease != 0 && !found {
-		return 0, platform.ErrLeaseNotFound
+		return 0, backing.ErrLeaseNotFound
 	}
 	s.versions[key]++
 	s.entries[key] = storedEntry{value: bytes.Clone(value), version: s.versions[key], lease: lease}
@@ -128,16 +128,16 @@
 func (s *keyValueState) remove(key string, version uint64) error {
 	entry, found := s.entries[key]
 	if !found {
-		return platform.ErrKeyNotFound
+		return backing.ErrKeyNotFound
 	}
 	if entry.version != version {
-		return &platform.ConflictError{Key: key, Actual: entry.version}
+		return &backing.ConflictError{Key: key, Actual: entry.version}
 	}
 	delete(s.entries, key)
 	return nil
 }
 
-func (s *keyValueState) list(prefix, after string, limit int) []platform.EntryDocument {
+func (s *keyValueState) list(prefix, after string, limit int) []backing.EntryDocument {
 	keys := make([]string, 0, len(s.entries))
 	for key := range s.entries {
 		if strings.HasPrefix(key, prefix) && key > after {
@@ -145,10 +145,10 @@
 		}
 	}
 	sort.Strings(keys)
-	listed := make([]platform.EntryDocument, 0, min(limit, len(keys)))
+	listed := make([]backing.EntryDocument, 0, min(limit, len(keys)))
 	for _, key := range keys[:min(limit, len(keys))] {
 		entry := s.entries[key]
-		listed = append(listed, platform.EntryDocument{Key: key, Value: entry.value, Version: entry.version})
+		listed = append(listed, backing.EntryDocument{Key: key, Value: entry.value, Version: entry.version})
 	}
 	return listed
 }
--- a/internal/fakes/keyvaluewatch.go
+++ b/internal/fakes/keyvaluewatch.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // watchState is what a watch sees at one moment.
 type watchState struct {
-	entry   platform.KeyValueEntry
+	entry   backing.KeyValueEntry
 	err     error
 	changed <-chan struct{}
 	lapse   time.Duration // Until the next lease lapses.
@@ -20,7 +20,7 @@
 	version, valid := queryUint(r, "version")
 	waitMS, waitValid := queryUint(r, "wait_ms")
 	if !valid || !waitValid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxWatchWait)
@@ -56,13 +56,13 @@
 func (k *KeyValue) answerWatch(w http.ResponseWriter, state watchState, version uint64) bool {
 	switch {
 	case k.Down():
-		refuse(w, http.StatusServiceUnavailable, platform.CodeUnavailable)
+		refuse(w, http.StatusServiceUnavailable, backing.CodeUnavailable)
 		return true
 	case state.err != nil && version != 0:
 		refuseKeyValue(w, state.err)
 		return true
 	case state.entry.Version != version:
-		httpcall.WriteJSON(w, platform.EntryDocument(state.entry))
+		httpcall.WriteJSON(w, backing.EntryDocument(state.entry))
 		return true
 	}
 	return false
--- a/internal/fakes/origin.go
+++ b/internal/fakes/origin.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Origin is the origin of weights. It is safe for concurrent use.
@@ -83,12 +83,12 @@
 func (o *Origin) chunk(w http.ResponseWriter, r *http.Request) {
 	manifest, index, valid := chunkPath(r)
 	if !valid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	data, err := o.published.chunk(manifest, index)
 	if err != nil {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/internal/fakes/weights.go
+++ b/internal/fakes/weights.go
@@ -4,7 +4,7 @@
 	"sync"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // ChunkReader returns the bytes of a chunk. It must be safe for concurrent
@@ -61,7 +61,7 @@
 func (p *published) chunk(manifest core.Digest, index int) ([]byte, error) {
 	weights, found := p.get(manifest)
 	if !found || index < 0 || index >= weights.Chunks {
-		return nil, platform.ErrNotFound
+		return nil, backing.ErrNotFound
 	}
 	return weights.Read(index)
 }
--- a/internal/fakes/weightstore.go
+++ b/internal/fakes/weightstore.go
@@ -9,7 +9,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // WeightStore is the rate-limited weight store. It is safe for concurrent
@@ -94,12 +94,12 @@
 	s.count(func(c *WeightStoreCounts) { c.Manifest++ })
 	digest, err := core.ParseDigest(r.PathValue("manifest"))
 	if err != nil {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	weights, found := s.published.get(digest)
 	if !found {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
@@ -110,7 +110,7 @@
 	s.count(func(c *WeightStoreCounts) { c.Resolve++ })
 	ref, found := s.published.resolve(r.PathValue("model"), r.PathValue("version"))
 	if !found {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeNotFound)
 		return
 	}
 	httpcall.WriteJSON(w, ref)
@@ -119,12 +119,12 @@
 func (s *WeightStore) chunk(w http.ResponseWriter, r *http.Request) {
 	manifest, index, valid := chunkPath(r)
 	if !valid {
-		refuse(w, http.StatusBadRequest, platform.CodeBadRequest)
+		refuse(w, http.StatusBadRequest, backing.CodeBadRequest)
 		return
 	}
 	data, err := s.published.chunk(manifest, index)
 	if err != nil {
-		refuse(w, http.StatusNotFound, platform.CodeNotFound)
+		refuse(w, http.StatusNotFound, backing.CodeNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/local/runner/fleetrun.go
+++ b/local/runner/fleetrun.go
@@ -12,7 +12,7 @@
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/scenario"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // fleetKey authenticates the processes of a run to one another.
@@ -82,8 +82,8 @@
 	instance := f.instance(core.RoleEntry, number, 0)
 	httpAddr := address(ipOf(instance), httpPort)
 	client := f.platform.client(instance)
-	service := func(url string) platform.HTTPConfig {
-		return platform.HTTPConfig{BaseURL: url, Client: client, Timeout: platformTimeout}
+	service := func(url string) backing.HTTPConfig {
+		return backing.HTTPConfig{BaseURL: url, Client: client, Timeout: platformTimeout}
 	}
 	made, err := entry.New(entry.Config{
 		Instance:             instance,
@@ -94,9 +94,9 @@
 		OriginRegion:         location(0).Region,
 		Policy:               f.scenario.Run.Policy,
 	}, entry.Deps{
-		KeyValue:     platform.NewHTTPKeyValue(service(f.platform.keyValueURL)),
-		InstanceList: platform.NewHTTPInstanceList(service(f.platform.listURL)),
-		WeightStore:  platform.NewHTTPWeightStore(service(f.platform.storeURL)),
+		KeyValue:     backing.NewHTTPKeyValue(service(f.platform.keyValueURL)),
+		InstanceList: backing.NewHTTPInstanceList(service(f.platform.listURL)),
+		WeightStore:  backing.NewHTTPWeightStore(service(f.platform.storeURL)),
 		Dial:         f.platform.links.Dialer(instance.ID, instance.Location),
 		Logger:       f.logger.With("instance", instance.ID),
 	})
--- a/local/runner/node.go
+++ b/local/runner/node.go
@@ -12,7 +12,7 @@
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/serving"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 )
 
 // Normal manners of the endpoints.
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	weights := platform.HTTPConfig{BaseURL: f.platform.originURL, Client: f.platform.client(instance), Timeout: chunkTimeout}
+	weights := backing.HTTPConfig{BaseURL: f.platform.originURL, Client: f.platform.client(instance), Timeout: chunkTimeout}
 	store := weights
 	store.BaseURL = f.platform.storeURL
 	link := float64(f.scenario.Links.InstanceMbps) * bytesPerMegabit
@@ -87,8 +87,8 @@
 	}
 	return f.startNode(&node{number: number, engine: engine, server: served}, config, agent.Deps{
 		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: served.URL(), Timeout: endpointTimeout}),
-		Origin: platform.NewHTTPOrigin(weights),
-		Store:  platform.NewHTTPWeightStore(store),
+		Origin: backing.NewHTTPOrigin(weights),
+		Store:  backing.NewHTTPWeightStore(store),
 	})
 }
 
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -15,7 +15,7 @@
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -98,7 +98,7 @@
 		{&configuration.GenerationConflictError{Actual: 7, WinningPlan: "w"}, 409, operator.CodeConflict},
 		{&intent.CapacityError{}, 409, operator.CodeCapacity},
 		{&configuration.CommitUnknownError{Cause: context.DeadlineExceeded}, 503, operator.CodeCommitUnknown},
-		{&platform.UnavailableError{}, 503, operator.CodeStoreUnavailable},
+		{&backing.UnavailableError{}, 503, operator.CodeStoreUnavailable},
 		{context.DeadlineExceeded, 504, operator.CodeTimeout},
 		{operator.ErrPlanNotFound, 404, operator.CodePlanUnknown},
 		{http.ErrAbortHandler, 500, operator.CodeInternal},
--- a/operator/problems.go
+++ b/operator/problems.go
@@ -8,7 +8,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/problem"
 )
 
@@ -49,9 +49,9 @@
 		return problem.New(http.StatusUnprocessableEntity, CodePlanTooLarge, planSize.Error())
 	case errors.As(err, &docSize):
 		return problem.New(http.StatusUnprocessableEntity, CodePlanTooLarge, docSize.Error())
-	case errors.Is(err, intent.ErrManifestMissing), errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, intent.ErrManifestMissing), errors.Is(err, backing.ErrNotFound):
 		return problem.New(http.StatusUnprocessableEntity, CodeModelUnknown, "the weight store does not know this version of the model")
-	case errors.Is(err, ErrPlanNotFound), errors.Is(err, platform.ErrKeyNotFound):
+	case errors.Is(err, ErrPlanNotFound), errors.Is(err, backing.ErrKeyNotFound):
 		return problem.New(http.StatusNotFound, CodePlanUnknown, ErrPlanNotFound.Error())
 	}
 	return nil
@@ -103,9 +103,9 @@
 
 func platformProblem(err error) *problem.Problem {
 	var (
-		unavailable *platform.UnavailableError
-		unknown     *platform.UnknownOutcomeError
-		limited     *platform.LimitedError
+		unavailable *backing.UnavailableError
+		unknown     *backing.UnknownOutcomeError
+		limited     *backing.LimitedError
 	)
 	switch {
 	case errors.As(err, &unavailable), errors.As(err, &unknown):
--- a/weights/swarm/deps.go
+++ b/weights/swarm/deps.go
@@ -7,7 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -15,7 +15,7 @@
 type Deps struct {
 	// Dial opens connections to peers, net.Dialer by default.
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error)
-	Origin, Store platform.ChunkSource
+	Origin, Store backing.ChunkSource
 	Logger        *slog.Logger
 	Scope         tally.Scope
 	// Live returns the calls running on the instance and its slots.
--- a/weights/swarm/draw.go
+++ b/weights/swarm/draw.go
@@ -7,13 +7,13 @@
 
 	"github.com/uber-go/tally/v4"
 
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 )
 
 // draw requests one chunk from the origin or the store and reports how it
 // ended.
-func (t *transfer) draw(r weights.Request, source platform.ChunkSource, bytes tally.Counter) {
+func (t *transfer) draw(r weights.Request, source backing.ChunkSource, bytes tally.Counter) {
 	ctx, cancel := context.WithTimeout(t.ctx, t.node.cfg.SourceTimeout)
 	defer cancel()
 	data, err := source.Chunk(ctx, t.digest, r.Chunk)
@@ -35,7 +35,7 @@
 
 func drawFailure(r weights.Request, err error) failedEvent {
 	e := failedEvent{chunk: r.Chunk, source: r.Source, failure: weights.FailureUnavailable}
-	var limited *platform.LimitedError
+	var limited *backing.LimitedError
 	var corrupt *weights.CorruptChunkError
 	switch {
 	case errors.As(err, &limited):
--- a/weights/swarm/fault_test.go
+++ b/weights/swarm/fault_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -84,10 +84,10 @@
 // TestOriginDownStoreLimited has the limited store take over.
 func TestOriginDownStoreLimited(t *testing.T) {
 	f, m := newFaultFleet(t)
-	f.origin.fail = func(int) error { return &platform.UnavailableError{Service: "origin", Cause: errors.New("down")} }
+	f.origin.fail = func(int) error { return &backing.UnavailableError{Service: "origin", Cause: errors.New("down")} }
 	f.store.fail = func(int) error {
 		if f.store.calls.Load()%5 == 0 {
-			return &platform.LimitedError{Service: "store", RetryAfterMS: 20}
+			return &backing.LimitedError{Service: "store", RetryAfterMS: 20}
 		}
 		return nil
 	}
--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -19,7 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
@@ -77,7 +77,7 @@
 		s.served.Add(int64(len(data)))
 		return data, errors.Join(err, pay(ctx, s.link, len(data)))
 	}
-	return nil, platform.ErrNotFound
+	return nil, backing.ErrNotFound
 }
 
 func pay(ctx context.Context, link *rate.Limiter, n int) error {
