--- /dev/null
+++ b/cmd/snipestep-direct/roles.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/gateway"
+	"github.com/snipestep/snipestep/keeper"
+	"github.com/snipestep/snipestep/platform"
+	"github.com/snipestep/snipestep/settings"
+	"github.com/snipestep/snipestep/telemetry"
+)
+
+const (
+	// endpointIdle is how long an unused connection to an endpoint is kept,
+	// below the 10 s and less for which endpoints keep theirs.
+	endpointIdle = 4 * time.Second
+	// endpointConns is the number of unused connections kept to one endpoint;
+	// eight entries stay below half of what an engine accepts.
+	endpointConns = 16
+)
+
+func runEntry(ctx context.Context, s *settings.Direct, view *directory.Directory, t *telemetry.Telemetry) error {
+	g := gateway.New(gateway.Config{
+		Name:         s.Name,
+		Region:       s.Location.Region,
+		DatagramAddr: port(s, datagramPort),
+		RetryRatio:   s.RetryRatio,
+		RetryBurst:   s.RetryBurst,
+		VersionBound: s.VersionBound,
+		Seed:         seed(s),
+	}, gateway.Deps{
+		Directory: view,
+		Dialect:   platform.Dialect{},
+		Transport: platform.NewTransport(endpointIdle, endpointConns),
+		Logger:    t.Logger,
+		Scope:     t.Scope,
+	})
+	server := &gateway.Server{Gateway: g, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, StopGrace: s.StopGrace, Logger: t.Logger}
+	// Reports are followed until the last request has ended.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(running)
+	group.Go(func() error { return g.Run(groupCtx) })
+	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
+	group.Go(func() error {
+		defer stop()
+		return server.Run(ctx)
+	})
+	return group.Wait()
+}
+
+func runAgent(ctx context.Context, s *settings.Direct, view *directory.Directory, t *telemetry.Telemetry) error {
+	k, err := keeper.New(keeper.Config{
+		Name:         s.Name,
+		Service:      s.Service,
+		Endpoint:     s.Endpoint,
+		DatagramAddr: port(s, datagramPort),
+		ChunkAddr:    port(s, chunkPort),
+		Location:     s.Location,
+		FleetKey:     s.FleetKey,
+		VersionBound: s.VersionBound,
+		Seed:         seed(s),
+	}, keeper.Deps{
+		Directory: view,
+		Engine:    platform.NewEngine(s.Endpoint),
+		Origin:    platform.NewOrigin(view),
+		Logger:    t.Logger,
+		Scope:     t.Scope,
+	})
+	if err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return k.Run(groupCtx) })
+	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
+	return group.Wait()
+}
+
+// metricsTimeout bounds a reader of the metrics page.
+const metricsTimeout = 5 * time.Second
+
+// serveMetrics serves the metrics page until ctx ends.
+func serveMetrics(ctx context.Context, s *settings.Direct, t *telemetry.Telemetry) error {
+	if s.Telemetry.MetricsAddr == "" {
+		return nil
+	}
+	server := &http.Server{
+		Addr:              s.Telemetry.MetricsAddr,
+		Handler:           t.Handler(func() error { return nil }),
+		ReadHeaderTimeout: metricsTimeout,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+		t.Logger.Error("metrics page not served", "address", s.Telemetry.MetricsAddr, "error", err)
+	}
+	return nil
+}
+
+// droppedTick is how often the count of dropped log lines is shown.
+const droppedTick = 5 * time.Second
+
+// countDropped shows how many log lines were dropped.
+func countDropped(ctx context.Context, scope tally.Scope, out *telemetry.BoundedWriter) {
+	gauge := scope.Gauge(telemetry.MetricLogDropped)
+	ticker := time.NewTicker(droppedTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			gauge.Update(float64(out.Dropped()))
+		}
+	}
+}
--- /dev/null
+++ b/directory/endpoint.go
@@ -0,0 +1,21 @@
+package directory
+
+// Endpoint is one listed endpoint of a service.
+type Endpoint struct {
+	// ID is the name of this incarnation; it is checked by the endpoint.
+	ID      string
+	Service string
+	Address string // IP:port.
+	// Domain is the failure domain and Region the region that holds it.
+	Domain string
+	Region string
+	Slots  int
+	// Draining endpoints take no new requests.
+	Draining bool
+	// Held is the version of the weights that is whole at the endpoint; 0
+	// for none, and for plain services.
+	Held uint64
+	// Born is the start of this incarnation in Unix milliseconds, 0 if the
+	// endpoint does not say.
+	Born int64
+}
--- /dev/null
+++ b/directory/view.go
@@ -0,0 +1,37 @@
+package directory
+
+import "time"
+
+// Declared is the version of a model that the operator wants.
+type Declared struct {
+	Version uint64
+	// Since is when this process learnt of it, on its steady clock.
+	Since time.Time
+	// Previous is the version that was declared before, 0 for none.
+	Previous uint64
+	// PreviousSince is when this process learnt of the previous version.
+	PreviousSince time.Time
+}
+
+// View is what is believed at one moment. It does not change.
+type View struct {
+	// Document is nil until the first one is known.
+	Document  *Document
+	Endpoints map[string]*Endpoint
+	Models    map[string]Declared
+	// StoreUp says that the last call to the store was answered.
+	StoreUp bool
+}
+
+// VersionOf returns the declared version of a model. The first version counts
+// as declared until another one is.
+func (v *View) VersionOf(model string) Declared {
+	if d, ok := v.Models[model]; ok {
+		return d
+	}
+	return Declared{Version: FirstVersion}
+}
+
+// FirstVersion is the version of a model's weights before any was declared;
+// the platform counts versions from 1.
+const FirstVersion = 1
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,175 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/places"
+)
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	config  Config
+	deps    Deps
+	metrics *metrics
+
+	services atomic.Pointer[map[string]*service]
+	draws    *draws
+	stopping atomic.Bool
+	active   atomic.Int64
+	// byAddress finds the endpoint of a load report.
+	byAddress atomic.Pointer[map[string]*directory.Endpoint]
+
+	// rebuildMu serialises changes of services.
+	rebuildMu sync.Mutex
+	entries   atomic.Int64
+}
+
+// New returns a gateway that follows the directory at once.
+func New(config Config, deps Deps) *Gateway {
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed)}
+	g.services.Store(&map[string]*service{})
+	g.byAddress.Store(&map[string]*directory.Endpoint{})
+	g.entries.Store(1)
+	deps.Directory.Listen(g.rebuild)
+	return g
+}
+
+// rebuild brings the services and their pools up to a view.
+func (g *Gateway) rebuild(v *directory.View) {
+	if v.Document == nil {
+		return
+	}
+	g.rebuildMu.Lock()
+	defer g.rebuildMu.Unlock()
+	old := *g.services.Load()
+	next := make(map[string]*service, len(v.Document.Services))
+	for name, s := range v.Document.Services {
+		if s.Origin != "" {
+			continue
+		}
+		next[name] = old[name]
+		if next[name] == nil {
+			next[name] = g.newService(s)
+		}
+	}
+	g.services.Store(&next)
+	byAddress := make(map[string]*directory.Endpoint, len(v.Endpoints))
+	lists := make(map[string][]places.Endpoint, len(next))
+	for _, e := range v.Endpoints {
+		byAddress[e.Address] = e
+		lists[e.Service] = append(lists[e.Service], places.Endpoint{
+			ID: e.ID, Region: e.Region, Slots: e.Slots, Held: e.Held, Draining: e.Draining,
+		})
+	}
+	g.byAddress.Store(&byAddress)
+	now := time.Now()
+	for name, s := range next {
+		oldest := g.oldestVersion(now, v, name)
+		s.gate.Change(func(p *places.Pool) {
+			p.SetEndpoints(lists[name])
+			p.Require(oldest)
+		})
+	}
+}
+
+func (g *Gateway) newService(s *directory.Service) *service {
+	made := &service{
+		name:   s.Name,
+		budget: newBudget(g.config.RetryRatio, g.config.RetryBurst),
+	}
+	made.firstAnswer.Store(int64(firstAnswerGuess))
+	made.budget.setEntries(int(g.entries.Load()))
+	pool := places.NewPool(places.Config{
+		Region:   g.config.Region,
+		Reported: s.Engine != nil,
+		Rand:     newRand(g.config.Seed, uint64(len(s.Name))),
+	})
+	pool.SetEntries(int(g.entries.Load()))
+	made.gate = places.NewGate(pool, time.Now)
+	return made
+}
+
+// versionMargin is kept before the end of VersionBound: the entry learns of a
+// version after it was declared, and a request needs time to begin.
+const versionMargin = 400 * time.Millisecond
+
+// oldestVersion returns the oldest version on which a request may begin at a
+// service, 0 for any.
+func (g *Gateway) oldestVersion(now time.Time, v *directory.View, name string) uint64 {
+	s := v.Document.Services[name]
+	if s == nil || s.Engine == nil {
+		return 0
+	}
+	declared := v.VersionOf(s.Model)
+	bound := g.config.VersionBound - versionMargin
+	switch {
+	case declared.Since.IsZero() || now.Sub(declared.Since) >= bound:
+		return declared.Version
+	case declared.PreviousSince.IsZero() || now.Sub(declared.PreviousSince) >= bound:
+		return declared.Previous
+	default:
+		return 0
+	}
+}
+
+// versionTick is how often the bound of declared versions is looked at.
+const versionTick = 100 * time.Millisecond
+
+// Run asks agents for reports and keeps the bounds of versions until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	var running sync.WaitGroup
+	defer running.Wait()
+	running.Go(func() { g.enforceVersions(ctx) })
+	return g.followLoads(ctx)
+}
+
+// enforceVersions raises the oldest version once its time has come.
+func (g *Gateway) enforceVersions(ctx context.Context) {
+	ticker := time.NewTicker(versionTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			v := g.deps.Directory.View()
+			if v.Document == nil {
+				continue
+			}
+			for name, s := range *g.services.Load() {
+				oldest := g.oldestVersion(now, v, name)
+				s.gate.Change(func(p *places.Pool) { p.Require(oldest) })
+			}
+		}
+	}
+}
+
+// Ready reports whether the entry can serve new callers.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.deps.Directory.View().Document != nil
+}
+
+// Drain makes the gateway not ready and closes connections after the answers
+// that are under way.
+func (g *Gateway) Drain() {
+	g.stopping.Store(true)
+}
+
+// Active returns the number of requests that are not answered yet.
+func (g *Gateway) Active() int64 {
+	return g.active.Load()
+}
+
+// ServeReady answers the balancer's question whether the entry is ready.
+func (g *Gateway) ServeReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/snipestep/snipestep/directory"
+)
+
+// maxUnknownBody bounds bodies while no document sets a limit.
+const maxUnknownBody = 4 << 20
+
+// ServeHTTP serves one request of a caller. It blocks until the answer is
+// written or the caller left.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req := &request{arrived: time.Now(), logger: g.deps.Logger}
+	refusal := g.admit(req, w, r)
+	if refusal != nil {
+		g.refuse(w, req, refusal)
+		return
+	}
+	ctx, cancel := r.Context(), context.CancelFunc(func() {})
+	if !req.deadline.IsZero() {
+		ctx, cancel = context.WithDeadline(ctx, req.deadline)
+	}
+	defer cancel()
+	req.service.budget.call()
+	if req.route.Kind == directory.Stream {
+		g.serveStream(ctx, w, r, req)
+		return
+	}
+	g.servePlain(ctx, w, r, req)
+}
+
+// admit finds out what a request is and reads it whole. It returns nil if the
+// request may be sent on.
+func (g *Gateway) admit(req *request, w http.ResponseWriter, r *http.Request) *refusal {
+	call, err := g.deps.Dialect.ReadCall(r.Header)
+	req.call = call
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "malformed header", cause: err}
+	}
+	view := g.deps.Directory.View()
+	document := view.Document
+	if document == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no document known", retryAfter: time.Second}
+	}
+	req.route = document.Match(r.Host, r.URL.Path)
+	if req.route == nil {
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	req.rank = req.route.Priority
+	if refusal := g.identify(req, document); refusal != nil {
+		return refusal
+	}
+	req.service = (*g.services.Load())[req.route.Pick(g.draws.float())]
+	if req.service == nil {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "no such service", retryAfter: time.Second}
+	}
+	req.deadline = deadline(req)
+	return readBody(req, w, r, document.Limits)
+}
+
+// identify finds the organisation of the caller's key.
+func (g *Gateway) identify(req *request, document *directory.Document) *refusal {
+	if !document.HasKeys {
+		return nil
+	}
+	organisation := document.Keys[req.call.Key]
+	if organisation == nil {
+		if req.route.Public {
+			return nil
+		}
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	req.organisation = organisation.ID
+	if organisation.HasPriority {
+		req.rank = organisation.Priority
+	}
+	return nil
+}
+
+// deadline is the earlier of the caller's deadline and the route's timeout.
+func deadline(req *request) time.Time {
+	limit := req.route.Timeout
+	if req.call.Left > 0 && (limit == 0 || req.call.Left < limit) {
+		limit = req.call.Left
+	}
+	if limit == 0 {
+		return time.Time{}
+	}
+	return req.arrived.Add(limit)
+}
+
+func readBody(req *request, w http.ResponseWriter, r *http.Request, limits directory.Limits) *refusal {
+	most := limits.BodyBytes
+	if most <= 0 {
+		most = maxUnknownBody
+	}
+	if r.ContentLength > most {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
+	}
+	if err != nil {
+		return &refusal{status: http.StatusBadRequest, reason: "body not readable", cause: err}
+	}
+	req.body = body
+	return nil
+}
--- /dev/null
+++ b/gateway/loads.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/loadreport"
+	"github.com/snipestep/snipestep/routing/places"
+)
+
+// followLoads asks the agents for load reports and takes them in until ctx
+// ends.
+func (g *Gateway) followLoads(ctx context.Context) error {
+	addr, err := net.ResolveUDPAddr("udp", g.config.DatagramAddr)
+	if err != nil {
+		return eris.Wrapf(err, "datagram address %s", g.config.DatagramAddr)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for load reports on %s", g.config.DatagramAddr)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	go g.askForLoads(ctx, conn)
+	buffer := make([]byte, loadreport.MaxBytes)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			g.deps.Logger.Warn("reading a load report failed", "error", err)
+			continue
+		}
+		report, err := loadreport.Decode[loadreport.Report](buffer[:n])
+		if err != nil {
+			g.deps.Logger.Warn("load report not usable", "error", err)
+			continue
+		}
+		g.takeReport(time.Now(), report)
+	}
+}
+
+// askForLoads asks the agent of each endpoint with weights, again and again.
+func (g *Gateway) askForLoads(ctx context.Context, conn *net.UDPConn) {
+	ask := loadreport.Encode(loadreport.Ask{Entry: g.config.Name})
+	ticker := time.NewTicker(loadreport.AskInterval)
+	defer ticker.Stop()
+	for {
+		for _, to := range g.agents() {
+			if _, err := conn.WriteToUDPAddrPort(ask, to); err != nil && ctx.Err() == nil {
+				g.deps.Logger.Warn("asking for load reports failed", "agent", to, "error", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// agents returns the datagram addresses of the agents beside endpoints: the
+// endpoint's instance at the entry's own port.
+func (g *Gateway) agents() []netip.AddrPort {
+	own, err := netip.ParseAddrPort(g.config.DatagramAddr)
+	view := g.deps.Directory.View()
+	if err != nil || view.Document == nil {
+		return nil
+	}
+	var agents []netip.AddrPort
+	for _, e := range view.Endpoints {
+		service := view.Document.Services[e.Service]
+		at, err := netip.ParseAddrPort(e.Address)
+		if err == nil && service != nil && service.Engine != nil {
+			agents = append(agents, netip.AddrPortFrom(at.Addr(), own.Port()))
+		}
+	}
+	return agents
+}
+
+func (g *Gateway) takeReport(now time.Time, r loadreport.Report) {
+	endpoint := (*g.byAddress.Load())[r.Endpoint]
+	if endpoint == nil {
+		return
+	}
+	s := (*g.services.Load())[endpoint.Service]
+	if s == nil {
+		return
+	}
+	if r.Entries > 0 && int64(r.Entries) != g.entries.Load() {
+		g.setEntries(r.Entries)
+	}
+	s.gate.Change(func(p *places.Pool) {
+		p.Report(endpoint.ID, places.Report{
+			At: now, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
+		})
+	})
+}
+
+// setEntries shares budgets and places among another number of entries.
+func (g *Gateway) setEntries(n int) {
+	g.entries.Store(int64(n))
+	for _, s := range *g.services.Load() {
+		s.budget.setEntries(n)
+		s.gate.Change(func(p *places.Pool) { p.SetEntries(n) })
+	}
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/places"
+)
+
+// request is one caller's attempt on its way through the gateway. It belongs
+// to one goroutine.
+type request struct {
+	call         Call
+	route        *directory.Route
+	service      *service
+	organisation core.OrganisationID
+	rank         int
+	body         []byte
+	arrived      time.Time
+	deadline     time.Time // Zero for none.
+	// runs counts the endpoints that may have run the request.
+	runs int
+	// arrivals counts the endpoints that the request reached.
+	arrivals int
+	// without lists endpoints that failed the request.
+	without []string
+	waited  time.Duration
+	logger  *slog.Logger
+}
+
+// left returns how long the answer is of use; 0 stands for no bound.
+func (r *request) left(now time.Time) time.Duration {
+	if r.deadline.IsZero() {
+		return 0
+	}
+	return max(r.deadline.Sub(now), time.Millisecond)
+}
+
+func (r *request) rankName() string {
+	return strconv.Itoa(r.rank)
+}
+
+const (
+	// returnedShare is the part of a route's time below which a request is
+	// taken for one that came back: callers give a new one nearly all of it.
+	returnedShare = 0.82
+	// lateHold is how long beyond its aim a request is held for a place. A
+	// late answer is worth less, and the hold of one that is refused in the
+	// end keeps its caller from coming back elsewhere.
+	lateHold = 600 * time.Millisecond
+	// leastService is the time that must be left to answer at all.
+	leastService = 200 * time.Millisecond
+)
+
+// ask returns what the pool needs to know of the request.
+func (r *request) ask(now time.Time) places.Ask {
+	a := places.Ask{
+		Rank:         r.rank,
+		Organisation: r.organisation,
+		Arrived:      r.arrived,
+		OnTimeUntil:  r.arrived.Add(r.route.Aim - time.Duration(r.service.firstAnswer.Load())),
+		Returned:     r.returned(),
+		Size:         float64(r.call.PromptTokens + r.call.AnswerTokens),
+		Without:      r.without,
+	}
+	a.GiveUp = r.arrived.Add(r.route.Aim + lateHold)
+	if latest := r.deadline.Add(-leastService); !r.deadline.IsZero() && a.GiveUp.After(latest) {
+		a.GiveUp = latest
+	}
+	if a.GiveUp.Before(now) {
+		a.GiveUp = now
+	}
+	return a
+}
+
+// returned reports whether the caller seems to come back after a refusal.
+func (r *request) returned() bool {
+	whole := r.route.Timeout
+	return r.call.Left > 0 && whole > 0 && float64(r.call.Left) < returnedShare*float64(whole)
+}
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// balancerNotice is how long the balancer takes at most to send no new
+	// connections: two questions, one a second, and a margin.
+	balancerNotice = 3 * time.Second
+	// stopMargin is kept before the process would be killed.
+	stopMargin = 700 * time.Millisecond
+	// stopPoll is how often a stopping server looks for open requests.
+	stopPoll = 50 * time.Millisecond
+	// headerTimeout and idleTimeout stand above the limits that documents of
+	// known deployments set for callers, 3 s and 15 s.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 30 * time.Second
+	// maxHeaderBytes stands above their limit of 16 KiB.
+	maxHeaderBytes = 32 << 10
+)
+
+// Server listens for callers and for the balancer.
+type Server struct {
+	Gateway *Gateway
+	// CallerAddr and ReadyAddr are IP:port.
+	CallerAddr, ReadyAddr string
+	// StopGrace is the time from the signal to stop to the kill.
+	StopGrace time.Duration
+	Logger    *slog.Logger
+}
+
+// Run serves until ctx ends, then finishes the open requests. It blocks for up
+// to StopGrace after that.
+func (s *Server) Run(ctx context.Context) error {
+	var config net.ListenConfig
+	callers, err := config.Listen(ctx, "tcp", s.CallerAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for callers on %s", s.CallerAddr)
+	}
+	ready, err := config.Listen(ctx, "tcp", s.ReadyAddr)
+	if err != nil {
+		return eris.Wrapf(err, "listen for the balancer on %s", s.ReadyAddr)
+	}
+	quiet := log.New(&debugWriter{logger: s.Logger}, "", 0)
+	server := &http.Server{
+		Handler: s.Gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet,
+	}
+	readiness := &http.Server{
+		Handler: http.HandlerFunc(s.Gateway.ServeReady), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet,
+	}
+	go func() { _ = readiness.Serve(ready) }()
+	go func() { _ = server.Serve(callers) }()
+	<-ctx.Done()
+	s.stop(server)
+	_ = readiness.Close()
+	return nil
+}
+
+// stop lets open requests end. Callers that connect until the balancer has
+// noticed are still served.
+func (s *Server) stop(server *http.Server) {
+	began := time.Now()
+	s.Gateway.Drain()
+	s.Logger.Info("stopping", "open_requests", s.Gateway.Active())
+	last := began.Add(s.StopGrace - stopMargin)
+	for now := began; now.Before(last); now = time.Now() {
+		if now.Sub(began) >= balancerNotice && s.Gateway.Active() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	s.Logger.Info("stopped", "open_requests", s.Gateway.Active(), "took_ms", time.Since(began).Milliseconds())
+	_ = server.Close()
+}
+
+// debugWriter logs what net/http has to say, mostly of callers that left.
+type debugWriter struct {
+	logger *slog.Logger
+}
+
+// Write implements io.Writer.
+func (w *debugWriter) Write(line []byte) (int, error) {
+	w.logger.Debug("http server", "message", string(line))
+	return len(line), nil
+}
--- /dev/null
+++ b/keeper/fetch.go
@@ -0,0 +1,105 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/snipestep/snipestep/weights"
+)
+
+const (
+	// manifestTimeout bounds one reading of a manifest of a few kilobytes.
+	manifestTimeout = 800 * time.Millisecond
+	// manifestPause is the pause between two readings that failed or differ.
+	manifestPause = 150 * time.Millisecond
+	// fetchPatience is how long a copy may take before its manifest is read
+	// again: a spoilt one would never be met.
+	fetchPatience = 4 * time.Second
+)
+
+// fetch copies one version until it is whole or ctx ends.
+func (k *Keeper) fetch(ctx context.Context, model string, version uint64) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		manifest := k.manifest(ctx, model, version)
+		if manifest == nil {
+			return
+		}
+		set := k.adopt(ctx, manifest, model)
+		if set == nil {
+			set = k.copy(ctx, manifest)
+		}
+		if set == nil {
+			continue
+		}
+		k.deps.Logger.Info("weights whole", "model", model, "version", version, "took_ms", time.Since(began).Milliseconds())
+		k.mu.Lock()
+		if f := k.fetches[version]; f != nil {
+			f.set = set
+		}
+		k.mu.Unlock()
+		return
+	}
+}
+
+// copy fetches a version by the swarm. It returns nil if that took too long or
+// ctx ended.
+func (k *Keeper) copy(ctx context.Context, manifest *weights.Manifest) *weights.Set {
+	limited, cancel := context.WithTimeout(ctx, fetchPatience)
+	defer cancel()
+	set, err := k.node.Fetch(limited, manifest, k.peers)
+	if err != nil && ctx.Err() == nil {
+		have, total := k.node.Progress(manifest.Digest())
+		k.deps.Logger.Warn("copy not whole yet, reading its manifest again", "version", manifest.Version, "have", have, "total", total, "error", err)
+	}
+	return set
+}
+
+// manifest returns a manifest that the origin gave twice alike, since a single
+// answer may be spoilt. It returns nil if ctx ended.
+func (k *Keeper) manifest(ctx context.Context, model string, version uint64) *weights.Manifest {
+	var last *weights.Manifest
+	for ctx.Err() == nil {
+		m, err := k.readManifest(ctx, model, version)
+		if err == nil && last != nil && m.Digest() == last.Digest() {
+			return m
+		}
+		if err == nil {
+			last = m
+			continue
+		}
+		k.deps.Logger.Warn("reading a manifest failed", "model", model, "version", version, "error", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(manifestPause):
+		}
+	}
+	return nil
+}
+
+func (k *Keeper) readManifest(ctx context.Context, model string, version uint64) (*weights.Manifest, error) {
+	limited, cancel := context.WithTimeout(ctx, manifestTimeout)
+	defer cancel()
+	return k.deps.Origin.Manifest(limited, model, version)
+}
+
+// adopt returns the set that lies whole and sound at the engine, or nil.
+func (k *Keeper) adopt(ctx context.Context, manifest *weights.Manifest, model string) *weights.Set {
+	set := weights.NewSet(manifest)
+	for i := range manifest.Chunks {
+		data, err := k.deps.Engine.Staged(ctx, model, i)
+		if err == nil {
+			err = set.Put(i, data)
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, ErrNotStaged) {
+			k.deps.Logger.Info("staged weights are not those of the version", "version", manifest.Version, "chunk", i, "error", err)
+		}
+		return nil
+	}
+	k.node.Add(set)
+	return set
+}
--- /dev/null
+++ b/keeper/keeper.go
@@ -0,0 +1,275 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/weights"
+	"github.com/snipestep/snipestep/weights/swarm"
+)
+
+// Keeper keeps one engine. Run owns it; closing and state are also read by the
+// reporter.
+type Keeper struct {
+	config Config
+	deps   Deps
+	node   *swarm.Node
+
+	// closing says that the engine is about to change its version.
+	closing atomic.Bool
+	state   atomic.Pointer[EngineState]
+
+	mu      sync.Mutex
+	fetches map[uint64]*fetch // By version.
+}
+
+// fetch is the state of one version's copy, guarded by the keeper's mutex.
+type fetch struct {
+	cancel context.CancelFunc
+	set    *weights.Set // nil until it is whole.
+}
+
+// New returns a keeper that does not listen yet.
+func New(config Config, deps Deps) (*Keeper, error) {
+	k := &Keeper{config: config, deps: deps, fetches: make(map[uint64]*fetch)}
+	node, err := swarm.NewNode(swarm.Config{
+		Self:         swarm.Peer{ID: peerID(config.ChunkAddr), Location: config.Location, ChunkAddr: config.ChunkAddr},
+		OriginRegion: k.originRegion(),
+		Seed:         config.Seed,
+		Picker:       pickerLimits(),
+		StallTimeout: chunkStall,
+		HaveDelay:    haveDelay,
+	}, swarm.Deps{
+		Origin:   deps.Origin,
+		Store:    noStore{},
+		Logger:   deps.Logger,
+		Scope:    deps.Scope,
+		FleetKey: config.FleetKey,
+	})
+	k.node = node
+	return k, err
+}
+
+// Limits of the swarm for copies of a few megabytes that must be everywhere
+// within seconds; the defaults of the swarm are made for gigabytes.
+const (
+	chunkStall = 900 * time.Millisecond
+	haveDelay  = 20 * time.Millisecond
+)
+
+func pickerLimits() weights.PickerConfig {
+	return weights.PickerConfig{
+		FallbackDelay:   500 * time.Millisecond,
+		LastResortDelay: 1500 * time.Millisecond,
+		StartGrace:      400 * time.Millisecond,
+		DownTime:        800 * time.Millisecond,
+		SuspectTime:     2 * time.Second,
+		SourceRetry:     200 * time.Millisecond,
+		SlowAfter:       1200 * time.Millisecond,
+	}
+}
+
+// originRegion is learnt from the document; until then it is unknown, and the
+// chunks enter by turns in every region.
+func (k *Keeper) originRegion() string {
+	return ""
+}
+
+// peerID names an agent by the IP of its instance.
+func peerID(addr string) core.InstanceID {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return core.InstanceID(addr)
+	}
+	return core.InstanceID(host)
+}
+
+// Run keeps the engine until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	if err := k.node.Start(); err != nil {
+		return err
+	}
+	var running sync.WaitGroup
+	running.Go(func() { k.report(ctx) })
+	k.keep(ctx)
+	running.Wait()
+	return nil
+}
+
+// keepTick is how often the engine's version is compared with the declared
+// one; a turn is met within it.
+const keepTick = 100 * time.Millisecond
+
+// keep compares the engine with the declared version until ctx ends.
+func (k *Keeper) keep(ctx context.Context) {
+	ticker := time.NewTicker(keepTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.step(ctx)
+		}
+	}
+}
+
+// step starts missing copies and changes the engine's version when its turn
+// has come.
+func (k *Keeper) step(ctx context.Context) {
+	view := k.deps.Directory.View()
+	state := k.state.Load()
+	service := k.service(view)
+	if service == nil || state == nil {
+		return
+	}
+	declared := view.VersionOf(service.Model)
+	k.fetchMissing(ctx, service, declared, state)
+	version, ok := k.due(time.Now(), view, declared, state)
+	if !ok || state.Busy {
+		return
+	}
+	if err := k.change(ctx, service, version, state); err != nil && ctx.Err() == nil {
+		k.deps.Logger.Warn("changing the version failed", "version", version, "held", state.Held, "error", err)
+	}
+}
+
+func (k *Keeper) service(view *directory.View) *directory.Service {
+	if view.Document == nil {
+		return nil
+	}
+	service := view.Document.Services[k.config.Service]
+	if service == nil || service.Engine == nil {
+		return nil
+	}
+	return service
+}
+
+// fetchMissing keeps copies of the declared version and, while the engine is
+// behind both, of the one before. Older copies are dropped.
+func (k *Keeper) fetchMissing(ctx context.Context, service *directory.Service, declared directory.Declared, state *EngineState) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	wanted := []uint64{declared.Version}
+	if state.Held < declared.Previous {
+		wanted = append(wanted, declared.Previous)
+	}
+	for version, f := range k.fetches {
+		if version < declared.Previous || version > declared.Version {
+			f.cancel()
+			if f.set != nil {
+				k.node.Drop(f.set.Digest())
+			}
+			delete(k.fetches, version)
+		}
+	}
+	for _, version := range wanted {
+		if version == 0 || k.fetches[version] != nil {
+			continue
+		}
+		fetchCtx, cancel := context.WithCancel(ctx)
+		k.fetches[version] = &fetch{cancel: cancel}
+		go k.fetch(fetchCtx, service.Model, version)
+	}
+}
+
+// due returns the version that the engine should load now.
+func (k *Keeper) due(now time.Time, view *directory.View, declared directory.Declared, state *EngineState) (uint64, bool) {
+	if state.Held >= declared.Version {
+		return 0, false
+	}
+	place, count := k.place(view)
+	if k.has(declared.Version) {
+		at := declared.Since.Add(turnAt(k.config.VersionBound, place, count, false))
+		if last := k.lastChance(declared, state); last.Before(at) {
+			at = last
+		}
+		return declared.Version, state.Held == 0 || idle(state) || !now.Before(at)
+	}
+	if declared.Previous > state.Held && k.has(declared.Previous) {
+		at := declared.PreviousSince.Add(turnAt(k.config.VersionBound, place, count, true))
+		return declared.Previous, state.Held == 0 || !now.Before(at)
+	}
+	return 0, false
+}
+
+// lastChance is when an engine that is behind the previous version too must
+// change, so that it never serves it.
+func (k *Keeper) lastChance(declared directory.Declared, state *EngineState) time.Time {
+	if declared.PreviousSince.IsZero() || state.Held >= declared.Previous {
+		return declared.Since.Add(k.config.VersionBound)
+	}
+	return declared.PreviousSince.Add(time.Duration(lastTurn * float64(k.config.VersionBound)))
+}
+
+func idle(state *EngineState) bool {
+	return state.Running+state.Waiting == 0
+}
+
+// place returns the engine's place among those of its service.
+func (k *Keeper) place(view *directory.View) (place, count int) {
+	var all []string
+	for _, e := range view.Endpoints {
+		if e.Service == k.config.Service {
+			all = append(all, e.Address)
+		}
+	}
+	slices.SortFunc(all, strings.Compare)
+	return max(slices.Index(all, k.config.Endpoint), 0), len(all)
+}
+
+func (k *Keeper) has(version uint64) bool {
+	return k.set(version) != nil
+}
+
+func (k *Keeper) set(version uint64) *weights.Set {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f := k.fetches[version]; f != nil {
+		return f.set
+	}
+	return nil
+}
+
+// peers lists the agents of the engine's service.
+func (k *Keeper) peers() []swarm.Peer {
+	own, err := netip.ParseAddrPort(k.config.ChunkAddr)
+	if err != nil {
+		return nil
+	}
+	var peers []swarm.Peer
+	for _, e := range k.deps.Directory.View().Endpoints {
+		at, err := netip.ParseAddrPort(e.Address)
+		if err != nil || e.Service != k.config.Service {
+			continue
+		}
+		peers = append(peers, swarm.Peer{
+			ID:        core.InstanceID(at.Addr().String()),
+			Location:  core.Location{Region: e.Region, FailureDomain: e.Domain},
+			ChunkAddr: netip.AddrPortFrom(at.Addr(), own.Port()).String(),
+		})
+	}
+	slices.SortFunc(peers, func(a, b swarm.Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return peers
+}
+
+// ErrNoStore reports that there is no cache in front of the origin.
+var ErrNoStore = eris.New("there is no weight store")
+
+// noStore stands where the swarm may use a cache in front of the origin.
+type noStore struct{}
+
+// Chunk implements backing.ChunkSource.
+func (noStore) Chunk(context.Context, core.Digest, int) ([]byte, error) {
+	return nil, ErrNoStore
+}
--- /dev/null
+++ b/keeper/reporter.go
@@ -0,0 +1,128 @@
+package keeper
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/snipestep/snipestep/loadreport"
+)
+
+// stateTimeout bounds one question to the engine on the own instance.
+const stateTimeout = 400 * time.Millisecond
+
+// subscribers holds the entries that asked for reports. It is safe for
+// concurrent use.
+type subscribers struct {
+	mu    sync.Mutex
+	until map[netip.AddrPort]time.Time
+}
+
+func (s *subscribers) add(now time.Time, at netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until[at] = now.Add(loadreport.AskLife)
+}
+
+// live returns the entries whose ask still counts.
+func (s *subscribers) live(now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []netip.AddrPort
+	for at, until := range s.until {
+		if now.After(until) {
+			delete(s.until, at)
+			continue
+		}
+		live = append(live, at)
+	}
+	return live
+}
+
+// report asks the engine for its load and sends it to the entries until ctx
+// ends.
+func (k *Keeper) report(ctx context.Context) {
+	addr, err := net.ResolveUDPAddr("udp", k.config.DatagramAddr)
+	if err != nil {
+		k.deps.Logger.Error("datagram address not usable", "address", k.config.DatagramAddr, "error", err)
+		return
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		k.deps.Logger.Error("listening for entries failed", "address", k.config.DatagramAddr, "error", err)
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	entries := &subscribers{until: make(map[netip.AddrPort]time.Time)}
+	go k.readAsks(ctx, conn, entries)
+	ticker := time.NewTicker(loadreport.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.refreshState(ctx)
+			k.sendReports(ctx, conn, entries.live(time.Now()))
+		}
+	}
+}
+
+func (k *Keeper) readAsks(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
+	buffer := make([]byte, loadreport.MaxBytes)
+	for ctx.Err() == nil {
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			continue
+		}
+		if _, err := loadreport.Decode[loadreport.Ask](buffer[:n]); err != nil {
+			k.deps.Logger.Warn("ask for load reports not usable", "from", from, "error", err)
+			continue
+		}
+		entries.add(time.Now(), from)
+	}
+}
+
+// refreshState asks the engine for its state. An engine that does not answer
+// counts as holding nothing.
+func (k *Keeper) refreshState(ctx context.Context) {
+	service := k.service(k.deps.Directory.View())
+	if service == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	state, err := k.deps.Engine.State(limited, service.Engine.Layers)
+	old := k.state.Load()
+	if err != nil {
+		if ctx.Err() == nil && old != nil {
+			k.deps.Logger.Warn("engine does not answer", "error", err)
+			k.state.Store(nil)
+		}
+		return
+	}
+	if old == nil || old.Held != state.Held || old.Born != state.Born {
+		k.deps.Logger.Info("engine state", "held", state.Held, "busy", state.Busy, "born", state.Born)
+	}
+	k.state.Store(&state)
+}
+
+func (k *Keeper) sendReports(ctx context.Context, conn *net.UDPConn, to []netip.AddrPort) {
+	report := loadreport.Report{Endpoint: k.config.Endpoint, Closed: true, Entries: len(to)}
+	if state := k.state.Load(); state != nil {
+		report.Running = state.Running
+		report.Waiting = state.Waiting
+		report.Pace = state.Pace
+		report.Held = state.Held
+		report.Closed = k.closing.Load() || state.Busy
+	}
+	data := loadreport.Encode(report)
+	for _, at := range to {
+		if _, err := conn.WriteToUDPAddrPort(data, at); err != nil && ctx.Err() == nil {
+			k.deps.Logger.Warn("sending a load report failed", "entry", at, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/routing/places/endpoint.go
@@ -0,0 +1,75 @@
+package places
+
+import "time"
+
+// Endpoint is what a Pool is told of one endpoint.
+type Endpoint struct {
+	ID     string
+	Region string
+	Slots  int
+	// Held is the version of the weights as the endpoint list has it.
+	Held uint64
+	// Draining endpoints get nothing new.
+	Draining bool
+}
+
+// slowPace is the pace above which an endpoint is used only if no other one
+// has room: a first event would take more than half as long again.
+const slowPace = 1.6
+
+// place is one request at an endpoint.
+type place struct {
+	sent time.Time
+}
+
+// state is what a Pool knows of one endpoint.
+type state struct {
+	Endpoint
+	report Report
+	// own holds this entry's requests at the endpoint.
+	own map[uint64]place
+	// ended counts own requests that the report still counts.
+	ended  int
+	health health
+}
+
+// seen reports whether a request sent at a time is counted by the report.
+func (s *state) seen(sent time.Time, lag time.Duration) bool {
+	return sent.Before(s.report.At.Add(-lag))
+}
+
+// load estimates the requests at the endpoint, of all entries.
+func (s *state) load(now time.Time, c *Config, entries int) float64 {
+	if now.Sub(s.report.At) > c.ReportAge {
+		if !c.Reported {
+			return float64(len(s.own))
+		}
+		return float64(len(s.own) * max(entries, 1))
+	}
+	load := s.report.Running + s.report.Waiting - s.ended
+	for _, p := range s.own {
+		if !s.seen(p.sent, c.ReportLag) {
+			load++
+		}
+	}
+	return float64(max(load, len(s.own)))
+}
+
+// held returns the version that the endpoint serves, by the newest source.
+func (s *state) held(now time.Time, c *Config) uint64 {
+	if c.Reported && now.Sub(s.report.At) <= c.ReportAge {
+		return s.report.Held
+	}
+	return s.Held
+}
+
+func (s *state) setReport(r Report, lag time.Duration) {
+	s.report = r
+	s.ended = 0
+	_ = lag
+}
+
+// slow reports whether the endpoint works far below its usual pace.
+func (s *state) slow(now time.Time, c *Config) bool {
+	return s.report.Pace > slowPace && now.Sub(s.report.At) <= c.ReportAge
+}
--- /dev/null
+++ b/routing/places/report.go
@@ -0,0 +1,17 @@
+package places
+
+import "time"
+
+// Report is the load of an endpoint over all entries.
+type Report struct {
+	At      time.Time // When it arrived.
+	Running int
+	Waiting int
+	// Pace is how many times slower than usual the endpoint works; 0 stands
+	// for unknown.
+	Pace float64
+	// Closed says that the endpoint takes no new requests now.
+	Closed bool
+	// Held is the version of the weights that is whole there, 0 for none.
+	Held uint64
+}
--- a/routing/retrybudget.go
+++ b/routing/retrybudget.go
@@ -33,3 +33,9 @@
 	b.tokens--
 	return true
 }
+
+// SetConfig replaces the limits. Retries saved beyond the new burst are lost.
+func (b *RetryBudget) SetConfig(config RetryBudgetConfig) {
+	b.config = config
+	b.tokens = min(b.tokens, config.Burst)
+}
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -13,6 +13,7 @@
 	b.WriteString("Generated from the key tables by `go test ./settings -update`.\n")
 	writeSchema(&b, "snipestep-entry", newEntryLoader().schema())
 	writeSchema(&b, "snipestep-agent", newAgentLoader().schema())
+	writeSchema(&b, "snipestep-direct", newDirectLoader().schema())
 	return b.String()
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -40,6 +40,12 @@
 	MetricOrders            = "orders_total"
 	MetricServing           = "serving"
 	MetricLeaving           = "leaving"
+	MetricRequests          = "requests_total"
+	MetricWholeAnswer       = "whole_answer_seconds"
+	MetricFirstAnswer       = "first_answer_seconds"
+	MetricHeld              = "held_seconds"
+	MetricRepeats           = "repeats_total"
+	MetricLogDropped        = "log_lines_dropped"
 )
 
 // The tags of metrics.
--- a/telemetry/table.go
+++ b/telemetry/table.go
@@ -50,6 +50,12 @@
 	{MetricWeightsVerified, Gauge, "ratio", nil, byAgent, "Verified part of the weights being fetched."},
 	{MetricOrders, Counter, "orders", []string{TagOrder, TagOutcome}, byAgent, "Orders of entries, by order (prefetch, serve, drain, resume) and outcome (accepted, refused)."},
 	{MetricServing, Gauge, "0 or 1", nil, byAgent, "Whether the endpoint is in routing."},
+	{MetricRequests, Counter, "requests", []string{TagRank, TagOutcome}, byEntry, "Requests to directly called endpoints that ended: answered, refused, left (by the caller) or broken_off."},
+	{MetricWholeAnswer, Histogram, "seconds", []string{TagRank, TagOutcome}, byEntry, "Time from such a request to the end of its answer."},
+	{MetricFirstAnswer, Histogram, "seconds", []string{TagRank}, byEntry, "Time from such a request to its first event or whole answer."},
+	{MetricHeld, Histogram, "seconds", []string{TagRank}, byEntry, "Time that such a request waited for a place."},
+	{MetricRepeats, Counter, "attempts", []string{TagCode}, byEntry, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
+	{MetricLogDropped, Gauge, "lines", nil, byBoth, "Log lines dropped since the start because their rate or queue was over its bound."},
 	{MetricLeaving, Gauge, "0 or 1", nil, byAgent, "Whether the agent announces that it leaves."},
 }
 
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"crypto/sha256"
 	"io/fs"
 
 	"github.com/snipestep/snipestep/core"
@@ -14,6 +15,16 @@
 	Size           int64 // Sum of the files' sizes in bytes.
 	Files          []File
 	Chunks         []core.Digest
+	// Hash is how Chunks were made; BLAKE3 unless another is given.
+	Hash ChunkHash
+}
+
+// SumChunk returns the digest of a chunk's bytes by the manifest's hash.
+func (m *Manifest) SumChunk(data []byte) core.Digest {
+	if m.Hash == HashSHA256 {
+		return sha256.Sum256(data)
+	}
+	return core.SumDigest(data)
 }
 
 // Digest returns the digest of the encoded manifest.
--- a/weights/set.go
+++ b/weights/set.go
@@ -46,7 +46,7 @@
 	if s.Has(i) {
 		return nil
 	}
-	if got := core.SumDigest(data); got != s.manifest.Chunks[i] {
+	if got := s.manifest.SumChunk(data); got != s.manifest.Chunks[i] {
 		return &CorruptChunkError{Chunk: i, Want: s.manifest.Chunks[i], Got: got}
 	}
 	data = data[:len(data):len(data)]
