--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -7,10 +7,10 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/snipestep/snipestep/agent"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/daemon"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/settings"
 	"github.com/snipestep/snipestep/telemetry"
 )
--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -88,7 +88,11 @@
 	t.Logger.Info("started", "role", role, "region", s.Location.Region, "store", s.StoreAddr)
 	view := directory.New(t.Logger)
 	store := platform.NewStore(s.StoreAddr)
-	go platform.NewFollower(store, view, s.Regions, t.Logger).Run(ctx)
+	follower := platform.NewFollower
+	if role == "agent" {
+		follower = platform.NewPeerFollower
+	}
+	go follower(store, view, s.Regions, t.Logger).Run(ctx)
 	go reload(ctx, path, s, store, t.Logger)
 	go countDropped(ctx, t.Scope, out)
 	if role == "entry" {
--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -56,13 +56,14 @@
 }
 
 func runAgent(ctx context.Context, s *settings.Direct, view *directory.Directory, t *telemetry.Telemetry) error {
-	k, err := keeper.New(keeper.Config{
+	k := keeper.New(keeper.Config{
 		Name:         s.Name,
 		Service:      s.Service,
 		Endpoint:     s.Endpoint,
 		DatagramAddr: port(s, datagramPort),
 		ChunkAddr:    port(s, chunkPort),
 		Location:     s.Location,
+		Regions:      s.Regions,
 		FleetKey:     s.FleetKey,
 		VersionBound: s.VersionBound,
 		Seed:         seed(s),
@@ -73,9 +74,6 @@
 		Logger:    t.Logger,
 		Scope:     t.Scope,
 	})
-	if err != nil {
-		return err
-	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(groupCtx) })
 	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -6,9 +6,9 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/entry"
 	"github.com/snipestep/snipestep/internal/daemon"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/settings"
 	"github.com/snipestep/snipestep/telemetry"
 )
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -108,8 +108,8 @@
 // reader, so that the transport never sends it twice on its own.
 func (g *Gateway) outgoing(ctx context.Context, r *http.Request, req *request, e *directory.Endpoint, lastEvent string) *http.Request {
 	target := &url.URL{Scheme: "http", Host: e.Address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
-	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
-		target.Opaque = r.RequestURI
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") && !strings.HasPrefix(path, "//") {
+		target.Opaque = path // The path as it was written; the query follows it.
 	}
 	out := &http.Request{
 		Method: r.Method, URL: target, Host: r.Host, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,8 +22,8 @@
 	draws    *draws
 	stopping atomic.Bool
 	active   atomic.Int64
-	// byAddress finds the endpoint of a load report.
-	byAddress atomic.Pointer[map[string]*directory.Endpoint]
+	// byAgent finds the endpoint of a load report by its instance.
+	byAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
 
 	// rebuildMu serialises changes of services.
 	rebuildMu sync.Mutex
@@ -33,7 +34,7 @@
 func New(config Config, deps Deps) *Gateway {
 	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed)}
 	g.services.Store(&map[string]*service{})
-	g.byAddress.Store(&map[string]*directory.Endpoint{})
+	g.byAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	g.entries.Store(1)
 	deps.Directory.Listen(g.rebuild)
 	return g
@@ -58,15 +59,17 @@
 		}
 	}
 	g.services.Store(&next)
-	byAddress := make(map[string]*directory.Endpoint, len(v.Endpoints))
+	byAgent := make(map[netip.Addr]*directory.Endpoint, len(v.Endpoints))
 	lists := make(map[string][]places.Endpoint, len(next))
 	for _, e := range v.Endpoints {
-		byAddress[e.Address] = e
+		if at, err := netip.ParseAddrPort(e.Address); err == nil && v.Document.Services[e.Service] != nil && v.Document.Services[e.Service].Engine != nil {
+			byAgent[at.Addr()] = e
+		}
 		lists[e.Service] = append(lists[e.Service], places.Endpoint{
 			ID: e.ID, Region: e.Region, Slots: e.Slots, Held: e.Held, Draining: e.Draining,
 		})
 	}
-	g.byAddress.Store(&byAddress)
+	g.byAgent.Store(&byAgent)
 	now := time.Now()
 	for name, s := range next {
 		oldest := g.oldestVersion(now, v, name)
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -28,7 +28,7 @@
 	go g.askForLoads(ctx, conn)
 	buffer := make([]byte, loadreport.MaxBytes)
 	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := conn.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -36,18 +36,18 @@
 			g.deps.Logger.Warn("reading a load report failed", "error", err)
 			continue
 		}
-		report, err := loadreport.Decode[loadreport.Report](buffer[:n])
+		report, err := loadreport.Decode(buffer[:n])
 		if err != nil {
 			g.deps.Logger.Warn("load report not usable", "error", err)
 			continue
 		}
-		g.takeReport(time.Now(), report)
+		g.takeReport(time.Now(), from.Addr(), report)
 	}
 }
 
 // askForLoads asks the agent of each endpoint with weights, again and again.
 func (g *Gateway) askForLoads(ctx context.Context, conn *net.UDPConn) {
-	ask := loadreport.Encode(loadreport.Ask{Entry: g.config.Name})
+	ask := loadreport.Ask()
 	ticker := time.NewTicker(loadreport.AskInterval)
 	defer ticker.Stop()
 	for {
@@ -83,8 +83,9 @@
 	return agents
 }
 
-func (g *Gateway) takeReport(now time.Time, r loadreport.Report) {
-	endpoint := (*g.byAddress.Load())[r.Endpoint]
+// takeReport takes in the report of the agent at an IP number.
+func (g *Gateway) takeReport(now time.Time, from netip.Addr, r loadreport.Report) {
+	endpoint := (*g.byAgent.Load())[from.Unmap()]
 	if endpoint == nil {
 		return
 	}
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -24,7 +24,9 @@
 	DatagramAddr string
 	ChunkAddr    string
 	Location     core.Location
-	FleetKey     []byte
+	// Regions holds the region of each failure domain.
+	Regions  map[string]string
+	FleetKey []byte
 	// VersionBound is how long after a version was declared an older one may
 	// still begin a request.
 	VersionBound time.Duration
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"github.com/snipestep/snipestep/weights"
@@ -13,9 +14,9 @@
 	manifestTimeout = 800 * time.Millisecond
 	// manifestPause is the pause between two readings that failed or differ.
 	manifestPause = 150 * time.Millisecond
-	// fetchPatience is how long a copy may take before its manifest is read
+	// quietTime is how long a copy may stand still before its manifest is read
 	// again: a spoilt one would never be met.
-	fetchPatience = 4 * time.Second
+	quietTime = 2500 * time.Millisecond
 )
 
 // fetch copies one version until it is whole or ctx ends.
@@ -43,19 +44,43 @@
 	}
 }
 
-// copy fetches a version by the swarm. It returns nil if that took too long or
-// ctx ended.
+// copy fetches a version by the swarm. It returns nil if ctx ended, or if the
+// copy stands still and the origin now describes the version otherwise.
 func (k *Keeper) copy(ctx context.Context, manifest *weights.Manifest) *weights.Set {
-	limited, cancel := context.WithTimeout(ctx, fetchPatience)
+	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go k.watchCopy(limited, cancel, manifest)
 	set, err := k.node.Fetch(limited, manifest, k.peers)
 	if err != nil && ctx.Err() == nil {
-		have, total := k.node.Progress(manifest.Digest())
-		k.deps.Logger.Warn("copy not whole yet, reading its manifest again", "version", manifest.Version, "have", have, "total", total, "error", err)
+		k.deps.Logger.Warn("copy given up", "version", manifest.Version, "error", err)
 	}
 	return set
 }
 
+// watchCopy cancels a copy whose manifest turns out to be spoilt.
+func (k *Keeper) watchCopy(ctx context.Context, cancel context.CancelFunc, manifest *weights.Manifest) {
+	last := -1
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(quietTime):
+		}
+		have, total := k.node.Progress(manifest.Digest())
+		if have > last {
+			last = have
+			continue
+		}
+		version, _ := strconv.ParseUint(manifest.Version, 10, 64)
+		k.deps.Logger.Warn("copy stands still, reading its manifest again", "version", version, "have", have, "total", total)
+		again := k.manifest(ctx, manifest.Model, version)
+		if again != nil && again.Digest() != manifest.Digest() {
+			cancel()
+			return
+		}
+	}
+}
+
 // manifest returns a manifest that the origin gave twice alike, since a single
 // answer may be spoilt. It returns nil if ctx ended.
 func (k *Keeper) manifest(ctx context.Context, model string, version uint64) *weights.Manifest {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -14,6 +14,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/weights/swarm"
 )
@@ -28,6 +29,9 @@
 	// closing says that the engine is about to change its version.
 	closing atomic.Bool
 	state   atomic.Pointer[EngineState]
+	// reported is the last report sent; the reporter owns both.
+	reported   loadreport.Report
+	reportedAt time.Time
 
 	mu      sync.Mutex
 	fetches map[uint64]*fetch // By version.
@@ -40,24 +44,50 @@
 }
 
 // New returns a keeper that does not listen yet.
-func New(config Config, deps Deps) (*Keeper, error) {
-	k := &Keeper{config: config, deps: deps, fetches: make(map[uint64]*fetch)}
-	node, err := swarm.NewNode(swarm.Config{
-		Self:         swarm.Peer{ID: peerID(config.ChunkAddr), Location: config.Location, ChunkAddr: config.ChunkAddr},
-		OriginRegion: k.originRegion(),
-		Seed:         config.Seed,
+func New(config Config, deps Deps) *Keeper {
+	return &Keeper{config: config, deps: deps, fetches: make(map[uint64]*fetch)}
+}
+
+// newNode returns the swarm's node of this instance.
+func (k *Keeper) newNode(originRegion string) (*swarm.Node, error) {
+	return swarm.NewNode(swarm.Config{
+		Self:         swarm.Peer{ID: peerID(k.config.ChunkAddr), Location: k.config.Location, ChunkAddr: k.config.ChunkAddr},
+		OriginRegion: originRegion,
+		Seed:         k.config.Seed,
 		Picker:       pickerLimits(),
 		StallTimeout: chunkStall,
 		HaveDelay:    haveDelay,
 	}, swarm.Deps{
-		Origin:   deps.Origin,
+		Origin:   k.deps.Origin,
 		Store:    noStore{},
-		Logger:   deps.Logger,
-		Scope:    deps.Scope,
-		FleetKey: config.FleetKey,
+		Logger:   k.deps.Logger,
+		Scope:    k.deps.Scope,
+		FleetKey: k.config.FleetKey,
 	})
+}
+
+// startNode waits for the document, which says where the origin stands, and
+// starts the node. It returns ctx's error or that of the listener.
+func (k *Keeper) startNode(ctx context.Context) error {
+	ticker := time.NewTicker(keepTick)
+	defer ticker.Stop()
+	for k.service(k.deps.Directory.View()) == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	region := ""
+	if origin := k.deps.Directory.View().Document.OriginOf(); origin != nil {
+		region = k.config.Regions[origin.OriginDomain]
+	}
+	node, err := k.newNode(region)
+	if err != nil {
+		return err
+	}
 	k.node = node
-	return k, err
+	return node.Start()
 }
 
 // Limits of the swarm for copies of a few megabytes that must be everywhere
@@ -79,12 +109,6 @@
 	}
 }
 
-// originRegion is learnt from the document; until then it is unknown, and the
-// chunks enter by turns in every region.
-func (k *Keeper) originRegion() string {
-	return ""
-}
-
 // peerID names an agent by the IP of its instance.
 func peerID(addr string) core.InstanceID {
 	host, _, err := net.SplitHostPort(addr)
@@ -96,13 +120,16 @@
 
 // Run keeps the engine until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
-	if err := k.node.Start(); err != nil {
-		return err
-	}
 	var running sync.WaitGroup
+	defer running.Wait()
 	running.Go(func() { k.report(ctx) })
+	if err := k.startNode(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
 	k.keep(ctx)
-	running.Wait()
 	return nil
 }
 
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -78,8 +78,8 @@
 		if err != nil {
 			continue
 		}
-		if _, err := loadreport.Decode[loadreport.Ask](buffer[:n]); err != nil {
-			k.deps.Logger.Warn("ask for load reports not usable", "from", from, "error", err)
+		if !loadreport.IsAsk(buffer[:n]) {
+			k.deps.Logger.Warn("datagram is no ask for load reports", "from", from, "bytes", n)
 			continue
 		}
 		entries.add(time.Now(), from)
@@ -111,7 +111,7 @@
 }
 
 func (k *Keeper) sendReports(ctx context.Context, conn *net.UDPConn, to []netip.AddrPort) {
-	report := loadreport.Report{Endpoint: k.config.Endpoint, Closed: true, Entries: len(to)}
+	report := loadreport.Report{Closed: true, Entries: len(to)}
 	if state := k.state.Load(); state != nil {
 		report.Running = state.Running
 		report.Waiting = state.Waiting
@@ -119,7 +119,13 @@
 		report.Held = state.Held
 		report.Closed = k.closing.Load() || state.Busy
 	}
-	data := loadreport.Encode(report)
+	now := time.Now()
+	if report == k.reported && now.Sub(k.reportedAt) < loadreport.Repeat {
+		return
+	}
+	k.reported = report
+	k.reportedAt = now
+	data := report.Encode()
 	for _, at := range to {
 		if _, err := conn.WriteToUDPAddrPort(data, at); err != nil && ctx.Err() == nil {
 			k.deps.Logger.Warn("sending a load report failed", "entry", at, "error", err)
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -1,74 +1,106 @@
 // Package loadreport holds the datagrams between entries and the agents beside
 // endpoints. An entry asks an agent for reports; the agent reports the load of
 // its endpoint for a while to every entry that asked. Nothing is acknowledged
-// and nothing is stored: a lost datagram is replaced by the next one.
+// and nothing is stored: a lost datagram is replaced by the next one. The
+// sender's IP number says which instance a datagram is about.
 package loadreport
 
 import (
-	"encoding/json"
+	"encoding/binary"
 	"fmt"
 	"time"
 )
 
 const (
-	// Interval is the pause between two reports of an agent: a place of an
-	// endpoint comes free about every 80 ms.
+	// Interval is the pause between two looks of an agent at its endpoint: a
+	// place comes free there about every 80 ms.
 	Interval = 50 * time.Millisecond
+	// Repeat is the pause after which a report is sent although nothing
+	// changed.
+	Repeat = 200 * time.Millisecond
 	// AskInterval is the pause between two asks of an entry.
-	AskInterval = 400 * time.Millisecond
+	AskInterval = 500 * time.Millisecond
 	// AskLife is how long an ask counts; three may be lost.
 	AskLife = 4 * AskInterval
-	// MaxBytes bounds a datagram.
-	MaxBytes = 1200
+	// MaxBytes is enough for any datagram of this package.
+	MaxBytes = 64
 )
 
+// The first byte of a datagram.
+const (
+	kindReport = 1
+	kindAsk    = 2
+)
+
+// closedFlag marks the report of a closed endpoint.
+const closedFlag = 1
+
+// paceUnit is the part of a pace that one step of its byte stands for.
+const paceUnit = 0.1
+
+// reportBytes is the length of a report: kind, flags, running, waiting, pace,
+// entries, held.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4
+
 // Report is the load of one endpoint over all entries.
 type Report struct {
-	// Endpoint is the address (IP:port) at which the endpoint takes requests.
-	Endpoint string  `json:"endpoint"`
-	Running  int     `json:"running"`
-	Waiting  int     `json:"waiting"`
-	Pace     float64 `json:"pace,omitempty"`
+	Running int // 0 to 65,535, as Waiting.
+	Waiting int
+	// Pace is how many times slower than usual the endpoint works, in tenths,
+	// up to 25.5.
+	Pace float64
 	// Closed says that the endpoint takes nothing new for the moment.
-	Closed bool `json:"closed,omitempty"`
+	Closed bool
 	// Held is the version of the weights that is whole at the endpoint.
-	Held uint64 `json:"held"`
-	// Entries is how many entries ask for reports.
-	Entries int `json:"entries"`
-}
-
-// Ask asks an agent for reports to the sender's address.
-type Ask struct {
-	Entry string `json:"entry"`
+	Held uint64
+	// Entries is how many entries ask for reports, up to 255.
+	Entries int
 }
 
 // FormatError reports a datagram that cannot be decoded.
 type FormatError struct {
-	Cause error
+	Bytes int
 }
 
 // Error implements error.
 func (e *FormatError) Error() string {
-	return fmt.Sprintf("datagram is malformed: %v", e.Cause)
+	return fmt.Sprintf("datagram of %d bytes is malformed", e.Bytes)
+}
+
+// Encode returns the report's datagram.
+func (r Report) Encode() []byte {
+	flags := byte(0)
+	if r.Closed {
+		flags = closedFlag
+	}
+	b := append(make([]byte, 0, reportBytes), kindReport, flags)
+	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Waiting, 1<<16-1)))
+	b = append(b, byte(min(r.Pace/paceUnit+paceUnit, 255)), byte(min(r.Entries, 255)))
+	return binary.BigEndian.AppendUint32(b, uint32(r.Held))
 }
 
-// Unwrap returns the cause.
-func (e *FormatError) Unwrap() error {
-	return e.Cause
+// Decode decodes a report. It returns *FormatError.
+func Decode(b []byte) (Report, error) {
+	if len(b) != reportBytes || b[0] != kindReport {
+		return Report{}, &FormatError{Bytes: len(b)}
+	}
+	return Report{
+		Closed:  b[1]&closedFlag != 0,
+		Running: int(binary.BigEndian.Uint16(b[2:])),
+		Waiting: int(binary.BigEndian.Uint16(b[4:])),
+		Pace:    float64(b[6]) * paceUnit,
+		Entries: int(b[7]),
+		Held:    uint64(binary.BigEndian.Uint32(b[8:])),
+	}, nil
 }
 
-// Encode returns the datagram of a Report or an Ask.
-func Encode[T Report | Ask](message T) []byte {
-	// Neither type holds a value that JSON cannot express.
-	data, _ := json.Marshal(message)
-	return data
+// Ask returns the datagram that asks an agent for reports.
+func Ask() []byte {
+	return []byte{kindAsk}
 }
 
-// Decode decodes a datagram. It returns *FormatError.
-func Decode[T Report | Ask](data []byte) (T, error) {
-	var message T
-	if err := json.Unmarshal(data, &message); err != nil {
-		return message, &FormatError{Cause: err}
-	}
-	return message, nil
+// IsAsk reports whether a datagram asks for reports.
+func IsAsk(b []byte) bool {
+	return len(b) == 1 && b[0] == kindAsk
 }
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -99,8 +99,8 @@
 
 const (
 	// otherRegion is what another region costs in the choice, as a part of
-	// all slots: one slot of sixteen.
-	otherRegion = 0.06
+	// all slots. Places there are taken when those here are nearly full.
+	otherRegion = 0.25
 	// spread is the random part of the choice: entries that saw the same
 	// reports choose different endpoints.
 	spread = 0.06
