--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -55,15 +55,18 @@
 	return group.Wait()
 }
 
+// bytesPerMegabit converts the rate of a link.
+const bytesPerMegabit = 1e6 / 8
+
 func runAgent(ctx context.Context, s *settings.Direct, view *directory.Directory, t *telemetry.Telemetry) error {
-	k := keeper.New(keeper.Config{
+	k, err := keeper.New(keeper.Config{
 		Name:         s.Name,
 		Service:      s.Service,
 		Endpoint:     s.Endpoint,
 		DatagramAddr: port(s, datagramPort),
 		ChunkAddr:    port(s, chunkPort),
 		Location:     s.Location,
-		Regions:      s.Regions,
+		LinkBytes:    s.LinkMbps * bytesPerMegabit,
 		FleetKey:     s.FleetKey,
 		VersionBound: s.VersionBound,
 		Seed:         seed(s),
@@ -74,6 +77,9 @@
 		Logger:    t.Logger,
 		Scope:     t.Scope,
 	})
+	if err != nil {
+		return err
+	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(groupCtx) })
 	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
--- a/keeper/change.go
+++ b/keeper/change.go
@@ -12,6 +12,7 @@
 const (
 	// announceTime lets the entries hear that the engine closes before it is
 	// ordered to: one report and the longest way.
+	// Bytes that turned bad in so short a time are not the system's fault.
 	announceTime = 70 * time.Millisecond
 	// changeTimeout bounds one change: the longest stream and the load.
 	changeTimeout = 8 * time.Second
@@ -32,14 +33,14 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
+	if err := k.stage(ctx, service.Model, set); err != nil {
+		return err
+	}
 	k.closing.Store(true)
 	defer k.closing.Store(false)
 	if state.Held != 0 {
 		time.Sleep(announceTime)
 	}
-	if err := k.stage(ctx, service.Model, set); err != nil {
-		return err
-	}
 	if err := k.deps.Engine.Load(ctx, service.Model, version, state.Orders); err != nil {
 		return err
 	}
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -24,9 +24,9 @@
 	DatagramAddr string
 	ChunkAddr    string
 	Location     core.Location
-	// Regions holds the region of each failure domain.
-	Regions  map[string]string
-	FleetKey []byte
+	// LinkBytes is what the instance's link carries, in bytes a second.
+	LinkBytes float64
+	FleetKey  []byte
 	// VersionBound is how long after a version was declared an older one may
 	// still begin a request.
 	VersionBound time.Duration
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -12,11 +12,11 @@
 const (
 	// manifestTimeout bounds one reading of a manifest of a few kilobytes.
 	manifestTimeout = 800 * time.Millisecond
-	// manifestPause is the pause between two readings that failed or differ.
+	// manifestPause is the pause after a reading that failed.
 	manifestPause = 150 * time.Millisecond
 	// quietTime is how long a copy may stand still before its manifest is read
 	// again: a spoilt one would never be met.
-	quietTime = 2500 * time.Millisecond
+	quietTime = 1500 * time.Millisecond
 )
 
 // fetch copies one version until it is whole or ctx ends.
@@ -38,6 +38,7 @@
 		k.mu.Lock()
 		if f := k.fetches[version]; f != nil {
 			f.set = set
+			f.whole = time.Now()
 		}
 		k.mu.Unlock()
 		return
@@ -81,18 +82,13 @@
 	}
 }
 
-// manifest returns a manifest that the origin gave twice alike, since a single
-// answer may be spoilt. It returns nil if ctx ended.
+// manifest reads a manifest until the origin gives one. It returns nil if ctx
+// ended. One that is spoilt does not fit its chunks, and is found by watchCopy.
 func (k *Keeper) manifest(ctx context.Context, model string, version uint64) *weights.Manifest {
-	var last *weights.Manifest
 	for ctx.Err() == nil {
 		m, err := k.readManifest(ctx, model, version)
-		if err == nil && last != nil && m.Digest() == last.Digest() {
-			return m
-		}
 		if err == nil {
-			last = m
-			continue
+			return m
 		}
 		k.deps.Logger.Warn("reading a manifest failed", "model", model, "version", version, "error", err)
 		select {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/core"
@@ -41,20 +43,28 @@
 type fetch struct {
 	cancel context.CancelFunc
 	set    *weights.Set // nil until it is whole.
+	whole  time.Time    // When it was.
 }
 
 // New returns a keeper that does not listen yet.
-func New(config Config, deps Deps) *Keeper {
-	return &Keeper{config: config, deps: deps, fetches: make(map[uint64]*fetch)}
+func New(config Config, deps Deps) (*Keeper, error) {
+	k := &Keeper{config: config, deps: deps, fetches: make(map[uint64]*fetch)}
+	node, err := k.newNode()
+	k.node = node
+	return k, err
 }
 
-// newNode returns the swarm's node of this instance.
-func (k *Keeper) newNode(originRegion string) (*swarm.Node, error) {
+// newNode returns the swarm's node of this instance. It names no region of the
+// origin, so that the regions take turns in drawing chunks from there: the
+// instances of one region alone would have to send twice what the others do.
+func (k *Keeper) newNode() (*swarm.Node, error) {
 	return swarm.NewNode(swarm.Config{
 		Self:         swarm.Peer{ID: peerID(k.config.ChunkAddr), Location: k.config.Location, ChunkAddr: k.config.ChunkAddr},
-		OriginRegion: originRegion,
 		Seed:         k.config.Seed,
 		Picker:       pickerLimits(),
+		Uploads:      weights.UploadLimits{Running: runningUploads},
+		RateBytes:    idleShare * k.config.LinkBytes,
+		MinRateShare: busyShare / idleShare,
 		StallTimeout: chunkStall,
 		HaveDelay:    haveDelay,
 	}, swarm.Deps{
@@ -63,31 +73,18 @@
 		Logger:   k.deps.Logger,
 		Scope:    k.deps.Scope,
 		FleetKey: k.config.FleetKey,
+		Live:     k.live,
 	})
 }
 
-// startNode waits for the document, which says where the origin stands, and
-// starts the node. It returns ctx's error or that of the listener.
-func (k *Keeper) startNode(ctx context.Context) error {
-	ticker := time.NewTicker(keepTick)
-	defer ticker.Stop()
-	for k.service(k.deps.Directory.View()) == nil {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	region := ""
-	if origin := k.deps.Directory.View().Document.OriginOf(); origin != nil {
-		region = k.config.Regions[origin.OriginDomain]
-	}
-	node, err := k.newNode(region)
-	if err != nil {
-		return err
+// live returns the requests that the engine runs, and its slots.
+func (k *Keeper) live() (running, slots int) {
+	state := k.state.Load()
+	service := k.service(k.deps.Directory.View())
+	if state == nil || service == nil {
+		return 0, 1
 	}
-	k.node = node
-	return node.Start()
+	return state.Running, service.Engine.Slots
 }
 
 // Limits of the swarm for copies of a few megabytes that must be everywhere
@@ -95,10 +92,30 @@
 const (
 	chunkStall = 900 * time.Millisecond
 	haveDelay  = 20 * time.Millisecond
+	// idleShare and busyShare are the parts of the instance's link that chunks
+	// may take, without requests and with one in every slot: the events of
+	// streams go over the same link.
+	idleShare = 0.95
+	busyShare = 0.85
+	// runningUploads is the number of chunks sent at once; each of 32 KiB
+	// keeps events waiting for 34 ms on a link of 7.6 Mbit/s.
+	runningUploads = 3
 )
 
 func pickerLimits() weights.PickerConfig {
 	return weights.PickerConfig{
+		// Each fetcher draws one chunk at a time: more would share the origin's
+		// link, so that the first ones arrive late and peers wait for them.
+		OriginRequests: 1,
+		// Requests to another region wait there until the chunk has come; many
+		// open ones keep the link busy whatever the order of arrival.
+		RegionRequests:  24,
+		PeerRequests:    6,
+		RequestsPerPeer: 2,
+		// A refusal means that the peer sends other chunks; it is free again
+		// after about one of them.
+		RefusedRetry:    40 * time.Millisecond,
+		MaxRefusedRetry: 80 * time.Millisecond,
 		FallbackDelay:   500 * time.Millisecond,
 		LastResortDelay: 1500 * time.Millisecond,
 		StartGrace:      400 * time.Millisecond,
@@ -120,15 +137,12 @@
 
 // Run keeps the engine until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
+	if err := k.node.Start(); err != nil {
+		return err
+	}
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { k.report(ctx) })
-	if err := k.startNode(ctx); err != nil {
-		if ctx.Err() != nil {
-			return nil
-		}
-		return err
-	}
 	k.keep(ctx)
 	return nil
 }
@@ -216,15 +230,15 @@
 		return 0, false
 	}
 	place, count := k.place(view)
-	if k.has(declared.Version) {
-		at := declared.Since.Add(turnAt(k.config.VersionBound, place, count, false))
+	if whole, ok := k.whole(declared.Version); ok {
+		at := declared.Since.Add(turnAt(k.config.VersionBound, whole.Sub(declared.Since), place, count, false))
 		if last := k.lastChance(declared, state); last.Before(at) {
 			at = last
 		}
 		return declared.Version, state.Held == 0 || idle(state) || !now.Before(at)
 	}
-	if declared.Previous > state.Held && k.has(declared.Previous) {
-		at := declared.PreviousSince.Add(turnAt(k.config.VersionBound, place, count, true))
+	if whole, ok := k.whole(declared.Previous); ok && declared.Previous > state.Held {
+		at := declared.PreviousSince.Add(turnAt(k.config.VersionBound, whole.Sub(declared.PreviousSince), place, count, true))
 		return declared.Previous, state.Held == 0 || !now.Before(at)
 	}
 	return 0, false
@@ -243,7 +257,8 @@
 	return state.Running+state.Waiting == 0
 }
 
-// place returns the engine's place among those of its service.
+// place returns the engine's place among those of its service, in an order
+// that mixes the regions.
 func (k *Keeper) place(view *directory.View) (place, count int) {
 	var all []string
 	for _, e := range view.Endpoints {
@@ -251,12 +266,21 @@
 			all = append(all, e.Address)
 		}
 	}
-	slices.SortFunc(all, strings.Compare)
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
+	})
 	return max(slices.Index(all, k.config.Endpoint), 0), len(all)
 }
 
-func (k *Keeper) has(version uint64) bool {
-	return k.set(version) != nil
+// whole returns when the copy of a version was whole, and whether it is.
+func (k *Keeper) whole(version uint64) (time.Time, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f := k.fetches[version]
+	if f == nil || f.set == nil {
+		return time.Time{}, false
+	}
+	return f.whole, true
 }
 
 func (k *Keeper) set(version uint64) *weights.Set {
--- a/routing/places/config.go
+++ b/routing/places/config.go
@@ -11,8 +11,8 @@
 	Region string
 	// Reported says that agents report the load of the endpoints.
 	Reported bool
-	// ReportAge is how long a report counts. By default six intervals of an
-	// agent's reports, or a second for what answers tell.
+	// ReportAge is how long a report counts. By default three of an agent's
+	// reports may be lost, or it is a second for what answers tell.
 	ReportAge time.Duration
 	// ReportLag is the age of a report when it arrives: the longest way from
 	// an endpoint to an entry and back.
@@ -26,7 +26,7 @@
 }
 
 const (
-	reportAge       = 300 * time.Millisecond
+	reportAge       = 700 * time.Millisecond
 	answerAge       = time.Second
 	reportLag       = 10 * time.Millisecond
 	defaultHold     = time.Second
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -38,21 +38,23 @@
 	return sent.Before(s.report.At.Add(-lag))
 }
 
-// load estimates the requests at the endpoint, of all entries.
-func (s *state) load(now time.Time, c *Config, entries int) float64 {
+// load estimates the requests at the endpoint, of all entries. A request of
+// this entry that no report counts yet stands for crowd requests: where
+// requests wait, the other entries send theirs to the same free places.
+func (s *state) load(now time.Time, c *Config, entries int, crowd float64) float64 {
 	if now.Sub(s.report.At) > c.ReportAge {
 		if !c.Reported {
 			return float64(len(s.own))
 		}
 		return float64(len(s.own) * max(entries, 1))
 	}
-	load := s.report.Running + s.report.Waiting - s.ended
+	load := float64(s.report.Running + s.report.Waiting - s.ended)
 	for _, p := range s.own {
 		if !s.seen(p.sent, c.ReportLag) {
-			load++
+			load += crowd
 		}
 	}
-	return float64(max(load, len(s.own)))
+	return max(load, float64(len(s.own)))
 }
 
 // held returns the version that the endpoint serves, by the newest source.
@@ -63,10 +65,9 @@
 	return s.Held
 }
 
-func (s *state) setReport(r Report, lag time.Duration) {
+func (s *state) setReport(r Report) {
 	s.report = r
 	s.ended = 0
-	_ = lag
 }
 
 // slow reports whether the endpoint works far below its usual pace.
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -73,7 +73,7 @@
 // Report takes in the load of an endpoint.
 func (p *Pool) Report(id string, r Report) {
 	if s := p.endpoints[id]; s != nil {
-		s.setReport(r, p.config.ReportLag)
+		s.setReport(r)
 	}
 }
 
@@ -108,16 +108,26 @@
 	slowCost = 2.0
 )
 
+// crowd is how many requests of all entries one unreported request of this
+// entry stands for.
+func (p *Pool) crowd() float64 {
+	if p.config.Reported && len(p.waiting) > 0 {
+		return float64(p.entries)
+	}
+	return 1
+}
+
 // choose returns the endpoint with the most room, or nil.
 func (p *Pool) choose(now time.Time, a *Ask) *state {
 	var best *state
 	bestScore := 0.0
+	crowd := p.crowd()
 	for _, id := range p.order {
 		s := p.endpoints[id]
 		if !p.usable(now, s) || slices.Contains(a.Without, id) {
 			continue
 		}
-		load := s.load(now, &p.config, p.entries)
+		load := s.load(now, &p.config, p.entries, crowd)
 		if load >= p.limit(s) {
 			continue
 		}
@@ -384,7 +394,7 @@
 			continue
 		}
 		endpoints++
-		free += max(s.Slots-int(s.load(now, &p.config, p.entries)), 0)
+		free += max(s.Slots-int(s.load(now, &p.config, p.entries, 1)), 0)
 	}
 	return endpoints, free
 }
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -15,6 +15,8 @@
 	FleetKey []byte
 	// FirstPort is the first of the ports between processes of the fleet.
 	FirstPort int
+	// LinkMbps is what the instance's link carries, in megabits a second.
+	LinkMbps float64
 	// Regions holds the region of each failure domain.
 	Regions map[string]string
 	// CallerAddr and ReadyAddr are served by entries.
@@ -44,6 +46,8 @@
 	maxVersionBound = time.Hour
 	maxRetryBurst   = 1e6
 	maxStopGrace    = time.Hour
+	minLinkMbps     = 0.01
+	maxLinkMbps     = 1e6
 )
 
 // LoadDirect reads the settings of snipestep-direct. It returns *Error.
@@ -72,6 +76,7 @@
 		{Name: "id", Required: true, Value: Name(&d.Name), Doc: "Identifier of the instance."},
 		{Name: "ip", Required: true, Value: Name(&d.IP), Doc: "IP number of the instance."},
 		{Name: "first_port", Required: true, Value: Int(&d.FirstPort, 1, maxPort), Doc: "First of three ports between processes of the fleet: datagrams, chunks, a spare one."},
+		{Name: "link_mbps", Required: true, Value: Float(&d.LinkMbps, minLinkMbps, maxLinkMbps), Doc: "What the link of the instance carries, in megabits a second."},
 		{Name: "regions", Required: true, Value: Pairs(&d.Regions), Doc: "The region of each failure domain."},
 	}
 	return Schema{
