Skip copies that a newer version overtakes and resume copies after an outage of the origin

Change: an older copy goes on only if well under way; a copy that stands still begins anew with its chunks; ages of versions are learnt from agents' reports; streams move off engines that close.

--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -88,11 +89,13 @@
 	t.Logger.Info("started", "role", role, "region", s.Location.Region, "store", s.StoreAddr)
 	view := directory.New(t.Logger)
 	store := platform.NewStore(s.StoreAddr)
-	follower := platform.NewFollower
+	newFollower := platform.NewFollower
 	if role == "agent" {
-		follower = platform.NewPeerFollower
+		newFollower = platform.NewPeerFollower
 	}
-	go follower(store, view, s.Regions, t.Logger).Run(ctx)
+	follower := newFollower(store, view, s.Regions, t.Logger)
+	follower.FirstAge = max(s.VersionBound-restartGrace, 0)
+	go follower.Run(ctx)
 	go reload(ctx, path, s, store, t.Logger)
 	go countDropped(ctx, t.Scope, out)
 	if role == "entry" {
@@ -104,6 +107,10 @@
 	return err
 }
 
+// restartGrace is how long a process that has just started, and learns no
+// better, lets requests begin on a version older than the declared one.
+const restartGrace = 2500 * time.Millisecond
+
 // port returns an address of this instance at one of the fleet's ports.
 func port(s *settings.Direct, offset int) string {
 	return net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+offset))
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -69,18 +69,45 @@
 	d.change(func(v *View) { v.Document = doc })
 }
 
-// Declare records the wanted version of a model. Older versions are ignored.
-func (d *Directory) Declare(now time.Time, model string, version uint64) {
+// Declare records the wanted version of a model, declared at since. guessed
+// says that since is no more than a guess. Older versions are ignored.
+func (d *Directory) Declare(since time.Time, model string, version uint64, guessed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	old := d.current.Load().VersionOf(model)
 	if _, known := d.current.Load().Models[model]; known && old.Version >= version {
 		return
 	}
-	d.logger.Info("version declared", "model", model, "version", version, "previous", old.Version)
+	d.logger.Info("version declared", "model", model, "version", version, "previous", old.Version, "guessed", guessed)
+	d.setDeclared(model, Declared{
+		Version: version, Since: since, Guessed: guessed,
+		Previous: old.Version, PreviousSince: old.Since,
+	})
+}
+
+// LearnAge replaces a guess of when a version was declared by what another
+// process knows.
+func (d *Directory) LearnAge(model string, version uint64, since time.Time) {
+	if old, ok := d.View().Models[model]; !ok || !old.Guessed || old.Version != version {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.current.Load().Models[model]
+	if !old.Guessed || old.Version != version {
+		return
+	}
+	d.logger.Info("age of a declared version learnt", "model", model, "version", version, "age_ms", time.Since(since).Milliseconds())
+	old.Since = since
+	old.Guessed = false
+	d.setDeclared(model, old)
+}
+
+// setDeclared replaces one model's version. d.mu is held.
+func (d *Directory) setDeclared(model string, declared Declared) {
 	d.change(func(v *View) {
 		v.Models = maps.Clone(v.Models)
-		v.Models[model] = Declared{Version: version, Since: now, Previous: old.Version, PreviousSince: old.Since}
+		v.Models[model] = declared
 	})
 }
 
--- a/directory/view.go
+++ b/directory/view.go
@@ -7,6 +7,9 @@
 	Version uint64
 	// Since is when this process learnt of it, on its steady clock.
 	Since time.Time
+	// Guessed says that the version was there before the process was: Since
+	// is then a guess until another process tells.
+	Guessed bool
 	// Previous is the version that was declared before, 0 for none.
 	Previous uint64
 	// PreviousSince is when this process learnt of the previous version.
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -9,9 +9,7 @@
 
 // acquire waits for a place.
 func (g *Gateway) acquire(ctx context.Context, req *request, begun bool) (*places.Grant, error) {
-	a := req.ask(time.Now())
-	a.Begun = begun
-	grant, err := req.service.gate.Acquire(ctx, a)
+	grant, err := req.service.gate.Acquire(ctx, req.ask(time.Now(), begun))
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	services atomic.Pointer[map[string]*service]
 	draws    *draws
+	moves    *moves
 	stopping atomic.Bool
 	active   atomic.Int64
 	// byAgent finds the endpoint of a load report by its instance.
@@ -32,7 +33,7 @@
 
 // New returns a gateway that follows the directory at once.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed)}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves()}
 	g.services.Store(&map[string]*service{})
 	g.byAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	g.entries.Store(1)
@@ -99,7 +100,8 @@
 
 // versionMargin is kept before the end of VersionBound: the entry learns of a
 // version after it was declared, and a request needs time to begin.
-const versionMargin = 400 * time.Millisecond
+// The longest such wait seen is half a second.
+const versionMargin = 800 * time.Millisecond
 
 // oldestVersion returns the oldest version on which a request may begin at a
 // service, 0 for any.
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -96,6 +96,10 @@
 	if r.Entries > 0 && int64(r.Entries) != g.entries.Load() {
 		g.setEntries(r.Entries)
 	}
+	if service := g.deps.Directory.View().Document.Services[endpoint.Service]; service != nil && r.Age >= 0 {
+		g.deps.Directory.LearnAge(service.Model, r.Declared, now.Add(-r.Age))
+	}
+	g.noteClosed(endpoint.ID, s, r.Closed)
 	s.gate.Change(func(p *places.Pool) {
 		p.Report(endpoint.ID, places.Report{
 			At: now, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -51,13 +51,17 @@
 	// late answer is worth less, and the hold of one that is refused in the
 	// end keeps its caller from coming back elsewhere.
 	lateHold = 600 * time.Millisecond
+	// begunHold is how long a broken stream waits for a place to go on; its
+	// caller leaves after a gap of two seconds or more.
+	begunHold = 1800 * time.Millisecond
 	// leastService is the time that must be left to answer at all.
 	leastService = 200 * time.Millisecond
 )
 
 // ask returns what the pool needs to know of the request.
-func (r *request) ask(now time.Time) places.Ask {
+func (r *request) ask(now time.Time, begun bool) places.Ask {
 	a := places.Ask{
+		Begun:        begun,
 		Rank:         r.rank,
 		Organisation: r.organisation,
 		Arrived:      r.arrived,
@@ -67,6 +71,10 @@
 		Without:      r.without,
 	}
 	a.GiveUp = r.arrived.Add(r.route.Aim + lateHold)
+	if begun {
+		// The caller has a part of the answer: any place in time is of use.
+		a.GiveUp = now.Add(begunHold)
+	}
 	if latest := r.deadline.Add(-leastService); !r.deadline.IsZero() && a.GiveUp.After(latest) {
 		a.GiveUp = latest
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,6 +70,10 @@
 		if err == nil {
 			return
 		}
+		if errors.Is(err, errMoved) {
+			g.metrics.repeated("moved")
+			continue
+		}
 		if errors.Is(err, errCallerGone) || !g.mayRepeat(ctx, req, begun) {
 			s.giveUp(r, err)
 			return
@@ -88,22 +92,32 @@
 	defer watch.Stop()
 	a, begun, err := g.send(tryCtx, r, req, grant, s.last)
 	if err == nil {
+		remove := func() {}
+		if s.movable() {
+			remove = g.moves.add(grant.Endpoint, req, cancel)
+		}
 		err = s.pass(a, watch)
+		remove()
 	}
 	if err == nil {
 		return true, nil
 	}
-	if errors.Is(context.Cause(tryCtx), ErrSilent) {
-		err = ErrSilent
+	if cause := context.Cause(tryCtx); errors.Is(cause, ErrSilent) || errors.Is(cause, errMoved) {
+		err = cause
 	}
 	outcome := outcomeOf(ctx, err)
-	if errors.Is(err, errCallerGone) {
+	if errors.Is(err, errCallerGone) || errors.Is(err, errMoved) {
 		outcome = places.Left
 	}
 	g.failed(req, a, begun, outcome, err)
 	return begun, err
 }
 
+// movable reports whether the stream may go on at a further endpoint.
+func (s *stream) movable() bool {
+	return s.req.route.Repeatable() && s.req.runs+1 < s.req.route.MaxRuns
+}
+
 // firstLimit is how long the endpoint may take to its first event here.
 func (s *stream) firstLimit() time.Duration {
 	return max(firstSilence*s.req.route.Aim, leastSilence)
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -14,6 +14,8 @@
 	manifestTimeout = 800 * time.Millisecond
 	// manifestPause is the pause after a reading that failed.
 	manifestPause = 150 * time.Millisecond
+	// progressTick is how often the progress of a copy is noted.
+	progressTick = 100 * time.Millisecond
 	// quietTime is how long a copy may stand still before its manifest is read
 	// again: a spoilt one would never be met.
 	quietTime = 1500 * time.Millisecond
@@ -46,7 +48,7 @@
 }
 
 // copy fetches a version by the swarm. It returns nil if ctx ended, or if the
-// copy stands still and the origin now describes the version otherwise.
+// copy stood still and has to begin anew.
 func (k *Keeper) copy(ctx context.Context, manifest *weights.Manifest) *weights.Set {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -58,27 +60,44 @@
 	return set
 }
 
-// watchCopy cancels a copy whose manifest turns out to be spoilt.
+// watchCopy notes the progress of a copy. One that stands still ends once the
+// origin answers again: its manifest may be spoilt, and after an outage the
+// fetchers of the swarm have all taken one another for lost. It then begins
+// anew with the chunks that it has.
 func (k *Keeper) watchCopy(ctx context.Context, cancel context.CancelFunc, manifest *weights.Manifest) {
-	last := -1
+	version, _ := strconv.ParseUint(manifest.Version, 10, 64)
+	last, since := -1, time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(quietTime):
+		case <-time.After(progressTick):
 		}
 		have, total := k.node.Progress(manifest.Digest())
 		if have > last {
-			last = have
+			last, since = have, time.Now()
+		}
+		stalled := time.Since(since) >= quietTime
+		k.noteProgress(version, have, total, stalled)
+		if !stalled {
 			continue
 		}
-		version, _ := strconv.ParseUint(manifest.Version, 10, 64)
-		k.deps.Logger.Warn("copy stands still, reading its manifest again", "version", version, "have", have, "total", total)
-		again := k.manifest(ctx, manifest.Model, version)
-		if again != nil && again.Digest() != manifest.Digest() {
-			cancel()
-			return
+		k.deps.Logger.Warn("copy stands still, waiting for the origin", "version", version, "have", have, "total", total)
+		if again := k.manifest(ctx, manifest.Model, version); again != nil {
+			k.deps.Logger.Info("origin answers, going on with the copy", "version", version, "same", again.Digest() == manifest.Digest())
 		}
+		cancel()
+		return
+	}
+}
+
+// noteProgress keeps how far the copy of a version is.
+func (k *Keeper) noteProgress(version uint64, have, total int, stalled bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f := k.fetches[version]; f != nil {
+		f.have, f.total = have, total
+		f.stalled = f.stalled && have == 0 || stalled
 	}
 }
 
@@ -91,6 +110,7 @@
 			return m
 		}
 		k.deps.Logger.Warn("reading a manifest failed", "model", model, "version", version, "error", err)
+		k.noteProgress(version, 0, 0, true)
 		select {
 		case <-ctx.Done():
 		case <-time.After(manifestPause):
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -44,6 +44,10 @@
 	cancel context.CancelFunc
 	set    *weights.Set // nil until it is whole.
 	whole  time.Time    // When it was.
+	// have and total count the chunks, as of the last look at the progress.
+	have, total int
+	// stalled says that nothing came for a while.
+	stalled bool
 }
 
 // New returns a keeper that does not listen yet.
@@ -95,11 +99,11 @@
 	// idleShare and busyShare are the parts of the instance's link that chunks
 	// may take, without requests and with one in every slot: the events of
 	// streams go over the same link.
-	idleShare = 0.95
-	busyShare = 0.85
+	idleShare = 0.9
+	busyShare = 0.7
 	// runningUploads is the number of chunks sent at once; each of 32 KiB
 	// keeps events waiting for 34 ms on a link of 7.6 Mbit/s.
-	runningUploads = 3
+	runningUploads = 2
 )
 
 func pickerLimits() weights.PickerConfig {
@@ -121,7 +125,7 @@
 		StartGrace:      400 * time.Millisecond,
 		DownTime:        800 * time.Millisecond,
 		SuspectTime:     2 * time.Second,
-		SourceRetry:     200 * time.Millisecond,
+		SourceRetry:     50 * time.Millisecond,
 		SlowAfter:       1200 * time.Millisecond,
 	}
 }
@@ -185,6 +189,18 @@
 	}
 }
 
+// worthEnding reports whether a copy of the version before the declared one
+// should go on: it is half there, or the declared one stands still. k.mu is
+// held.
+func (k *Keeper) worthEnding(declared directory.Declared) bool {
+	before := k.fetches[declared.Previous]
+	if before != nil && (before.set != nil || 2*before.have >= before.total && before.total > 0) {
+		return true
+	}
+	newest := k.fetches[declared.Version]
+	return newest != nil && newest.stalled
+}
+
 func (k *Keeper) service(view *directory.View) *directory.Service {
 	if view.Document == nil {
 		return nil
@@ -202,11 +218,12 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	wanted := []uint64{declared.Version}
-	if state.Held < declared.Previous {
+	previous := state.Held < declared.Previous && k.worthEnding(declared)
+	if previous {
 		wanted = append(wanted, declared.Previous)
 	}
 	for version, f := range k.fetches {
-		if version < declared.Previous || version > declared.Version {
+		if version != declared.Version && !(version == declared.Previous && (previous || f.set != nil)) {
 			f.cancel()
 			if f.set != nil {
 				k.node.Drop(f.set.Digest())
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -120,7 +120,10 @@
 		report.Closed = k.closing.Load() || state.Busy
 	}
 	now := time.Now()
-	if report == k.reported && now.Sub(k.reportedAt) < loadreport.Repeat {
+	k.addDeclared(now, &report)
+	same := report
+	same.Age = k.reported.Age // It grows all the time.
+	if same == k.reported && now.Sub(k.reportedAt) < loadreport.Repeat {
 		return
 	}
 	k.reported = report
@@ -132,3 +135,19 @@
 		}
 	}
 }
+
+// addDeclared tells which version is declared and for how long, for entries
+// that have just started.
+func (k *Keeper) addDeclared(now time.Time, report *loadreport.Report) {
+	report.Age = loadreport.UnknownAge
+	view := k.deps.Directory.View()
+	service := k.service(view)
+	if service == nil {
+		return
+	}
+	declared := view.VersionOf(service.Model)
+	report.Declared = declared.Version
+	if !declared.Guessed && !declared.Since.IsZero() {
+		report.Age = now.Sub(declared.Since)
+	}
+}
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -39,8 +39,15 @@
 const paceUnit = 0.1
 
 // reportBytes is the length of a report: kind, flags, running, waiting, pace,
-// entries, held.
-const reportBytes = 2 + 2 + 2 + 1 + 1 + 4
+// entries, held, declared, age.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1
+
+// ageUnit is what one step of the age's byte stands for; the last value of the
+// byte stands for an age that is not known.
+const (
+	ageUnit    = 100 * time.Millisecond
+	unknownAge = 255
+)
 
 // Report is the load of one endpoint over all entries.
 type Report struct {
@@ -55,8 +62,16 @@
 	Held uint64
 	// Entries is how many entries ask for reports, up to 255.
 	Entries int
+	// Declared is the declared version that the agent knows of, and Age how
+	// long ago it was declared, in steps of 100 ms up to 25.4 s; -1 stands for
+	// not known.
+	Declared uint64
+	Age      time.Duration
 }
 
+// UnknownAge stands in a Report for an age that is not known.
+const UnknownAge = -1
+
 // FormatError reports a datagram that cannot be decoded.
 type FormatError struct {
 	Bytes int
@@ -77,7 +92,13 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Waiting, 1<<16-1)))
 	b = append(b, byte(min(r.Pace/paceUnit+paceUnit, 255)), byte(min(r.Entries, 255)))
-	return binary.BigEndian.AppendUint32(b, uint32(r.Held))
+	b = binary.BigEndian.AppendUint32(b, uint32(r.Held))
+	b = binary.BigEndian.AppendUint32(b, uint32(r.Declared))
+	age := byte(unknownAge)
+	if r.Age >= 0 {
+		age = byte(min(r.Age/ageUnit, unknownAge-1))
+	}
+	return append(b, age)
 }
 
 // Decode decodes a report. It returns *FormatError.
@@ -85,13 +106,19 @@
 	if len(b) != reportBytes || b[0] != kindReport {
 		return Report{}, &FormatError{Bytes: len(b)}
 	}
+	age := time.Duration(UnknownAge)
+	if b[16] != unknownAge {
+		age = time.Duration(b[16]) * ageUnit
+	}
 	return Report{
-		Closed:  b[1]&closedFlag != 0,
-		Running: int(binary.BigEndian.Uint16(b[2:])),
-		Waiting: int(binary.BigEndian.Uint16(b[4:])),
-		Pace:    float64(b[6]) * paceUnit,
-		Entries: int(b[7]),
-		Held:    uint64(binary.BigEndian.Uint32(b[8:])),
+		Declared: uint64(binary.BigEndian.Uint32(b[12:])),
+		Age:      age,
+		Closed:   b[1]&closedFlag != 0,
+		Running:  int(binary.BigEndian.Uint16(b[2:])),
+		Waiting:  int(binary.BigEndian.Uint16(b[4:])),
+		Pace:     float64(b[6]) * paceUnit,
+		Entries:  int(b[7]),
+		Held:     uint64(binary.BigEndian.Uint32(b[8:])),
 	}, nil
 }
 
--- a/weights/swarm/fetch.go
+++ b/weights/swarm/fetch.go
@@ -59,7 +59,11 @@
 	}
 	t := n.transfers[d]
 	if t == nil {
-		set := weights.NewSet(m)
+		set := n.partial[d]
+		if set == nil {
+			set = weights.NewSet(m)
+		}
+		delete(n.partial, d)
 		n.reuse(set)
 		t = newTransfer(n, set, peers)
 		n.transfers[d] = t
@@ -90,6 +94,9 @@
 		n.sets[t.digest] = t.set
 	} else {
 		n.server.drop(t.digest)
+		if !t.dropped.Load() && t.set.Count() > 0 {
+			n.partial[t.digest] = t.set
+		}
 	}
 	close(t.done)
 }
--- a/weights/swarm/node.go
+++ b/weights/swarm/node.go
@@ -25,6 +25,9 @@
 	mu        sync.Mutex
 	sets      map[core.Digest]*weights.Set // Complete sets.
 	transfers map[core.Digest]*transfer
+	// partial holds what cancelled transfers left; a new transfer of the
+	// manifest starts with it.
+	partial map[core.Digest]*weights.Set
 }
 
 // NewNode returns a node that does not listen yet. It returns *ConfigError.
@@ -40,6 +43,7 @@
 		metrics:   newMetrics(deps.Scope),
 		sets:      make(map[core.Digest]*weights.Set),
 		transfers: make(map[core.Digest]*transfer),
+		partial:   make(map[core.Digest]*weights.Set),
 	}
 	n.pacing = newPacing(&n.cfg)
 	n.server = newServer(&n.cfg, &n.deps, n.metrics)
@@ -120,6 +124,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.sets, d)
+	delete(n.partial, d)
 	if t := n.transfers[d]; t != nil {
 		t.dropped.Store(true)
 		t.cancel()
