--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -57,7 +57,6 @@
 	if req.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
-	req.rank = req.route.Priority
 	if refusal := g.identify(req, document); refusal != nil {
 		return refusal
 	}
@@ -71,6 +70,7 @@
 
 // identify finds the organisation of the caller's key.
 func (g *Gateway) identify(req *request, document *directory.Document) *refusal {
+	req.rank = rank(usualPriority, req.route.Priority)
 	if !document.HasKeys {
 		return nil
 	}
@@ -83,11 +83,25 @@
 	}
 	req.organisation = organisation.ID
 	if organisation.HasPriority {
-		req.rank = organisation.Priority
+		req.rank = rank(organisation.Priority, req.route.Priority)
 	}
 	return nil
 }
 
+const (
+	// rankSpan is more than the priorities of routes, 0 to 9.
+	rankSpan = 10
+	// usualPriority is that of organisations without one.
+	usualPriority = 1
+)
+
+// rank orders requests: the organisation's priority goes first, the route's
+// decides among equal ones. The first organisations in line share the
+// endpoints with the others, so both have to count.
+func rank(organisation, route int) int {
+	return organisation*rankSpan + min(route, rankSpan-1)
+}
+
 // deadline is the earlier of the caller's deadline and the route's timeout.
 func deadline(req *request) time.Time {
 	limit := req.route.Timeout
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -90,7 +90,8 @@
 		return answer, true, nil
 	}
 	req.service.measureFirst(time.Since(a.sent))
-	g.metrics.first(req.rankName(), time.Since(req.arrived))
+	req.first = time.Now()
+	g.metrics.first(req.rankName(), req.first.Sub(req.arrived))
 	a.end(places.Served)
 	return answer, true, nil
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -71,9 +71,13 @@
 	if req.route != nil {
 		route = req.route.Name
 	}
+	first := int64(-1)
+	if !req.first.IsZero() {
+		first = req.first.Sub(req.arrived).Milliseconds()
+	}
 	fields := []any{
 		"request", req.call.ID, "route", route, "rank", req.rank, "outcome", outcome, "status", status,
-		"took_ms", took.Milliseconds(), "held_ms", req.waited.Milliseconds(), "arrivals", req.arrivals,
+		"took_ms", took.Milliseconds(), "first_ms", first, "held_ms", req.waited.Milliseconds(), "arrivals", req.arrivals, "left_ms", req.call.Left.Milliseconds(),
 	}
 	g.deps.Logger.Info("request ended", append(fields, more...)...)
 	g.metrics.ended(req.rankName(), outcome, took)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,8 @@
 	// without lists endpoints that failed the request.
 	without []string
 	waited  time.Duration
+	// first is when the first event or the answer was there; zero before.
+	first time.Time
 	logger  *slog.Logger
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,7 +200,8 @@
 	s.opened = true
 	copyHeader(s.w.Header(), a.response.Header)
 	s.w.WriteHeader(a.response.StatusCode)
-	s.gateway.metrics.first(s.req.rankName(), time.Since(s.req.arrived))
+	s.req.first = time.Now()
+	s.gateway.metrics.first(s.req.rankName(), s.req.first.Sub(s.req.arrived))
 }
 
 // follows reports whether an event may come after another: the next number,
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -175,10 +175,14 @@
 	view := k.deps.Directory.View()
 	state := k.state.Load()
 	service := k.service(view)
-	if service == nil || state == nil {
+	if service == nil {
 		return
 	}
 	declared := view.VersionOf(service.Model)
+	if state == nil {
+		k.fetchEarly(ctx, view, service, declared)
+		return
+	}
 	k.fetchMissing(ctx, service, declared, state)
 	version, ok := k.due(time.Now(), view, declared, state)
 	if !ok || state.Busy {
@@ -189,12 +193,24 @@
 	}
 }
 
+// fetchEarly begins a copy before the engine answers, if peers can give it. A
+// new engine needs a second to start, and holds nothing then. Where no peer
+// holds the version, what lies staged at the engine may spare the copy.
+func (k *Keeper) fetchEarly(ctx context.Context, view *directory.View, service *directory.Service, declared directory.Declared) {
+	for _, e := range view.Endpoints {
+		if e.Service == k.config.Service && e.Address != k.config.Endpoint && e.Held == declared.Version {
+			k.fetchMissing(ctx, service, declared, &EngineState{Held: declared.Previous})
+			return
+		}
+	}
+}
+
 // worthEnding reports whether a copy of the version before the declared one
-// should go on: it is half there, or the declared one stands still. k.mu is
+// should go on: a good part of it is there, so that the origin has sent most of it, or the declared one stands still. k.mu is
 // held.
 func (k *Keeper) worthEnding(declared directory.Declared) bool {
 	before := k.fetches[declared.Previous]
-	if before != nil && (before.set != nil || 2*before.have >= before.total && before.total > 0) {
+	if before != nil && (before.set != nil || 4*before.have >= before.total && before.total > 0) {
 		return true
 	}
 	newest := k.fetches[declared.Version]
