Announce when an engine will close for a change of its weights

Cause: engines drained for 2 to 2.8 s before they loaded, since long streams began shortly before; moving them all exceeds the budget of repeats. Change: agents report when they will close; requests that would last longer are placed elsewhere, short ones are preferred there.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -17,6 +17,9 @@
 	// PromptTokens and AnswerTokens are the size of a generation, 0 if not
 	// given.
 	PromptTokens, AnswerTokens int
+	// Hint is how many tokens the caller expects in the answer, 0 if not
+	// given. It is right at the median only.
+	Hint int
 	// LastEvent is the last event that the caller has of a resumed stream.
 	LastEvent string
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,6 +87,7 @@
 		budget: newBudget(g.config.RetryRatio, g.config.RetryBurst),
 	}
 	made.firstAnswer.Store(int64(firstAnswerGuess))
+	made.perToken.Store(int64(perTokenGuess))
 	made.budget.setEntries(int(g.entries.Load()))
 	pool := places.NewPool(places.Config{
 		Region:   g.config.Region,
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -100,9 +100,13 @@
 		g.deps.Directory.LearnAge(service.Model, r.Declared, now.Add(-r.Age))
 	}
 	g.noteClosed(endpoint.ID, s, r.Closed)
+	closesAt := time.Time{}
+	if r.ClosesIn >= 0 {
+		closesAt = now.Add(r.ClosesIn)
+	}
 	s.gate.Change(func(p *places.Pool) {
 		p.Report(endpoint.ID, places.Report{
-			At: now, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
+			At: now, ClosesAt: closesAt, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
 		})
 	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -29,8 +29,8 @@
 	without []string
 	waited  time.Duration
 	// first is when the first event or the answer was there; zero before.
-	first time.Time
-	logger  *slog.Logger
+	first  time.Time
+	logger *slog.Logger
 }
 
 // left returns how long the answer is of use; 0 stands for no bound.
@@ -70,6 +70,7 @@
 		OnTimeUntil:  r.arrived.Add(r.route.Aim - time.Duration(r.service.firstAnswer.Load())),
 		Returned:     r.returned(),
 		Size:         float64(r.call.PromptTokens + r.call.AnswerTokens),
+		Expected:     r.service.expected(r.call.Hint),
 		Without:      r.without,
 	}
 	a.GiveUp = r.arrived.Add(r.route.Aim + lateHold)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -216,6 +216,9 @@
 func (s *stream) complete(a *attempt) error {
 	s.open(a)
 	a.end(places.Served)
+	if s.req.runs == 0 && !s.req.first.IsZero() {
+		s.req.service.measureStream(time.Since(s.req.first), s.req.call.Hint)
+	}
 	s.gateway.finish(s.req, "answered", a.response.StatusCode,
 		"endpoint", a.endpoint.ID, "events", s.events, "runs", s.req.runs+1)
 	return nil
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -262,22 +262,33 @@
 
 // due returns the version that the engine should load now.
 func (k *Keeper) due(now time.Time, view *directory.View, declared directory.Declared, state *EngineState) (uint64, bool) {
-	if state.Held >= declared.Version {
+	at, version, ok := k.turn(view, declared, state)
+	if !ok {
 		return 0, false
 	}
+	early := state.Held == 0 || (idle(state) && version == declared.Version)
+	return version, early || !now.Before(at)
+}
+
+// turn returns when the engine changes its version, and to which. It reports
+// false while there is nothing to change to.
+func (k *Keeper) turn(view *directory.View, declared directory.Declared, state *EngineState) (at time.Time, version uint64, ok bool) {
+	if state.Held >= declared.Version {
+		return time.Time{}, 0, false
+	}
 	place, count := k.place(view)
 	if whole, ok := k.whole(declared.Version); ok {
 		at := declared.Since.Add(turnAt(k.config.VersionBound, whole.Sub(declared.Since), place, count, false))
 		if last := k.lastChance(declared, state); last.Before(at) {
 			at = last
 		}
-		return declared.Version, state.Held == 0 || idle(state) || !now.Before(at)
+		return at, declared.Version, true
 	}
 	if whole, ok := k.whole(declared.Previous); ok && declared.Previous > state.Held {
 		at := declared.PreviousSince.Add(turnAt(k.config.VersionBound, whole.Sub(declared.PreviousSince), place, count, true))
-		return declared.Previous, state.Held == 0 || !now.Before(at)
+		return at, declared.Previous, true
 	}
-	return 0, false
+	return time.Time{}, 0, false
 }
 
 // lastChance is when an engine that is behind the previous version too must
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/loadreport"
 )
 
@@ -123,6 +124,9 @@
 	k.addDeclared(now, &report)
 	same := report
 	same.Age = k.reported.Age // It grows all the time.
+	if (same.ClosesIn < 0) == (k.reported.ClosesIn < 0) {
+		same.ClosesIn = k.reported.ClosesIn // It shrinks all the time.
+	}
 	if same == k.reported && now.Sub(k.reportedAt) < loadreport.Repeat {
 		return
 	}
@@ -139,7 +143,7 @@
 // addDeclared tells which version is declared and for how long, for entries
 // that have just started.
 func (k *Keeper) addDeclared(now time.Time, report *loadreport.Report) {
-	report.Age = loadreport.UnknownAge
+	report.Age = loadreport.Unknown
 	view := k.deps.Directory.View()
 	service := k.service(view)
 	if service == nil {
@@ -150,4 +154,23 @@
 	if !declared.Guessed && !declared.Since.IsZero() {
 		report.Age = now.Sub(declared.Since)
 	}
+	report.ClosesIn = k.closesIn(now, view, declared)
+}
+
+// closeNotice is how long before its turn an engine says when it will close:
+// longer than nine in ten streams last.
+const closeNotice = 2500 * time.Millisecond
+
+// closesIn returns the time to the engine's turn to change its version, or
+// loadreport.Unknown if that is far off.
+func (k *Keeper) closesIn(now time.Time, view *directory.View, declared directory.Declared) time.Duration {
+	state := k.state.Load()
+	if state == nil || state.Held == 0 {
+		return loadreport.Unknown
+	}
+	at, _, ok := k.turn(view, declared, state)
+	if !ok || at.Sub(now) > closeNotice {
+		return loadreport.Unknown
+	}
+	return max(at.Sub(now), 0)
 }
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -39,14 +39,14 @@
 const paceUnit = 0.1
 
 // reportBytes is the length of a report: kind, flags, running, waiting, pace,
-// entries, held, declared, age.
-const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1
+// entries, held, declared, age, closes in.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1
 
-// ageUnit is what one step of the age's byte stands for; the last value of the
-// byte stands for an age that is not known.
+// timeUnit is what one step of a time's byte stands for; the last value of the
+// byte stands for a time that is not known.
 const (
-	ageUnit    = 100 * time.Millisecond
-	unknownAge = 255
+	timeUnit    = 100 * time.Millisecond
+	unknownTime = 255
 )
 
 // Report is the load of one endpoint over all entries.
@@ -67,10 +67,13 @@
 	// not known.
 	Declared uint64
 	Age      time.Duration
+	// ClosesIn is when the endpoint will close for a change of its weights,
+	// in the same steps; Unknown if it will not soon.
+	ClosesIn time.Duration
 }
 
-// UnknownAge stands in a Report for an age that is not known.
-const UnknownAge = -1
+// Unknown stands in a Report for a time that is not known.
+const Unknown = -1
 
 // FormatError reports a datagram that cannot be decoded.
 type FormatError struct {
@@ -94,11 +97,21 @@
 	b = append(b, byte(min(r.Pace/paceUnit+paceUnit, 255)), byte(min(r.Entries, 255)))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Held))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Declared))
-	age := byte(unknownAge)
-	if r.Age >= 0 {
-		age = byte(min(r.Age/ageUnit, unknownAge-1))
+	return append(b, encodeTime(r.Age), encodeTime(r.ClosesIn))
+}
+
+func encodeTime(d time.Duration) byte {
+	if d < 0 {
+		return unknownTime
+	}
+	return byte(min(d/timeUnit, unknownTime-1))
+}
+
+func decodeTime(b byte) time.Duration {
+	if b == unknownTime {
+		return Unknown
 	}
-	return append(b, age)
+	return time.Duration(b) * timeUnit
 }
 
 // Decode decodes a report. It returns *FormatError.
@@ -106,13 +119,10 @@
 	if len(b) != reportBytes || b[0] != kindReport {
 		return Report{}, &FormatError{Bytes: len(b)}
 	}
-	age := time.Duration(UnknownAge)
-	if b[16] != unknownAge {
-		age = time.Duration(b[16]) * ageUnit
-	}
 	return Report{
 		Declared: uint64(binary.BigEndian.Uint32(b[12:])),
-		Age:      age,
+		Age:      decodeTime(b[16]),
+		ClosesIn: decodeTime(b[17]),
 		Closed:   b[1]&closedFlag != 0,
 		Running:  int(binary.BigEndian.Uint16(b[2:])),
 		Waiting:  int(binary.BigEndian.Uint16(b[4:])),
--- a/routing/places/ask.go
+++ b/routing/places/ask.go
@@ -24,6 +24,8 @@
 	// Size is the expected tokens of prompt and answer; it is what an
 	// organisation is charged for its fair share.
 	Size float64
+	// Expected is how long the request will keep its place.
+	Expected time.Duration
 	// Without lists endpoints that must not run the request.
 	Without []string
 }
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -104,6 +104,9 @@
 	// spread is the random part of the choice: entries that saw the same
 	// reports choose different endpoints.
 	spread = 0.06
+	// closingGain sends short requests to endpoints that will close, which
+	// long ones avoid: so they have little left to end when they do.
+	closingGain = 0.3
 	// slowCost makes a slow endpoint the last choice.
 	slowCost = 2.0
 )
@@ -128,7 +131,8 @@
 			continue
 		}
 		load := s.load(now, &p.config, p.entries, crowd)
-		if load >= p.limit(s) {
+		closing := !s.report.ClosesAt.IsZero()
+		if load >= p.limit(s) || (closing && now.Add(a.Expected).After(s.report.ClosesAt)) {
 			continue
 		}
 		score := load/float64(s.Slots) + spread*p.config.Rand.Float64()
@@ -138,6 +142,9 @@
 		if s.slow(now, &p.config) {
 			score += slowCost
 		}
+		if closing {
+			score -= closingGain
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
--- a/routing/places/report.go
+++ b/routing/places/report.go
@@ -12,6 +12,8 @@
 	Pace float64
 	// Closed says that the endpoint takes no new requests now.
 	Closed bool
+	// ClosesAt is when it will do so; zero if it will not soon.
+	ClosesAt time.Time
 	// Held is the version of the weights that is whole there, 0 for none.
 	Held uint64
 }
