Share the last free places by how few there are

Cause: near saturation five entries sent to the same free place, so requests queued at engines; instances without requests sent chunks at 0.8 of their link.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/snipestep/snipestep/routing/places"
@@ -51,7 +52,8 @@
 	if ctx.Err() != nil {
 		return places.Left
 	}
-	if _, ok := err.(*NotRunError); ok {
+	var notRun *NotRunError
+	if errors.As(err, &notRun) {
 		return places.NotRun
 	}
 	return places.Broken
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,7 +74,7 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	out := g.outgoing(httptrace.WithClientTrace(ctx, trace), r, req, a.endpoint, lastEvent)
-	response, err := g.deps.Transport.RoundTrip(out)
+	response, err := g.deps.Transport.RoundTrip(out) //nolint:bodyclose // attempt.end closes it.
 	if connected.Load() {
 		req.arrivals++
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -63,15 +63,16 @@
 // instances of one region alone would have to send twice what the others do.
 func (k *Keeper) newNode() (*swarm.Node, error) {
 	return swarm.NewNode(swarm.Config{
-		Self:         swarm.Peer{ID: peerID(k.config.ChunkAddr), Location: k.config.Location, ChunkAddr: k.config.ChunkAddr},
-		Seed:         k.config.Seed,
-		Picker:       pickerLimits(),
-		Uploads:      weights.UploadLimits{Running: runningUploads},
-		SendBytes:    sendShare * k.config.LinkBytes,
-		RateBytes:    idleShare * k.config.LinkBytes,
-		MinRateShare: busyShare / idleShare,
-		StallTimeout: chunkStall,
-		HaveDelay:    haveDelay,
+		Self:          swarm.Peer{ID: peerID(k.config.ChunkAddr), Location: k.config.Location, ChunkAddr: k.config.ChunkAddr},
+		Seed:          k.config.Seed,
+		Picker:        pickerLimits(),
+		Uploads:       weights.UploadLimits{Running: runningUploads},
+		SendBytes:     idleShare * k.config.LinkBytes,
+		BusySendShare: busySendShare / idleShare,
+		RateBytes:     idleShare * k.config.LinkBytes,
+		MinRateShare:  busyShare / idleShare,
+		StallTimeout:  chunkStall,
+		HaveDelay:     haveDelay,
 	}, swarm.Deps{
 		Origin:   k.deps.Origin,
 		Store:    noStore{},
@@ -100,10 +101,11 @@
 	// idleShare and busyShare are the parts of the instance's link that chunks
 	// may take, without requests and with one in every slot: the events of
 	// streams go over the same link.
-	idleShare = 0.9
+	idleShare = 0.97
 	busyShare = 0.7
-	// sendShare is the part that chunks may take on the way out.
-	sendShare = 0.8
+	// busySendShare is the part that chunks may take on the way out while
+	// requests run.
+	busySendShare = 0.8
 	// runningUploads is the number of chunks that may wait to be sent; they go
 	// one after the other.
 	runningUploads = 4
@@ -242,13 +244,15 @@
 		wanted = append(wanted, declared.Previous)
 	}
 	for version, f := range k.fetches {
-		if version != declared.Version && !(version == declared.Previous && (previous || f.set != nil)) {
-			f.cancel()
-			if f.set != nil {
-				k.node.Drop(f.set.Digest())
-			}
-			delete(k.fetches, version)
+		keep := version == declared.Version || (version == declared.Previous && (previous || f.set != nil))
+		if keep {
+			continue
+		}
+		f.cancel()
+		if f.set != nil {
+			k.node.Drop(f.set.Digest())
 		}
+		delete(k.fetches, version)
 	}
 	for _, version := range wanted {
 		if version == 0 || k.fetches[version] != nil {
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -112,19 +112,22 @@
 )
 
 // crowd is how many requests of all entries one unreported request of this
-// entry stands for.
-func (p *Pool) crowd() float64 {
-	if p.config.Reported && len(p.waiting) > 0 {
-		return float64(p.entries)
+// entry stands for. While there is room each entry finds a place of its own;
+// the fewer places are free, the more entries send to the same ones.
+func (p *Pool) crowd(now time.Time) float64 {
+	if !p.config.Reported {
+		return 1
 	}
-	return 1
+	_, free := p.Usable(now)
+	entries := float64(p.entries)
+	return min(max(entries*entries/float64(max(free, 1)), 1), entries)
 }
 
 // choose returns the endpoint with the most room, or nil.
 func (p *Pool) choose(now time.Time, a *Ask) *state {
 	var best *state
 	bestScore := 0.0
-	crowd := p.crowd()
+	crowd := p.crowd(now)
 	for _, id := range p.order {
 		s := p.endpoints[id]
 		if !p.usable(now, s) || slices.Contains(a.Without, id) {
--- a/weights/swarm/config.go
+++ b/weights/swarm/config.go
@@ -24,6 +24,8 @@
 	// SendBytes is the most that the node sends to others in bytes a second, 0
 	// for no limit.
 	SendBytes float64
+	// BusySendShare is the part of SendBytes left while requests run beside.
+	BusySendShare float64
 	// MinRateShare is the part of RateBytes left while every slot is in use.
 	MinRateShare float64
 
@@ -53,6 +55,7 @@
 
 func (c *Config) setDefaults() {
 	setDefault(&c.MinRateShare, 0.25)
+	setDefault(&c.BusySendShare, 1)
 	setDefault(&c.MaxConns, 256)
 	setDefault(&c.MaxRequests, 64)
 	setDefault(&c.HandshakeTimeout, 2*time.Second)
--- a/weights/swarm/sendpacer.go
+++ b/weights/swarm/sendpacer.go
@@ -22,14 +22,17 @@
 type sendPacer struct {
 	mu      *sync.Mutex
 	limiter *rate.Limiter
-	queue   []pacedFrame
-	wake    chan struct{}
+	// rate returns the present bound in bytes a second.
+	rate  func() float64
+	queue []pacedFrame
+	wake  chan struct{}
 }
 
-func newSendPacer(mu *sync.Mutex, bytesPerSecond float64) *sendPacer {
+func newSendPacer(mu *sync.Mutex, bound func() float64) *sendPacer {
 	return &sendPacer{
 		mu:      mu,
-		limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), sendStep),
+		limiter: rate.NewLimiter(rate.Limit(bound()), sendStep),
+		rate:    bound,
 		wake:    make(chan struct{}, 1),
 	}
 }
@@ -79,6 +82,7 @@
 
 // write writes a frame in small steps. It ends early on a closed connection.
 func (p *sendPacer) write(ctx context.Context, frame pacedFrame) error {
+	p.limiter.SetLimit(rate.Limit(p.rate()))
 	for _, part := range frame.parts {
 		for len(part) > 0 {
 			step := part[:min(sendStep, len(part))]
--- a/weights/swarm/server.go
+++ b/weights/swarm/server.go
@@ -51,11 +51,19 @@
 		servings: make(map[core.Digest]*serving),
 	}
 	if cfg.SendBytes > 0 {
-		s.pacer = newSendPacer(&s.mu, cfg.SendBytes)
+		s.pacer = newSendPacer(&s.mu, s.sendRate)
 	}
 	return s
 }
 
+// sendRate is the bound of what is sent now: less while requests run beside.
+func (s *server) sendRate() float64 {
+	if running, _ := s.deps.Live(); running > 0 {
+		return s.cfg.SendBytes * s.cfg.BusySendShare
+	}
+	return s.cfg.SendBytes
+}
+
 // start listens and returns once the event loop runs.
 func (s *server) start() error {
 	if s.pacer != nil {
