Keep a lane of endpoints for requests with a tight aim

Cause: stamps (aim 250 ms) were late at endpoints that read long prompts first; send to first event p50 195 ms in the burst, at the entry they waited 0 ms.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,7 @@
 		OnTimeUntil:  r.arrived.Add(r.route.Aim - time.Duration(r.service.firstAnswer.Load())),
 		Returned:     r.returned(),
 		Size:         float64(r.call.PromptTokens + r.call.AnswerTokens),
+		Tight:        r.tight(),
 		Expected:     r.service.expected(r.call.Hint),
 		Without:      r.without,
 	}
@@ -87,6 +88,16 @@
 	return a
 }
 
+// tightSlack is the time between the aim and an idle endpoint's first event
+// below which one long prompt in front of a request makes it late: such a
+// prompt takes about 100 ms.
+const tightSlack = 150 * time.Millisecond
+
+// tight reports whether the aim leaves little time.
+func (r *request) tight() bool {
+	return r.route.Kind == directory.Stream && r.route.Aim < firstAnswerGuess+tightSlack
+}
+
 // returned reports whether the caller seems to come back after a refusal.
 func (r *request) returned() bool {
 	whole := r.route.Timeout
--- a/routing/places/ask.go
+++ b/routing/places/ask.go
@@ -24,6 +24,9 @@
 	// Size is the expected tokens of prompt and answer; it is what an
 	// organisation is charged for its fair share.
 	Size float64
+	// Tight requests have an aim that leaves little time beyond what an idle
+	// endpoint needs.
+	Tight bool
 	// Expected is how long the request will keep its place.
 	Expected time.Duration
 	// Without lists endpoints that must not run the request.
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -25,6 +25,7 @@
 	// used holds the recent use of each organisation, for fair turns.
 	used   map[core.OrganisationID]float64
 	usedAt time.Time
+	lane   lane
 }
 
 // NewPool returns a pool without endpoints.
@@ -57,6 +58,7 @@
 		}
 	}
 	p.order = slices.Sorted(maps.Keys(p.endpoints))
+	p.lane.setEndpoints(list)
 }
 
 // SetEntries sets how many entries share the endpoints.
@@ -107,6 +109,9 @@
 	// closingGain sends short requests to endpoints that will close, which
 	// long ones avoid: so they have little left to end when they do.
 	closingGain = 0.3
+	// laneGain is what the lane of tight requests is worth to them, and what
+	// it costs others.
+	laneGain = 0.3
 	// slowCost makes a slow endpoint the last choice.
 	slowCost = 2.0
 )
@@ -148,6 +153,7 @@
 		if closing {
 			score -= closingGain
 		}
+		score += p.laneCost(id, a)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -155,6 +161,19 @@
 	return best
 }
 
+// laneCost keeps tight requests in their lane and others off it, as long as
+// there is room elsewhere.
+func (p *Pool) laneCost(id string, a *Ask) float64 {
+	switch {
+	case !p.lane.has(id):
+		return 0
+	case a.Tight:
+		return -laneGain
+	default:
+		return laneGain
+	}
+}
+
 // Verdict is what becomes of an ask.
 type Verdict uint8
 
@@ -320,6 +339,7 @@
 func (p *Pool) start(now time.Time, s *state, a *Ask) {
 	s.own[a.ID] = place{sent: now}
 	p.charge(now, a)
+	p.lane.add(now, a)
 }
 
 // fairMemory is the time in which the counted use of an organisation halves.
