--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -36,9 +36,10 @@
 	// callers leave after four times the aim or eight times the gap.
 	firstSilence = 2
 	gapSilence   = 3
-	// leastSilence keeps short aims from moving streams off endpoints that
-	// only read a long prompt first.
-	leastSilence = 900 * time.Millisecond
+	// leastFirst keeps short aims from moving streams off endpoints that only
+	// have a few other requests in front, leastGap off those that read prompts.
+	leastFirst = 1200 * time.Millisecond
+	leastGap   = 900 * time.Millisecond
 	// writeLimit bounds how long a caller may keep the gateway from writing.
 	writeLimit = 3 * time.Second
 )
@@ -120,11 +121,11 @@
 
 // firstLimit is how long the endpoint may take to its first event here.
 func (s *stream) firstLimit() time.Duration {
-	return max(firstSilence*s.req.route.Aim, leastSilence)
+	return max(firstSilence*s.req.route.Aim, leastFirst)
 }
 
 func (s *stream) gapLimit() time.Duration {
-	return max(gapSilence*s.req.route.GapAim, leastSilence)
+	return max(gapSilence*s.req.route.GapAim, leastGap)
 }
 
 // pass passes an answer on.
--- a/keeper/turn.go
+++ b/keeper/turn.go
@@ -7,7 +7,7 @@
 // while the longest streams can still end and the engine load in time.
 const (
 	firstTurn     = 0.30
-	lastTurn      = 0.84
+	lastTurn      = 0.80
 	replacedFirst = 0.48
 )
 
--- a/routing/places/config.go
+++ b/routing/places/config.go
@@ -14,8 +14,8 @@
 	// ReportAge is how long a report counts. By default three of an agent's
 	// reports may be lost, or it is a second for what answers tell.
 	ReportAge time.Duration
-	// ReportLag is the age of a report when it arrives: the longest way from
-	// an endpoint to an entry and back.
+	// ReportLag is how long a request may be on its way, with a new connection
+	// and behind chunks on the link, before reports count it.
 	ReportLag time.Duration
 	// Overfill is how many requests beyond its slots an endpoint may get.
 	Overfill int
@@ -28,7 +28,7 @@
 const (
 	reportAge       = 700 * time.Millisecond
 	answerAge       = time.Second
-	reportLag       = 10 * time.Millisecond
+	reportLag       = 50 * time.Millisecond
 	defaultHold     = time.Second
 	defaultOverfill = 6 // A quarter of the queue of the plain services seen.
 )
