--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -44,7 +44,8 @@
 	req.without = append(req.without, a.grant.Endpoint)
 	req.logger.Info("attempt failed",
 		"request", req.call.ID, "endpoint", a.grant.Endpoint, "begun", begun, "error", errorText(err),
-		"after_ms", time.Since(a.sent).Milliseconds(), "set_aside", aside)
+		"after_ms", time.Since(a.sent).Milliseconds(), "set_aside", aside,
+		"load", a.grant.Seen.Load, "report_age_ms", a.grant.Seen.ReportAge.Milliseconds(), "free", a.grant.Seen.Free)
 }
 
 // outcomeOf says what a failed attempt tells of its endpoint.
@@ -52,6 +53,9 @@
 	if ctx.Err() != nil {
 		return places.Left
 	}
+	if errors.Is(err, ErrSilent) {
+		return places.Silent
+	}
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		return places.NotRun
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -75,7 +75,7 @@
 	for name, s := range next {
 		oldest := g.oldestVersion(now, v, name)
 		s.gate.Change(func(p *places.Pool) {
-			p.SetEndpoints(lists[name])
+			p.SetEndpoints(now, lists[name])
 			p.Require(oldest)
 		})
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -48,8 +48,7 @@
 // askForLoads asks the agent of each endpoint with weights, again and again.
 func (g *Gateway) askForLoads(ctx context.Context, conn *net.UDPConn) {
 	ask := loadreport.Ask()
-	ticker := time.NewTicker(loadreport.AskInterval)
-	defer ticker.Stop()
+	began := time.Now()
 	for {
 		for _, to := range g.agents() {
 			if _, err := conn.WriteToUDPAddrPort(ask, to); err != nil && ctx.Err() == nil {
@@ -59,11 +58,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(askPause(time.Since(began))):
 		}
 	}
 }
 
+const (
+	// earlyTime is how long after the start agents are asked every earlyPause:
+	// after a loss of power they start at the same time.
+	earlyTime  = 3 * time.Second
+	earlyPause = 100 * time.Millisecond
+)
+
+// askPause returns the pause between two asks.
+func askPause(sinceStart time.Duration) time.Duration {
+	if sinceStart < earlyTime {
+		return earlyPause
+	}
+	return loadreport.AskInterval
+}
+
 // agents returns the datagram addresses of the agents beside endpoints: the
 // endpoint's instance at the entry's own port.
 func (g *Gateway) agents() []netip.AddrPort {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -147,6 +147,7 @@
 			return err
 		}
 		watch.Reset(s.gapLimit())
+		a.grant.Progress()
 		if first {
 			first = false
 			s.req.service.measureFirst(time.Since(a.sent))
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -31,6 +31,10 @@
 	// ended counts own requests that the report still counts.
 	ended  int
 	health health
+	// since is when the endpoint became known.
+	since time.Time
+	// progress is when it last sent a part of an answer.
+	progress time.Time
 }
 
 // seen reports whether a request sent at a time is counted by the report.
@@ -70,6 +74,10 @@
 	s.ended = 0
 }
 
+// aliveFor is how long the last part of an answer shows that an endpoint works:
+// a pass of a full engine that reads prompts takes a third of it.
+const aliveFor = 500 * time.Millisecond
+
 // slow reports whether the endpoint works far below its usual pace.
 func (s *state) slow(now time.Time, c *Config) bool {
 	return s.report.Pace > slowPace && now.Sub(s.report.At) <= c.ReportAge
--- a/routing/places/gate.go
+++ b/routing/places/gate.go
@@ -25,6 +25,8 @@
 	Endpoint string
 	// Waited is how long the request was held for the place.
 	Waited time.Duration
+	// Seen is what the choice rested on.
+	Seen Seen
 
 	gate *Gate
 	id   uint64
@@ -40,6 +42,13 @@
 	return aside
 }
 
+// Progress notes that the endpoint sent a part of an answer.
+func (g *Grant) Progress() {
+	g.gate.mu.Lock()
+	defer g.gate.mu.Unlock()
+	g.gate.pool.Progress(g.gate.now(), g.Endpoint)
+}
+
 // Gate lets callers wait for places of one Pool. It is safe for concurrent
 // use; mu guards all fields.
 type Gate struct {
@@ -48,12 +57,12 @@
 	mu      sync.Mutex
 	pool    *Pool
 	nextID  uint64
-	waiters map[uint64]chan string
+	waiters map[uint64]chan Started
 }
 
 // NewGate returns a gate around a pool, which it owns from then on.
 func NewGate(pool *Pool, now func() time.Time) *Gate {
-	return &Gate{now: now, pool: pool, waiters: make(map[uint64]chan string)}
+	return &Gate{now: now, pool: pool, waiters: make(map[uint64]chan Started)}
 }
 
 // Change applies a change of what the pool knows and starts what then has
@@ -68,7 +77,7 @@
 // advance starts waiting requests. g.mu is held.
 func (g *Gate) advance() {
 	for _, s := range g.pool.Next(g.now()) {
-		g.waiters[s.Ask.ID] <- s.Endpoint
+		g.waiters[s.Ask.ID] <- s
 		delete(g.waiters, s.Ask.ID)
 	}
 }
@@ -81,15 +90,15 @@
 	a.ID = g.nextID
 	began := g.now()
 	decision := g.pool.Offer(began, &a)
-	var start chan string
+	var start chan Started
 	if decision.Verdict == Hold {
-		start = make(chan string, 1)
+		start = make(chan Started, 1)
 		g.waiters[a.ID] = start
 	}
 	g.mu.Unlock()
 	switch decision.Verdict {
 	case Start:
-		return &Grant{Endpoint: decision.Endpoint, gate: g, id: a.ID}, nil
+		return &Grant{Endpoint: decision.Endpoint, Seen: decision.Seen, gate: g, id: a.ID}, nil
 	case Refuse:
 		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.Wait}
 	}
@@ -97,17 +106,17 @@
 }
 
 // wait blocks until a held request got its place or gives up.
-func (g *Gate) wait(ctx context.Context, a *Ask, began time.Time, start chan string) (*Grant, error) {
+func (g *Gate) wait(ctx context.Context, a *Ask, began time.Time, start chan Started) (*Grant, error) {
 	timer := time.NewTimer(a.GiveUp.Sub(began))
 	defer timer.Stop()
 	select {
-	case endpoint := <-start:
-		return g.granted(a, began, endpoint), nil
+	case started := <-start:
+		return g.granted(began, started), nil
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	if !g.withdraw(a.ID) {
-		return g.granted(a, began, <-start), nil
+		return g.granted(began, <-start), nil
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -118,8 +127,8 @@
 	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: wait, Waited: g.now().Sub(began)}
 }
 
-func (g *Gate) granted(a *Ask, began time.Time, endpoint string) *Grant {
-	return &Grant{Endpoint: endpoint, Waited: g.now().Sub(began), gate: g, id: a.ID}
+func (g *Gate) granted(began time.Time, s Started) *Grant {
+	return &Grant{Endpoint: s.Endpoint, Seen: s.Seen, Waited: g.now().Sub(began), gate: g, id: s.Ask.ID}
 }
 
 // withdraw reports false if the request got its place meanwhile.
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -42,7 +42,7 @@
 
 // SetEndpoints replaces the endpoints. What is known of those that stay is
 // kept.
-func (p *Pool) SetEndpoints(list []Endpoint) {
+func (p *Pool) SetEndpoints(now time.Time, list []Endpoint) {
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
@@ -50,7 +50,7 @@
 			s.Endpoint = e
 			continue
 		}
-		p.endpoints[e.ID] = &state{Endpoint: e, own: make(map[uint64]place)}
+		p.endpoints[e.ID] = &state{Endpoint: e, since: now, own: make(map[uint64]place)}
 	}
 	for id := range p.endpoints {
 		if !listed[id] {
@@ -79,6 +79,11 @@
 	}
 }
 
+// firstReport is how long the first report of an agent may take: until then
+// the endpoint list, which may be from before a loss of power, is not relied
+// on.
+const firstReport = 400 * time.Millisecond
+
 // usable reports whether an endpoint may begin a request at all.
 func (p *Pool) usable(now time.Time, s *state) bool {
 	if s.Draining || !s.health.usable(now, len(s.own)) {
@@ -90,6 +95,9 @@
 	if s.report.Closed && now.Sub(s.report.At) <= p.config.ReportAge {
 		return false
 	}
+	if s.report.At.IsZero() && now.Sub(s.since) < firstReport {
+		return false
+	}
 	held := s.held(now, &p.config)
 	return held != 0 && held >= p.oldest
 }
@@ -194,6 +202,25 @@
 	Wait     time.Duration // Expected wait, with Hold and Refuse.
 	// Reason says why a request is refused.
 	Reason Reason
+	// Seen is what the choice of the endpoint rested on, with Start.
+	Seen Seen
+}
+
+// Seen is what is believed of an endpoint at one moment.
+type Seen struct {
+	Load      float64       // Requests there, of all entries.
+	ReportAge time.Duration // Age of the report behind it; -1 for none.
+	Free      int           // Free places at all endpoints together.
+}
+
+// seenAt returns what is believed of an endpoint now.
+func (p *Pool) seenAt(now time.Time, s *state) Seen {
+	_, free := p.Usable(now)
+	seen := Seen{Load: s.load(now, &p.config, p.entries, p.crowd(now)), ReportAge: -1, Free: free}
+	if !s.report.At.IsZero() {
+		seen.ReportAge = now.Sub(s.report.At)
+	}
+	return seen
 }
 
 // Reason says why a request is refused.
@@ -214,8 +241,9 @@
 func (p *Pool) Offer(now time.Time, a *Ask) Decision {
 	if !p.blocked(now, a) {
 		if s := p.choose(now, a); s != nil {
+			seen := p.seenAt(now, s)
 			p.start(now, s, a)
-			return Decision{Verdict: Start, Endpoint: s.ID}
+			return Decision{Verdict: Start, Endpoint: s.ID, Seen: seen}
 		}
 	}
 	rate := p.rate(now)
@@ -304,6 +332,7 @@
 type Started struct {
 	Ask      *Ask
 	Endpoint string
+	Seen     Seen
 }
 
 // Next starts waiting requests while there is room.
@@ -329,8 +358,8 @@
 			kept = append(kept, a)
 			continue
 		}
+		started = append(started, Started{Ask: a, Endpoint: s.ID, Seen: p.seenAt(now, s)})
 		p.start(now, s, a)
-		started = append(started, Started{Ask: a, Endpoint: s.ID})
 	}
 	p.waiting = kept
 	return started
@@ -379,6 +408,9 @@
 	NotRun
 	// Broken: no answer, a broken one or one that is not the endpoint's.
 	Broken
+	// Silent: nothing came for long. It says nothing of an endpoint that goes
+	// on with other requests.
+	Silent
 	// Left: the caller left; it says nothing of the endpoint.
 	Left
 )
@@ -402,8 +434,16 @@
 		s.health.success()
 		p.hold += time.Duration(float64(now.Sub(placed.sent)-p.hold) * holdWeight)
 	case NotRun:
-		// It is full, whatever the last report said.
+		// It is full, or has lost what the list says it holds, whatever the
+		// last report said. The next report counts again.
+		s.report.At = now
 		s.report.Running = max(s.report.Running, s.Slots+p.config.Overfill)
+		s.report.Closed = p.config.Reported
+	case Silent:
+		if now.Sub(s.progress) <= aliveFor {
+			return false
+		}
+		return s.health.failure(now)
 	case Broken:
 		return s.health.failure(now)
 	case Left:
@@ -411,6 +451,13 @@
 	return false
 }
 
+// Progress notes that an endpoint sent a part of an answer.
+func (p *Pool) Progress(now time.Time, endpoint string) {
+	if s := p.endpoints[endpoint]; s != nil {
+		s.progress = now
+	}
+}
+
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int {
 	return len(p.waiting)
