--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,8 @@
 	services atomic.Pointer[map[string]*service]
 	draws    *draws
 	moves    *moves
+	// waiting holds the attempts that have not begun, by endpoint.
+	waiting  *moves
 	stopping atomic.Bool
 	active   atomic.Int64
 	// byAgent finds the endpoint of a load report by its instance.
@@ -33,7 +35,7 @@
 
 // New returns a gateway that follows the directory at once.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves(), waiting: newMoves()}
 	g.services.Store(&map[string]*service{})
 	g.byAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	g.entries.Store(1)
@@ -73,7 +75,7 @@
 	g.byAgent.Store(&byAgent)
 	now := time.Now()
 	for name, s := range next {
-		oldest := g.oldestVersion(now, v, name)
+		oldest := g.oldestVersion(now, v, name, versionMargin)
 		s.gate.Change(func(p *places.Pool) {
 			p.SetEndpoints(now, lists[name])
 			p.Require(oldest)
@@ -104,15 +106,19 @@
 // The longest such wait seen is half a second.
 const versionMargin = 800 * time.Millisecond
 
+// lastMargin is when requests that still wait at an endpoint with an old
+// version are taken off it: an engine can begin one until it hears of that.
+const lastMargin = 350 * time.Millisecond
+
 // oldestVersion returns the oldest version on which a request may begin at a
-// service, 0 for any.
-func (g *Gateway) oldestVersion(now time.Time, v *directory.View, name string) uint64 {
+// service from margin before the bound on, 0 for any.
+func (g *Gateway) oldestVersion(now time.Time, v *directory.View, name string, margin time.Duration) uint64 {
 	s := v.Document.Services[name]
 	if s == nil || s.Engine == nil {
 		return 0
 	}
 	declared := v.VersionOf(s.Model)
-	bound := g.config.VersionBound - versionMargin
+	bound := g.config.VersionBound - margin
 	switch {
 	case declared.Since.IsZero() || now.Sub(declared.Since) >= bound:
 		return declared.Version
@@ -148,8 +154,11 @@
 				continue
 			}
 			for name, s := range *g.services.Load() {
-				oldest := g.oldestVersion(now, v, name)
+				oldest := g.oldestVersion(now, v, name, versionMargin)
 				s.gate.Change(func(p *places.Pool) { p.Require(oldest) })
+				if last := g.oldestVersion(now, v, name, lastMargin); last > 0 {
+					g.endOutdated(v, name, s, last)
+				}
 			}
 		}
 	}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"time"
@@ -47,9 +48,10 @@
 
 // askForLoads asks the agent of each endpoint with weights, again and again.
 func (g *Gateway) askForLoads(ctx context.Context, conn *net.UDPConn) {
-	ask := loadreport.Ask()
 	began := time.Now()
 	for {
+		demand := g.demand()
+		ask := loadreport.Ask(demand)
 		for _, to := range g.agents() {
 			if _, err := conn.WriteToUDPAddrPort(ask, to); err != nil && ctx.Err() == nil {
 				g.deps.Logger.Warn("asking for load reports failed", "agent", to, "error", err)
@@ -58,7 +60,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(askPause(time.Since(began))):
+		case <-time.After(askPause(time.Since(began), demand)):
 		}
 	}
 }
@@ -71,13 +73,25 @@
 )
 
 // askPause returns the pause between two asks.
-func askPause(sinceStart time.Duration) time.Duration {
+func askPause(sinceStart time.Duration, demand int) time.Duration {
 	if sinceStart < earlyTime {
 		return earlyPause
 	}
+	if demand > 0 {
+		return loadreport.BusyAskInterval
+	}
 	return loadreport.AskInterval
 }
 
+// demand is what waits here for places that agents report on.
+func (g *Gateway) demand() int {
+	total := 0.0
+	for _, s := range *g.services.Load() {
+		s.gate.Change(func(p *places.Pool) { total += p.Demand() })
+	}
+	return int(math.Ceil(total))
+}
+
 // agents returns the datagram addresses of the agents beside endpoints: the
 // endpoint's instance at the entry's own port.
 func (g *Gateway) agents() []netip.AddrPort {
@@ -120,7 +134,7 @@
 	}
 	s.gate.Change(func(p *places.Pool) {
 		p.Report(endpoint.ID, places.Report{
-			At: now, ClosesAt: closesAt, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
+			At: now, ClosesAt: closesAt, Demand: float64(r.Demand), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
 		})
 	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,8 @@
 	// without lists endpoints that failed the request.
 	without []string
 	waited  time.Duration
+	// seen is what the last choice of an endpoint rested on.
+	seen places.Seen
 	// first is when the first event or the answer was there; zero before.
 	first  time.Time
 	logger *slog.Logger
@@ -67,7 +69,7 @@
 		Rank:         r.rank,
 		Organisation: r.organisation,
 		Arrived:      r.arrived,
-		OnTimeUntil:  r.arrived.Add(r.route.Aim - time.Duration(r.service.firstAnswer.Load())),
+		OnTimeUntil:  r.arrived.Add(r.patience()),
 		Returned:     r.returned(),
 		Size:         float64(r.call.PromptTokens + r.call.AnswerTokens),
 		Tight:        r.tight(),
@@ -88,6 +90,17 @@
 	return a
 }
 
+// leastPatience is the part of the aim within which a request counts as on time
+// whatever the mean answer takes: under load that mean rises, and the most
+// urgent requests, with the shortest aims, would be the first to be given up.
+const leastPatience = 0.5
+
+// patience is how long a request may wait for a place and still be on time.
+func (r *request) patience() time.Duration {
+	least := time.Duration(leastPatience * float64(r.route.Aim))
+	return max(r.route.Aim-time.Duration(r.service.firstAnswer.Load()), least)
+}
+
 // tightSlack is the time between the aim and an idle endpoint's first event
 // below which one long prompt in front of a request makes it late: such a
 // prompt takes about 100 ms.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,23 +91,25 @@
 	defer cancel(nil)
 	watch := time.AfterFunc(s.firstLimit(), func() { cancel(ErrSilent) })
 	defer watch.Stop()
+	begins := g.waiting.add(grant.Endpoint, req, cancel)
+	defer begins()
 	a, begun, err := g.send(tryCtx, r, req, grant, s.last)
 	if err == nil {
 		remove := func() {}
 		if s.movable() {
 			remove = g.moves.add(grant.Endpoint, req, cancel)
 		}
-		err = s.pass(a, watch)
+		err = s.pass(a, watch, begins)
 		remove()
 	}
 	if err == nil {
 		return true, nil
 	}
-	if cause := context.Cause(tryCtx); errors.Is(cause, ErrSilent) || errors.Is(cause, errMoved) {
+	if cause := context.Cause(tryCtx); errors.Is(cause, ErrSilent) || errors.Is(cause, errMoved) || errors.Is(cause, errOutdated) {
 		err = cause
 	}
 	outcome := outcomeOf(ctx, err)
-	if errors.Is(err, errCallerGone) || errors.Is(err, errMoved) {
+	if errors.Is(err, errCallerGone) || errors.Is(err, errMoved) || errors.Is(err, errOutdated) {
 		outcome = places.Left
 	}
 	g.failed(req, a, begun, outcome, err)
@@ -128,8 +130,8 @@
 	return max(gapSilence*s.req.route.GapAim, leastGap)
 }
 
-// pass passes an answer on.
-func (s *stream) pass(a *attempt, watch *time.Timer) error {
+// pass passes an answer on. begins is called at its first event.
+func (s *stream) pass(a *attempt, watch *time.Timer, begins func()) error {
 	if a.answer.Encoded {
 		return ErrEncodedAnswer
 	}
@@ -150,6 +152,7 @@
 		a.grant.Progress()
 		if first {
 			first = false
+			begins()
 			s.req.service.measureFirst(time.Since(a.sent))
 		}
 		if err := s.write(a, e); err != nil {
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -17,14 +17,33 @@
 // subscribers holds the entries that asked for reports. It is safe for
 // concurrent use.
 type subscribers struct {
-	mu    sync.Mutex
-	until map[netip.AddrPort]time.Time
+	mu   sync.Mutex
+	asks map[netip.AddrPort]subscriber
 }
 
-func (s *subscribers) add(now time.Time, at netip.AddrPort) {
+// subscriber is what an entry asked last.
+type subscriber struct {
+	at     time.Time
+	demand int
+}
+
+func (s *subscribers) add(now time.Time, from netip.AddrPort, demand int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.until[at] = now.Add(loadreport.AskLife)
+	s.asks[from] = subscriber{at: now, demand: demand}
+}
+
+// demand returns what waits at all entries.
+func (s *subscribers) demand(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := 0
+	for _, ask := range s.asks {
+		if now.Sub(ask.at) <= loadreport.DemandLife {
+			total += ask.demand
+		}
+	}
+	return total
 }
 
 // live returns the entries whose ask still counts.
@@ -32,9 +51,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var live []netip.AddrPort
-	for at, until := range s.until {
-		if now.After(until) {
-			delete(s.until, at)
+	for at, ask := range s.asks {
+		if now.Sub(ask.at) > loadreport.AskLife {
+			delete(s.asks, at)
 			continue
 		}
 		live = append(live, at)
@@ -57,7 +76,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	entries := &subscribers{until: make(map[netip.AddrPort]time.Time)}
+	entries := &subscribers{asks: make(map[netip.AddrPort]subscriber)}
 	go k.readAsks(ctx, conn, entries)
 	ticker := time.NewTicker(loadreport.Interval)
 	defer ticker.Stop()
@@ -67,7 +86,7 @@
 			return
 		case <-ticker.C:
 			k.refreshState(ctx)
-			k.sendReports(ctx, conn, entries.live(time.Now()))
+			k.sendReports(ctx, conn, entries)
 		}
 	}
 }
@@ -79,11 +98,12 @@
 		if err != nil {
 			continue
 		}
-		if !loadreport.IsAsk(buffer[:n]) {
-			k.deps.Logger.Warn("datagram is no ask for load reports", "from", from, "bytes", n)
+		demand, err := loadreport.DecodeAsk(buffer[:n])
+		if err != nil {
+			k.deps.Logger.Warn("ask for load reports not usable", "from", from, "error", err)
 			continue
 		}
-		entries.add(time.Now(), from)
+		entries.add(time.Now(), from, demand)
 	}
 }
 
@@ -111,8 +131,10 @@
 	k.state.Store(&state)
 }
 
-func (k *Keeper) sendReports(ctx context.Context, conn *net.UDPConn, to []netip.AddrPort) {
-	report := loadreport.Report{Closed: true, Entries: len(to)}
+func (k *Keeper) sendReports(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
+	now := time.Now()
+	to := entries.live(now)
+	report := loadreport.Report{Closed: true, Entries: len(to), Demand: entries.demand(now)}
 	if state := k.state.Load(); state != nil {
 		report.Running = state.Running
 		report.Waiting = state.Waiting
@@ -120,7 +142,6 @@
 		report.Held = state.Held
 		report.Closed = k.closing.Load() || state.Busy
 	}
-	now := time.Now()
 	k.addDeclared(now, &report)
 	same := report
 	same.Age = k.reported.Age // It grows all the time.
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -20,6 +20,10 @@
 	Repeat = 200 * time.Millisecond
 	// AskInterval is the pause between two asks of an entry.
 	AskInterval = 500 * time.Millisecond
+	// BusyAskInterval is the same while requests wait at the entry.
+	BusyAskInterval = 100 * time.Millisecond
+	// DemandLife is how long the demand of an ask counts.
+	DemandLife = 3 * BusyAskInterval
 	// AskLife is how long an ask counts; three may be lost.
 	AskLife = 4 * AskInterval
 	// MaxBytes is enough for any datagram of this package.
@@ -39,8 +43,11 @@
 const paceUnit = 0.1
 
 // reportBytes is the length of a report: kind, flags, running, waiting, pace,
-// entries, held, declared, age, closes in.
-const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1
+// entries, held, declared, age, closes in, demand.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2
+
+// askBytes is the length of an ask: kind, demand.
+const askBytes = 1 + 2
 
 // timeUnit is what one step of a time's byte stands for; the last value of the
 // byte stands for a time that is not known.
@@ -70,6 +77,9 @@
 	// ClosesIn is when the endpoint will close for a change of its weights,
 	// in the same steps; Unknown if it will not soon.
 	ClosesIn time.Duration
+	// Demand is what waits at all entries together, in the entries' own
+	// weights, up to 65,535.
+	Demand int
 }
 
 // Unknown stands in a Report for a time that is not known.
@@ -97,7 +107,8 @@
 	b = append(b, byte(min(r.Pace/paceUnit+paceUnit, 255)), byte(min(r.Entries, 255)))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Held))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Declared))
-	return append(b, encodeTime(r.Age), encodeTime(r.ClosesIn))
+	b = append(b, encodeTime(r.Age), encodeTime(r.ClosesIn))
+	return binary.BigEndian.AppendUint16(b, uint16(min(r.Demand, 1<<16-1)))
 }
 
 func encodeTime(d time.Duration) byte {
@@ -123,6 +134,7 @@
 		Declared: uint64(binary.BigEndian.Uint32(b[12:])),
 		Age:      decodeTime(b[16]),
 		ClosesIn: decodeTime(b[17]),
+		Demand:   int(binary.BigEndian.Uint16(b[18:])),
 		Closed:   b[1]&closedFlag != 0,
 		Running:  int(binary.BigEndian.Uint16(b[2:])),
 		Waiting:  int(binary.BigEndian.Uint16(b[4:])),
@@ -132,12 +144,16 @@
 	}, nil
 }
 
-// Ask returns the datagram that asks an agent for reports.
-func Ask() []byte {
-	return []byte{kindAsk}
+// Ask returns the datagram that asks an agent for reports. demand is what waits
+// at the entry, up to 65,535.
+func Ask(demand int) []byte {
+	return binary.BigEndian.AppendUint16([]byte{kindAsk}, uint16(min(demand, 1<<16-1)))
 }
 
-// IsAsk reports whether a datagram asks for reports.
-func IsAsk(b []byte) bool {
-	return len(b) == 1 && b[0] == kindAsk
+// DecodeAsk returns the demand of an ask. It returns *FormatError.
+func DecodeAsk(b []byte) (demand int, err error) {
+	if len(b) != askBytes || b[0] != kindAsk {
+		return 0, &FormatError{Bytes: len(b)}
+	}
+	return int(binary.BigEndian.Uint16(b[1:])), nil
 }
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -31,6 +31,7 @@
 	// ended counts own requests that the report still counts.
 	ended  int
 	health health
+	quota  quota
 	// since is when the endpoint became known.
 	since time.Time
 	// progress is when it last sent a part of an answer.
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -76,6 +76,7 @@
 func (p *Pool) Report(id string, r Report) {
 	if s := p.endpoints[id]; s != nil {
 		s.setReport(r)
+		p.setQuota(s, r)
 	}
 }
 
@@ -148,7 +149,7 @@
 		}
 		load := s.load(now, &p.config, p.entries, crowd)
 		closing := !s.report.ClosesAt.IsZero()
-		if load >= p.limit(s) || (closing && now.Add(a.Expected).After(s.report.ClosesAt)) {
+		if !s.quota.allows(now, s, &p.config) || load >= p.limit(s) || (closing && now.Add(a.Expected).After(s.report.ClosesAt)) {
 			continue
 		}
 		score := load/float64(s.Slots) + spread*p.config.Rand.Float64()
@@ -367,6 +368,7 @@
 
 func (p *Pool) start(now time.Time, s *state, a *Ask) {
 	s.own[a.ID] = place{sent: now}
+	s.quota.left--
 	p.charge(now, a)
 	p.lane.add(now, a)
 }
@@ -428,6 +430,7 @@
 	delete(s.own, id)
 	if s.seen(placed.sent, p.config.ReportLag) {
 		s.ended++
+		s.quota.left += p.round(min(p.share(s.report.Demand)*quotaBoost, 1))
 	}
 	switch outcome {
 	case Served:
@@ -451,6 +454,15 @@
 	return false
 }
 
+// Held returns the version that an endpoint serves as far as is known, 0 for
+// none.
+func (p *Pool) Held(now time.Time, endpoint string) uint64 {
+	if s := p.endpoints[endpoint]; s != nil {
+		return s.held(now, &p.config)
+	}
+	return 0
+}
+
 // Progress notes that an endpoint sent a part of an answer.
 func (p *Pool) Progress(now time.Time, endpoint string) {
 	if s := p.endpoints[endpoint]; s != nil {
--- a/routing/places/report.go
+++ b/routing/places/report.go
@@ -14,6 +14,8 @@
 	Closed bool
 	// ClosesAt is when it will do so; zero if it will not soon.
 	ClosesAt time.Time
+	// Demand is what waits at all entries together, as Pool.Demand counts it.
+	Demand float64
 	// Held is the version of the weights that is whole there, 0 for none.
 	Held uint64
 }
