--- a/routing/places/gate.go
+++ b/routing/places/gate.go
@@ -105,16 +105,41 @@
 	return g.wait(ctx, &a, began, start)
 }
 
-// wait blocks until a held request got its place or gives up.
+// wait blocks until a held request got its place or gives up. One that is no
+// longer on time goes on waiting only if places are left for late ones.
 func (g *Gate) wait(ctx context.Context, a *Ask, began time.Time, start chan Started) (*Grant, error) {
-	timer := time.NewTimer(a.GiveUp.Sub(began))
-	defer timer.Stop()
-	select {
-	case started := <-start:
-		return g.granted(began, started), nil
-	case <-ctx.Done():
-	case <-timer.C:
+	end := a.GiveUp
+	if !a.Begun && a.OnTimeUntil.Before(end) && a.OnTimeUntil.After(began) {
+		end = a.OnTimeUntil
 	}
+	for {
+		timer := time.NewTimer(end.Sub(g.now()))
+		select {
+		case started := <-start:
+			timer.Stop()
+			return g.granted(began, started), nil
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+			if end.Before(a.GiveUp) && !g.hopeless(a) {
+				end = a.GiveUp
+				continue
+			}
+		}
+		return g.leave(ctx, a, began, start)
+	}
+}
+
+// hopeless reports whether a request that is late would wait in vain.
+func (g *Gate) hopeless(a *Ask) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	return now.Add(g.pool.expected(now, a, g.pool.rate(now))).After(a.GiveUp)
+}
+
+// leave ends the wait of a request unless it got its place meanwhile.
+func (g *Gate) leave(ctx context.Context, a *Ask, began time.Time, start chan Started) (*Grant, error) {
 	if !g.withdraw(a.ID) {
 		return g.granted(began, <-start), nil
 	}
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -25,7 +25,9 @@
 	// used holds the recent use of each organisation, for fair turns.
 	used   map[core.OrganisationID]float64
 	usedAt time.Time
-	lane   lane
+	// arrivals counts the asks that came on time.
+	arrivals arrivalRate
+	lane     lane
 }
 
 // NewPool returns a pool without endpoints.
@@ -240,6 +242,7 @@
 // Offer decides on a new request. A request that is held must end in Next,
 // Remove or Expire.
 func (p *Pool) Offer(now time.Time, a *Ask) Decision {
+	p.arrivals.add(now)
 	if !p.blocked(now, a) {
 		if s := p.choose(now, a); s != nil {
 			seen := p.seenAt(now, s)
@@ -305,11 +308,20 @@
 	if !now.Add(wait).After(a.OnTimeUntil) || a.Begun {
 		return wait
 	}
-	// It will be late, and then goes behind all that are on time.
-	wait = time.Duration(float64(len(p.waiting)+1) / rate * float64(time.Second))
+	// It will be late, and then goes behind all that are on time, also those
+	// that are still to come.
+	spare := rate - p.arrivals.perSecond(now)
+	if spare <= leastSpare*rate {
+		return longestWait
+	}
+	wait = time.Duration(float64(len(p.waiting)+1) / spare * float64(time.Second))
 	return min(wait, longestWait)
 }
 
+// leastSpare is the part of the places that must be left by requests on time
+// for late ones to count on any.
+const leastSpare = 0.05
+
 // before orders waiting asks: class, rank, organisations that used less, time.
 func (p *Pool) before(now time.Time, a, b *Ask) bool {
 	if ca, cb := a.class(now), b.class(now); ca != cb {
