--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -25,8 +26,8 @@
 	// used holds the recent use of each organisation, for fair turns.
 	used   map[core.OrganisationID]float64
 	usedAt time.Time
-	// arrivals counts the asks that came on time.
-	arrivals arrivalRate
+	// arrivals counts the asks of each rank.
+	arrivals map[int]*arrivalRate
 	lane     lane
 }
 
@@ -39,6 +40,7 @@
 		entries:   1,
 		hold:      config.Hold,
 		used:      make(map[core.OrganisationID]float64),
+		arrivals:  make(map[int]*arrivalRate),
 	}
 }
 
@@ -242,7 +244,7 @@
 // Offer decides on a new request. A request that is held must end in Next,
 // Remove or Expire.
 func (p *Pool) Offer(now time.Time, a *Ask) Decision {
-	p.arrivals.add(now)
+	p.noteArrival(now, a)
 	if !p.blocked(now, a) {
 		if s := p.choose(now, a); s != nil {
 			seen := p.seenAt(now, s)
@@ -304,23 +306,53 @@
 			ahead++
 		}
 	}
-	wait := time.Duration(float64(ahead) / rate * float64(time.Second))
+	wait := waitFor(ahead, p.left(now, rate, a.Rank))
 	if !now.Add(wait).After(a.OnTimeUntil) || a.Begun {
 		return wait
 	}
 	// It will be late, and then goes behind all that are on time, also those
 	// that are still to come.
-	spare := rate - p.arrivals.perSecond(now)
+	return waitFor(len(p.waiting)+1, p.left(now, rate, maxRank))
+}
+
+// maxRank is beyond every rank.
+const maxRank = math.MaxInt
+
+// leastSpare is the part of the places that must be left by requests that go
+// first for others to count on any.
+const leastSpare = 0.05
+
+// left returns the places a second that more urgent ranks leave.
+func (p *Pool) left(now time.Time, rate float64, rank int) float64 {
+	spare := rate
+	for other, arrivals := range p.arrivals {
+		if other < rank {
+			spare -= arrivals.perSecond(now)
+		}
+	}
 	if spare <= leastSpare*rate {
+		return 0
+	}
+	return spare
+}
+
+// waitFor returns how long the last of n requests waits at a rate a second.
+func waitFor(n int, rate float64) time.Duration {
+	if rate <= 0 {
 		return longestWait
 	}
-	wait = time.Duration(float64(len(p.waiting)+1) / spare * float64(time.Second))
-	return min(wait, longestWait)
+	return min(time.Duration(float64(n)/rate*float64(time.Second)), longestWait)
 }
 
-// leastSpare is the part of the places that must be left by requests on time
-// for late ones to count on any.
-const leastSpare = 0.05
+// noteArrival counts an ask.
+func (p *Pool) noteArrival(now time.Time, a *Ask) {
+	rate := p.arrivals[a.Rank]
+	if rate == nil {
+		rate = &arrivalRate{}
+		p.arrivals[a.Rank] = rate
+	}
+	rate.add(now)
+}
 
 // before orders waiting asks: class, rank, organisations that used less, time.
 func (p *Pool) before(now time.Time, a, b *Ask) bool {
