--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -10,6 +10,9 @@
 	// budgetMargin is the part of the common budget that the entries plan
 	// with: an entry that restarts begins with a full share.
 	budgetMargin = 0.6
+	// assumedEntries is how many entries a new budget is shared with until
+	// agents tell the number: after a kill of all entries each begins anew.
+	assumedEntries = 8
 )
 
 // budget is this entry's share of the repeats to one service. It is safe for
@@ -24,7 +27,7 @@
 
 func newBudget(ratio, burst float64) *budget {
 	b := &budget{ratio: ratio, burst: burst}
-	b.setEntries(1)
+	b.setEntries(assumedEntries)
 	return b
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,7 +30,8 @@
 
 	// rebuildMu serialises changes of services.
 	rebuildMu sync.Mutex
-	entries   atomic.Int64
+	// entries is the number of live entries, 0 until an agent told it.
+	entries atomic.Int64
 }
 
 // New returns a gateway that follows the directory at once.
@@ -38,7 +39,6 @@
 	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves(), waiting: newMoves()}
 	g.services.Store(&map[string]*service{})
 	g.byAgent.Store(&map[netip.Addr]*directory.Endpoint{})
-	g.entries.Store(1)
 	deps.Directory.Listen(g.rebuild)
 	return g
 }
@@ -90,13 +90,15 @@
 	}
 	made.firstAnswer.Store(int64(firstAnswerGuess))
 	made.perToken.Store(int64(perTokenGuess))
-	made.budget.setEntries(int(g.entries.Load()))
+	if n := g.entries.Load(); n > 0 {
+		made.budget.setEntries(int(n))
+	}
 	pool := places.NewPool(places.Config{
 		Region:   g.config.Region,
 		Reported: s.Engine != nil,
 		Rand:     newRand(g.config.Seed, uint64(len(s.Name))),
 	})
-	pool.SetEntries(int(g.entries.Load()))
+	pool.SetEntries(int(max(g.entries.Load(), 1)))
 	made.gate = places.NewGate(pool, time.Now)
 	return made
 }
