--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,105 @@
+package directory_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/directory"
+)
+
+var (
+	start   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	errAway = eris.New("store is away")
+)
+
+func at(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func newDirectory() *directory.Directory {
+	return directory.New(slog.New(slog.DiscardHandler))
+}
+
+func TestOlderDocumentNeverReplacesANewerOne(t *testing.T) {
+	d := newDirectory()
+	d.SetDocument(&directory.Document{Version: 7})
+	d.SetDocument(&directory.Document{Version: 5})
+	assert.Equal(t, d.View().Document.Version, uint64(7))
+}
+
+func TestEndpointThatLeavesIsGoneAtOnce(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "a"})
+	d.DropEndpoint(at(60_000), "a")
+	assert.Equal(t, len(d.View().Endpoints), 0)
+}
+
+func TestEndpointMissingAroundAnOutageStaysForTwoSeconds(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "back"})
+	d.PutEndpoint(&directory.Endpoint{ID: "gone"})
+	d.SetStoreUp(at(0), false, errAway)
+	d.SetStoreUp(at(5000), true, nil)
+	d.Retain(at(5000), map[string]bool{})
+	assert.Equal(t, len(d.View().Endpoints), 2)
+	d.PutEndpoint(&directory.Endpoint{ID: "back"})
+	d.Expire(at(6000))
+	assert.Equal(t, len(d.View().Endpoints), 2)
+	d.Expire(at(7001))
+	assert.Assert(t, d.View().Endpoints["back"] != nil)
+	assert.Assert(t, d.View().Endpoints["gone"] == nil)
+}
+
+func TestDeclaredVersionsOnlyGrowAndKeepTheOneBefore(t *testing.T) {
+	d := newDirectory()
+	assert.Equal(t, d.View().VersionOf("m").Version, uint64(directory.FirstVersion))
+	d.Declare(at(0), "m", 2, false)
+	d.Declare(at(100), "m", 3, false)
+	d.Declare(at(200), "m", 2, false)
+	got := d.View().VersionOf("m")
+	assert.Equal(t, got.Version, uint64(3))
+	assert.Equal(t, got.Previous, uint64(2))
+	assert.Equal(t, got.PreviousSince, at(0))
+}
+
+func TestGuessedAgeIsReplacedByWhatAnotherProcessKnows(t *testing.T) {
+	d := newDirectory()
+	d.Declare(at(-5000), "m", 2, true)
+	d.LearnAge("m", 3, at(0))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(-5000))
+	d.LearnAge("m", 2, at(-1000))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(-1000))
+	d.LearnAge("m", 2, at(-9000))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(-1000), "a known age stays")
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	d := &directory.Document{}
+	long := &directory.Route{Host: "a.example", Prefix: "/x/y/"}
+	short := &directory.Route{Host: "A.example", Prefix: "/x/"}
+	d.SetRoutes([]*directory.Route{short, long})
+	assert.Equal(t, d.Match("a.example:80", "/x/y/z"), long)
+	assert.Equal(t, d.Match("A.EXAMPLE", "/x/z"), short)
+	assert.Assert(t, d.Match("a.example", "/y/") == nil)
+	assert.Assert(t, d.Match("b.example", "/x/") == nil)
+}
+
+func TestBackendsShareByWeight(t *testing.T) {
+	r := directory.Route{Backends: []directory.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	assert.Equal(t, r.Pick(0.5), "a")
+	assert.Equal(t, r.Pick(0.95), "b")
+	assert.Equal(t, (&directory.Route{}).Pick(0.5), "")
+}
+
+func TestListenersSeeEveryView(t *testing.T) {
+	d := newDirectory()
+	seen := 0
+	d.Listen(func(*directory.View) { seen++ })
+	d.PutEndpoint(&directory.Endpoint{ID: "a"})
+	d.PutEndpoint(&directory.Endpoint{ID: "a"})
+	assert.Equal(t, seen, 2, "an unchanged endpoint is no new view")
+}
