Read a chunk back after each staging

Cause: the third staging of a chunk was not read back, so a sound one counted as spoilt; found by the keeper's tests.

--- a/keeper/change.go
+++ b/keeper/change.go
@@ -63,24 +63,26 @@
 	return nil
 }
 
+// stageChunk lays a chunk down until it is read back as it should be.
 func (k *Keeper) stageChunk(ctx context.Context, model string, set *weights.Set, i int) error {
 	want := set.Manifest().Chunks[i]
-	var got []byte
-	var err error
-	for range stageAttempts {
-		got, err = k.deps.Engine.Staged(ctx, model, i)
-		if err == nil && set.Manifest().SumChunk(got) == want {
-			return nil
-		}
+	data, _ := set.Get(i)
+	for attempt := 0; ; attempt++ {
+		got, err := k.deps.Engine.Staged(ctx, model, i)
 		if err != nil && !errors.Is(err, ErrNotStaged) {
 			return err
 		}
-		data, _ := set.Get(i)
+		found := set.Manifest().SumChunk(got)
+		if err == nil && found == want {
+			return nil
+		}
+		if attempt == stageAttempts {
+			return &weights.CorruptChunkError{Chunk: i, Want: want, Got: found}
+		}
 		if err := k.deps.Engine.Stage(ctx, model, i, data); err != nil {
 			return err
 		}
 	}
-	return &weights.CorruptChunkError{Chunk: i, Want: want, Got: set.Manifest().SumChunk(got)}
 }
 
 // awaitHeld blocks until the engine serves a version.
--- /dev/null
+++ b/settings/direct_test.go
@@ -0,0 +1,73 @@
+package settings_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/settings"
+)
+
+// rendered fills the template of the deployment as the platform does, for the
+// values that it uses.
+func rendered(t *testing.T, values map[string]string) string {
+	t.Helper()
+	data, err := os.ReadFile("../deploy/node.ini")
+	assert.NilError(t, err)
+	text := strings.ReplaceAll(string(data), "{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", values["zones"])
+	return regexp.MustCompile(`\{\{([^}]*)\}\}`).ReplaceAllStringFunc(text, func(match string) string {
+		return values[strings.Trim(match, "{}")]
+	})
+}
+
+func nodeValues() map[string]string {
+	return map[string]string{
+		"node_name": "edge-a-1", "ip": "10.1.0.40", "port_range.0": "7700", "limits.bandwidth_mbps": "7.6",
+		"region": "a", "zone": "a-1", "zones": "a-1:a,b-1:b", "listen.http": "10.1.0.40:8005", "listen.readiness": "10.1.0.40:8002",
+		"bounds.retry_ratio": "0.2", "bounds.retry_burst": "104", "bounds.grace_s": "8", "platform.address": "10.200.1.7:8007",
+		"bounds.version_ms": "8000",
+	}
+}
+
+func loadDirect(t *testing.T, text string) (*settings.Direct, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.LoadDirect(path)
+}
+
+func TestDeploymentsTemplateGivesSettingsOfBothRoles(t *testing.T) {
+	entry, err := loadDirect(t, rendered(t, nodeValues()))
+	assert.NilError(t, err)
+	assert.Equal(t, entry.CallerAddr, "10.1.0.40:8005")
+	assert.Equal(t, entry.VersionBound, 8*time.Second)
+	assert.Equal(t, entry.StopGrace, 8*time.Second)
+	assert.DeepEqual(t, entry.Regions, map[string]string{"a-1": "a", "b-1": "b"})
+	values := nodeValues()
+	delete(values, "listen.http")
+	delete(values, "listen.readiness")
+	values["service"], values["app"] = "lm", "10.1.0.42:8001"
+	agent, err := loadDirect(t, rendered(t, values))
+	assert.NilError(t, err)
+	assert.Equal(t, agent.Endpoint, "10.1.0.42:8001")
+	assert.Equal(t, agent.CallerAddr, "")
+}
+
+func TestWrongValueNamesItsKey(t *testing.T) {
+	for key, value := range map[string]string{
+		"limits.bandwidth_mbps": "fast", "zones": "a", "platform.address": "store", "bounds.version_ms": "", "port_range.0": "0",
+	} {
+		values := nodeValues()
+		values[key] = value
+		_, err := loadDirect(t, rendered(t, values))
+		var fault *settings.Error
+		assert.Assert(t, errors.As(err, &fault), key)
+		assert.Assert(t, fault.Key != "", key)
+	}
+}
--- /dev/null
+++ b/telemetry/boundedwriter_test.go
@@ -0,0 +1,58 @@
+package telemetry_test
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/telemetry"
+)
+
+// lineCount counts the lines that reach a reader.
+type lineCount struct {
+	mu    sync.Mutex
+	lines int64
+}
+
+func (c *lineCount) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lines += int64(strings.Count(string(p), "\n"))
+	return len(p), nil
+}
+
+func TestEveryLineIsWrittenOrCounted(t *testing.T) {
+	out := &lineCount{}
+	w := telemetry.NewBoundedWriter(out)
+	const lines = 20_000
+	for range lines {
+		_, err := io.WriteString(w, "line\n")
+		assert.NilError(t, err)
+	}
+	w.Close()
+	assert.Equal(t, out.lines+w.Dropped(), int64(lines))
+	assert.Assert(t, w.Dropped() > 0)
+}
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func TestReaderThatTakesNothingBlocksNobody(t *testing.T) {
+	s := stuck{release: make(chan struct{})}
+	w := telemetry.NewBoundedWriter(s)
+	for range 10_000 {
+		_, err := io.WriteString(w, "line\n")
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, w.Dropped() > 0)
+	close(s.release)
+	w.Close()
+}
