--- a/cmd/snipestepctl/cli.go
+++ b/cmd/snipestepctl/cli.go
@@ -27,6 +27,7 @@
 	Confirm confirmCommand `cmd:"" help:"Confirm a plan."`
 	Status  statusCommand  `cmd:"" help:"Show the state of the fleet."`
 	Watch   watchCommand   `cmd:"" help:"Show the state of the fleet after each change."`
+	Explain explainCommand `cmd:"" help:"Tell from log files what became of a request; needs no server."`
 }
 
 type intentCommands struct {
--- /dev/null
+++ b/cmd/snipestepctl/explain.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/snipestep/snipestep/logstory"
+)
+
+// explainCommand needs no server: it only reads logs.
+type explainCommand struct {
+	Request string   `arg:"" help:"Id of the request."`
+	Files   []string `arg:"" optional:"" type:"existingfile" help:"Log files of all processes; standard input if none is given."`
+}
+
+// Run prints the story of the request.
+func (c *explainCommand) Run(a *app) error {
+	readers := []io.Reader{os.Stdin}
+	if len(c.Files) > 0 {
+		readers = nil
+	}
+	for _, name := range c.Files {
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("log file: %w", err)
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	story, err := logstory.Tell(c.Request, readers...)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return a.printJSON(story)
+	}
+	return story.Write(a.out)
+}
--- a/cmd/snipestepctl/main.go
+++ b/cmd/snipestepctl/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -15,6 +16,9 @@
 	"github.com/snipestep/snipestep/problem"
 )
 
+// explainName begins the command line of the command that needs no server.
+const explainName = "explain"
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
@@ -40,6 +44,9 @@
 		return exitUsage
 	}
 	settings, err := cli.settings()
+	if strings.HasPrefix(command.Command(), explainName) {
+		err = nil // It asks no server, so none need be known.
+	}
 	if err == nil {
 		err = command.Run(newApp(ctx, settings, out))
 	}
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -15,6 +15,7 @@
 		return nil, err
 	}
 	req.waited += grant.Waited
+	req.endpoint = grant.Endpoint
 	req.seen = grant.Seen
 	g.metrics.held(req.rankName(), grant.Waited)
 	return grant, nil
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -77,7 +77,7 @@
 	}
 	fields := []any{
 		"request", req.call.ID, "route", route, "rank", req.rank, "outcome", outcome, "status", status,
-		"took_ms", took.Milliseconds(), "first_ms", first, "held_ms", req.waited.Milliseconds(), "arrivals", req.arrivals,
+		"took_ms", took.Milliseconds(), "first_ms", first, "held_ms", req.waited.Milliseconds(), "arrivals", req.arrivals, "endpoint", req.endpoint,
 		"load", req.seen.Load, "report_age_ms", req.seen.ReportAge.Milliseconds(), "free", req.seen.Free, "left_ms", req.call.Left.Milliseconds(),
 	}
 	g.deps.Logger.Info("request ended", append(fields, more...)...)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,6 +28,8 @@
 	// without lists endpoints that failed the request.
 	without []string
 	waited  time.Duration
+	// endpoint is the last one that was chosen.
+	endpoint string
 	// seen is what the last choice of an endpoint rested on.
 	seen places.Seen
 	// first is when the first event or the answer was there; zero before.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -225,7 +225,7 @@
 		s.req.service.measureStream(time.Since(s.req.first), s.req.call.Hint)
 	}
 	s.gateway.finish(s.req, "answered", a.response.StatusCode,
-		"endpoint", a.endpoint.ID, "events", s.events, "runs", s.req.runs+1)
+		"events", s.events, "runs", s.req.runs+1)
 	return nil
 }
 
--- /dev/null
+++ b/logstory/line.go
@@ -0,0 +1,76 @@
+package logstory
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Line is one log line.
+type Line struct {
+	Time     time.Time
+	Instance string
+	Message  string
+	Fields   map[string]any // The others.
+}
+
+// LineError reports a line that holds no log record.
+type LineError struct {
+	Number int // From 1.
+	Cause  error
+}
+
+// Error implements error.
+func (e *LineError) Error() string {
+	return fmt.Sprintf("line %d holds no record: %v", e.Number, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error {
+	return e.Cause
+}
+
+// The fields that every record has.
+const (
+	fieldTime     = "time"
+	fieldMessage  = "msg"
+	fieldInstance = "instance"
+	fieldRequest  = "request"
+	fieldEndpoint = "endpoint"
+)
+
+// ownFields are told otherwise, or of no use in a story.
+var ownFields = []string{fieldTime, fieldMessage, fieldInstance, fieldRequest, "level", "program"}
+
+// parse reads one line. Text in front of the record is skipped.
+func parse(text []byte) (Line, error) {
+	if at := bytes.IndexByte(text, '{'); at > 0 {
+		text = text[at:]
+	}
+	var l Line
+	if err := json.Unmarshal(text, &l.Fields); err != nil {
+		return l, err
+	}
+	l.Message, _ = l.Fields[fieldMessage].(string)
+	l.Instance, _ = l.Fields[fieldInstance].(string)
+	at, _ := l.Fields[fieldTime].(string)
+	var err error
+	l.Time, err = time.Parse(time.RFC3339Nano, at)
+	return l, err
+}
+
+// String returns the line as a story tells it.
+func (l Line) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %-18s %s", l.Time.Format("15:04:05.000"), l.Instance, l.Message)
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if !slices.Contains(ownFields, name) && l.Fields[name] != "" && l.Fields[name] != nil {
+			fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/logstory/story_test.go
@@ -0,0 +1,50 @@
+package logstory_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/snipestep/snipestep/logstory"
+)
+
+const entryLog = `{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"attempt failed","instance":"edge-1","request":"r1","endpoint":"i-1","begun":true,"error":"EOF"}
+not a record
+   12.5 edge-1 {"time":"2026-01-01T00:00:03Z","level":"INFO","msg":"request ended","instance":"edge-1","request":"r1","outcome":"refused","status":502,"arrivals":2}
+{"time":"2026-01-01T00:00:02.5Z","msg":"attempt failed","instance":"edge-1","request":"r2","endpoint":"i-1"}
+{"time":"2026-01-01T00:00:01Z","msg":"endpoint gone","instance":"edge-1","endpoint":"i-1"}
+{"time":"2026-01-01T00:01:00Z","msg":"endpoint gone","instance":"edge-1","endpoint":"i-1"}
+`
+
+const otherLog = `{"time":"2026-01-01T00:00:01.5Z","msg":"attempt failed","instance":"edge-2","request":"r1","endpoint":"i-0"}
+`
+
+func TestStoryIsToldInOrderOfTime(t *testing.T) {
+	story, err := logstory.Tell("r1", strings.NewReader(entryLog), strings.NewReader(otherLog))
+	assert.NilError(t, err)
+	var out bytes.Buffer
+	assert.NilError(t, story.Write(&out))
+	golden.Assert(t, out.String(), "story.golden")
+}
+
+func TestUnknownRequestIsSaidSo(t *testing.T) {
+	story, err := logstory.Tell("none", strings.NewReader(entryLog))
+	assert.NilError(t, err)
+	assert.Equal(t, len(story.Missing()), 2)
+}
+
+func FuzzTell(f *testing.F) {
+	f.Add(entryLog)
+	f.Fuzz(func(t *testing.T, log string) {
+		story, err := logstory.Tell("r1", strings.NewReader(log))
+		if err != nil {
+			return
+		}
+		if err := story.Write(&bytes.Buffer{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
