--- a/directory/service.go
+++ b/directory/service.go
@@ -23,4 +23,6 @@
 	Layers     int
 	Chunks     int // Chunks of one version of the weights.
 	ChunkBytes int
+	// ReadRate is how many prompt tokens an engine reads a second.
+	ReadRate float64
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,11 +93,15 @@
 	if n := g.entries.Load(); n > 0 {
 		made.budget.setEntries(int(n))
 	}
-	pool := places.NewPool(places.Config{
+	config := places.Config{
 		Region:   g.config.Region,
 		Reported: s.Engine != nil,
 		Rand:     newRand(g.config.Seed, uint64(len(s.Name))),
-	})
+	}
+	if s.Engine != nil {
+		config.ReadRate = s.Engine.ReadRate
+	}
+	pool := places.NewPool(config)
 	pool.SetEntries(int(max(g.entries.Load(), 1)))
 	made.gate = places.NewGate(pool, time.Now)
 	return made
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -74,6 +74,7 @@
 		OnTimeUntil:  r.arrived.Add(r.patience()),
 		Returned:     r.returned(),
 		Size:         float64(r.call.PromptTokens + r.call.AnswerTokens),
+		Prompt:       float64(r.call.PromptTokens),
 		Tight:        r.tight(),
 		Expected:     r.service.expected(r.call.Hint),
 		Without:      r.without,
--- a/logstory/story.go
+++ b/logstory/story.go
@@ -28,7 +28,8 @@
 type Story struct {
 	Request string
 	Lines   []Line // Of the request, in order of time.
-	// Beside are lines of the request's endpoints around its time.
+	// Beside are lines of the request's entries about its endpoints, around
+	// its time.
 	Beside []Line
 	// Read counts all lines, Faults those that could not be read.
 	Read   int
@@ -72,14 +73,17 @@
 		return
 	}
 	endpoints := make(map[any]bool)
+	instances := make(map[string]bool)
 	for _, l := range s.Lines {
+		instances[l.Instance] = true
 		if id := l.Fields[fieldEndpoint]; id != nil && id != "" {
 			endpoints[id] = true
 		}
 	}
 	from, to := s.Lines[0].Time.Add(-around), s.Lines[len(s.Lines)-1].Time.Add(around)
 	for _, l := range others {
-		if endpoints[l.Fields[fieldEndpoint]] && !l.Time.Before(from) && !l.Time.After(to) {
+		near := !l.Time.Before(from) && !l.Time.After(to)
+		if near && endpoints[l.Fields[fieldEndpoint]] && instances[l.Instance] {
 			s.Beside = append(s.Beside, l)
 		}
 	}
--- a/routing/places/ask.go
+++ b/routing/places/ask.go
@@ -24,6 +24,8 @@
 	// Size is the expected tokens of prompt and answer; it is what an
 	// organisation is charged for its fair share.
 	Size float64
+	// Prompt is the tokens that are read before the first event.
+	Prompt float64
 	// Tight requests have an aim that leaves little time beyond what an idle
 	// endpoint needs.
 	Tight bool
--- a/routing/places/config.go
+++ b/routing/places/config.go
@@ -17,6 +17,9 @@
 	// ReportLag is how long a request may be on its way, with a new connection
 	// and behind chunks on the link, before reports count it.
 	ReportLag time.Duration
+	// ReadRate is how many prompt tokens an endpoint reads a second, 0 where
+	// there are no prompts.
+	ReadRate float64
 	// Overfill is how many requests beyond its slots an endpoint may get.
 	Overfill int
 	// Hold is the mean time that a request keeps a place until it is measured.
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -19,7 +19,9 @@
 
 // place is one request at an endpoint.
 type place struct {
-	sent time.Time
+	sent   time.Time
+	prompt float64 // Tokens.
+	begun  bool    // A part of the answer has come.
 }
 
 // state is what a Pool knows of one endpoint.
--- a/routing/places/gate.go
+++ b/routing/places/gate.go
@@ -46,7 +46,10 @@
 func (g *Grant) Progress() {
 	g.gate.mu.Lock()
 	defer g.gate.mu.Unlock()
-	g.gate.pool.Progress(g.gate.now(), g.Endpoint)
+	first := g.gate.pool.Progress(g.gate.now(), g.Endpoint, g.id)
+	if first {
+		g.gate.advance()
+	}
 }
 
 // Gate lets callers wait for places of one Pool. It is safe for concurrent
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -141,6 +141,15 @@
 	return min(max(entries*entries/float64(max(free, 1)), 1), entries)
 }
 
+// sharers is how many entries are likely to send prompts to an endpoint now:
+// all of them while requests wait everywhere.
+func (p *Pool) sharers(s *state) float64 {
+	if s.quota.limited {
+		return float64(p.entries)
+	}
+	return 1
+}
+
 // choose returns the endpoint with the most room, or nil.
 func (p *Pool) choose(now time.Time, a *Ask) *state {
 	var best *state
@@ -156,7 +165,11 @@
 		if !s.quota.allows(now, s, &p.config) || load >= p.limit(s) || (closing && now.Add(a.Expected).After(s.report.ClosesAt)) {
 			continue
 		}
-		score := load/float64(s.Slots) + spread*p.config.Rand.Float64()
+		reading := s.reading(&p.config, p.sharers(s))
+		if reading > mostReading {
+			continue
+		}
+		score := load/float64(s.Slots) + spread*p.config.Rand.Float64() + readingCost*reading.Seconds()
 		if s.Region != p.config.Region {
 			score += otherRegion
 		}
@@ -411,7 +424,7 @@
 }
 
 func (p *Pool) start(now time.Time, s *state, a *Ask) {
-	s.own[a.ID] = place{sent: now}
+	s.own[a.ID] = place{sent: now, prompt: a.Prompt}
 	s.quota.left--
 	p.charge(now, a)
 	p.lane.add(now, a)
@@ -507,13 +520,6 @@
 	return 0
 }
 
-// Progress notes that an endpoint sent a part of an answer.
-func (p *Pool) Progress(now time.Time, endpoint string) {
-	if s := p.endpoints[endpoint]; s != nil {
-		s.progress = now
-	}
-}
-
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int {
 	return len(p.waiting)
--- a/routing/places/pool_test.go
+++ b/routing/places/pool_test.go
@@ -212,7 +212,7 @@
 	for i := range 4 {
 		a := ask(at(i), 0)
 		p.Offer(at(i), a)
-		p.Progress(at(i), "a")
+		p.Progress(at(i), "a", a.ID)
 		assert.Assert(t, !p.Done(at(i+1), "a", a.ID, Silent))
 	}
 	assert.Equal(t, p.Offer(at(10), ask(at(10), 0)).Verdict, Start)
@@ -255,3 +255,23 @@
 	}
 	assert.Equal(t, p.Offer(at(1), ask(at(1), 0)).Endpoint, "slow")
 }
+
+// Pattern: an engine opens empty while requests wait at all entries.
+func TestEmptyEngineGetsNoMorePromptsThanItReadsSoon(t *testing.T) {
+	p := NewPool(Config{Region: "r", Reported: true, ReadRate: 10_000})
+	p.SetEntries(2)
+	p.SetEndpoints(at(-1000), []Endpoint{{ID: "a", Region: "r", Slots: 16, Held: 1}})
+	p.Report("a", Report{At: at(0), Held: 1, Demand: 1})
+	var sent []*Ask
+	for range 8 {
+		a := ask(at(1), 0)
+		a.Prompt = 1000 // 100 ms, and as much from the other entry.
+		a.GiveUp = at(60_000)
+		if p.Offer(at(1), a).Verdict == Start {
+			sent = append(sent, a)
+		}
+	}
+	assert.Equal(t, len(sent), 2)
+	assert.Assert(t, p.Progress(at(200), "a", sent[0].ID))
+	assert.Equal(t, len(p.Next(at(200))), 1)
+}
