--- a/routing/places/reading.go
+++ b/routing/places/reading.go
@@ -6,10 +6,10 @@
 	// mostReading bounds the time that an endpoint needs for the prompts that
 	// wait to be read: an engine that opens empty would otherwise get as many
 	// prompts at once as it has places, and answer none for a second.
-	mostReading = 250 * time.Millisecond
+	mostReading = 150 * time.Millisecond
 	// readingCost is what a second of reading costs in the choice of an
 	// endpoint, in parts of all slots.
-	readingCost = 2.0
+	readingCost = 4.0
 )
 
 // reading is how long an endpoint needs for the prompts of this entry that it
