--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	// waiting holds the attempts that have not begun, by endpoint.
 	waiting  *moves
 	stopping atomic.Bool
+	refusing atomic.Bool
 	active   atomic.Int64
 	// byAgent finds the endpoint of a load report by its instance.
 	byAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
@@ -181,6 +182,13 @@
 	g.stopping.Store(true)
 }
 
+// Refuse turns new requests away; those under way go on. It follows Drain once
+// the balancer has had time to send callers elsewhere: it goes on sending them
+// here while most entries of a failure domain stop.
+func (g *Gateway) Refuse() {
+	g.refusing.Store(true)
+}
+
 // Active returns the number of requests that are not answered yet.
 func (g *Gateway) Active() int64 {
 	return g.active.Load()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -392,6 +392,19 @@
 	assert.Assert(t, response.Close)
 }
 
+// Pattern: entries stop in turn, and the balancer sends callers to all of them
+// while fewer than half of a failure domain are ready.
+func TestStoppingGatewayTurnsLateCallersAwayUnread(t *testing.T) {
+	f := newFixture(t, answer("whole"))
+	f.gateway.Drain()
+	f.gateway.Refuse()
+	response, _, err := f.call(t, "/once/", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Assert(t, response.Close)
+}
+
 func TestRanksPutTheOrganisationFirst(t *testing.T) {
 	assert.Assert(t, rank(0, 2) < rank(1, 0))
 	assert.Assert(t, rank(1, 0) < rank(1, 1))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "malformed header", cause: err}
 	}
+	if g.refusing.Load() {
+		return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: soonestReturn}
+	}
 	view := g.deps.Directory.View()
 	document := view.Document
 	if document == nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -13,8 +13,9 @@
 
 const (
 	// balancerNotice is how long the balancer takes at most to send no new
-	// connections: two questions, one a second, and a margin.
-	balancerNotice = 3 * time.Second
+	// connections: two questions, one a second, and a margin. Requests that are
+	// sent later than 3 s after the signal have no time left to end.
+	balancerNotice = 2800 * time.Millisecond
 	// stopMargin is kept before the process would be killed.
 	stopMargin = 700 * time.Millisecond
 	// stopPoll is how often a stopping server looks for open requests.
@@ -73,8 +74,11 @@
 	s.Logger.Info("stopping", "open_requests", s.Gateway.Active())
 	last := began.Add(s.StopGrace - stopMargin)
 	for now := began; now.Before(last); now = time.Now() {
-		if now.Sub(began) >= balancerNotice && s.Gateway.Active() == 0 {
-			break
+		if now.Sub(began) >= balancerNotice {
+			s.Gateway.Refuse()
+			if s.Gateway.Active() == 0 {
+				break
+			}
 		}
 		time.Sleep(stopPoll)
 	}
