--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -103,3 +103,16 @@
 	d.PutEndpoint(&directory.Endpoint{ID: "a"})
 	assert.Equal(t, seen, 2, "an unchanged endpoint is no new view")
 }
+
+// Pattern: after a loss of power the list holds old and new incarnations.
+func TestOnlyTheNewestEndpointOfAnAddressLives(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "old", Address: "10.0.0.1:80", Born: 1, Held: 3})
+	d.PutEndpoint(&directory.Endpoint{ID: "new", Address: "10.0.0.1:80", Born: 2})
+	d.PutEndpoint(&directory.Endpoint{ID: "other", Address: "10.0.0.2:80"})
+	var ids []string
+	for _, e := range d.View().Living() {
+		ids = append(ids, e.ID)
+	}
+	assert.DeepEqual(t, ids, []string{"new", "other"})
+}
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -19,3 +19,12 @@
 	// endpoint does not say.
 	Born int64
 }
+
+// newerThan orders incarnations at one address by their start, and by their
+// names where they do not tell it.
+func (e *Endpoint) newerThan(other *Endpoint) bool {
+	if e.Born != other.Born {
+		return e.Born > other.Born
+	}
+	return e.ID > other.ID
+}
--- a/directory/view.go
+++ b/directory/view.go
@@ -1,6 +1,11 @@
 package directory
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Declared is the version of a model that the operator wants.
 type Declared struct {
@@ -35,6 +40,20 @@
 	return Declared{Version: FirstVersion}
 }
 
+// Living returns the endpoints without those whose address belongs to a newer
+// one: after a loss of power the list holds both for some seconds.
+func (v *View) Living() []*Endpoint {
+	newest := make(map[string]*Endpoint, len(v.Endpoints))
+	for _, e := range v.Endpoints {
+		if other := newest[e.Address]; other == nil || e.newerThan(other) {
+			newest[e.Address] = e
+		}
+	}
+	living := slices.Collect(maps.Values(newest))
+	slices.SortFunc(living, func(a, b *Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return living
+}
+
 // FirstVersion is the version of a model's weights before any was declared;
 // the platform counts versions from 1.
 const FirstVersion = 1
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,7 +65,7 @@
 	g.services.Store(&next)
 	byAgent := make(map[netip.Addr]*directory.Endpoint, len(v.Endpoints))
 	lists := make(map[string][]places.Endpoint, len(next))
-	for _, e := range v.Endpoints {
+	for _, e := range v.Living() {
 		if at, err := netip.ParseAddrPort(e.Address); err == nil && v.Document.Services[e.Service] != nil && v.Document.Services[e.Service].Engine != nil {
 			byAgent[at.Addr()] = e
 		}
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -101,7 +101,7 @@
 		return nil
 	}
 	var agents []netip.AddrPort
-	for _, e := range view.Endpoints {
+	for _, e := range view.Living() {
 		service := view.Document.Services[e.Service]
 		at, err := netip.ParseAddrPort(e.Address)
 		if err == nil && service != nil && service.Engine != nil {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -202,7 +202,7 @@
 // new engine needs a second to start, and holds nothing then. Where no peer
 // holds the version, what lies staged at the engine may spare the copy.
 func (k *Keeper) fetchEarly(ctx context.Context, view *directory.View, service *directory.Service, declared directory.Declared) {
-	for _, e := range view.Endpoints {
+	for _, e := range view.Living() {
 		if e.Service == k.config.Service && e.Address != k.config.Endpoint && e.Held == declared.Version {
 			k.fetchMissing(ctx, service, declared, &EngineState{Held: declared.Previous})
 			return
@@ -312,7 +312,7 @@
 // that mixes the regions.
 func (k *Keeper) place(view *directory.View) (place, count int) {
 	var all []string
-	for _, e := range view.Endpoints {
+	for _, e := range view.Living() {
 		if e.Service == k.config.Service {
 			all = append(all, e.Address)
 		}
@@ -350,7 +350,7 @@
 		return nil
 	}
 	var peers []swarm.Peer
-	for _, e := range k.deps.Directory.View().Endpoints {
+	for _, e := range k.deps.Directory.View().Living() {
 		at, err := netip.ParseAddrPort(e.Address)
 		if err != nil || e.Service != k.config.Service {
 			continue
