--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -81,6 +81,15 @@
 // a pass of a full engine that reads prompts takes a third of it.
 const aliveFor = 500 * time.Millisecond
 
+// quietAfter is how long the reports of an agent may stay out: it sends one
+// every 0.2 s at least, and one may be lost.
+const quietAfter = 450 * time.Millisecond
+
+// quiet reports whether an agent that reported before has fallen silent.
+func (s *state) quiet(now time.Time, c *Config) bool {
+	return c.Reported && !s.report.At.IsZero() && now.Sub(s.report.At) > quietAfter
+}
+
 // slow reports whether the endpoint works far below its usual pace.
 func (s *state) slow(now time.Time, c *Config) bool {
 	return s.report.Pace > slowPace && now.Sub(s.report.At) <= c.ReportAge
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -125,6 +125,9 @@
 	// laneGain is what the lane of tight requests is worth to them, and what
 	// it costs others.
 	laneGain = 0.3
+	// quietCost makes endpoints whose agent fell silent the last choice: it
+	// may be the agent alone, or its whole instance.
+	quietCost = 1.0
 	// slowCost makes a slow endpoint the last choice.
 	slowCost = 2.0
 )
@@ -179,6 +182,9 @@
 		if closing {
 			score -= closingGain
 		}
+		if s.quiet(now, &p.config) {
+			score += quietCost
+		}
 		score += p.laneCost(id, a)
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
--- a/routing/places/pool_test.go
+++ b/routing/places/pool_test.go
@@ -275,3 +275,13 @@
 	assert.Assert(t, p.Progress(at(200), "a", sent[0].ID))
 	assert.Equal(t, len(p.Next(at(200))), 1)
 }
+
+// Pattern: an instance freezes with its agent; its engine answers nothing.
+func TestEndpointWhoseAgentFellSilentIsTheLastChoice(t *testing.T) {
+	p := enginePool(1, "silent", "heard")
+	p.Report("heard", Report{At: at(500), Held: 1})
+	for range 4 {
+		assert.Equal(t, p.Offer(at(501), ask(at(501), 0)).Endpoint, "heard")
+	}
+	assert.Equal(t, p.Offer(at(501), ask(at(501), 0)).Endpoint, "silent")
+}
