--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -12,10 +12,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/wire"
 )
--- a/agent/deps.go
+++ b/agent/deps.go
@@ -8,8 +8,8 @@
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -9,9 +9,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
--- a/backing/http_test.go
+++ b/backing/http_test.go
@@ -10,10 +10,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/backing"
 )
 
 func serve(t *testing.T, handler http.Handler) backing.HTTPConfig {
--- a/backing/httpinstancelist_test.go
+++ b/backing/httpinstancelist_test.go
@@ -7,9 +7,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/fakes"
-	"github.com/snipestep/snipestep/backing"
 )
 
 func TestUnchangedInstanceListIsNotSentAgain(t *testing.T) {
--- a/claim/replay_test.go
+++ b/claim/replay_test.go
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // BenchmarkReplay starts an owner on a log of the greatest length that the
--- a/claim/shardlog.go
+++ b/claim/shardlog.go
@@ -11,8 +11,8 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/snipestep/snipestep/claim/claimpb"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/claim/claimpb"
 )
 
 const (
--- a/claim/ways_test.go
+++ b/claim/ways_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // storeLatency is the time of one call of the key-value service in benchmarks.
--- a/cmd/snipestepctl/explain.go
+++ b/cmd/snipestepctl/explain.go
@@ -25,7 +25,7 @@
 		if err != nil {
 			return fmt.Errorf("log file: %w", err)
 		}
-		defer file.Close()
+		defer func() { _ = file.Close() }()
 		readers = append(readers, file)
 	}
 	story, err := logstory.Tell(c.Request, readers...)
--- a/configuration/commit.go
+++ b/configuration/commit.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 
-	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/fleet"
 )
 
 // Commit makes next the configuration in force. Its generation must be one
--- a/configuration/config.go
+++ b/configuration/config.go
@@ -4,8 +4,8 @@
 	"log/slog"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // DocumentKey is the key of the configuration document.
--- a/configuration/executor.go
+++ b/configuration/executor.go
@@ -9,8 +9,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 const fenceBase = 10
--- a/configuration/executor_test.go
+++ b/configuration/executor_test.go
@@ -10,9 +10,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/backing"
 )
 
 const testTTL = 6 * time.Second
--- a/configuration/run.go
+++ b/configuration/run.go
@@ -7,8 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/fleet"
 )
 
 // Run keeps the holder and the service in step until ctx ends, with one watch
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -6,9 +6,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/backing"
 )
 
 // Store keeps a fleet.Generations and the key-value service in step. Its
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -11,10 +11,10 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/backing"
 )
 
 type node struct {
--- a/configuration/tenure.go
+++ b/configuration/tenure.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // Tenure is one holding of the executor's lease. Its methods may be called
--- a/entry/claimservice.go
+++ b/entry/claimservice.go
@@ -9,9 +9,9 @@
 	"github.com/google/uuid"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/core"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -22,13 +22,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/agent"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -5,9 +5,9 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -11,12 +11,12 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/weights"
 )
 
--- a/entry/swarmserver.go
+++ b/entry/swarmserver.go
@@ -9,10 +9,10 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/wire"
 )
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -92,8 +92,15 @@
 	return f
 }
 
+// reply is what a caller sees of an answer beside its body.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool // The connection ends with the answer.
+}
+
 // call sends a request and returns the answer with its body.
-func (f *fixture) call(t *testing.T, path string, change func(*http.Request)) (*http.Response, string, error) {
+func (f *fixture) call(t *testing.T, path string, change func(*http.Request)) (reply, string, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, f.url+path, strings.NewReader("body"))
 	assert.NilError(t, err)
@@ -105,11 +112,11 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, "", err
+		return reply{}, "", err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return response, string(body), err
+	return reply{StatusCode: response.StatusCode, Header: response.Header, Close: response.Close}, string(body), err
 }
 
 // answer answers as the endpoint that ran the request.
--- a/internal/fakes/answer.go
+++ b/internal/fakes/answer.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"strconv"
 
-	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
 // refuse answers with an error document.
--- a/internal/fakes/engineorder.go
+++ b/internal/fakes/engineorder.go
@@ -10,10 +10,10 @@
 
 	"github.com/zeebo/blake3"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/backing"
 )
 
 const maxOrderBytes = 2 * backing.MaxManifestBytes
--- a/internal/fakes/instancelist.go
+++ b/internal/fakes/instancelist.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // InstanceList is the platform's instance list. It shows each change after a
--- a/internal/fakes/keyvalue_oracle_test.go
+++ b/internal/fakes/keyvalue_oracle_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/fakes"
 )
 
 // keyValueOracle is a key-value service with one lease per key.
--- a/internal/fakes/keyvalue_test.go
+++ b/internal/fakes/keyvalue_test.go
@@ -10,8 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/fakes"
 )
 
 // manualClock is a clock that a test moves.
--- a/internal/fakes/keyvaluehandlers.go
+++ b/internal/fakes/keyvaluehandlers.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
 // acknowledge ends a write: it drops the connection, or answers the error, or
--- a/internal/fakes/keyvaluewatch.go
+++ b/internal/fakes/keyvaluewatch.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
 // watchState is what a watch sees at one moment.
--- a/internal/fakes/origin.go
+++ b/internal/fakes/origin.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"sync"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // Origin is the origin of weights. It is safe for concurrent use.
--- a/internal/fakes/weights.go
+++ b/internal/fakes/weights.go
@@ -3,8 +3,8 @@
 import (
 	"sync"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 )
 
 // ChunkReader returns the bytes of a chunk. It must be safe for concurrent
--- a/internal/fakes/weightstore.go
+++ b/internal/fakes/weightstore.go
@@ -7,9 +7,9 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/httpcall"
-	"github.com/snipestep/snipestep/backing"
 )
 
 // WeightStore is the rate-limited weight store. It is safe for concurrent
--- a/local/runner/fleetrun.go
+++ b/local/runner/fleetrun.go
@@ -7,12 +7,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/entry"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/scenario"
-	"github.com/snipestep/snipestep/backing"
 )
 
 // fleetKey authenticates the processes of a run to one another.
--- a/local/runner/node.go
+++ b/local/runner/node.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/snipestep/snipestep/agent"
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/fakes"
 	"github.com/snipestep/snipestep/local/load"
 	"github.com/snipestep/snipestep/local/madeweights"
 	"github.com/snipestep/snipestep/local/serving"
-	"github.com/snipestep/snipestep/backing"
 )
 
 // Normal manners of the endpoints.
--- a/operator/handler_test.go
+++ b/operator/handler_test.go
@@ -10,12 +10,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/operator"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/problem"
 )
 
--- a/operator/problems.go
+++ b/operator/problems.go
@@ -5,10 +5,10 @@
 	"errors"
 	"net/http"
 
+	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
-	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/problem"
 )
 
--- a/weights/swarm/fault_test.go
+++ b/weights/swarm/fault_test.go
@@ -9,8 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
--- a/weights/swarm/fleet_test.go
+++ b/weights/swarm/fleet_test.go
@@ -18,8 +18,8 @@
 	"golang.org/x/time/rate"
 	"gotest.tools/v3/assert"
 
-	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/weights"
 )
