--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -98,6 +98,10 @@
 const (
 	chunkStall = 900 * time.Millisecond
 	haveDelay  = 20 * time.Millisecond
+	// sourceTimeout bounds one chunk from the origin: two dozen fetchers that
+	// share an origin of 6 Mbit/s wait 1.1 s for theirs. One that hangs keeps
+	// every engine from the version.
+	sourceTimeout = 1500 * time.Millisecond
 	// idleShare and busyShare are the parts of the instance's link that chunks
 	// may take, without requests and with one in every slot: the events of
 	// streams go over the same link.
