--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -30,7 +30,7 @@
 
 func main() {
 	var f flags
-	parsed := kong.Parse(&f, kong.Name("snipestep-direct"), kong.Description("Serves callers from directly called endpoints."))
+	parsed := kong.Parse(&f, kong.Name(telemetry.ProgramDirect), kong.Description("Serves callers from directly called endpoints."))
 	os.Exit(run(parsed.Command(), f))
 }
 
@@ -78,7 +78,7 @@
 
 func serve(ctx context.Context, role, path string, s *settings.Direct, out *telemetry.BoundedWriter) error {
 	t, err := telemetry.Start(ctx, telemetry.Config{
-		Program:   "snipestep-direct-" + role,
+		Program:   telemetry.ProgramDirect + "-" + role,
 		Instance:  s.Name,
 		LogOutput: out,
 		Settings:  s.Telemetry,
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -64,4 +64,6 @@
 const (
 	ProgramEntry = "snipestep-entry"
 	ProgramAgent = "snipestep-agent"
+	// ProgramDirect is the program of both roles on the users' platform.
+	ProgramDirect = "snipestep-direct"
 )
--- a/telemetry/table.go
+++ b/telemetry/table.go
@@ -9,6 +9,9 @@
 	byEntry = []string{ProgramEntry}
 	byAgent = []string{ProgramAgent}
 	byBoth  = []string{ProgramEntry, ProgramAgent}
+	// byDirect is what only the program of the users' platform reports; its
+	// agents report the chunks' metrics too.
+	byDirect = []string{ProgramDirect}
 )
 
 // Metrics lists every metric of the programs.
@@ -50,12 +53,12 @@
 	{MetricWeightsVerified, Gauge, "ratio", nil, byAgent, "Verified part of the weights being fetched."},
 	{MetricOrders, Counter, "orders", []string{TagOrder, TagOutcome}, byAgent, "Orders of entries, by order (prefetch, serve, drain, resume) and outcome (accepted, refused)."},
 	{MetricServing, Gauge, "0 or 1", nil, byAgent, "Whether the endpoint is in routing."},
-	{MetricRequests, Counter, "requests", []string{TagRank, TagOutcome}, byEntry, "Requests to directly called endpoints that ended: answered, refused, left (by the caller) or broken_off."},
-	{MetricWholeAnswer, Histogram, "seconds", []string{TagRank, TagOutcome}, byEntry, "Time from such a request to the end of its answer."},
-	{MetricFirstAnswer, Histogram, "seconds", []string{TagRank}, byEntry, "Time from such a request to its first event or whole answer."},
-	{MetricHeld, Histogram, "seconds", []string{TagRank}, byEntry, "Time that such a request waited for a place."},
-	{MetricRepeats, Counter, "attempts", []string{TagCode}, byEntry, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
-	{MetricLogDropped, Gauge, "lines", nil, byBoth, "Log lines dropped since the start because their rate or queue was over its bound."},
+	{MetricRequests, Counter, "requests", []string{TagRank, TagOutcome}, byDirect, "Requests to directly called endpoints that ended: answered, refused, left (by the caller) or broken_off."},
+	{MetricWholeAnswer, Histogram, "seconds", []string{TagRank, TagOutcome}, byDirect, "Time from such a request to the end of its answer."},
+	{MetricFirstAnswer, Histogram, "seconds", []string{TagRank}, byDirect, "Time from such a request to its first event or whole answer."},
+	{MetricHeld, Histogram, "seconds", []string{TagRank}, byDirect, "Time that such a request waited for a place."},
+	{MetricRepeats, Counter, "attempts", []string{TagCode}, byDirect, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
+	{MetricLogDropped, Gauge, "lines", nil, byDirect, "Log lines dropped since the start because their rate or queue was over its bound."},
 	{MetricLeaving, Gauge, "0 or 1", nil, byAgent, "Whether the agent announces that it leaves."},
 }
 
