--- a/agent/control.go
+++ b/agent/control.go
@@ -36,6 +36,8 @@
 
 	mu       sync.Mutex // Guards the fields below.
 	swapping bool
+	// swaps counts the swaps that began.
+	swaps    uint64
 	drained  bool // Ordered out of service.
 	adapters []string
 	role     string
@@ -94,6 +96,7 @@
 		return CodeOtherOrder, nil
 	}
 	c.swapping = true
+	c.swaps++
 	swap := &swapTask{
 		control:  c,
 		model:    model,
@@ -158,6 +161,11 @@
 func (c *control) reopen() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reopenLocked()
+}
+
+// reopenLocked is reopen with c.mu held.
+func (c *control) reopenLocked() {
 	if c.swapping || c.drained || c.reporter.leaving.Load() {
 		return
 	}
@@ -205,14 +213,15 @@
 		c.reopen()
 		return true
 	}
-	if c.isSwapping() {
+	swapping, before := c.swapState()
+	if swapping {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := c.engine.Status(ctx)
-	if c.isSwapping() {
-		return true
+	if swapping, after := c.swapState(); swapping || after != before {
+		return true // The answer may be from before a swap that has ended since.
 	}
 	if err != nil {
 		c.shut(CodeNoEndpoint)
@@ -252,17 +261,20 @@
 		return
 	}
 	c.swapping = true
+	c.swaps++
 	swap := &swapTask{control: c, model: model, adapters: c.adapters, role: c.role, fence: c.fences.current()}
 	c.background(swap.run)
 }
 
-func (c *control) isSwapping() bool {
+// swapState reports whether a swap is under way, and how many began so far.
+func (c *control) swapState() (swapping bool, begun uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.swapping
+	return c.swapping, c.swaps
 }
 
-// finishSwap ends a swap; err is nil if the endpoint serves the model.
+// finishSwap ends a swap; err is nil if the endpoint serves the model. Whoever
+// sees that no swap is under way finds calls let in.
 func (c *control) finishSwap(s *swapTask, err error) {
 	c.mu.Lock()
 	c.swapping = false
@@ -270,9 +282,9 @@
 		c.adapters = s.adapters
 		c.role = s.role
 	}
+	c.reopenLocked()
 	c.mu.Unlock()
 	if err != nil && !errors.Is(err, context.Canceled) {
 		c.logger.Warn("swap failed", "model", s.model.Model, "version", s.model.Version, "error", err.Error())
 	}
-	c.reopen()
 }
