End a silent stream only where it can go on elsewhere

Cause (reading of the change): the limit on silence also ended streams that may run once, that had no run left, or for which no repeat was left in the budget. An announced closing outlived the agent that announced it. Conclusion: tests for both.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -354,6 +354,24 @@
 	assert.Equal(t, body, events(4))
 }
 
+func TestSilenceEndsOnlyWhatCanGoOnElsewhere(t *testing.T) {
+	f := newFixture(t)
+	service := (*f.gateway.services.Load())["s"]
+	route := &directory.Route{Kind: directory.Stream, Resumable: true, MaxRuns: 2}
+	canceled := func(req *request) error {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		defer cancel(nil)
+		(&stream{req: req}).silent(cancel)
+		return context.Cause(ctx)
+	}
+	assert.Equal(t, canceled(&request{route: route, service: service}), ErrSilent)
+	assert.NilError(t, canceled(&request{route: route, service: service, runs: 1}), "no run is left")
+	once := &directory.Route{Kind: directory.Stream, MaxRuns: 2}
+	assert.NilError(t, canceled(&request{route: once, service: service}), "it may run once")
+	spend(service.budget)
+	assert.NilError(t, canceled(&request{route: route, service: service}), "no repeat is left")
+}
+
 func TestCloseByTheCallerReachesTheEndpoint(t *testing.T) {
 	closed := make(chan struct{})
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,8 +71,8 @@
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errMoved) {
-			g.metrics.repeated("moved")
+		if errors.Is(err, errMoved) || errors.Is(err, ErrSilent) {
+			g.metrics.repeated("moved") // The budget was asked before.
 			continue
 		}
 		if errors.Is(err, errCallerGone) || !g.mayRepeat(ctx, req, begun) {
@@ -89,7 +89,7 @@
 	g, req := s.gateway, s.req
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(s.firstLimit(), func() { cancel(ErrSilent) })
+	watch := time.AfterFunc(s.firstLimit(), func() { s.silent(cancel) })
 	defer watch.Stop()
 	begins := g.waiting.add(grant.Endpoint, req, cancel)
 	defer begins()
@@ -116,6 +116,14 @@
 	return begun, err
 }
 
+// silent ends an attempt whose endpoint sends nothing, if the stream can go on
+// elsewhere: silence alone is no reason to give an answer up.
+func (s *stream) silent(cancel context.CancelCauseFunc) {
+	if s.movable() && s.req.service.budget.retry() {
+		cancel(ErrSilent)
+	}
+}
+
 // movable reports whether the stream may go on at a further endpoint.
 func (s *stream) movable() bool {
 	return s.req.route.Repeatable() && s.req.runs+1 < s.req.route.MaxRuns
--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -35,8 +35,8 @@
 }
 
 // worthEnding reports whether a copy of the version before the declared one
-// should go on: a good part of it is there, so that the origin has sent most of it, or the declared one stands still. k.mu is
-// held.
+// should go on: a good part of it is there, so that the origin has sent most of
+// it, or the declared one stands still. k.mu is held.
 func (k *Keeper) worthEnding(declared directory.Declared) bool {
 	before := k.fetches[declared.Previous]
 	if before != nil && (before.set != nil || 4*before.have >= before.total && before.total > 0) {
--- a/routing/places/choose.go
+++ b/routing/places/choose.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		load := s.load(now, &p.config, p.entries, crowd)
-		closing := !s.report.ClosesAt.IsZero()
+		closing := s.closing(now, &p.config)
 		if !s.quota.allows(now, s, &p.config) || load >= p.limit(s) || (closing && now.Add(a.Expected).After(s.report.ClosesAt)) {
 			continue
 		}
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -90,6 +90,11 @@
 	return c.Reported && !s.report.At.IsZero() && now.Sub(s.report.At) > quietAfter
 }
 
+// closing reports whether a fresh report says that the endpoint will close.
+func (s *state) closing(now time.Time, c *Config) bool {
+	return !s.report.ClosesAt.IsZero() && now.Sub(s.report.At) <= c.ReportAge
+}
+
 // slow reports whether the endpoint works far below its usual pace.
 func (s *state) slow(now time.Time, c *Config) bool {
 	return s.report.Pace > slowPace && now.Sub(s.report.At) <= c.ReportAge
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Offer decides on a new request. A request that is held must end in Next,
-// Remove or Expire.
+// Offer decides on a new request. A request that is held must end in Next or
+// Remove.
 func (p *Pool) Offer(now time.Time, a *Ask) Decision {
 	p.noteArrival(now, a)
 	if !p.blocked(now, a) {
--- a/routing/places/pool_test.go
+++ b/routing/places/pool_test.go
@@ -285,3 +285,11 @@
 	}
 	assert.Equal(t, p.Offer(at(501), ask(at(501), 0)).Endpoint, "silent")
 }
+
+func TestAnnouncementOfAnAgentThatDiedLapses(t *testing.T) {
+	p := enginePool(1, "a")
+	p.Report("a", Report{At: at(0), Held: 1, ClosesAt: at(100)})
+	assert.Equal(t, p.Offer(at(50), ask(at(50), 0)).Verdict, Hold)
+	assert.Equal(t, len(p.Next(at(600))), 0)
+	assert.Equal(t, len(p.Next(at(800))), 1)
+}
