--- a/keeper/node.go
+++ b/keeper/node.go
@@ -27,6 +27,7 @@
 		MinRateShare:  busyShare / idleShare,
 		StallTimeout:  chunkStall,
 		HaveDelay:     haveDelay,
+		SourceTimeout: sourceTimeout,
 	}, swarm.Deps{
 		Origin:   k.deps.Origin,
 		Store:    noStore{},
