--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	./internal/fakes \
 	./local/load \
 	./routing \
+	./routing/places \
 	./weights
 
 test:
