--- a/cmd/snipestep-local/main.go
+++ b/cmd/snipestep-local/main.go
@@ -19,6 +19,7 @@
 type commands struct {
 	Run    runCommand    `cmd:"" default:"withargs" help:"Run a scenario and print its report."`
 	Slopes slopesCommand `cmd:"" help:"Measure how costs grow with the fleet; takes a few minutes."`
+	Places placesCommand `cmd:"" help:"Compare in a model how entries share the places of engines; takes a second."`
 	Fakes  fakesCommand  `cmd:"" help:"Serve the stand-ins to programs that run as processes of their own."`
 }
 
--- /dev/null
+++ b/cmd/snipestep-local/places.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"os"
+
+	"github.com/snipestep/snipestep/local/placesim"
+)
+
+type placesCommand struct {
+	Seed  uint64 `default:"1" help:"Seed of the arrivals."`
+	Bound int    `default:"5" help:"Requests that each entry of the baseline sends to one engine at most."`
+}
+
+// Run compares the sharing of engines' places with a fixed bound, in a model.
+func (c *placesCommand) Run() error {
+	return placesim.WriteTable(os.Stdout, c.Seed, c.Bound)
+}
