Learn declared versions from the agents' reports too

Change: a version counts from the earliest moment at which an agent or the entry itself learnt of it; an entry that does not know it yet takes it from a report.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -85,22 +85,35 @@
 	})
 }
 
-// LearnAge replaces a guess of when a version was declared by what another
-// process knows.
-func (d *Directory) LearnAge(model string, version uint64, since time.Time) {
-	if old, ok := d.View().Models[model]; !ok || !old.Guessed || old.Version != version {
+// learnSlack is by how much another process must have learnt of a version
+// earlier for its word to count: ages are told in steps of 100 ms.
+const learnSlack = 150 * time.Millisecond
+
+// Learn takes in what another process knows of a declared version: one that is
+// not known here yet, one that was there before this process, or one that took
+// longer to arrive here.
+func (d *Directory) Learn(model string, version uint64, since time.Time) {
+	known, ok := d.View().Models[model]
+	if !ok && version <= FirstVersion {
+		return
+	}
+	if !ok || version > known.Version {
+		d.Declare(since, model, version, false)
+		return
+	}
+	if version < known.Version || !known.learns(since) {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.current.Load().Models[model]
-	if !old.Guessed || old.Version != version {
+	known = d.current.Load().Models[model]
+	if version != known.Version || !known.learns(since) {
 		return
 	}
 	d.logger.Info("age of a declared version learnt", "model", model, "version", version, "age_ms", time.Since(since).Milliseconds())
-	old.Since = since
-	old.Guessed = false
-	d.setDeclared(model, old)
+	known.Since = since
+	known.Guessed = false
+	d.setDeclared(model, known)
 }
 
 // setDeclared replaces one model's version. d.mu is held.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -69,12 +69,30 @@
 func TestGuessedAgeIsReplacedByWhatAnotherProcessKnows(t *testing.T) {
 	d := newDirectory()
 	d.Declare(at(-5000), "m", 2, true)
-	d.LearnAge("m", 3, at(0))
+	d.Learn("m", 1, at(0))
 	assert.Equal(t, d.View().VersionOf("m").Since, at(-5000))
-	d.LearnAge("m", 2, at(-1000))
+	d.Learn("m", 2, at(-1000))
 	assert.Equal(t, d.View().VersionOf("m").Since, at(-1000))
-	d.LearnAge("m", 2, at(-9000))
-	assert.Equal(t, d.View().VersionOf("m").Since, at(-1000), "a known age stays")
+	assert.Assert(t, !d.View().VersionOf("m").Guessed)
+}
+
+// Pattern: a large document holds the watch of one process up.
+func TestVersionThatArrivesLateCountsFromWhenOthersLearntOfIt(t *testing.T) {
+	d := newDirectory()
+	d.Declare(at(0), "m", 2, false)
+	d.Learn("m", 2, at(-100))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(0), "that is the grain of an age")
+	d.Learn("m", 2, at(-900))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(-900))
+	d.Learn("m", 2, at(0))
+	assert.Equal(t, d.View().VersionOf("m").Since, at(-900), "the earliest word counts")
+	d.Learn("m", 3, at(500))
+	assert.Equal(t, d.View().VersionOf("m").Version, uint64(3))
+	d.Declare(at(1500), "m", 3, false)
+	assert.Equal(t, d.View().VersionOf("m").Since, at(500))
+	d.Learn("other", 1, at(0))
+	_, known := d.View().Models["other"]
+	assert.Assert(t, !known, "the first version needs no declaration")
 }
 
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
--- a/directory/view.go
+++ b/directory/view.go
@@ -21,6 +21,12 @@
 	PreviousSince time.Time
 }
 
+// learns reports whether a version declared at since, as another process says,
+// tells more than what is known.
+func (d *Declared) learns(since time.Time) bool {
+	return d.Guessed || since.Before(d.Since.Add(-learnSlack))
+}
+
 // View is what is believed at one moment. It does not change.
 type View struct {
 	// Document is nil until the first one is known.
