Let bounds that a deployment does not name take their defaults

Cause (reading of the change): the template fills in nothing for an absent bound, and the empty key kept the program from starting. The timer of a silent stream read the number of runs beside the goroutine that counts them.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -71,8 +71,8 @@
 		if err == nil {
 			return
 		}
-		if errors.Is(err, errMoved) || errors.Is(err, ErrSilent) {
-			g.metrics.repeated("moved") // The budget was asked before.
+		if s.goesOn(ctx, err) {
+			g.metrics.repeated("moved")
 			continue
 		}
 		if errors.Is(err, errCallerGone) || !g.mayRepeat(ctx, req, begun) {
@@ -89,14 +89,15 @@
 	g, req := s.gateway, s.req
 	tryCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := time.AfterFunc(s.firstLimit(), func() { s.silent(cancel) })
+	movable := s.movable()
+	watch := time.AfterFunc(s.firstLimit(), func() { silent(cancel, movable, req.service.budget) })
 	defer watch.Stop()
 	begins := g.waiting.add(grant.Endpoint, req, cancel)
 	defer begins()
 	a, begun, err := g.send(tryCtx, r, req, grant, s.last)
 	if err == nil {
 		remove := func() {}
-		if s.movable() {
+		if movable {
 			remove = g.moves.add(grant.Endpoint, req, cancel)
 		}
 		err = s.pass(a, watch, begins)
@@ -118,12 +119,21 @@
 
 // silent ends an attempt whose endpoint sends nothing, if the stream can go on
 // elsewhere: silence alone is no reason to give an answer up.
-func (s *stream) silent(cancel context.CancelCauseFunc) {
-	if s.movable() && s.req.service.budget.retry() {
+func silent(cancel context.CancelCauseFunc, movable bool, b *budget) {
+	if movable && b.retry() {
 		cancel(ErrSilent)
 	}
 }
 
+// goesOn reports whether the attempt was ended so that the stream goes on
+// elsewhere. The budget was asked then.
+func (s *stream) goesOn(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || len(s.req.without) >= maxFailures {
+		return false
+	}
+	return errors.Is(err, errMoved) || errors.Is(err, ErrSilent)
+}
+
 // movable reports whether the stream may go on at a further endpoint.
 func (s *stream) movable() bool {
 	return s.req.route.Repeatable() && s.req.runs+1 < s.req.route.MaxRuns
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -85,9 +85,9 @@
 		{Name: "callers", Doc: "For entries.", Keys: []Key{
 			{Name: "address", Value: OptionalAddress(&d.CallerAddr), Doc: "TCP address that serves callers; required for entries."},
 			{Name: "ready_address", Value: OptionalAddress(&d.ReadyAddr), Doc: "TCP address that answers the balancer's question whether the entry is ready; required for entries."},
-			{Name: "retry_ratio", Default: "0.2", Value: Float(&d.RetryRatio, 0, 1), Doc: "Repeats allowed for each request, over all entries and by service."},
-			{Name: "retry_burst", Default: "50", Value: Float(&d.RetryBurst, 0, maxRetryBurst), Doc: "Repeats allowed beyond, over all entries and by service."},
-			{Name: "stop_grace", Default: "8s", Value: Duration(&d.StopGrace, time.Second, maxStopGrace), Doc: "Time from the signal to stop until the process is killed."},
+			{Name: "retry_ratio", Default: "0.2", Value: orEmpty{Float(&d.RetryRatio, 0, 1), "0.2"}, Doc: "Repeats allowed for each request, over all entries and by service."},
+			{Name: "retry_burst", Default: "50", Value: orEmpty{Float(&d.RetryBurst, 0, maxRetryBurst), "50"}, Doc: "Repeats allowed beyond, over all entries and by service."},
+			{Name: "stop_grace", Default: "8s", Value: orEmpty{Duration(&d.StopGrace, time.Second, maxStopGrace), "8s"}, Doc: "Time from the signal to stop until the process is killed."},
 		}},
 		{Name: "store", Doc: "The platform's store.", Keys: []Key{
 			{Name: "address", Required: true, Value: Address(&d.StoreAddr), Doc: "TCP address of the store."},
@@ -97,7 +97,7 @@
 			{Name: "address", Value: OptionalAddress(&d.Endpoint), Doc: "TCP address of the engine; required for agents."},
 		}},
 		{Name: "weights", Doc: "Versions of models.", Keys: []Key{
-			{Name: "version_bound", Default: "8s", Value: Duration(&d.VersionBound, time.Second, maxVersionBound), Doc: "Time after the declaration of a version within which no request begins on an older one."},
+			{Name: "version_bound", Default: "8s", Value: orEmpty{Duration(&d.VersionBound, time.Second, maxVersionBound), "8s"}, Doc: "Time after the declaration of a version within which no request begins on an older one."},
 		}},
 		telemetrySection(&d.Telemetry),
 	}
