Mend what a second reading of the change found

- A grant counted the free places of a service up to three times: for the choice, for the crowd and for the log line.
They are counted once for a new request, and once more after each waiting request that starts.
- Gateway and keeper each opened their datagram socket; loadreport.Listen serves both.
The keeper now logs a failed read, as the gateway did.
- Gone: a filter of header lines that had nothing to filter, a name that was never read, times of which only the presence was asked, Usable's first result. snipestep-direct ends on bad settings through daemon.Fail (same text and status, tried with a missing and a malformed file).

Ruled out: moving platform's calls onto internal/httpcall.

Choices and answers are meant to stay as they were; no test changed.

--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -40,8 +40,7 @@
 		err = checkRole(role, f.Settings, s)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return daemon.ExitSettings
+		return daemon.Fail(err)
 	}
 	if f.Check {
 		return daemon.ExitOK
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,13 +24,13 @@
 	listeners []func(*View)
 	// regained is when the store last answered after an outage.
 	regained time.Time
-	// missing holds when endpoints vanished that are kept for missingGrace.
-	missing map[string]time.Time
+	// missing holds the endpoints that vanished and are kept for missingGrace.
+	missing map[string]bool
 }
 
 // New returns a directory that knows nothing.
 func New(logger *slog.Logger) *Directory {
-	d := &Directory{logger: logger, missing: make(map[string]time.Time)}
+	d := &Directory{logger: logger, missing: make(map[string]bool)}
 	d.current.Store(&View{Endpoints: map[string]*Endpoint{}, Models: map[string]Declared{}, StoreUp: true})
 	return d
 }
@@ -151,8 +151,8 @@
 		return
 	}
 	if !d.current.Load().StoreUp || now.Sub(d.regained) < missingGrace {
-		if _, ok := d.missing[id]; !ok {
-			d.missing[id] = now
+		if !d.missing[id] {
+			d.missing[id] = true
 			d.logger.Info("endpoint missing after an outage of the store", "endpoint", id, "kept", missingGrace)
 		}
 		return
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,7 +86,6 @@
 
 func (g *Gateway) newService(s *directory.Service) *service {
 	made := &service{
-		name:   s.Name,
 		budget: newBudget(g.config.RetryRatio, g.config.RetryBurst),
 	}
 	made.firstAnswer.Store(int64(firstAnswerGuess))
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -7,8 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/places"
 )
@@ -16,16 +14,10 @@
 // followLoads asks the agents for load reports and takes them in until ctx
 // ends.
 func (g *Gateway) followLoads(ctx context.Context) error {
-	addr, err := net.ResolveUDPAddr("udp", g.config.DatagramAddr)
-	if err != nil {
-		return eris.Wrapf(err, "datagram address %s", g.config.DatagramAddr)
-	}
-	conn, err := net.ListenUDP("udp", addr)
+	conn, err := loadreport.Listen(ctx, g.config.DatagramAddr)
 	if err != nil {
-		return eris.Wrapf(err, "listen for load reports on %s", g.config.DatagramAddr)
+		return err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	go g.askForLoads(ctx, conn)
 	buffer := make([]byte, loadreport.MaxBytes)
 	for {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -162,7 +161,6 @@
 	if from.Get("Date") == "" {
 		to["Date"] = nil
 	}
-	maps.DeleteFunc(to, func(_ string, values []string) bool { return values != nil && len(values) == 0 })
 }
 
 // statusError reports an answer with a failure status.
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -9,7 +9,6 @@
 
 // service is the part of a gateway that belongs to one service.
 type service struct {
-	name   string
 	gate   *places.Gate
 	budget *budget
 	// firstAnswer is the mean time from sending a request to its first event
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -64,18 +64,11 @@
 // report asks the engine for its load and sends it to the entries until ctx
 // ends.
 func (k *Keeper) report(ctx context.Context) {
-	addr, err := net.ResolveUDPAddr("udp", k.config.DatagramAddr)
+	conn, err := loadreport.Listen(ctx, k.config.DatagramAddr)
 	if err != nil {
-		k.deps.Logger.Error("datagram address not usable", "address", k.config.DatagramAddr, "error", err)
+		k.deps.Logger.Error("listening for entries failed", "error", err)
 		return
 	}
-	conn, err := net.ListenUDP("udp", addr)
-	if err != nil {
-		k.deps.Logger.Error("listening for entries failed", "address", k.config.DatagramAddr, "error", err)
-		return
-	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	entries := &subscribers{asks: make(map[netip.AddrPort]subscriber)}
 	go k.readAsks(ctx, conn, entries)
 	ticker := time.NewTicker(loadreport.Interval)
@@ -93,9 +86,13 @@
 
 func (k *Keeper) readAsks(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
 	buffer := make([]byte, loadreport.MaxBytes)
-	for ctx.Err() == nil {
+	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return
+		}
 		if err != nil {
+			k.deps.Logger.Warn("reading an ask for load reports failed", "error", err)
 			continue
 		}
 		demand, err := loadreport.DecodeAsk(buffer[:n])
--- a/routing/places/choose.go
+++ b/routing/places/choose.go
@@ -56,11 +56,10 @@
 // crowd is how many requests of all entries one unreported request of this
 // entry stands for. While there is room each entry finds a place of its own;
 // the fewer places are free, the more entries send to the same ones.
-func (p *Pool) crowd(now time.Time) float64 {
+func (p *Pool) crowd(free int) float64 {
 	if !p.config.Reported {
 		return 1
 	}
-	_, free := p.Usable(now)
 	entries := float64(p.entries)
 	return min(max(entries*entries/float64(max(free, 1)), 1), entries)
 }
@@ -74,11 +73,12 @@
 	return 1
 }
 
-// choose returns the endpoint with the most room, or nil.
-func (p *Pool) choose(now time.Time, a *Ask) *state {
+// choose returns the endpoint with the most room, or nil, while the given
+// number of slots is free in all.
+func (p *Pool) choose(now time.Time, a *Ask, free int) *state {
 	var best *state
 	bestScore := 0.0
-	crowd := p.crowd(now)
+	crowd := p.crowd(free)
 	for _, id := range p.order {
 		s := p.endpoints[id]
 		if !p.usable(now, s) || slices.Contains(a.Without, id) {
--- a/routing/places/decision.go
+++ b/routing/places/decision.go
@@ -35,10 +35,10 @@
 	Free      int           // Free places at all endpoints together.
 }
 
-// seenAt returns what is believed of an endpoint now.
-func (p *Pool) seenAt(now time.Time, s *state) Seen {
-	_, free := p.Usable(now)
-	seen := Seen{Load: s.load(now, &p.config, p.entries, p.crowd(now)), ReportAge: -1, Free: free}
+// seenAt returns what is believed of an endpoint now, while the given number of
+// slots is free in all.
+func (p *Pool) seenAt(now time.Time, s *state, free int) Seen {
+	seen := Seen{Load: s.load(now, &p.config, p.entries, p.crowd(free)), ReportAge: -1, Free: free}
 	if !s.report.At.IsZero() {
 		seen.ReportAge = now.Sub(s.report.At)
 	}
--- a/routing/places/pool.go
+++ b/routing/places/pool.go
@@ -85,14 +85,15 @@
 func (p *Pool) Offer(now time.Time, a *Ask) Decision {
 	p.noteArrival(now, a)
 	if !p.blocked(now, a) {
-		if s := p.choose(now, a); s != nil {
-			seen := p.seenAt(now, s)
+		free := p.free(now)
+		if s := p.choose(now, a, free); s != nil {
+			seen := p.seenAt(now, s, free)
 			p.start(now, s, a)
 			return Decision{Verdict: Start, Endpoint: s.ID, Seen: seen}
 		}
 	}
 	rate := p.rate(now)
-	if rate == 0 && !p.anyListed() {
+	if rate == 0 && len(p.endpoints) == 0 {
 		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, Wait: longestWait}
 	}
 	wait := p.expected(now, a, rate)
@@ -140,17 +141,16 @@
 	return len(p.waiting)
 }
 
-// Usable returns the endpoints that may begin requests, and their free slots
-// by the last known load.
-func (p *Pool) Usable(now time.Time) (endpoints, free int) {
+// free returns the free slots of the endpoints that may begin requests, by the
+// last known load.
+func (p *Pool) free(now time.Time) int {
+	free := 0
 	for _, s := range p.endpoints {
-		if !p.usable(now, s) {
-			continue
+		if p.usable(now, s) {
+			free += max(s.Slots-int(s.load(now, &p.config, p.entries, 1)), 0)
 		}
-		endpoints++
-		free += max(s.Slots-int(s.load(now, &p.config, p.entries, 1)), 0)
 	}
-	return endpoints, free
+	return free
 }
 
 // AnswerLoad takes in the load that an endpoint told in an answer. Endpoints
--- a/routing/places/waiting.go
+++ b/routing/places/waiting.go
@@ -21,10 +21,6 @@
 	return false
 }
 
-func (p *Pool) anyListed() bool {
-	return len(p.endpoints) > 0
-}
-
 // rate estimates the places a second that come free for this entry.
 func (p *Pool) rate(now time.Time) float64 {
 	slots := 0
@@ -138,15 +134,17 @@
 			return 0
 		}
 	})
+	free := p.free(now)
 	kept := p.waiting[:0]
 	for _, a := range p.waiting {
-		s := p.choose(now, a)
+		s := p.choose(now, a, free)
 		if s == nil {
 			kept = append(kept, a)
 			continue
 		}
-		started = append(started, Started{Ask: a, Endpoint: s.ID, Seen: p.seenAt(now, s)})
+		started = append(started, Started{Ask: a, Endpoint: s.ID, Seen: p.seenAt(now, s, free)})
 		p.start(now, s, a)
+		free = p.free(now)
 	}
 	p.waiting = kept
 	return started
