Let the given-up write of a test wait for the client's close

Cause: the handler of TestWriteGivenUpHasUnknownOutcome returned as soon as the context was cancelled, so its empty answer could reach the client before the client saw its own cancel; the client then reported an answer outside the protocol. Ruled out: the client itself; both errors carry the unknown outcome, the one thing the product promises there.

--- a/backing/http_test.go
+++ b/backing/http_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -95,9 +96,9 @@
 
 func TestWriteGivenUpHasUnknownOutcome(t *testing.T) {
 	ctx, giveUp := context.WithCancel(t.Context())
-	config := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	config := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		giveUp()
-		<-ctx.Done()
+		waitForClose(r)
 	}))
 	_, err := backing.NewHTTPKeyValue(config).CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
 	assert.Assert(t, matches[*backing.UnknownOutcomeError](err), "got %v", err)
@@ -106,6 +107,14 @@
 	assert.Assert(t, matches[*backing.UnavailableError](err), "not sent: %v", err)
 }
 
+// waitForClose blocks until the client has closed the connection, so that the
+// handler's own empty answer cannot overtake the client's giving up. The server
+// notices the close only once the body is read.
+func waitForClose(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
 func TestInstanceListLags(t *testing.T) {
 	now := time.Unix(1000, 0)
 	list := fakes.NewInstanceList(time.Minute, func() time.Time { return now })
