Take the limits on callers over from the document

Cause: the entry bounded headers and idle connections by constants above the limits of known deployments; a document with longer ones would have had its callers cut off, and a slow body was not bounded at all. Now: the document in force bounds the size of headers (431), the time for a first header and the time a connection stays idle; a body that has not come by the request's deadline is answered 408, also where it is refused unread. Ruled out: new servers on a change, as open connections would keep old limits. Before: a header of twice the limit got 200, a slow body no answer. After: 431 and 408; tests in gateway.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,6 +50,9 @@
 	return Answer{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
 }
 
+// testHeaderBytes is the document's limit on headers in the tests.
+const testHeaderBytes = 8 << 10
+
 // fixture is a gateway in front of stand-in endpoints.
 type fixture struct {
 	gateway *Gateway
@@ -68,6 +71,7 @@
 	})
 	f := &fixture{gateway: g, view: d}
 	document := &directory.Document{Version: 1, HasKeys: true, Services: map[string]*directory.Service{"s": {Name: "s"}}}
+	document.Limits.HeaderBytes = testHeaderBytes
 	document.Keys = map[string]*directory.Organisation{"k": {ID: "o"}}
 	route := func(prefix string, kind directory.Repeatability) *directory.Route {
 		return &directory.Route{
@@ -159,13 +163,14 @@
 		change func(*http.Request)
 		status int
 	}{
-		"no route":  {"/none/", nil, 404},
-		"no host":   {"/once/", func(r *http.Request) { r.Host = "x" }, 404},
-		"no key":    {"/once/", func(r *http.Request) { r.Header.Del("Key") }, 401},
-		"bad key":   {"/once/", func(r *http.Request) { r.Header.Set("Key", "x") }, 401},
-		"bad left":  {"/once/", func(r *http.Request) { r.Header.Set("Left", "x") }, 400},
-		"all fine":  {"/once/", nil, 200},
-		"long body": {"/once/", func(r *http.Request) { r.ContentLength = maxUnknownBody + 1; r.Body = io.NopCloser(endless{}) }, 413},
+		"no route":    {"/none/", nil, 404},
+		"no host":     {"/once/", func(r *http.Request) { r.Host = "x" }, 404},
+		"no key":      {"/once/", func(r *http.Request) { r.Header.Del("Key") }, 401},
+		"bad key":     {"/once/", func(r *http.Request) { r.Header.Set("Key", "x") }, 401},
+		"bad left":    {"/once/", func(r *http.Request) { r.Header.Set("Left", "x") }, 400},
+		"all fine":    {"/once/", nil, 200},
+		"long header": {"/once/", func(r *http.Request) { r.Header.Set("X", strings.Repeat("x", testHeaderBytes)) }, 431},
+		"long body":   {"/once/", func(r *http.Request) { r.ContentLength = maxUnknownBody + 1; r.Body = io.NopCloser(endless{}) }, 413},
 	} {
 		response, _, err := f.call(t, c.path, c.change)
 		if name == "long body" && err != nil {
@@ -176,6 +181,19 @@
 	}
 }
 
+func TestBodyThatDoesNotComeIsGivenUpAtTheDeadline(t *testing.T) {
+	f := newFixture(t, answer("whole"))
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /once/ HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nLeft: 50\r\nContent-Length: 4\r\n\r\nbod")
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+}
+
 type endless struct{}
 
 func (endless) Read(p []byte) (int, error) { return len(p), nil }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
@@ -22,6 +23,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{arrived: time.Now(), logger: g.deps.Logger}
+	// Bounds bodies that are refused unread as well: the server skips them.
+	boundBody(w, r, req.arrived.Add(positive(g.limits().IdleTimeout, defaultIdleTimeout)))
 	refusal := g.admit(req, w, r)
 	if refusal != nil {
 		g.refuse(w, req, refusal)
@@ -56,6 +59,9 @@
 	if document == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no document known", retryAfter: time.Second}
 	}
+	if most := document.Limits.HeaderBytes; most > 0 && headerBytes(r) > most {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
 	req.route = document.Match(r.Host, r.URL.Path)
 	if req.route == nil {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
@@ -71,6 +77,14 @@
 	return readBody(req, w, r, document.Limits)
 }
 
+// limits returns those of the document in force, none while none is known.
+func (g *Gateway) limits() directory.Limits {
+	if document := g.deps.Directory.View().Document; document != nil {
+		return document.Limits
+	}
+	return directory.Limits{}
+}
+
 // identify finds the organisation of the caller's key.
 func (g *Gateway) identify(req *request, document *directory.Document) *refusal {
 	req.rank = rank(usualPriority, req.route.Priority)
@@ -117,6 +131,8 @@
 	return req.arrived.Add(limit)
 }
 
+// readBody reads the body whole. A body that has not come by the request's
+// deadline is given up.
 func readBody(req *request, w http.ResponseWriter, r *http.Request, limits directory.Limits) *refusal {
 	most := limits.BodyBytes
 	if most <= 0 {
@@ -125,14 +141,51 @@
 	if r.ContentLength > most {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
+	if !req.deadline.IsZero() {
+		boundBody(w, r, req.deadline)
 	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if err != nil {
-		return &refusal{status: http.StatusBadRequest, reason: "body not readable", cause: err}
+		return unreadable(err)
 	}
+	// The server reads on to notice that the caller leaves.
+	boundBody(w, r, time.Time{})
 	req.body = body
 	return nil
 }
+
+// boundBody sets until when the rest of the body may come, the zero time for
+// no bound. Requests without a body are left alone.
+func boundBody(w http.ResponseWriter, r *http.Request, until time.Time) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return
+	}
+	// The one error is that the writer has no connection, as in tests that
+	// record the answer; then no body can be slow.
+	_ = http.NewResponseController(w).SetReadDeadline(until)
+}
+
+// unreadable turns the error of reading a body into a refusal.
+func unreadable(err error) *refusal {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &refusal{status: http.StatusRequestTimeout, reason: "body too slow", cause: err}
+	default:
+		return &refusal{status: http.StatusBadRequest, reason: "body not readable", cause: err}
+	}
+}
+
+// headerBytes returns the size of the request's line and header as sent.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -20,12 +20,9 @@
 	stopMargin = 700 * time.Millisecond
 	// stopPoll is how often a stopping server looks for open requests.
 	stopPoll = 50 * time.Millisecond
-	// headerTimeout and idleTimeout stand above the limits that documents of
-	// known deployments set for callers, 3 s and 15 s.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 30 * time.Second
-	// maxHeaderBytes stands above their limit of 16 KiB.
-	maxHeaderBytes = 32 << 10
+	// maxHeaderBytes bounds what is read of a header before its request is
+	// compared with the document's limit, 16 KiB in known deployments.
+	maxHeaderBytes = 256 << 10
 )
 
 // Server listens for callers and for the balancer.
@@ -51,13 +48,16 @@
 		return eris.Wrapf(err, "listen for the balancer on %s", s.ReadyAddr)
 	}
 	quiet := log.New(&debugWriter{logger: s.Logger}, "", 0)
+	waits := newCallers()
+	// No time limits here: callers keeps those of the document in force.
 	server := &http.Server{
-		Handler: s.Gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet,
+		Handler: s.Gateway, MaxHeaderBytes: maxHeaderBytes, ErrorLog: quiet,
+		ConnState: func(conn net.Conn, state http.ConnState) { waits.changed(conn, state, time.Now()) },
 	}
 	readiness := &http.Server{
-		Handler: http.HandlerFunc(s.Gateway.ServeReady), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet,
+		Handler: http.HandlerFunc(s.Gateway.ServeReady), ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: quiet,
 	}
+	go s.closeOverdue(ctx, waits)
 	go func() { _ = readiness.Serve(ready) }()
 	go func() { _ = server.Serve(callers) }()
 	<-ctx.Done()
@@ -66,6 +66,26 @@
 	return nil
 }
 
+// closeOverdue closes connections that overstep the limits until ctx ends.
+func (s *Server) closeOverdue(ctx context.Context, waits *callers) {
+	ticker := time.NewTicker(callersTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			late := waits.overdue(now, s.Gateway.limits())
+			for _, conn := range late {
+				_ = conn.Close()
+			}
+			if len(late) > 0 {
+				s.Logger.Debug("closed overdue connections", "count", len(late))
+			}
+		}
+	}
+}
+
 // stop lets open requests end. Callers that connect until the balancer has
 // noticed are still served.
 func (s *Server) stop(server *http.Server) {
