Share the metrics server and the hash that the project uses elsewhere

The platform's program had a metrics server of its own beside the daemons' and FNV beside xxhash. It now answers /readyz by whether the entry takes callers.

--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
 	"net"
 	"os"
 	"os/signal"
@@ -12,6 +11,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/internal/daemon"
@@ -123,8 +123,5 @@
 
 // seed differs between instances and is the same in every run of one.
 func seed(s *settings.Direct) uint64 {
-	h := fnv.New64a()
-	// Writes to a hash cannot fail.
-	_, _ = h.Write([]byte(s.Name))
-	return h.Sum64()
+	return xxhash.Sum64String(s.Name)
 }
--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,6 +9,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/gateway"
+	"github.com/snipestep/snipestep/internal/daemon"
 	"github.com/snipestep/snipestep/keeper"
 	"github.com/snipestep/snipestep/platform"
 	"github.com/snipestep/snipestep/settings"
@@ -47,7 +47,7 @@
 	defer stop()
 	group, groupCtx := errgroup.WithContext(running)
 	group.Go(func() error { return g.Run(groupCtx) })
-	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
+	group.Go(func() error { return serveMetrics(groupCtx, s, t, g.CheckReady) })
 	group.Go(func() error {
 		defer stop()
 		return server.Run(ctx)
@@ -82,28 +82,27 @@
 	}
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.Run(groupCtx) })
-	group.Go(func() error { return serveMetrics(groupCtx, s, t) })
+	group.Go(func() error { return serveMetrics(groupCtx, s, t, serving) })
 	return group.Wait()
 }
 
-// metricsTimeout bounds a reader of the metrics page.
-const metricsTimeout = 5 * time.Second
-
-// serveMetrics serves the metrics page until ctx ends.
-func serveMetrics(ctx context.Context, s *settings.Direct, t *telemetry.Telemetry) error {
+// serveMetrics serves the metrics page until ctx ends. Without the page the
+// process does its work all the same.
+func serveMetrics(ctx context.Context, s *settings.Direct, t *telemetry.Telemetry, ready func() error) error {
 	if s.Telemetry.MetricsAddr == "" {
 		return nil
 	}
-	server := &http.Server{
-		Addr:              s.Telemetry.MetricsAddr,
-		Handler:           t.Handler(func() error { return nil }),
-		ReadHeaderTimeout: metricsTimeout,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+	server, err := daemon.ServeMetrics(ctx, s.Telemetry.MetricsAddr, t, ready)
+	if err != nil {
 		t.Logger.Error("metrics page not served", "address", s.Telemetry.MetricsAddr, "error", err)
+		return nil
 	}
+	<-ctx.Done()
+	return server.Close()
+}
+
+// serving is the readiness of a role that serves as soon as it runs.
+func serving() error {
 	return nil
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/places"
 )
@@ -175,6 +177,18 @@
 	return !g.stopping.Load() && g.deps.Directory.View().Document != nil
 }
 
+// ErrNotReady is why an entry takes no new callers: it stops, or knows no
+// document yet.
+var ErrNotReady = eris.New("entry stops or knows no document")
+
+// CheckReady returns nil if the entry can serve new callers, else ErrNotReady.
+func (g *Gateway) CheckReady() error {
+	if !g.Ready() {
+		return ErrNotReady
+	}
+	return nil
+}
+
 // Drain makes the gateway not ready and closes connections after the answers
 // that are under way.
 func (g *Gateway) Drain() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -77,7 +77,7 @@
 		return err
 	}
 	if cfg.Settings.MetricsAddr != "" {
-		server, err := serveMetrics(ctx, cfg.Settings.MetricsAddr, t, program)
+		server, err := ServeMetrics(ctx, cfg.Settings.MetricsAddr, t, readiness(program))
 		if err != nil {
 			return err
 		}
@@ -92,15 +92,23 @@
 	_ = t.Shutdown(ctx)
 }
 
-// serveMetrics serves metrics, health and readiness until the server is
-// closed.
-func serveMetrics(ctx context.Context, addr string, t *telemetry.Telemetry, p Program) (*http.Server, error) {
+// ServeMetrics serves metrics, health and readiness at addr (IP:port) until the
+// returned server is closed. It does not block. ready returns nil once the
+// program serves.
+func ServeMetrics(ctx context.Context, addr string, t *telemetry.Telemetry, ready func() error) (*http.Server, error) {
 	var cfg net.ListenConfig
 	listener, err := cfg.Listen(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen for metrics on %s", addr)
 	}
-	ready := func() error {
+	server := &http.Server{Handler: t.Handler(ready), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// readiness asks a program whether it serves.
+func readiness(p Program) func() error {
+	return func() error {
 		select {
 		case <-p.Ready():
 			return nil
@@ -108,7 +116,4 @@
 			return errNotReady
 		}
 	}
-	server := &http.Server{Handler: t.Handler(ready), ReadHeaderTimeout: readHeaderTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
 }
