--- a/logstory/story.go
+++ b/logstory/story.go
@@ -31,6 +31,8 @@
 	// Beside are lines of the request's entries about its endpoints, around
 	// its time.
 	Beside []Line
+	// Restarts are the processes that were killed, of all lines.
+	Restarts []Restart
 	// Read counts all lines, Faults those that could not be read.
 	Read   int
 	Faults []error
@@ -41,12 +43,16 @@
 func Tell(request string, readers ...io.Reader) (*Story, error) {
 	s := &Story{Request: request}
 	var others []Line
+	processes := newLives()
 	for _, reader := range readers {
 		lines := bufio.NewScanner(reader)
 		lines.Buffer(nil, maxLine)
 		for number := 1; lines.Scan(); number++ {
 			s.Read++
 			line, err := parse(lines.Bytes())
+			if err == nil {
+				processes.see(line)
+			}
 			switch {
 			case err != nil:
 				s.Faults = append(s.Faults, &LineError{Number: number, Cause: err})
@@ -63,6 +69,7 @@
 	byTime := func(a, b Line) int { return a.Time.Compare(b.Time) }
 	slices.SortStableFunc(s.Lines, byTime)
 	s.addBeside(others)
+	s.Restarts = processes.restarts
 	slices.SortStableFunc(s.Beside, byTime)
 	return s, nil
 }
@@ -89,8 +96,8 @@
 	}
 }
 
-// ended returns the line of the request's end.
-func (s *Story) ended() (Line, bool) {
+// Ended returns the line of the request's end, and whether there is one.
+func (s *Story) Ended() (Line, bool) {
 	at := slices.IndexFunc(s.Lines, func(l Line) bool { return l.Message == messageEnded })
 	if at < 0 {
 		return Line{}, false
@@ -101,7 +108,7 @@
 // Missing says what the lines do not tell.
 func (s *Story) Missing() []string {
 	var missing []string
-	end, ok := s.ended()
+	end, ok := s.Ended()
 	switch {
 	case len(s.Lines) == 0:
 		missing = append(missing, "no line names the request: it reached no entry whose log was read, or its lines were dropped above the rate")
@@ -151,6 +158,12 @@
 	for _, l := range s.Beside {
 		print("  %s\n", l)
 	}
+	if _, ok := s.Ended(); !ok && len(s.Restarts) > 0 {
+		print("processes that were killed\n")
+		for _, r := range s.Restarts {
+			print("  %s\n", r)
+		}
+	}
 	for _, m := range s.Missing() {
 		print("not told: %s\n", m)
 	}
--- a/logstory/story_test.go
+++ b/logstory/story_test.go
@@ -36,6 +36,24 @@
 	assert.Equal(t, len(story.Missing()), 2)
 }
 
+const killLog = `{"time":"2026-01-01T00:00:01Z","msg":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:02Z","msg":"endpoint listed","instance":"edge-1"}
+{"time":"2026-01-01T00:00:03Z","msg":"started","instance":"edge-1"}
+{"time":"2026-01-01T00:00:04Z","msg":"ended","instance":"edge-1"}
+{"time":"2026-01-01T00:00:05Z","msg":"started","instance":"edge-1"}
+`
+
+func TestKilledProcessIsToldFromOneThatEnded(t *testing.T) {
+	story, err := logstory.Tell("lost", strings.NewReader(killLog))
+	assert.NilError(t, err)
+	assert.Equal(t, len(story.Restarts), 1)
+	assert.Equal(t, story.Restarts[0].Last.Second(), 2)
+	assert.Equal(t, story.Restarts[0].Again.Second(), 3)
+	var out bytes.Buffer
+	assert.NilError(t, story.Write(&out))
+	assert.Assert(t, strings.Contains(out.String(), "edge-1"), out.String())
+}
+
 func FuzzTell(f *testing.F) {
 	f.Add(entryLog)
 	f.Fuzz(func(t *testing.T, log string) {
