--- a/telemetry/boundedwriter.go
+++ b/telemetry/boundedwriter.go
@@ -26,16 +26,20 @@
 	lines   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	// closing ends the writing of further lines; lines stays open, since
+	// goroutines of a process that ends may still log.
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // NewBoundedWriter returns a writer in front of out.
 func NewBoundedWriter(out io.Writer) *BoundedWriter {
 	w := &BoundedWriter{
-		out:   out,
-		lines: make(chan []byte, logQueue),
-		limit: rate.NewLimiter(logRate, logBurst),
-		done:  make(chan struct{}),
+		out:     out,
+		lines:   make(chan []byte, logQueue),
+		limit:   rate.NewLimiter(logRate, logBurst),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go w.run()
 	return w
@@ -62,16 +66,38 @@
 
 func (w *BoundedWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		// A reader that is gone cannot be told about it.
-		_, _ = w.out.Write(line)
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		case <-w.closing:
+			w.drain()
+			return
+		}
 	}
 }
 
-// Close writes what is queued. No Write may follow. It blocks for up to half a
-// second.
+// drain writes the lines that are queued.
+func (w *BoundedWriter) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.pass(line)
+		default:
+			return
+		}
+	}
+}
+
+// pass writes one line. A reader that is gone cannot be told about it.
+func (w *BoundedWriter) pass(line []byte) {
+	_, _ = w.out.Write(line)
+}
+
+// Close writes what is queued; lines that are written later are lost. It is
+// called once. It blocks for up to half a second.
 func (w *BoundedWriter) Close() {
-	close(w.lines)
+	close(w.closing)
 	select {
 	case <-w.done:
 	case <-time.After(logDrain):
--- a/telemetry/boundedwriter_test.go
+++ b/telemetry/boundedwriter_test.go
@@ -56,3 +56,14 @@
 	close(s.release)
 	w.Close()
 }
+
+func TestLineAfterTheEndIsLostAndHarmsNobody(t *testing.T) {
+	out := &lineCount{}
+	w := telemetry.NewBoundedWriter(out)
+	_, err := io.WriteString(w, "line\n")
+	assert.NilError(t, err)
+	w.Close()
+	_, err = io.WriteString(w, "late\n")
+	assert.NilError(t, err)
+	assert.Equal(t, out.lines, int64(1))
+}
