--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -33,6 +33,7 @@
 		RetryRatio:   s.RetryRatio,
 		RetryBurst:   s.RetryBurst,
 		VersionBound: s.VersionBound,
+		FleetKey:     s.FleetKey,
 		Seed:         seed(s),
 	}, gateway.Deps{
 		Directory: view,
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -26,7 +26,9 @@
 	// VersionBound is how long after a new version was declared an older one
 	// may still begin a request.
 	VersionBound time.Duration
-	Seed         uint64
+	// FleetKey signs what agents learn from the entry.
+	FleetKey []byte
+	Seed     uint64
 }
 
 // Deps are what a Gateway uses. All are required.
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -34,6 +34,9 @@
 			g.deps.Logger.Warn("load report not usable", "error", err)
 			continue
 		}
+		if report.Unbriefed {
+			g.sendBrief(ctx, conn, from)
+		}
 		g.takeReport(time.Now(), from.Addr(), report)
 	}
 }
--- /dev/null
+++ b/keeper/brief_test.go
@@ -0,0 +1,45 @@
+package keeper
+
+import (
+	"bytes"
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/loadreport"
+)
+
+// All agents start at once while the document is large: each learns from an
+// entry what it needs.
+func TestAgentLearnsTheDocumentFromAnEntry(t *testing.T) {
+	key := bytes.Repeat([]byte{7}, 32)
+	d := directory.New(slog.New(slog.DiscardHandler))
+	k := &Keeper{config: Config{Service: "lm", FleetKey: key}, deps: Deps{Directory: d, Logger: slog.New(slog.DiscardHandler)}}
+	send := func(b loadreport.Brief, key []byte) {
+		data, err := b.Encode(key)
+		assert.NilError(t, err)
+		k.takeBrief(data)
+	}
+	brief := loadreport.Brief{
+		Document: 9,
+		Service:  loadreport.BriefService{Name: "lm", Model: "m", Slots: 12, Layers: 16, Chunks: 64, ChunkBytes: 32768, ReadRate: 30600},
+		Origin:   loadreport.BriefOrigin{Name: "o", Address: "10.0.0.1:80", Domain: "a"},
+	}
+	send(brief, []byte("another key"))
+	other := brief
+	other.Service.Name = "other"
+	send(other, key)
+	assert.Assert(t, d.View().Document == nil)
+	send(brief, key)
+	document := d.View().Document
+	assert.Equal(t, document.Version, uint64(9))
+	assert.DeepEqual(t, document.Services["lm"], &directory.Service{
+		Name: "lm", Model: "m", Engine: &directory.Engine{Slots: 12, Layers: 16, Chunks: 64, ChunkBytes: 32768, ReadRate: 30600},
+	})
+	assert.Equal(t, document.OriginOf().Origin, "10.0.0.1:80")
+	brief.Document = 10
+	send(brief, key)
+	assert.Equal(t, d.View().Document.Version, uint64(9), "it knows a document")
+}
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -23,6 +23,8 @@
 	manifestMost  = 1200 * time.Millisecond
 	// progressTick is how often the progress of a copy is noted.
 	progressTick = 100 * time.Millisecond
+	// tellTick is how often the progress of a copy is logged.
+	tellTick = time.Second
 	// quietTime is how long a copy may stand still before its manifest is read
 	// again: a spoilt one would never be met.
 	quietTime = 1500 * time.Millisecond
@@ -31,6 +33,10 @@
 // fetch copies one version until it is whole or ctx ends.
 func (k *Keeper) fetch(ctx context.Context, model string, version uint64) {
 	began := time.Now()
+	select {
+	case <-ctx.Done():
+	case <-time.After(k.readingTurn(version)):
+	}
 	for ctx.Err() == nil {
 		manifest := k.manifest(ctx, model, version)
 		if manifest == nil {
@@ -74,6 +80,7 @@
 func (k *Keeper) watchCopy(ctx context.Context, cancel context.CancelFunc, manifest *weights.Manifest) {
 	version, _ := strconv.ParseUint(manifest.Version, 10, 64)
 	last, since := -1, time.Now()
+	told := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,6 +93,10 @@
 		}
 		stalled := time.Since(since) >= quietTime
 		k.noteProgress(version, have, total, stalled)
+		if time.Since(told) >= tellTick {
+			told = time.Now()
+			k.deps.Logger.Info("copy goes on", "version", version, "have", have, "total", total)
+		}
 		if !stalled {
 			continue
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	// reported is the last report sent; the reporter owns both.
 	reported   loadreport.Report
 	reportedAt time.Time
+	// settling belongs to keep.
+	settling settling
 
 	mu      sync.Mutex
 	fetches map[uint64]*fetch // By version.
@@ -81,7 +84,9 @@
 		k.fetchEarly(ctx, view, service, declared)
 		return
 	}
-	k.fetchMissing(ctx, service, declared, state)
+	if k.mayFetch(time.Now(), view, declared) {
+		k.fetchMissing(ctx, service, declared, state)
+	}
 	version, ok := k.due(time.Now(), view, declared, state)
 	if !ok || state.Busy {
 		return
@@ -91,6 +96,22 @@
 	}
 }
 
+// mayFetch reports whether the copy of a version may begin: at once if another
+// engine holds it, else when the list of agents has settled after the start.
+func (k *Keeper) mayFetch(now time.Time, view *directory.View, declared directory.Declared) bool {
+	var members []string
+	held := false
+	for _, e := range view.Living() {
+		if e.Service != k.config.Service {
+			continue
+		}
+		members = append(members, e.Address)
+		held = held || (e.Address != k.config.Endpoint && e.Held == declared.Version)
+	}
+	slices.Sort(members)
+	return k.settling.see(now, k.config.Endpoint, members) || held
+}
+
 func (k *Keeper) service(view *directory.View) *directory.Service {
 	if view.Document == nil {
 		return nil
--- a/keeper/node.go
+++ b/keeper/node.go
@@ -57,6 +57,10 @@
 	// share an origin of 6 Mbit/s wait 1.1 s for theirs. One that hangs keeps
 	// every engine from the version.
 	sourceTimeout = 1500 * time.Millisecond
+	// originFetchers is how many agents draw on the origin at a time. Their
+	// chunks queue on its link: eight of 32 KiB fill one of 6 Mbit/s for 0.35 s,
+	// and 32 of them kept new connections from opening within half a second.
+	originFetchers = 8
 	// idleShare and busyShare are the parts of the instance's link that chunks
 	// may take, without requests and with one in every slot: the events of
 	// streams go over the same link.
@@ -72,6 +76,7 @@
 
 func pickerLimits() weights.PickerConfig {
 	return weights.PickerConfig{
+		OriginFetchers: originFetchers,
 		// Each fetcher draws one chunk at a time: more would share the origin's
 		// link, so that the first ones arrive late and peers wait for them.
 		OriginRequests: 1,
--- /dev/null
+++ b/keeper/readingturn.go
@@ -0,0 +1,41 @@
+package keeper
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// readingStep is the time between two agents that read a manifest from the
+// origin: those of Kalamu's grown deployment have 5 KB, and one takes 7 ms of an
+// origin of 6 Mbit/s. Read by 68 agents at once, they filled its queue of new
+// connections, so that some agents could not connect for seconds.
+const readingStep = 8 * time.Millisecond
+
+// readingTurn returns how long this agent waits until it reads the manifest of
+// a version. The agents of the service read one after the other, in an order
+// that differs between versions.
+func (k *Keeper) readingTurn(version uint64) time.Duration {
+	peers := k.peers()
+	ids := make([]string, len(peers))
+	for i, peer := range peers {
+		ids[i] = string(peer.ID)
+	}
+	return readingStep * time.Duration(placeAmong(string(peerID(k.config.ChunkAddr)), ids, version))
+}
+
+// placeAmong returns the place of an agent among those of the ids, in an order
+// that the version shuffles.
+func placeAmong(self string, ids []string, version uint64) int {
+	score := func(id string) uint64 { return xxhash.Sum64String(id + " " + strconv.FormatUint(version, 10)) }
+	own := score(self)
+	place := 0
+	for _, id := range slices.Compact(slices.Sorted(slices.Values(ids))) {
+		if id != self && score(id) < own {
+			place++
+		}
+	}
+	return place
+}
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -95,6 +95,10 @@
 			k.deps.Logger.Warn("reading an ask for load reports failed", "error", err)
 			continue
 		}
+		if loadreport.IsBrief(buffer[:n]) {
+			k.takeBrief(buffer[:n])
+			continue
+		}
 		demand, err := loadreport.DecodeAsk(buffer[:n])
 		if err != nil {
 			k.deps.Logger.Warn("ask for load reports not usable", "from", from, "error", err)
@@ -132,6 +136,7 @@
 	now := time.Now()
 	to := entries.live(now)
 	report := loadreport.Report{Closed: true, Entries: len(to), Demand: entries.demand(now)}
+	report.Unbriefed = k.deps.Directory.View().Document == nil
 	if state := k.state.Load(); state != nil {
 		report.Running = state.Running
 		report.Waiting = state.Waiting
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -26,18 +26,22 @@
 	DemandLife = 3 * BusyAskInterval
 	// AskLife is how long an ask counts; three may be lost.
 	AskLife = 4 * AskInterval
-	// MaxBytes is enough for any datagram of this package.
-	MaxBytes = 64
+	// MaxBytes bounds a datagram of this package: it fits one packet.
+	MaxBytes = 1200
 )
 
 // The first byte of a datagram.
 const (
 	kindReport = 1
 	kindAsk    = 2
+	kindBrief  = 3
 )
 
-// closedFlag marks the report of a closed endpoint.
-const closedFlag = 1
+// The flags of a report.
+const (
+	closedFlag = 1 << iota
+	unbriefedFlag
+)
 
 // paceUnit is the part of a pace that one step of its byte stands for.
 const paceUnit = 0.1
@@ -65,6 +69,8 @@
 	Pace float64
 	// Closed says that the endpoint takes nothing new for the moment.
 	Closed bool
+	// Unbriefed says that the agent knows no document and needs a Brief.
+	Unbriefed bool
 	// Held is the version of the weights that is whole at the endpoint.
 	Held uint64
 	// Entries is how many entries ask for reports, up to 255.
@@ -99,7 +105,10 @@
 func (r Report) Encode() []byte {
 	flags := byte(0)
 	if r.Closed {
-		flags = closedFlag
+		flags |= closedFlag
+	}
+	if r.Unbriefed {
+		flags |= unbriefedFlag
 	}
 	b := append(make([]byte, 0, reportBytes), kindReport, flags)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
@@ -131,16 +140,17 @@
 		return Report{}, &FormatError{Bytes: len(b)}
 	}
 	return Report{
-		Declared: uint64(binary.BigEndian.Uint32(b[12:])),
-		Age:      decodeTime(b[16]),
-		ClosesIn: decodeTime(b[17]),
-		Demand:   int(binary.BigEndian.Uint16(b[18:])),
-		Closed:   b[1]&closedFlag != 0,
-		Running:  int(binary.BigEndian.Uint16(b[2:])),
-		Waiting:  int(binary.BigEndian.Uint16(b[4:])),
-		Pace:     float64(b[6]) * paceUnit,
-		Entries:  int(b[7]),
-		Held:     uint64(binary.BigEndian.Uint32(b[8:])),
+		Declared:  uint64(binary.BigEndian.Uint32(b[12:])),
+		Age:       decodeTime(b[16]),
+		ClosesIn:  decodeTime(b[17]),
+		Demand:    int(binary.BigEndian.Uint16(b[18:])),
+		Closed:    b[1]&closedFlag != 0,
+		Unbriefed: b[1]&unbriefedFlag != 0,
+		Running:   int(binary.BigEndian.Uint16(b[2:])),
+		Waiting:   int(binary.BigEndian.Uint16(b[4:])),
+		Pace:      float64(b[6]) * paceUnit,
+		Entries:   int(b[7]),
+		Held:      uint64(binary.BigEndian.Uint32(b[8:])),
 	}, nil
 }
 
--- a/weights/layout.go
+++ b/weights/layout.go
@@ -19,13 +19,18 @@
 // the same layout. A Layout is immutable.
 type Layout struct {
 	originRegion string
-	regions      []string // Sorted.
-	chains       [][]string
-	fetchers     map[string][]candidate
+	// drawers is the number of a region's fetchers that draw the chunks which
+	// the region is the first to hold.
+	drawers  int
+	regions  []string // Sorted.
+	chains   [][]string
+	fetchers map[string][]candidate
 }
 
-// NewLayout computes the layout of targets for the manifest.
-func NewLayout(manifest core.Digest, originRegion string, targets []Target) *Layout {
+// NewLayout computes the layout of targets for the manifest. originFetchers is
+// the number of instances that draw on the origin while none of them fails, 0
+// for no bound but MaxFetchers a region.
+func NewLayout(manifest core.Digest, originRegion string, originFetchers int, targets []Target) *Layout {
 	l := &Layout{
 		originRegion: originRegion,
 		fetchers:     make(map[string][]candidate),
@@ -44,10 +49,24 @@
 	slices.Sort(l.regions)
 	if len(l.regions) > 0 {
 		l.computeChains()
+		l.drawers = l.drawersOf(originFetchers)
 	}
 	return l
 }
 
+// drawersOf divides the instances that draw on the origin among the regions
+// that do.
+func (l *Layout) drawersOf(originFetchers int) int {
+	roots := len(l.regions)
+	if len(l.fetchers[l.originRegion]) > 0 {
+		roots = 1
+	}
+	if originFetchers <= 0 {
+		return MaxFetchers
+	}
+	return min(max((originFetchers+roots-1)/roots, 1), MaxFetchers)
+}
+
 // Chain returns the regions in the order in which a chunk crosses region
 // links. The first region draws it from the origin. The order rotates with
 // the chunk, so that the links share the load. The result must not change.
@@ -97,7 +116,8 @@
 }
 
 // order returns the places in fetchers of the region's fetchers of a chunk,
-// the first fetcher first.
+// the first fetcher first. Those that draw on the origin go first where the
+// region is the first to hold the chunk.
 func (l *Layout) order(region string, chunk int) fetcherOrder {
 	fetchers := l.fetchers[region]
 	var scores [MaxFetchers]uint64
@@ -106,9 +126,15 @@
 		scores[i] = hashPair(c.hash, uint64(chunk))
 		order[i] = uint8(i)
 	}
-	slices.SortFunc(order[:len(fetchers)], func(a, b uint8) int {
+	byScore := func(a, b uint8) int {
 		return cmp.Or(cmp.Compare(scores[b], scores[a]), cmp.Compare(a, b))
-	})
+	}
+	first := 0
+	if l.root(chunk) == region {
+		first = min(l.drawers, len(fetchers))
+	}
+	slices.SortFunc(order[:first], byScore)
+	slices.SortFunc(order[first:len(fetchers)], byScore)
 	return order
 }
 
--- a/weights/picker.go
+++ b/weights/picker.go
@@ -121,7 +121,7 @@
 		}
 	}
 	p.ranked = rankNeighbours(manifestKey(p.cfg.Manifest), p.cfg.Self.ID, region)
-	p.layout = NewLayout(p.cfg.Manifest, p.cfg.OriginRegion, targets)
+	p.layout = NewLayout(p.cfg.Manifest, p.cfg.OriginRegion, p.cfg.OriginFetchers, targets)
 	for _, region := range p.layout.regions {
 		if p.regions[region] == nil {
 			p.regions[region] = &regionState{}
--- a/weights/picker_test.go
+++ b/weights/picker_test.go
@@ -106,7 +106,7 @@
 // second acts after the fallback delay and the others stay quiet.
 func TestIdleFirstFetcher(t *testing.T) {
 	targets := testTargets(4)
-	layout := NewLayout(testManifest, "r0", targets)
+	layout := NewLayout(testManifest, "r0", 0, targets)
 	order := layout.Fetchers("r0", 0)
 	requested := func(position int, now time.Time) bool {
 		p := testPicker(Target{ID: order[position], Region: "r0"}, targets)
@@ -181,7 +181,7 @@
 // TestStalledRegionLink loses the remote fetcher: the next one is asked.
 func TestStalledRegionLink(t *testing.T) {
 	targets := testTargets(3)
-	layout := NewLayout(testManifest, "r0", targets)
+	layout := NewLayout(testManifest, "r0", 0, targets)
 	self := layout.Fetchers("r1", 0)[0]
 	chain := layout.Chain(0)
 	at := slices.Index(chain, "r1")
@@ -218,7 +218,7 @@
 // they answer again.
 func TestRegionsLoseEachOther(t *testing.T) {
 	targets := testTargets(8)
-	self := NewLayout(testManifest, "r0", targets).Fetchers("r1", 0)[0]
+	self := NewLayout(testManifest, "r0", 0, targets).Fetchers("r1", 0)[0]
 	p := testPicker(Target{ID: self, Region: "r1"}, targets)
 	lose := func(now time.Time) (lost int, direct []Request) {
 		drain(p, now, func(r Request) {
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -21,6 +21,9 @@
 	// RequestsPerPeer is the number of chunks requested from one neighbour
 	// at once.
 	RequestsPerPeer int
+	// OriginFetchers is the number of instances that draw on the origin while
+	// none of them fails, 0 for all fetchers.
+	OriginFetchers int
 	// OriginRequests is the number of chunks requested from the origin and
 	// the store at once.
 	OriginRequests int
