--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,9 @@
 	// byAgent finds the endpoint of a load report by its instance.
 	byAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
 
+	// born is where the stamps of asks begin.
+	born time.Time
+
 	// rebuildMu serialises changes of services.
 	rebuildMu sync.Mutex
 	// entries is the number of live entries, 0 until an agent told it.
@@ -39,7 +42,7 @@
 
 // New returns a gateway that follows the directory at once.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves(), waiting: newMoves()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), draws: newDraws(config.Seed), moves: newMoves(), waiting: newMoves(), born: time.Now()}
 	g.services.Store(&map[string]*service{})
 	g.byAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	deps.Directory.Listen(g.rebuild)
--- a/gateway/loads.go
+++ b/gateway/loads.go
@@ -46,7 +46,7 @@
 	began := time.Now()
 	for {
 		demand := g.demand()
-		ask := loadreport.Ask(demand)
+		ask := loadreport.Ask{Demand: demand, Stamp: loadreport.StampAt(time.Since(g.born))}.Encode()
 		for _, to := range g.agents() {
 			if _, err := conn.WriteToUDPAddrPort(ask, to); err != nil && ctx.Err() == nil {
 				g.deps.Logger.Warn("asking for load reports failed", "agent", to, "error", err)
@@ -129,11 +129,20 @@
 	}
 	s.gate.Change(func(p *places.Pool) {
 		p.Report(endpoint.ID, places.Report{
-			At: now, ClosesAt: closesAt, Demand: float64(r.Demand), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
+			At: now, Delay: g.delay(now, r.Echo), ClosesAt: closesAt, Demand: float64(r.Demand), Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Closed: r.Closed, Held: r.Held,
 		})
 	})
 }
 
+// delay returns how long the way to an agent and back takes, 0 if it is not
+// known.
+func (g *Gateway) delay(now time.Time, echo loadreport.Echo) time.Duration {
+	if !echo.Known {
+		return 0
+	}
+	return echo.RoundTrip(now.Sub(g.born))
+}
+
 // setEntries shares budgets and places among another number of entries.
 func (g *Gateway) setEntries(n int) {
 	g.entries.Store(int64(n))
--- a/keeper/reporter.go
+++ b/keeper/reporter.go
@@ -23,14 +23,19 @@
 
 // subscriber is what an entry asked last.
 type subscriber struct {
-	at     time.Time
-	demand int
+	at  time.Time
+	ask loadreport.Ask
 }
 
-func (s *subscribers) add(now time.Time, from netip.AddrPort, demand int) {
+// echo is the answer to the last ask.
+func (s subscriber) echo(now time.Time) loadreport.Echo {
+	return loadreport.Echo{Known: true, Stamp: s.ask.Stamp, Kept: now.Sub(s.at)}
+}
+
+func (s *subscribers) add(now time.Time, from netip.AddrPort, ask loadreport.Ask) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.asks[from] = subscriber{at: now, demand: demand}
+	s.asks[from] = subscriber{at: now, ask: ask}
 }
 
 // demand returns what waits at all entries.
@@ -40,23 +45,23 @@
 	total := 0
 	for _, ask := range s.asks {
 		if now.Sub(ask.at) <= loadreport.DemandLife {
-			total += ask.demand
+			total += ask.ask.Demand
 		}
 	}
 	return total
 }
 
 // live returns the entries whose ask still counts.
-func (s *subscribers) live(now time.Time) []netip.AddrPort {
+func (s *subscribers) live(now time.Time) map[netip.AddrPort]subscriber {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var live []netip.AddrPort
+	live := make(map[netip.AddrPort]subscriber, len(s.asks))
 	for at, ask := range s.asks {
 		if now.Sub(ask.at) > loadreport.AskLife {
 			delete(s.asks, at)
 			continue
 		}
-		live = append(live, at)
+		live[at] = ask
 	}
 	return live
 }
@@ -99,12 +104,12 @@
 			k.takeBrief(buffer[:n])
 			continue
 		}
-		demand, err := loadreport.DecodeAsk(buffer[:n])
+		ask, err := loadreport.DecodeAsk(buffer[:n])
 		if err != nil {
 			k.deps.Logger.Warn("ask for load reports not usable", "from", from, "error", err)
 			continue
 		}
-		entries.add(time.Now(), from, demand)
+		entries.add(time.Now(), from, ask)
 	}
 }
 
@@ -155,9 +160,9 @@
 	}
 	k.reported = report
 	k.reportedAt = now
-	data := report.Encode()
-	for _, at := range to {
-		if _, err := conn.WriteToUDPAddrPort(data, at); err != nil && ctx.Err() == nil {
+	for at, entry := range to {
+		report.Echo = entry.echo(now)
+		if _, err := conn.WriteToUDPAddrPort(report.Encode(), at); err != nil && ctx.Err() == nil {
 			k.deps.Logger.Warn("sending a load report failed", "entry", at, "error", err)
 		}
 	}
--- a/loadreport/brief_test.go
+++ b/loadreport/brief_test.go
@@ -42,7 +42,7 @@
 	var format *loadreport.FormatError
 	_, err := loadreport.Brief{Service: loadreport.BriefService{Name: strings.Repeat("x", loadreport.MaxBytes)}}.Encode(briefKey)
 	assert.Assert(t, errors.As(err, &format))
-	for _, data := range [][]byte{nil, {3}, loadreport.Ask(1)} {
+	for _, data := range [][]byte{nil, {3}, loadreport.Ask{}.Encode()} {
 		_, err := loadreport.DecodeBrief(briefKey, data)
 		assert.Assert(t, errors.As(err, &format))
 	}
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -41,17 +41,18 @@
 const (
 	closedFlag = 1 << iota
 	unbriefedFlag
+	echoFlag
 )
 
 // paceUnit is the part of a pace that one step of its byte stands for.
 const paceUnit = 0.1
 
 // reportBytes is the length of a report: kind, flags, running, waiting, pace,
-// entries, held, declared, age, closes in, demand.
-const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2
+// entries, held, declared, age, closes in, demand, stamp, kept.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2 + 2 + 2
 
-// askBytes is the length of an ask: kind, demand.
-const askBytes = 1 + 2
+// askBytes is the length of an ask: kind, demand, stamp.
+const askBytes = 1 + 2 + 2
 
 // timeUnit is what one step of a time's byte stands for; the last value of the
 // byte stands for a time that is not known.
@@ -86,6 +87,8 @@
 	// Demand is what waits at all entries together, in the entries' own
 	// weights, up to 65,535.
 	Demand int
+	// Echo answers the last ask of the entry that gets the report.
+	Echo Echo
 }
 
 // Unknown stands in a Report for a time that is not known.
@@ -110,6 +113,9 @@
 	if r.Unbriefed {
 		flags |= unbriefedFlag
 	}
+	if r.Echo.Known {
+		flags |= echoFlag
+	}
 	b := append(make([]byte, 0, reportBytes), kindReport, flags)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Waiting, 1<<16-1)))
@@ -117,7 +123,8 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Held))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.Declared))
 	b = append(b, encodeTime(r.Age), encodeTime(r.ClosesIn))
-	return binary.BigEndian.AppendUint16(b, uint16(min(r.Demand, 1<<16-1)))
+	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Demand, 1<<16-1)))
+	return r.Echo.append(b)
 }
 
 func encodeTime(d time.Duration) byte {
@@ -151,19 +158,6 @@
 		Pace:      float64(b[6]) * paceUnit,
 		Entries:   int(b[7]),
 		Held:      uint64(binary.BigEndian.Uint32(b[8:])),
+		Echo:      decodeEcho(b[1]&echoFlag != 0, b[20:]),
 	}, nil
 }
-
-// Ask returns the datagram that asks an agent for reports. demand is what waits
-// at the entry, up to 65,535.
-func Ask(demand int) []byte {
-	return binary.BigEndian.AppendUint16([]byte{kindAsk}, uint16(min(demand, 1<<16-1)))
-}
-
-// DecodeAsk returns the demand of an ask. It returns *FormatError.
-func DecodeAsk(b []byte) (demand int, err error) {
-	if len(b) != askBytes || b[0] != kindAsk {
-		return 0, &FormatError{Bytes: len(b)}
-	}
-	return int(binary.BigEndian.Uint16(b[1:])), nil
-}
--- a/loadreport/report_test.go
+++ b/loadreport/report_test.go
@@ -16,6 +16,7 @@
 		{
 			Running: 16, Waiting: 3, Pace: 2.5, Closed: true, Held: 7, Entries: 5, Declared: 8,
 			Age: 1200 * time.Millisecond, ClosesIn: 300 * time.Millisecond, Demand: 40,
+			Echo: loadreport.Echo{Known: true, Stamp: 65_000, Kept: 150 * time.Millisecond},
 		},
 	} {
 		got, err := loadreport.Decode(r.Encode())
@@ -25,14 +26,21 @@
 }
 
 func TestAskSurvivesItsDatagram(t *testing.T) {
-	got, err := loadreport.DecodeAsk(loadreport.Ask(70_000))
+	got, err := loadreport.DecodeAsk(loadreport.Ask{Demand: 70_000, Stamp: 9}.Encode())
 	assert.NilError(t, err)
-	assert.Equal(t, got, 65_535)
+	assert.Equal(t, got, loadreport.Ask{Demand: 65_535, Stamp: 9})
+}
+
+func TestRoundTripIsTheTimeThatTheAgentDidNotKeepTheAsk(t *testing.T) {
+	const start = 64 * time.Second // The stamp wraps on the way.
+	echo := loadreport.Echo{Known: true, Stamp: loadreport.StampAt(start), Kept: 1900 * time.Millisecond}
+	assert.Equal(t, echo.RoundTrip(start+2*time.Second), 100*time.Millisecond)
+	assert.Equal(t, echo.RoundTrip(start+1899*time.Millisecond), time.Duration(0), "rounded")
 }
 
 func TestOtherDatagramsAreRefused(t *testing.T) {
 	var format *loadreport.FormatError
-	for _, data := range [][]byte{nil, {1}, loadreport.Ask(1), make([]byte, 64)} {
+	for _, data := range [][]byte{nil, {1}, loadreport.Ask{}.Encode(), make([]byte, 64)} {
 		_, err := loadreport.Decode(data)
 		assert.Assert(t, errors.As(err, &format))
 	}
@@ -45,5 +53,6 @@
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		_, _ = loadreport.Decode(data)
 		_, _ = loadreport.DecodeAsk(data)
+		_, _ = loadreport.DecodeBrief(briefKey, data)
 	})
 }
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -90,6 +90,17 @@
 	return c.Reported && !s.report.At.IsZero() && now.Sub(s.report.At) > quietAfter
 }
 
+// usualDelay is how long the way to an endpoint and back takes at most while
+// chunks of weights move over its link at their usual pace.
+const usualDelay = 100 * time.Millisecond
+
+// detour is how much longer than usual the way to the endpoint takes, as when
+// its link is narrow or full: the first event comes later by as much, and the
+// endpoint hears so much later that a caller has left.
+func (s *state) detour() time.Duration {
+	return max(s.report.Delay-usualDelay, 0)
+}
+
 // closing reports whether a fresh report says that the endpoint will close.
 func (s *state) closing(now time.Time, c *Config) bool {
 	return !s.report.ClosesAt.IsZero() && now.Sub(s.report.At) <= c.ReportAge
--- a/routing/places/pool_test.go
+++ b/routing/places/pool_test.go
@@ -247,6 +247,18 @@
 	assert.Equal(t, sent, 2)
 }
 
+// Weights move over a link that has become narrow: requests over it arrive a
+// second later, and so does the word that a caller has left.
+func TestEndpointBehindAFullLinkIsTheLastChoice(t *testing.T) {
+	p := enginePool(1, "a", "b")
+	p.Report("a", Report{At: at(0), Held: 1, Delay: time.Second})
+	p.Report("b", Report{At: at(0), Held: 1, Delay: usualDelay})
+	for range 4 {
+		assert.Equal(t, p.Offer(at(1), ask(at(1), 0)).Endpoint, "b")
+	}
+	assert.Equal(t, p.Offer(at(1), ask(at(1), 0)).Endpoint, "a", "better than none")
+}
+
 func TestSlowEndpointIsTheLastChoice(t *testing.T) {
 	p := enginePool(1, "slow", "usual")
 	p.Report("slow", Report{At: at(0), Held: 1, Pace: 5})
--- a/routing/places/report.go
+++ b/routing/places/report.go
@@ -10,6 +10,9 @@
 	// Pace is how many times slower than usual the endpoint works; 0 stands
 	// for unknown.
 	Pace float64
+	// Delay is how long the way to the endpoint and back takes; 0 stands for
+	// unknown.
+	Delay time.Duration
 	// Closed says that the endpoint takes no new requests now.
 	Closed bool
 	// ClosesAt is when it will do so; zero if it will not soon.
