Let a stalled copy far from its end give way to the newer version

Ruled out: the rate of the origin, which was full all the time. Test: TestCopyThatStandsStillFarFromItsEndGivesWay.

--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -22,37 +23,63 @@
 	stalled bool
 }
 
+// The parts of a version's chunks from which on its copy goes on although a
+// newer version was declared.
+const (
+	wellUnderWay = 0.25
+	mostlyThere  = 0.75
+)
+
+// has reports whether at least a part of the chunks is there.
+func (f *fetch) has(part float64) bool {
+	return f.total > 0 && float64(f.have) >= part*float64(f.total)
+}
+
 // fetchEarly begins a copy before the engine answers, if peers can give it. A
 // new engine needs a second to start, and holds nothing then. Where no peer
 // holds the version, what lies staged at the engine may spare the copy.
 func (k *Keeper) fetchEarly(ctx context.Context, view *directory.View, service *directory.Service, declared directory.Declared) {
-	for _, e := range view.Living() {
-		if e.Service == k.config.Service && e.Address != k.config.Endpoint && e.Held == declared.Version {
-			k.fetchMissing(ctx, service, declared, &EngineState{Held: declared.Previous})
-			return
-		}
+	if k.heldElsewhere(view, declared.Version) {
+		k.fetchMissing(ctx, view, service, declared, &EngineState{Held: declared.Previous})
 	}
 }
 
 // worthEnding reports whether a copy of the version before the declared one
-// should go on: a good part of it is there, so that the origin has sent most of
-// it, or the declared one stands still. k.mu is held.
-func (k *Keeper) worthEnding(declared directory.Declared) bool {
+// should go on: it is nearly there, or it moves on and is well under way, or the
+// declared one stands still. One that stands still too is of use only if another
+// engine holds that version: else it would only share the origin with the
+// declared one once the origin is back. k.mu is held.
+func (k *Keeper) worthEnding(declared directory.Declared, heldElsewhere bool) bool {
 	before := k.fetches[declared.Previous]
-	if before != nil && (before.set != nil || 4*before.have >= before.total && before.total > 0) {
+	newest := k.fetches[declared.Version]
+	newestStalled := newest != nil && newest.stalled
+	switch {
+	case before != nil && before.set != nil:
+		return true
+	case before == nil || before.stalled && !before.has(mostlyThere):
+		return newestStalled && heldElsewhere
+	case before.has(wellUnderWay):
 		return true
+	default:
+		return newestStalled
 	}
-	newest := k.fetches[declared.Version]
-	return newest != nil && newest.stalled
+}
+
+// heldElsewhere reports whether another engine holds a version.
+func (k *Keeper) heldElsewhere(view *directory.View, version uint64) bool {
+	return slices.ContainsFunc(view.Living(), func(e *directory.Endpoint) bool {
+		return e.Service == k.config.Service && e.Address != k.config.Endpoint && e.Held == version
+	})
 }
 
 // fetchMissing keeps copies of the declared version and, while the engine is
 // behind both, of the one before. Older copies are dropped.
-func (k *Keeper) fetchMissing(ctx context.Context, service *directory.Service, declared directory.Declared, state *EngineState) {
+func (k *Keeper) fetchMissing(ctx context.Context, view *directory.View, service *directory.Service, declared directory.Declared, state *EngineState) {
+	held := k.heldElsewhere(view, declared.Previous)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	wanted := []uint64{declared.Version}
-	previous := state.Held < declared.Previous && k.worthEnding(declared)
+	previous := state.Held < declared.Previous && k.worthEnding(declared, held)
 	if previous {
 		wanted = append(wanted, declared.Previous)
 	}
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -125,6 +125,16 @@
 	}
 }
 
+// noteStalled keeps that nothing comes for a version; the chunks that are there
+// stay.
+func (k *Keeper) noteStalled(version uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if f := k.fetches[version]; f != nil {
+		f.stalled = true
+	}
+}
+
 // manifest reads a manifest until the origin gives one. It returns nil if ctx
 // ended. One that is spoilt does not fit its chunks, and is found by watchCopy.
 func (k *Keeper) manifest(ctx context.Context, model string, version uint64) *weights.Manifest {
@@ -134,7 +144,7 @@
 			return m
 		}
 		k.deps.Logger.Warn("reading a manifest failed", "model", model, "version", version, "error", err)
-		k.noteProgress(version, 0, 0, true)
+		k.noteStalled(version)
 		select {
 		case <-ctx.Done():
 		case <-time.After(k.readingPause()):
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -86,7 +86,7 @@
 		return
 	}
 	k.mayCopy.Store(k.settled(time.Now(), view, declared))
-	k.fetchMissing(ctx, service, declared, state)
+	k.fetchMissing(ctx, view, service, declared, state)
 	version, ok := k.due(time.Now(), view, declared, state)
 	if !ok || state.Busy {
 		return
@@ -100,16 +100,13 @@
 // engine holds it, else when the list of agents has settled after the start.
 func (k *Keeper) settled(now time.Time, view *directory.View, declared directory.Declared) bool {
 	var members []string
-	held := false
 	for _, e := range view.Living() {
-		if e.Service != k.config.Service {
-			continue
+		if e.Service == k.config.Service {
+			members = append(members, e.Address)
 		}
-		members = append(members, e.Address)
-		held = held || (e.Address != k.config.Endpoint && e.Held == declared.Version)
 	}
 	slices.Sort(members)
-	return k.settling.see(now, k.config.Endpoint, members) || held
+	return k.settling.see(now, k.config.Endpoint, members) || k.heldElsewhere(view, declared.Version)
 }
 
 func (k *Keeper) service(view *directory.View) *directory.Service {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -163,12 +163,27 @@
 	k := newKeeper(t, &fakeEngine{})
 	declared := directory.Declared{Version: 3, Previous: 2}
 	k.fetches[2] = &fetch{cancel: func() {}, have: 1, total: 64}
-	assert.Assert(t, !k.worthEnding(declared))
+	assert.Assert(t, !k.worthEnding(declared, true))
 	k.fetches[2].have = 16
-	assert.Assert(t, k.worthEnding(declared))
+	assert.Assert(t, k.worthEnding(declared, false))
 	delete(k.fetches, 2)
 	k.fetches[3] = &fetch{cancel: func() {}, stalled: true}
-	assert.Assert(t, k.worthEnding(declared), "the newer one cannot be had")
+	assert.Assert(t, k.worthEnding(declared, true), "the newer one cannot be had")
+	assert.Assert(t, !k.worthEnding(declared, false), "neither can be had")
+}
+
+// Pattern: the origin goes while a second version is declared. When it is back
+// it must not be shared with the first one.
+func TestCopyThatStandsStillFarFromItsEndGivesWay(t *testing.T) {
+	k := newKeeper(t, &fakeEngine{})
+	declared := directory.Declared{Version: 3, Previous: 2}
+	k.fetches[2] = &fetch{cancel: func() {}, have: 28, total: 64, stalled: true}
+	k.fetches[3] = &fetch{cancel: func() {}, stalled: true}
+	assert.Assert(t, !k.worthEnding(declared, false))
+	k.fetches[2].have = 48
+	assert.Assert(t, k.worthEnding(declared, false), "nearly there")
+	k.noteStalled(2)
+	assert.Assert(t, k.worthEnding(declared, false), "the chunks stay when a manifest cannot be read")
 }
 
 func TestChangeStagesVerifiedBytesAndLoadsThem(t *testing.T) {
