Count late first parts in the choice of an endpoint

Now the time beyond 0.3 s to the first part of an answer, or without one, counts for each endpoint and fades by half every second. Tests: TestEndpointThatWasSilentIsTheLastChoiceForSeconds and the one beside it.

--- a/routing/places/choose.go
+++ b/routing/places/choose.go
@@ -93,7 +93,7 @@
 		if reading > mostReading {
 			continue
 		}
-		score := load/float64(s.Slots) + spread*p.config.Rand.Float64() + readingCost*(reading+s.detour()).Seconds()
+		score := load/float64(s.Slots) + spread*p.config.Rand.Float64() + readingCost*(reading+max(s.detour(), s.late(now))).Seconds()
 		if s.Region != p.config.Region {
 			score += otherRegion
 		}
--- a/routing/places/endpoint.go
+++ b/routing/places/endpoint.go
@@ -33,6 +33,7 @@
 	// ended counts own requests that the report still counts.
 	ended  int
 	health health
+	first  firstParts
 	quota  quota
 	// since is when the endpoint became known.
 	since time.Time
--- a/routing/places/outcome.go
+++ b/routing/places/outcome.go
@@ -18,8 +18,8 @@
 	NotRun
 	// Broken: no answer, a broken one or one that is not the endpoint's.
 	Broken
-	// Silent: nothing came for long. It says nothing of an endpoint that goes
-	// on with other requests.
+	// Silent: nothing came for long. It says nothing of the health of an
+	// endpoint that goes on with other requests.
 	Silent
 	// Left: the caller left; it says nothing of the endpoint.
 	Left
@@ -51,6 +51,9 @@
 		s.report.Running = max(s.report.Running, s.Slots+p.config.Overfill)
 		s.report.Closed = p.config.Reported
 	case Silent:
+		if !placed.begun {
+			s.first.add(now, now.Sub(placed.sent))
+		}
 		if now.Sub(s.progress) <= aliveFor {
 			return false
 		}
--- a/routing/places/pool_test.go
+++ b/routing/places/pool_test.go
@@ -259,6 +259,43 @@
 	assert.Equal(t, p.Offer(at(1), ask(at(1), 0)).Endpoint, "a", "better than none")
 }
 
+// Weights move over a link that has become narrow: an endpoint ends its older
+// streams in time, and new requests do not reach it for a second.
+func TestEndpointThatAnswersNoNewRequestIsTheLastChoice(t *testing.T) {
+	p := enginePool(1, "a", "b")
+	waits := ask(at(1), 0)
+	waits.Without = []string{"b"}
+	assert.Equal(t, p.Offer(at(1), waits).Endpoint, "a")
+	report := func(ms int) {
+		p.Report("a", Report{At: at(ms), Held: 1, Running: 1})
+		p.Report("b", Report{At: at(ms), Held: 1, Running: 3})
+	}
+	report(200)
+	assert.Equal(t, p.Offer(at(201), ask(at(201), 0)).Endpoint, "a", "as long as usual")
+	report(1100)
+	assert.Equal(t, p.Offer(at(1101), ask(at(1101), 0)).Endpoint, "b")
+	assert.Assert(t, p.Progress(at(1102), "a", waits.ID))
+}
+
+func TestEndpointThatWasSilentIsTheLastChoiceForSeconds(t *testing.T) {
+	p := enginePool(1, "a", "b")
+	alive, silent := ask(at(1), 0), ask(at(1), 0)
+	alive.Without, silent.Without = []string{"b"}, []string{"b"}
+	p.Offer(at(1), alive)
+	p.Offer(at(1), silent)
+	p.Progress(at(100), "a", alive.ID)
+	p.Progress(at(1200), "a", alive.ID)
+	assert.Assert(t, !p.Done(at(1201), "a", silent.ID, Silent), "it goes on with another one")
+	report := func(ms int) {
+		p.Report("a", Report{At: at(ms), Held: 1, Running: 1})
+		p.Report("b", Report{At: at(ms), Held: 1, Running: 3})
+	}
+	report(1202)
+	assert.Equal(t, p.Offer(at(1203), ask(at(1203), 0)).Endpoint, "b")
+	report(5000)
+	assert.Equal(t, p.Offer(at(5001), ask(at(5001), 0)).Endpoint, "a", "it is tried again")
+}
+
 func TestSlowEndpointIsTheLastChoice(t *testing.T) {
 	p := enginePool(1, "slow", "usual")
 	p.Report("slow", Report{At: at(0), Held: 1, Pace: 5})
