--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -14,6 +14,9 @@
 	// limits. Both stand above those of known deployments, 3 s and 15 s.
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 30 * time.Second
+	// callersSlack is added to the limits, which callers keep by their own
+	// clocks: a packet that is lost twice arrives three seconds late.
+	callersSlack = 3 * time.Second
 	// callersTick is how often connections are compared with the limits. It is
 	// small beside the shortest limit of known deployments.
 	callersTick = 500 * time.Millisecond
@@ -70,7 +73,7 @@
 // limit returns how long a wait may last. A connection counts as idle until
 // the header of its next request is whole, so both limits apply to it in turn.
 func (w callerWait) limit(limits directory.Limits) time.Duration {
-	header := positive(limits.HeaderTimeout, defaultHeaderTimeout)
+	header := positive(limits.HeaderTimeout, defaultHeaderTimeout) + callersSlack
 	if w.fresh {
 		return header
 	}
--- a/keeper/node.go
+++ b/keeper/node.go
@@ -59,7 +59,7 @@
 	sourceTimeout = 1500 * time.Millisecond
 	// originFetchers is how many agents draw on the origin at a time. Their
 	// chunks queue on its link: eight of 32 KiB fill one of 6 Mbit/s for 0.35 s,
-	// and 32 of them kept new connections from opening within half a second.
+	// and those of 30 agents at once kept new connections waiting for a second.
 	originFetchers = 8
 	// idleShare and busyShare are the parts of the instance's link that chunks
 	// may take, without requests and with one in every slot: the events of
--- a/keeper/readingturn.go
+++ b/keeper/readingturn.go
@@ -10,9 +10,8 @@
 )
 
 // readingStep is the time between two agents that read a manifest from the
-// origin: those of Kalamu's grown deployment have 5 KB, and one takes 7 ms of an
-// origin of 6 Mbit/s. Read by 68 agents at once, they filled its queue of new
-// connections, so that some agents could not connect for seconds.
+// origin: one of 5 KB takes 7 ms of a link of 6 Mbit/s. Read by all agents at
+// once, the manifests of a large fleet would stand before the first chunks.
 const readingStep = 8 * time.Millisecond
 
 // readingTurn returns how long this agent waits until it reads the manifest of
