Make the answers of a drain's test outlast a busy machine

Cause: TestAnswerStartsAnewWhenItsVersionIsDrained wants every answer to be under way when the drain is carried out, but 400 tokens of 5 ms are over after two seconds; then an answer ends whole on the old version before the drain. What the test asks is the same.

--- a/entry/planned_test.go
+++ b/entry/planned_test.go
@@ -123,7 +123,7 @@
 // TestAnswerStartsAnewWhenItsVersionIsDrained moves an answer, of which its
 // caller has seen nothing, away from the last endpoint of its version.
 func TestAnswerStartsAnewWhenItsVersionIsDrained(t *testing.T) {
-	f := newTestFleet(t, 2, 0, 1, slowTokens, func(f *testFleet) { f.callTimeout = 10 * time.Second })
+	f := newTestFleet(t, 2, 0, 1, slowTokens, func(f *testFleet) { f.callTimeout = 30 * time.Second })
 	f.awaitAgents()
 	v1, v2 := f.publish("v1"), f.publish("v2")
 	for i, region := range []string{"r0", "r1"} {
@@ -133,8 +133,9 @@
 	}
 	f.awaitEndpoints(0, v1, 1)
 	f.awaitEndpoints(0, v2, 1)
-	// The answers are long, so that none ends before the drain.
-	const tokens = 400
+	// The answers are long, so that none ends before the drain, also on a machine
+	// that is busy: 400 tokens were over in two seconds.
+	const tokens = 1600
 	type answer struct{ text, version string }
 	answers := make(chan answer, 8)
 	for i := range cap(answers) {
