--- a/keeper/copies.go
+++ b/keeper/copies.go
@@ -67,19 +67,20 @@
 
 // heldElsewhere reports whether another engine holds a version.
 func (k *Keeper) heldElsewhere(view *directory.View, version uint64) bool {
-	return slices.ContainsFunc(view.Living(), func(e *directory.Endpoint) bool {
-		return e.Service == k.config.Service && e.Address != k.config.Endpoint && e.Held == version
+	return slices.ContainsFunc(k.engines(view), func(e *directory.Endpoint) bool {
+		return e.Address != k.config.Endpoint && e.Held == version
 	})
 }
 
 // fetchMissing keeps copies of the declared version and, while the engine is
 // behind both, of the one before. Older copies are dropped.
 func (k *Keeper) fetchMissing(ctx context.Context, view *directory.View, service *directory.Service, declared directory.Declared, state *EngineState) {
-	held := k.heldElsewhere(view, declared.Previous)
+	behind := state.Held < declared.Previous
+	held := behind && k.heldElsewhere(view, declared.Previous)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	wanted := []uint64{declared.Version}
-	previous := state.Held < declared.Previous && k.worthEnding(declared, held)
+	previous := behind && k.worthEnding(declared, held)
 	if previous {
 		wanted = append(wanted, declared.Previous)
 	}
--- a/keeper/due.go
+++ b/keeper/due.go
@@ -59,10 +59,8 @@
 // that mixes the regions.
 func (k *Keeper) place(view *directory.View) (place, count int) {
 	var all []string
-	for _, e := range view.Living() {
-		if e.Service == k.config.Service {
-			all = append(all, e.Address)
-		}
+	for _, e := range k.engines(view) {
+		all = append(all, e.Address)
 	}
 	slices.SortFunc(all, func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -99,16 +99,22 @@
 // settled reports whether the copy of a version may begin: at once if another
 // engine holds it, else when the list of agents has settled after the start.
 func (k *Keeper) settled(now time.Time, view *directory.View, declared directory.Declared) bool {
+	if k.settling.done {
+		return true
+	}
 	var members []string
-	for _, e := range view.Living() {
-		if e.Service == k.config.Service {
-			members = append(members, e.Address)
-		}
+	for _, e := range k.engines(view) {
+		members = append(members, e.Address)
 	}
 	slices.Sort(members)
 	return k.settling.see(now, k.config.Endpoint, members) || k.heldElsewhere(view, declared.Version)
 }
 
+// engines lists the living engines of the service, the own one among them.
+func (k *Keeper) engines(view *directory.View) []*directory.Endpoint {
+	return slices.DeleteFunc(view.Living(), func(e *directory.Endpoint) bool { return e.Service != k.config.Service })
+}
+
 func (k *Keeper) service(view *directory.View) *directory.Service {
 	if view.Document == nil {
 		return nil
--- a/keeper/node.go
+++ b/keeper/node.go
@@ -115,9 +115,9 @@
 		return nil
 	}
 	var peers []swarm.Peer
-	for _, e := range k.deps.Directory.View().Living() {
+	for _, e := range k.engines(k.deps.Directory.View()) {
 		at, err := netip.ParseAddrPort(e.Address)
-		if err != nil || e.Service != k.config.Service {
+		if err != nil {
 			continue
 		}
 		peers = append(peers, swarm.Peer{
