--- a/agent/configsync.go
+++ b/agent/configsync.go
@@ -7,6 +7,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -65,10 +66,7 @@
 func (c *configSync) fetch(ctx context.Context, s sighting) {
 	if err := c.ask(ctx, s.entry); err != nil {
 		c.logger.Warn("configuration not fetched", "entry", s.entry, "generation", s.generation, "error", err.Error())
-		select {
-		case <-ctx.Done():
-		case <-time.After(configRetry):
-		}
+		delay.For(ctx, configRetry)
 	}
 }
 
--- a/agent/weightkeeper.go
+++ b/agent/weightkeeper.go
@@ -12,6 +12,7 @@
 	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/weights"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
@@ -77,10 +78,7 @@
 			return
 		}
 		w.logger.Warn("transfer failed", "model", model.Model, "version", model.Version, "error", err.Error())
-		select {
-		case <-ctx.Done():
-		case <-time.After(fetchRetryBackoff):
-		}
+		delay.For(ctx, fetchRetryBackoff)
 	}
 }
 
--- a/entry/duty.go
+++ b/entry/duty.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/delay"
 )
 
 const (
@@ -56,7 +57,7 @@
 		d.task(ctx)
 	}()
 	for d.mine() && ctx.Err() == nil {
-		pause(ctx, dutyInterval)
+		delay.For(ctx, dutyInterval)
 	}
 	cancel()
 	<-ended
@@ -70,7 +71,7 @@
 			d.idle(ctx)
 			next = offDutyReload
 		}
-		pause(ctx, dutyInterval)
+		delay.For(ctx, dutyInterval)
 		next -= dutyInterval
 	}
 }
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -13,6 +13,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -49,7 +50,7 @@
 	for ctx.Err() == nil {
 		tenure, err := x.lease.Campaign(ctx)
 		if err != nil {
-			pause(ctx, campaignPause)
+			delay.For(ctx, campaignPause)
 			continue
 		}
 		x.tenure.Store(tenure)
@@ -60,13 +61,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // work reconciles until the lease ends.
 func (x *executor) work(ctx context.Context, tenure *configuration.Tenure) {
 	statuses := newStatusCache(x.now)
--- a/entry/follow.go
+++ b/entry/follow.go
@@ -6,6 +6,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -30,7 +31,7 @@
 	}
 	for ctx.Err() == nil {
 		if err := e.store.Load(ctx); err != nil {
-			pause(ctx, campaignPause)
+			delay.For(ctx, campaignPause)
 			continue
 		}
 		if e.held.Generation() > 0 {
@@ -43,7 +44,7 @@
 			return
 		}
 		e.deps.Logger.Warn("first configuration not written", "error", err.Error())
-		pause(ctx, campaignPause)
+		delay.For(ctx, campaignPause)
 	}
 }
 
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -12,6 +12,7 @@
 
 	"github.com/snipestep/snipestep/agent"
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -154,7 +155,7 @@
 	if !m.served() {
 		return false
 	}
-	pause(ctx, min(max(refused.RetryAfter, roomPauseMin), roomPauseMax))
+	delay.For(ctx, min(max(refused.RetryAfter, roomPauseMin), roomPauseMax))
 	return ctx.Err() == nil
 }
 
--- a/entry/operatorservice.go
+++ b/entry/operatorservice.go
@@ -16,6 +16,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/intent"
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/weights"
 )
@@ -162,7 +163,7 @@
 			}
 			last = encoded
 		}
-		pause(ctx, watchInterval)
+		delay.For(ctx, watchInterval)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- /dev/null
+++ b/internal/delay/delay.go
@@ -0,0 +1,17 @@
+// Package delay lets a loop wait between two rounds.
+package delay
+
+import (
+	"context"
+	"time"
+)
+
+// For blocks for d, or until ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/keeper/fetch.go
+++ b/keeper/fetch.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -28,10 +29,7 @@
 // fetch copies one version until it is whole or ctx ends.
 func (k *Keeper) fetch(ctx context.Context, model string, version uint64) {
 	began := time.Now()
-	select {
-	case <-ctx.Done():
-	case <-time.After(k.readingTurn(version)):
-	}
+	delay.For(ctx, k.readingTurn(version))
 	for ctx.Err() == nil {
 		manifest := k.manifest(ctx, model, version)
 		if manifest == nil {
@@ -58,10 +56,7 @@
 // awaitCopy waits until a copy may begin. It returns false if ctx ended.
 func (k *Keeper) awaitCopy(ctx context.Context) bool {
 	for ctx.Err() == nil && !k.mayCopy.Load() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(settleQuiet / 4):
-		}
+		delay.For(ctx, settleQuiet/4)
 	}
 	return ctx.Err() == nil
 }
@@ -145,10 +140,7 @@
 		}
 		k.deps.Logger.Warn("reading a manifest failed", "model", model, "version", version, "error", err)
 		k.noteStalled(version)
-		select {
-		case <-ctx.Done():
-		case <-time.After(k.readingPause()):
-		}
+		delay.For(ctx, k.readingPause())
 	}
 	return nil
 }
