--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -473,3 +473,20 @@
 	assert.Equal(t, minVersionAfter(3*time.Second), uint64(2))
 	assert.Equal(t, minVersionAfter(7*time.Second), uint64(3))
 }
+
+// Guards against requests that run on a version two behind a mandatory one: a third
+// version that is declared within the bound must not lift the deadline of the second.
+func TestMinVersionHoldsWhileSeveralNewerVersionsAreWithinTheBound(t *testing.T) {
+	f := newFixture(t)
+	now := time.Now()
+	f.directory.SetDocument(&directory.Document{Version: 2, Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}}})
+	f.directory.SetDeclaredVersion(now.Add(-9*time.Second), "m", 2, false)
+	f.directory.SetDeclaredVersion(now.Add(-5*time.Second), "m", 3, false)
+	f.directory.SetDeclaredVersion(now.Add(-time.Second), "m", 4, false)
+	minVersionAfter := func(after time.Duration) uint64 {
+		return f.gateway.minVersion(now.Add(after), f.directory.View(), "lm", time.Second)
+	}
+	assert.Equal(t, minVersionAfter(0), uint64(2))
+	assert.Equal(t, minVersionAfter(2*time.Second), uint64(3))
+	assert.Equal(t, minVersionAfter(6*time.Second), uint64(4))
+}
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -235,3 +235,17 @@
 	r.engineState.Store(&EngineState{LoadedVersion: 2})
 	assert.Assert(t, r.timeToSwitch(at(2000), r.deps.Directory.View(), declared) < 0)
 }
+
+// Guards against an engine that entries may not use any more since version 2 became
+// mandatory, and that waits for the deadline of a version declared later.
+func TestSwitchDeadlineIsThatOfTheFirstVersionTheEngineLacks(t *testing.T) {
+	r := newReconciler(t, &fakeEngine{}, 4)
+	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, false)
+	r.deps.Directory.SetDeclaredVersion(at(2000), testModel, 3, false)
+	r.deps.Directory.SetDeclaredVersion(at(5000), testModel, 4, false)
+	view := r.deps.Directory.View()
+	switchAt, version, ok := r.scheduledSwitch(view, view.DeclaredVersion(testModel), &EngineState{LoadedVersion: 1, Running: 1})
+	assert.Assert(t, ok)
+	assert.Equal(t, version, uint64(4))
+	assert.Equal(t, switchAt, at(0).Add(time.Duration(lastSwitchFraction*float64(testVersionBound))))
+}
