Keep the deadline of each version that a newer one supersedes

What callers saw: with three versions declared within the bound, requests went on to begin on the first one after the second was mandatory, at every entry and without any restart or outage.

Cause: the directory kept the declared version and one previous one. The third declaration dropped the second with its deadline, so that the minimum version fell back to any until the third was due. Agents did the same: they scheduled a switch by the wrong deadline, and dropped a complete download of a superseded version while no newer one was there.

Change: DeclaredVersion holds all known declarations, newest first. The minimum is the newest version whose bound has passed. Versions that arrive out of order, from the store or in reports, are merged and not dropped. An engine switches by the deadline of the first version that it lacks, and a complete download stays until a newer one is complete.

The literals in tests follow the new fields; their assertions are unchanged.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -71,51 +71,53 @@
 	d.update(func(v *View) { v.Document = doc })
 }
 
-// SetDeclaredVersion records the version of a model that the operator wants. estimated
-// marks declaredAt as an estimate. Older versions are ignored.
+// SetDeclaredVersion records a version of a model that the store names. estimated marks
+// declaredAt as an estimate. A version that is already known is ignored.
 func (d *Directory) SetDeclaredVersion(declaredAt time.Time, model string, version uint64, estimated bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	previous := d.current.Load().DeclaredVersion(model)
-	if _, known := d.current.Load().DeclaredVersions[model]; known && previous.Version >= version {
+	if _, found := d.current.Load().DeclaredVersions[model].find(version); found {
 		return
 	}
-	d.logger.Info("version declared", "model", model, "version", version, "previous", previous.Version, "guessed", estimated)
-	d.replaceDeclaredVersion(model, DeclaredVersion{
-		Version: version, DeclaredAt: declaredAt, Estimated: estimated,
-		Previous: previous.Version, PreviousDeclaredAt: previous.DeclaredAt,
-	})
+	d.addDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Estimated: estimated})
 }
 
-// declaredAtTolerance is how much earlier a reported declaration time must be to
-// replace the known one: ages are reported in steps of 100 ms.
-const declaredAtTolerance = 150 * time.Millisecond
-
-// MergeDeclaredVersion merges a declared version reported by another process. It
-// takes effect if the version is newer than the known one, or if the time
-// replaces an estimate or is clearly earlier because the version arrived here late.
-func (d *Directory) MergeDeclaredVersion(model string, version uint64, declaredAt time.Time) {
-	known, ok := d.View().DeclaredVersions[model]
-	if !ok && version <= FirstVersion {
-		return
-	}
-	if !ok || version > known.Version {
-		d.SetDeclaredVersion(declaredAt, model, version, false)
-		return
-	}
-	if version < known.Version || !known.refinedBy(declaredAt) {
+// MergeDeclaration merges a declaration reported by another process. It takes effect
+// if the version is unknown here, or if its time replaces an estimate or is clearly
+// earlier because the version arrived here late. Superseded versions are merged too.
+func (d *Directory) MergeDeclaration(model string, reported Declaration) {
+	if reported.Version <= FirstVersion || !d.View().DeclaredVersions[model].improvedBy(reported) {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known = d.current.Load().DeclaredVersions[model]
-	if version != known.Version || !known.refinedBy(declaredAt) {
+	known := d.current.Load().DeclaredVersions[model]
+	if !known.improvedBy(reported) {
+		return
+	}
+	if _, found := known.find(reported.Version); !found {
+		d.addDeclaration(model, reported)
 		return
 	}
-	d.logger.Info("age of a declared version learnt", "model", model, "version", version, "age_ms", time.Since(declaredAt).Milliseconds())
-	known.DeclaredAt = declaredAt
-	known.Estimated = false
-	d.replaceDeclaredVersion(model, known)
+	d.logger.Info("age of a declared version learnt", "model", model, "version", reported.Version, "age_ms", time.Since(reported.DeclaredAt).Milliseconds(), "guessed", reported.Estimated)
+	d.replaceDeclaredVersion(model, known.with(reported))
+}
+
+// addDeclaration adds the declaration of a version that is not known yet. The caller
+// holds d.mu.
+func (d *Directory) addDeclaration(model string, added Declaration) {
+	known, declaredBefore := d.current.Load().DeclaredVersions[model]
+	next := DeclaredVersion{Declaration: added}
+	if declaredBefore {
+		next = known.with(added)
+	}
+	message := "version declared"
+	if next.Version != added.Version {
+		message = "superseded version learnt"
+	}
+	d.logger.Info(message, "model", model, "version", added.Version, "previous", next.Previous().Version, "newest", next.Version,
+		"age_ms", time.Since(added.DeclaredAt).Milliseconds(), "guessed", added.Estimated)
+	d.replaceDeclaredVersion(model, next)
 }
 
 // replaceDeclaredVersion replaces the declared version of a model. The caller holds
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -62,16 +62,15 @@
 	d.SetDeclaredVersion(at(200), "m", 2, false)
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, declared.Version, uint64(3))
-	assert.Equal(t, declared.Previous, uint64(2))
-	assert.Equal(t, declared.PreviousDeclaredAt, at(0))
+	assert.Equal(t, declared.Previous(), directory.Declaration{Version: 2, DeclaredAt: at(0)})
 }
 
 func TestEstimatedDeclarationTimeIsReplacedByReportedOne(t *testing.T) {
 	d := newDirectory()
 	d.SetDeclaredVersion(at(-5000), "m", 2, true)
-	d.MergeDeclaredVersion("m", 1, at(0))
+	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-5000))
-	d.MergeDeclaredVersion("m", 2, at(-1000))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-1000))
 	assert.Assert(t, !d.View().DeclaredVersion("m").Estimated)
 }
@@ -81,17 +80,17 @@
 func TestEarliestReportedDeclarationTimeWins(t *testing.T) {
 	d := newDirectory()
 	d.SetDeclaredVersion(at(0), "m", 2, false)
-	d.MergeDeclaredVersion("m", 2, at(-100))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-100)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(0), "difference is within the resolution of reported ages")
-	d.MergeDeclaredVersion("m", 2, at(-900))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-900)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-900))
-	d.MergeDeclaredVersion("m", 2, at(0))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-900), "the earliest reported time counts")
-	d.MergeDeclaredVersion("m", 3, at(500))
+	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(500)})
 	assert.Equal(t, d.View().DeclaredVersion("m").Version, uint64(3))
 	d.SetDeclaredVersion(at(1500), "m", 3, false)
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(500))
-	d.MergeDeclaredVersion("other", 1, at(0))
+	d.MergeDeclaration("other", directory.Declaration{Version: 1, DeclaredAt: at(0)})
 	_, known := d.View().DeclaredVersions["other"]
 	assert.Assert(t, !known, "the first version needs no declaration")
 }
@@ -135,3 +134,48 @@
 	}
 	assert.DeepEqual(t, ids, []string{"new", "other"})
 }
+
+// Guards against a superseded version whose deadline is lost because this process
+// never learnt of it, or learnt of it late.
+func TestReportedDeclarationsOfSupersededVersionsAreMerged(t *testing.T) {
+	d := newDirectory()
+	d.SetDeclaredVersion(at(3000), "m", 4, false)
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
+	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2500), Estimated: true})
+	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2000)})
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Estimated: true})
+	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
+	assert.DeepEqual(t, d.View().DeclaredVersion("m"), directory.DeclaredVersion{
+		Declaration: directory.Declaration{Version: 4, DeclaredAt: at(3000)},
+		Superseded:  []directory.Declaration{{Version: 3, DeclaredAt: at(2000)}, {Version: 2, DeclaredAt: at(0)}},
+	})
+}
+
+// Guards against a version from the store that is dropped because reports named a newer
+// one first.
+func TestStoreAddsAVersionOlderThanTheReportedOne(t *testing.T) {
+	d := newDirectory()
+	d.SetDeclaredVersion(at(0), "m", 2, false)
+	d.MergeDeclaration("m", directory.Declaration{Version: 4, DeclaredAt: at(2000)})
+	d.SetDeclaredVersion(at(2100), "m", 3, false)
+	declared := d.View().DeclaredVersion("m")
+	assert.Equal(t, declared.Version, uint64(4))
+	assert.Equal(t, declared.Previous().Version, uint64(3))
+	assert.Equal(t, declared.FirstAfter(1).Version, uint64(2))
+	assert.Equal(t, declared.FirstAfter(3).Version, uint64(4))
+}
+
+func TestOldestSupersededVersionsAreDropped(t *testing.T) {
+	d := newDirectory()
+	const newest = directory.MaxSuperseded + 5
+	for version := 2; version <= newest; version++ {
+		d.SetDeclaredVersion(at(1000*version), "m", uint64(version), false)
+	}
+	views := 0
+	d.Subscribe(func(*directory.View) { views++ })
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
+	declared := d.View().DeclaredVersion("m")
+	assert.Equal(t, views, 1, "a version too old to be kept changes nothing")
+	assert.Equal(t, len(declared.Superseded), directory.MaxSuperseded)
+	assert.Equal(t, declared.FirstAfter(0).Version, uint64(newest-directory.MaxSuperseded))
+}
--- a/directory/view.go
+++ b/directory/view.go
@@ -4,30 +4,8 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 )
 
-// DeclaredVersion is the version of a model that the operator wants.
-type DeclaredVersion struct {
-	Version uint64
-	// DeclaredAt is the earliest known time at which a process learnt of the
-	// version, on this process's monotonic clock.
-	DeclaredAt time.Time
-	// Estimated marks DeclaredAt as an estimate: the version was declared before
-	// this process started, and no other process has reported a time yet.
-	Estimated bool
-	// Previous is the version that was declared before Version, 0 for none.
-	Previous uint64
-	// PreviousDeclaredAt is the DeclaredAt of the previous version.
-	PreviousDeclaredAt time.Time
-}
-
-// refinedBy reports whether the declaration time that another process reports
-// replaces the known one.
-func (d *DeclaredVersion) refinedBy(declaredAt time.Time) bool {
-	return d.Estimated || declaredAt.Before(d.DeclaredAt.Add(-declaredAtTolerance))
-}
-
 // View is an immutable snapshot of the deployment.
 type View struct {
 	// Document is nil until the first one is known.
@@ -44,7 +22,7 @@
 	if d, ok := v.DeclaredVersions[model]; ok {
 		return d
 	}
-	return DeclaredVersion{Version: FirstVersion}
+	return DeclaredVersion{Declaration: Declaration{Version: FirstVersion}}
 }
 
 // LatestEndpoints returns the latest incarnation at each address, sorted by ID: after
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,15 +132,7 @@
 		return 0
 	}
 	declared := view.DeclaredVersion(s.Model)
-	bound := g.config.VersionBound - safetyMargin
-	switch {
-	case declared.DeclaredAt.IsZero() || now.Sub(declared.DeclaredAt) >= bound:
-		return declared.Version
-	case declared.PreviousDeclaredAt.IsZero() || now.Sub(declared.PreviousDeclaredAt) >= bound:
-		return declared.Previous
-	default:
-		return 0
-	}
+	return declared.Required(now, g.config.VersionBound-safetyMargin)
 }
 
 // versionCheckInterval is how often VersionBound is enforced.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -463,7 +463,8 @@
 	view := &directory.View{
 		Document: &directory.Document{Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}}},
 		DeclaredVersions: map[string]directory.DeclaredVersion{"m": {
-			Version: 3, DeclaredAt: now, Previous: 2, PreviousDeclaredAt: now.Add(-4 * time.Second),
+			Declaration: directory.Declaration{Version: 3, DeclaredAt: now},
+			Superseded:  []directory.Declaration{{Version: 2, DeclaredAt: now.Add(-4 * time.Second)}},
 		}},
 	}
 	minVersionAfter := func(after time.Duration) uint64 {
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 )
@@ -123,7 +124,7 @@
 		g.setEntryCount(report.Entries)
 	}
 	if service := g.deps.Directory.View().Document.Services[endpoint.Service]; service != nil && report.DeclaredAge >= 0 {
-		g.deps.Directory.MergeDeclaredVersion(service.Model, report.DeclaredVersion, now.Add(-report.DeclaredAge))
+		g.deps.Directory.MergeDeclaration(service.Model, directory.Declaration{Version: report.DeclaredVersion, DeclaredAt: now.Add(-report.DeclaredAge)})
 	}
 	g.handleClosed(endpoint.ID, s, report.Closed)
 	closesAt := time.Time{}
--- a/sidecar/download.go
+++ b/sidecar/download.go
@@ -43,7 +43,7 @@
 // staged at the engine may make the download unnecessary.
 func (r *Reconciler) prefetchFromPeers(ctx context.Context, view *directory.View, service *directory.Service, declared directory.DeclaredVersion) {
 	if r.loadedElsewhere(view, declared.Version) {
-		r.reconcileDownloads(ctx, view, service, declared, &EngineState{LoadedVersion: declared.Previous})
+		r.reconcileDownloads(ctx, view, service, declared, &EngineState{LoadedVersion: declared.Previous().Version})
 	}
 }
 
@@ -54,7 +54,7 @@
 // another engine has loaded the previous version: otherwise the two downloads would
 // share the origin once it answers again. The caller holds r.mu.
 func (r *Reconciler) shouldFinishPrevious(declared directory.DeclaredVersion, loadedElsewhere bool) bool {
-	previousDownload := r.downloads[declared.Previous]
+	previousDownload := r.downloads[declared.Previous().Version]
 	declaredDownload := r.downloads[declared.Version]
 	declaredStalled := declaredDownload != nil && declaredDownload.stalled
 	switch {
@@ -77,21 +77,23 @@
 }
 
 // reconcileDownloads keeps the download of the declared version and, while the engine
-// is behind both and shouldFinishPrevious agrees, that of the previous one. Older
-// downloads are dropped.
+// is behind both and shouldFinishPrevious agrees, that of the previous one. Complete
+// downloads stay until a newer one is complete. Other downloads are dropped.
 func (r *Reconciler) reconcileDownloads(ctx context.Context, view *directory.View, service *directory.Service, declared directory.DeclaredVersion, state *EngineState) {
-	behind := state.LoadedVersion < declared.Previous
-	loadedElsewhere := behind && r.loadedElsewhere(view, declared.Previous)
+	previous := declared.Previous().Version
+	behind := state.LoadedVersion < previous
+	loadedElsewhere := behind && r.loadedElsewhere(view, previous)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := []uint64{declared.Version}
 	finishPrevious := behind && r.shouldFinishPrevious(declared, loadedElsewhere)
 	if finishPrevious {
-		wanted = append(wanted, declared.Previous)
+		wanted = append(wanted, previous)
 	}
+	newestComplete := r.newestComplete()
 	for version, d := range r.downloads {
-		keep := version == declared.Version || (version == declared.Previous && (finishPrevious || d.set != nil))
-		if keep {
+		keepPrevious := version == previous && (finishPrevious || d.set != nil)
+		if version == declared.Version || version == newestComplete || keepPrevious {
 			continue
 		}
 		d.cancel()
@@ -110,6 +112,18 @@
 	}
 }
 
+// newestComplete returns the newest version whose download is complete, 0 if there is
+// none. The caller holds r.mu.
+func (r *Reconciler) newestComplete() uint64 {
+	newest := uint64(0)
+	for version, d := range r.downloads {
+		if d.set != nil {
+			newest = max(newest, version)
+		}
+	}
+	return newest
+}
+
 // downloadedAt returns when the download of a version completed, and whether it has.
 func (r *Reconciler) downloadedAt(version uint64) (time.Time, bool) {
 	r.mu.Lock()
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -133,7 +133,7 @@
 func TestEmptyEngineSwitchesAtOnceAndOthersAtTheirOffset(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
 	view := r.deps.Directory.View()
-	declared := directory.DeclaredVersion{Version: 2, DeclaredAt: at(0), Previous: 1}
+	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}
 	version, ok := r.dueVersion(at(100), view, declared, &EngineState{LoadedVersion: 0, Running: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, version, uint64(2))
@@ -147,13 +147,16 @@
 
 func TestVersionThatIsNotDownloadedIsNotDue(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	_, ok := r.dueVersion(at(9000), r.deps.Directory.View(), directory.DeclaredVersion{Version: 2, DeclaredAt: at(0), Previous: 1}, &EngineState{LoadedVersion: 1})
+	_, ok := r.dueVersion(at(9000), r.deps.Directory.View(), directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}, &EngineState{LoadedVersion: 1})
 	assert.Assert(t, !ok)
 }
 
 func TestPreviousVersionIsLoadedWhileTheDeclaredOneIsIncomplete(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
-	declared := directory.DeclaredVersion{Version: 3, DeclaredAt: at(4000), Previous: 2, PreviousDeclaredAt: at(0)}
+	declared := directory.DeclaredVersion{
+		Declaration: directory.Declaration{Version: 3, DeclaredAt: at(4000)},
+		Superseded:  []directory.Declaration{{Version: 2, DeclaredAt: at(0)}},
+	}
 	version, ok := r.dueVersion(at(8000), r.deps.Directory.View(), declared, &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, version, uint64(2))
@@ -161,7 +164,7 @@
 
 func TestSupersededDownloadContinuesOnlyAboveMinimumFraction(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	declared := directory.DeclaredVersion{Version: 3, Previous: 2}
+	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 3}, Superseded: []directory.Declaration{{Version: 2}}}
 	r.downloads[2] = &download{cancel: func() {}, haveChunks: 1, totalChunks: 64}
 	assert.Assert(t, !r.shouldFinishPrevious(declared, true))
 	r.downloads[2].haveChunks = 16
@@ -176,7 +179,7 @@
 // downloads must not share it.
 func TestStalledSupersededDownloadContinuesOnlyIfNearlyComplete(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	declared := directory.DeclaredVersion{Version: 3, Previous: 2}
+	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 3}, Superseded: []directory.Declaration{{Version: 2}}}
 	r.downloads[2] = &download{cancel: func() {}, haveChunks: 28, totalChunks: 64, stalled: true}
 	r.downloads[3] = &download{cancel: func() {}, stalled: true}
 	assert.Assert(t, !r.shouldFinishPrevious(declared, false))
@@ -227,7 +230,7 @@
 
 func TestTimeToSwitchIsKnownShortlyBefore(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
-	declared := directory.DeclaredVersion{Version: 2, DeclaredAt: at(0), Previous: 1}
+	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}
 	r.engineState.Store(&EngineState{LoadedVersion: 1, Running: 3})
 	timeToSwitch := r.timeToSwitch(at(2000), r.deps.Directory.View(), declared)
 	assert.Equal(t, timeToSwitch, time.Second, "the only engine switches when its download completes, at 3 s")
--- a/sidecar/switchschedule.go
+++ b/sidecar/switchschedule.go
@@ -30,28 +30,31 @@
 		return time.Time{}, 0, false
 	}
 	position, count := r.rolloutPosition(view)
-	if completedAt, ok := r.downloadedAt(declared.Version); ok {
-		switchAt := declared.DeclaredAt.Add(switchOffset(r.config.VersionBound, completedAt.Sub(declared.DeclaredAt), position, count, false))
+	for _, declaration := range declared.Declarations() {
+		completedAt, ok := r.downloadedAt(declaration.Version)
+		if !ok || declaration.Version <= state.LoadedVersion {
+			continue
+		}
+		superseded := declaration.Version != declared.Version
+		offset := switchOffset(r.config.VersionBound, completedAt.Sub(declaration.DeclaredAt), position, count, superseded)
+		switchAt := declaration.DeclaredAt.Add(offset)
 		if deadline := r.switchDeadline(declared, state); deadline.Before(switchAt) {
 			switchAt = deadline
 		}
-		return switchAt, declared.Version, true
-	}
-	if completedAt, ok := r.downloadedAt(declared.Previous); ok && declared.Previous > state.LoadedVersion {
-		switchAt := declared.PreviousDeclaredAt.Add(switchOffset(r.config.VersionBound, completedAt.Sub(declared.PreviousDeclaredAt), position, count, true))
-		return switchAt, declared.Previous, true
+		return switchAt, declaration.Version, true
 	}
 	return time.Time{}, 0, false
 }
 
-// switchDeadline returns the latest time at which the engine switches to the
-// declared version. An engine that has not loaded the previous version either must
-// switch by the latest switch to the previous version, so that it skips that version.
+// switchDeadline returns the latest time at which the engine switches to a newer
+// version. An engine that lacks a superseded version too must switch by the latest
+// switch to the first one it lacks, after which requests may no longer start on it.
 func (r *Reconciler) switchDeadline(declared directory.DeclaredVersion, state *EngineState) time.Time {
-	if declared.PreviousDeclaredAt.IsZero() || state.LoadedVersion >= declared.Previous {
+	first := declared.FirstAfter(state.LoadedVersion)
+	if first.Version == declared.Version {
 		return declared.DeclaredAt.Add(r.config.VersionBound)
 	}
-	return declared.PreviousDeclaredAt.Add(time.Duration(lastSwitchFraction * float64(r.config.VersionBound)))
+	return first.DeclaredAt.Add(time.Duration(lastSwitchFraction * float64(r.config.VersionBound)))
 }
 
 func idle(state *EngineState) bool {
