Hand the ages of superseded versions on to restarted processes

Cause: a process that starts reads only the newest declared version from the store. Reports gave it the age of that version and of no other, so that a restarted entry took version 1 for the previous one and allowed it until version 3 was due. Reports of older versions were ignored, so that an entry that had learnt version 2 late, after a freeze, kept the wrong age too. And ages went from agents to entries only: once all agents had restarted or had been frozen, none of them could tell what other entries still knew.

Ruled out: a cut from the store (the restarted process reads version 3 at once), old reports of an engine's version and requests queued before the bound (they reached the engines seconds after it).

Change: a datagram with the known declarations and their ages goes from agents to entries and from entries to agents: to a new subscriber at once, and every second while a version is within its bound. Receivers merge it; a known age replaces an estimate, otherwise the earliest counts. Builds without the datagram ignore it. Ages beyond 25.4 s in reports are now unknown instead of 25.4 s, which made versions younger under longer bounds.

--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -30,6 +30,8 @@
 	pairVersionBound = time.Minute
 	// pairPatience is how long a test waits for an event.
 	pairPatience = 10 * time.Second
+	// pairTimeLeft is how long a caller waits.
+	pairTimeLeft = 200 * time.Millisecond
 	pairModel    = "m"
 	pairService  = "lm"
 )
@@ -159,7 +161,7 @@
 type pairCodec struct{}
 
 func (pairCodec) ReadRequest(http.Header) (gateway.RequestMetadata, error) {
-	return gateway.RequestMetadata{ID: "42", TimeLeft: time.Minute}, nil
+	return gateway.RequestMetadata{ID: "42", TimeLeft: pairTimeLeft}, nil
 }
 
 func (pairCodec) Forward(caller http.Header, _ gateway.ForwardMetadata) http.Header {
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -30,6 +30,10 @@
 			g.deps.Logger.Warn("reading a load report failed", "error", err)
 			continue
 		}
+		if loadreport.IsVersionAges(buffer[:n]) {
+			g.applyVersionAges(time.Now(), from.Addr(), buffer[:n])
+			continue
+		}
 		report, err := loadreport.DecodeReport(buffer[:n])
 		if err != nil {
 			g.deps.Logger.Warn("malformed load report", "error", err)
@@ -46,7 +50,12 @@
 // endpoints until ctx ends.
 func (g *Gateway) subscribeToLoadReports(ctx context.Context, conn *net.UDPConn) {
 	startedAt := time.Now()
+	versionAgesSentAt := time.Time{}
 	for {
+		if time.Since(versionAgesSentAt) >= loadreport.VersionAgesInterval {
+			versionAgesSentAt = time.Now()
+			g.sendVersionAges(ctx, conn)
+		}
 		demand := g.queuedDemand()
 		datagram := loadreport.Subscription{Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt))}.Encode()
 		for _, agent := range g.agentAddrs() {
--- /dev/null
+++ b/gateway/versionages.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/snipestep/snipestep/loadreport"
+)
+
+// sendVersionAges sends each agent the ages of the declared versions of its model
+// while one is pending. Agents that have all restarted since learn them from entries
+// only.
+func (g *Gateway) sendVersionAges(ctx context.Context, conn *net.UDPConn) {
+	now := time.Now()
+	for _, agent := range g.agentAddrs() {
+		ages := loadreport.VersionAgesAt(now, g.deps.Directory.View().DeclaredVersion(g.agentModel(agent.Addr())), g.config.VersionBound)
+		if !ages.Pending(g.config.VersionBound) {
+			continue
+		}
+		if _, err := conn.WriteToUDPAddrPort(ages.Encode(), agent); err != nil && ctx.Err() == nil {
+			g.deps.Logger.Warn("sending the ages of declared versions failed", "agent", agent, "error", err)
+		}
+	}
+}
+
+// applyVersionAges merges the ages of declared versions that an agent knows.
+func (g *Gateway) applyVersionAges(now time.Time, from netip.Addr, datagram []byte) {
+	model := g.agentModel(from)
+	if model == "" {
+		return
+	}
+	ages, err := loadreport.DecodeVersionAges(datagram)
+	if err != nil {
+		g.deps.Logger.Warn("malformed ages of declared versions", "from", from, "error", err)
+		return
+	}
+	ages.MergeInto(g.deps.Directory, now, model)
+}
+
+// agentModel returns the model of the engine beside an agent, "" if unknown.
+func (g *Gateway) agentModel(agent netip.Addr) string {
+	endpoint := (*g.endpointByAgent.Load())[agent.Unmap()]
+	document := g.deps.Directory.View().Document
+	if endpoint == nil || document == nil {
+		return ""
+	}
+	service := document.Services[endpoint.Service]
+	if service == nil {
+		return ""
+	}
+	return service.Model
+}
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -34,6 +34,7 @@
 	kindReport       = 1
 	kindSubscription = 2
 	kindAgentConfig  = 3
+	kindVersionAges  = 4
 )
 
 // The flags of a report.
@@ -78,8 +79,8 @@
 	// Entries is the number of entries with a valid subscription, at most 255.
 	Entries int
 	// DeclaredVersion is the declared version that the agent knows, and DeclaredAge
-	// the time since its declaration in steps of 100 ms up to 25.4 s, or
-	// UnknownDuration.
+	// the time since its declaration in steps of 100 ms. UnknownDuration is an
+	// unknown age or one beyond 25.4 s.
 	DeclaredVersion uint64
 	DeclaredAge     time.Duration
 	// ClosesIn is the time until the endpoint closes to change its weights, in
@@ -130,11 +131,13 @@
 	return r.Echo.append(b)
 }
 
+// encodeDuration encodes a duration beyond the range as unknown: a shorter one would
+// make a version appear younger than it is.
 func encodeDuration(d time.Duration) byte {
-	if d < 0 {
+	if d < 0 || d/durationUnit >= unknownDurationByte {
 		return unknownDurationByte
 	}
-	return byte(min(d/durationUnit, unknownDurationByte-1))
+	return byte(d / durationUnit)
 }
 
 func decodeDuration(b byte) time.Duration {
--- a/loadreport/report_test.go
+++ b/loadreport/report_test.go
@@ -54,5 +54,6 @@
 		_, _ = loadreport.DecodeReport(data)
 		_, _ = loadreport.DecodeSubscription(data)
 		_, _ = loadreport.DecodeAgentConfig(testFleetKey, data)
+		_, _ = loadreport.DecodeVersionAges(data)
 	})
 }
--- /dev/null
+++ b/loadreport/versionages.go
@@ -0,0 +1,105 @@
+package loadreport
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/snipestep/snipestep/directory"
+)
+
+// VersionAgesInterval is how often a process sends VersionAges to a peer while a
+// version is pending.
+const VersionAgesInterval = time.Second
+
+// VersionAges holds the declared versions of a service's model, newest first. Agents
+// send it to entries and entries to agents, so that the ages outlive the restart of
+// either side. A process that does not know this datagram ignores it.
+type VersionAges []VersionAge
+
+// VersionAge is a declared version and the time since its declaration, in steps of
+// 100 ms up to 6,553 s.
+type VersionAge struct {
+	Version uint64
+	Age     time.Duration
+	// Estimated marks Age as an estimate.
+	Estimated bool
+}
+
+const (
+	// versionAgeBytes is the length of an encoded VersionAge: version, age, flags.
+	versionAgeBytes = 4 + 2 + 1
+	// maxVersionAges is the most versions that a datagram holds.
+	maxVersionAges = 1 + directory.MaxSuperseded
+	// estimatedFlag is the flag of an estimated age.
+	estimatedFlag = 1
+	maxAgeUnits   = 1<<16 - 1
+)
+
+// VersionAgesAt returns the declarations that decide which versions requests may
+// start on: the current one, and older ones up to the first that is older than the
+// version bound. It returns none for a version that needs no declaration.
+func VersionAgesAt(now time.Time, declared directory.DeclaredVersion, bound time.Duration) VersionAges {
+	if declared.DeclaredAt.IsZero() {
+		return nil
+	}
+	var ages VersionAges
+	for _, declaration := range declared.Declarations() {
+		age := now.Sub(declaration.DeclaredAt)
+		ages = append(ages, VersionAge{Version: declaration.Version, Age: age, Estimated: declaration.Estimated})
+		if age >= bound {
+			break
+		}
+	}
+	return ages
+}
+
+// Pending reports whether the current version is within the version bound, so that
+// the ages of older ones matter.
+func (v VersionAges) Pending(bound time.Duration) bool {
+	return len(v) > 0 && v[0].Age < bound
+}
+
+// MergeInto merges the declarations, received at now, into a directory.
+func (v VersionAges) MergeInto(d *directory.Directory, now time.Time, model string) {
+	for _, age := range v {
+		d.MergeDeclaration(model, directory.Declaration{Version: age.Version, DeclaredAt: now.Add(-age.Age), Estimated: age.Estimated})
+	}
+}
+
+// IsVersionAges reports whether a datagram is a VersionAges.
+func IsVersionAges(b []byte) bool {
+	return len(b) > 0 && b[0] == kindVersionAges
+}
+
+// Encode returns the ages as a datagram.
+func (v VersionAges) Encode() []byte {
+	v = v[:min(len(v), maxVersionAges)]
+	b := append(make([]byte, 0, 1+len(v)*versionAgeBytes), kindVersionAges)
+	for _, age := range v {
+		b = binary.BigEndian.AppendUint32(b, uint32(age.Version))
+		b = binary.BigEndian.AppendUint16(b, uint16(min(max(age.Age, 0)/durationUnit, maxAgeUnits)))
+		flags := byte(0)
+		if age.Estimated {
+			flags |= estimatedFlag
+		}
+		b = append(b, flags)
+	}
+	return b
+}
+
+// DecodeVersionAges decodes a VersionAges. It returns *FormatError for any other
+// datagram.
+func DecodeVersionAges(b []byte) (VersionAges, error) {
+	if !IsVersionAges(b) || (len(b)-1)%versionAgeBytes != 0 || (len(b)-1)/versionAgeBytes > maxVersionAges {
+		return nil, &FormatError{Bytes: len(b)}
+	}
+	var ages VersionAges
+	for rest := b[1:]; len(rest) > 0; rest = rest[versionAgeBytes:] {
+		ages = append(ages, VersionAge{
+			Version:   uint64(binary.BigEndian.Uint32(rest)),
+			Age:       time.Duration(binary.BigEndian.Uint16(rest[4:])) * durationUnit,
+			Estimated: rest[6]&estimatedFlag != 0,
+		})
+	}
+	return ages, nil
+}
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -25,6 +25,8 @@
 type subscriber struct {
 	receivedAt   time.Time
 	subscription loadreport.Subscription
+	// versionAgesSentAt is when VersionAges were last sent, zero for a new subscriber.
+	versionAgesSentAt time.Time
 }
 
 // echo returns the echo of the last subscription.
@@ -35,7 +37,25 @@
 func (s *subscribers) add(now time.Time, from netip.AddrPort, subscription loadreport.Subscription) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.byAddr[from] = subscriber{receivedAt: now, subscription: subscription}
+	s.byAddr[from] = subscriber{receivedAt: now, subscription: subscription, versionAgesSentAt: s.byAddr[from].versionAgesSentAt}
+}
+
+// takeVersionAgesDue returns the entries to which VersionAges are due, and counts them
+// as sent: those that are new, and if a version is pending, those whose last ones are
+// VersionAgesInterval ago.
+func (s *subscribers) takeVersionAgesDue(now time.Time, pending bool) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var due []netip.AddrPort
+	for addr, sub := range s.byAddr {
+		isNew := sub.versionAgesSentAt.IsZero()
+		if isNew || (pending && now.Sub(sub.versionAgesSentAt) >= loadreport.VersionAgesInterval) {
+			sub.versionAgesSentAt = now
+			s.byAddr[addr] = sub
+			due = append(due, addr)
+		}
+	}
+	return due
 }
 
 // totalDemand returns the weighted demand of the requests that are queued at all
@@ -86,6 +106,7 @@
 			return
 		case <-ticker.C:
 			r.refreshEngineState(ctx)
+			r.sendVersionAges(ctx, conn, entries)
 			r.sendReports(ctx, conn, entries)
 		}
 	}
@@ -108,6 +129,10 @@
 			r.applyAgentConfig(buffer[:n])
 			continue
 		}
+		if loadreport.IsVersionAges(buffer[:n]) {
+			r.applyVersionAges(time.Now(), from, buffer[:n])
+			continue
+		}
 		subscription, err := loadreport.DecodeSubscription(buffer[:n])
 		if err != nil {
 			r.deps.Logger.Warn("malformed subscription to load reports", "from", from, "error", err)
