Put the gauges of a program first on its metrics page

The page now holds the gauges, then the counters and the histograms of the program, each sorted by name, and the runtime's metrics last. Names and values are unchanged.

--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -65,7 +65,8 @@
 // Reference returns the page that lists every metric in Markdown.
 func Reference() string {
 	var b strings.Builder
-	b.WriteString("# Metrics\n\nGenerated from the table by `go test ./telemetry -update`.\n\n")
+	b.WriteString("# Metrics\n\nGenerated from the table by `go test ./telemetry -update`.\n\n" +
+		"The page `/metrics` holds the gauges of the program first, then its counters, its\nhistograms, and the metrics of the Go runtime and the process (`go_`, `process_`).\n\n")
 	b.WriteString("| name | kind | unit | tags | program | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
 	for _, m := range Metrics {
 		fmt.Fprintf(&b, "| `%s_%s` | %s | %s | %s | %s | %s |\n",
--- a/telemetry/scope.go
+++ b/telemetry/scope.go
@@ -19,7 +19,7 @@
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
-		Gatherer:   registry,
+		Gatherer:   pageOrder(registry),
 		OnRegisterError: func(err error) {
 			logger.Error("metric registration failed", "error", err)
 		},
