Report the versions that an entry requires and an agent has loaded as gauges

minimum_version, declared_version and declared_version_age_seconds (entries), loaded_version, declared_version and declared_version_age_seconds (agents) tell the state by service. The entry updates them where it sets the minimum version, so they show what it applies; the agent samples them each second, also while a version switch blocks its reconcile loop. Routing and versions are unchanged.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,6 +21,7 @@
 	metrics *metrics
 
 	services atomic.Pointer[map[string]*service]
+	versions *versionMonitor
 	random   *randomSource
 	// migratable holds the streams that may migrate, unstarted the stream attempts
 	// without a first event.
@@ -43,7 +44,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), startedAt: time.Now()}
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	deps.Directory.Subscribe(g.applyView)
@@ -87,6 +88,7 @@
 			p.SetEndpoints(now, endpointsByService[name])
 			p.SetMinVersion(minVersion)
 		})
+		g.versions.observe(now, view, name, minVersion)
 	}
 }
 
@@ -171,6 +173,7 @@
 			for name, s := range *g.services.Load() {
 				minVersion := g.minVersion(now, view, name, versionSafetyMargin)
 				s.gate.Update(func(p *admission.Pool) { p.SetMinVersion(minVersion) })
+				g.versions.observe(now, view, name, minVersion)
 				if cancelBelow := g.minVersion(now, view, name, cancelSafetyMargin); cancelBelow > 0 {
 					g.cancelOutdated(view, name, s, cancelBelow)
 				}
--- /dev/null
+++ b/gateway/versionmonitor.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/telemetry"
+)
+
+// versionMonitor reports the versions that the requests of each service may begin on.
+// It is safe for concurrent use.
+type versionMonitor struct {
+	scope tally.Scope
+
+	mu       sync.Mutex
+	services map[string]*monitoredService
+}
+
+// monitoredService is the state of one service in a versionMonitor.
+type monitoredService struct {
+	minVersion, declared, declaredAge tally.Gauge
+}
+
+func newVersionMonitor(scope tally.Scope) *versionMonitor {
+	return &versionMonitor{scope: telemetry.ScopeOrNoop(scope), services: make(map[string]*monitoredService)}
+}
+
+// observe records the minimum version that a service has from now on. It ignores
+// services without weights.
+func (m *versionMonitor) observe(now time.Time, view *directory.View, serviceName string, minVersion uint64) {
+	service := view.Document.Services[serviceName]
+	if service == nil || service.Engine == nil {
+		return
+	}
+	declared := view.DeclaredVersion(service.Model)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	monitored := m.service(serviceName)
+	monitored.minVersion.Update(float64(minVersion))
+	monitored.declared.Update(float64(declared.Version))
+	monitored.declaredAge.Update(ageAt(now, declared.DeclaredAt).Seconds())
+}
+
+// service returns the state of a service. The caller holds m.mu.
+func (m *versionMonitor) service(name string) *monitoredService {
+	if known := m.services[name]; known != nil {
+		return known
+	}
+	scope := m.scope.Tagged(map[string]string{telemetry.TagService: name})
+	added := &monitoredService{
+		minVersion:  scope.Gauge(telemetry.MetricMinVersion),
+		declared:    scope.Gauge(telemetry.MetricDeclaredVersion),
+		declaredAge: scope.Gauge(telemetry.MetricDeclaredVersionAge),
+	}
+	m.services[name] = added
+	return added
+}
+
+// ageAt returns the time since a version was declared, 0 if it was not.
+func ageAt(now, declaredAt time.Time) time.Duration {
+	if declaredAt.IsZero() {
+		return 0
+	}
+	return now.Sub(declaredAt)
+}
--- /dev/null
+++ b/gateway/versionmonitor_test.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/telemetry"
+)
+
+// versionFixture is a gateway for the service "lm" of the model "m", whose engines are
+// at a version.
+type versionFixture struct {
+	gateway   *Gateway
+	directory *directory.Directory
+	scope     tally.TestScope
+}
+
+func newVersionFixture(t *testing.T, versionBound time.Duration) *versionFixture {
+	t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	f := &versionFixture{directory: directory.New(logger), scope: tally.NewTestScope("", nil)}
+	f.gateway = New(Config{Name: "e", Region: "r", VersionBound: versionBound}, Deps{
+		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Logger: logger, Scope: f.scope,
+	})
+	f.directory.SetDocument(&directory.Document{Version: 1, Services: map[string]*directory.Service{
+		"lm":    {Name: "lm", Model: "m", Engine: &directory.Engine{}},
+		"plain": {Name: "plain"},
+	}})
+	return f
+}
+
+// gauge returns the value of a gauge of the service "lm".
+func (f *versionFixture) gauge(t *testing.T, name string) float64 {
+	t.Helper()
+	gauge, ok := f.scope.Snapshot().Gauges()[tally.KeyForPrefixedStringMap(name, map[string]string{telemetry.TagService: "lm"})]
+	assert.Assert(t, ok, "gauge %s is not reported", name)
+	return gauge.Value()
+}
+
+func TestVersionGaugesOfAnEntry(t *testing.T) {
+	f := newVersionFixture(t, time.Hour)
+	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 1.0)
+	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 1.0)
+	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), 0.0, "no version was declared")
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
+	f.directory.SetDeclaredVersion(time.Now().Add(-time.Minute), "m", 3, false)
+	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 2.0)
+	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 3.0)
+	age := f.gauge(t, telemetry.MetricDeclaredVersionAge)
+	assert.Assert(t, age >= 60 && age < 120, age)
+	for _, gauge := range f.scope.Snapshot().Gauges() {
+		assert.Equal(t, gauge.Tags()[telemetry.TagService], "lm", "services without weights have no versions")
+	}
+}
+
+// The view need not change for the minimum version to rise and the age to grow.
+func TestVersionGaugesFollowTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dueAfter = 2 * time.Second
+		f := newVersionFixture(t, versionSafetyMargin+dueAfter)
+		f.directory.SetDeclaredVersion(time.Now(), "m", 2, false)
+		go f.gateway.enforceVersions(t.Context())
+		time.Sleep(dueAfter - versionCheckInterval)
+		synctest.Wait()
+		assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 1.0)
+		time.Sleep(versionCheckInterval)
+		synctest.Wait()
+		assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 2.0)
+		assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), dueAfter.Seconds())
+	})
+}
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -51,6 +51,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	running.Go(func() { r.runReporter(ctx) })
+	running.Go(func() { r.versionSampler().Run(ctx) })
 	r.reconcileLoop(ctx)
 	return nil
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -59,6 +59,10 @@
 	{MetricQueueWait, Histogram, "seconds", []string{TagRank}, directOnly, "Time that such a request waited for a place."},
 	{MetricDirectRetries, Counter, "attempts", []string{TagCode}, directOnly, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
 	{MetricDroppedLogLines, Gauge, "lines", nil, directOnly, "Log lines dropped since the start because their rate or queue was over its bound."},
+	{MetricMinVersion, Gauge, "version", []string{TagService}, directOnly, "At entries: oldest version of the weights on which requests of the service may begin; 0 allows any."},
+	{MetricDeclaredVersion, Gauge, "version", []string{TagService}, directOnly, "Declared version of the weights as the process knows it; 0 while it knows no configuration."},
+	{MetricDeclaredVersionAge, Gauge, "seconds", []string{TagService}, directOnly, "Time since the declaration of that version as the process knows it, perhaps an estimate; 0 if none was declared."},
+	{MetricLoadedVersion, Gauge, "version", []string{TagService}, directOnly, "At agents: version of the weights that the engine has loaded; 0 for none, and while the engine does not answer."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -46,6 +46,10 @@
 	MetricQueueWait               = "held_seconds"
 	MetricDirectRetries           = "repeats_total"
 	MetricDroppedLogLines         = "log_lines_dropped"
+	MetricMinVersion              = "minimum_version"
+	MetricDeclaredVersion         = "declared_version"
+	MetricDeclaredVersionAge      = "declared_version_age_seconds"
+	MetricLoadedVersion           = "loaded_version"
 )
 
 // The tags of metrics.
@@ -58,6 +62,7 @@
 	TagCall    = "call"
 	TagOrder   = "order"
 	TagFault   = "fault"
+	TagService = "service"
 )
 
 // The programs that report metrics.
