Log each change of the minimum version of a service at an entry

On-call engineers could not see when an entry began to refuse a superseded version, nor on what grounds: "version declared" tells that a version was heard of, while the minimum version follows later, from the ages that the entry believes in.

"minimum version changed" has the service, the old and the new minimum, the declared version, its age and whether that is an estimate, and the superseded version that the entry knows with its age. It is logged once for each change, not by each of the ten checks a second. An entry that never learnt of a version in between shows so by what it lists as superseded.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), startedAt: time.Now()}
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	deps.Directory.Subscribe(g.applyView)
--- a/gateway/versionmonitor.go
+++ b/gateway/versionmonitor.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -10,10 +12,11 @@
 	"github.com/snipestep/snipestep/telemetry"
 )
 
-// versionMonitor reports the versions that the requests of each service may begin on.
-// It is safe for concurrent use.
+// versionMonitor reports the versions that the requests of each service may begin on,
+// and logs their changes. It is safe for concurrent use.
 type versionMonitor struct {
-	scope tally.Scope
+	scope  tally.Scope
+	logger *slog.Logger
 
 	mu       sync.Mutex
 	services map[string]*monitoredService
@@ -22,10 +25,12 @@
 // monitoredService is the state of one service in a versionMonitor.
 type monitoredService struct {
 	minVersion, declared, declaredAge tally.Gauge
+	// lastMinVersion is the minimum version at the last observation.
+	lastMinVersion uint64
 }
 
-func newVersionMonitor(scope tally.Scope) *versionMonitor {
-	return &versionMonitor{scope: telemetry.ScopeOrNoop(scope), services: make(map[string]*monitoredService)}
+func newVersionMonitor(scope tally.Scope, logger *slog.Logger) *versionMonitor {
+	return &versionMonitor{scope: telemetry.ScopeOrNoop(scope), logger: logger, services: make(map[string]*monitoredService)}
 }
 
 // observe records the minimum version that a service has from now on. It ignores
@@ -42,6 +47,12 @@
 	monitored.minVersion.Update(float64(minVersion))
 	monitored.declared.Update(float64(declared.Version))
 	monitored.declaredAge.Update(ageAt(now, declared.DeclaredAt).Seconds())
+	if minVersion == monitored.lastMinVersion {
+		return
+	}
+	fields := []any{"service", serviceName, "old", monitored.lastMinVersion, "new", minVersion}
+	m.logger.Info("minimum version changed", append(fields, declaredVersionFields(now, declared)...)...)
+	monitored.lastMinVersion = minVersion
 }
 
 // service returns the state of a service. The caller holds m.mu.
@@ -66,3 +77,20 @@
 	}
 	return now.Sub(declaredAt)
 }
+
+// declaredVersionFields returns log fields for what the process knows of a declared
+// version: its age and the versions that it superseded, as far as they are known.
+func declaredVersionFields(now time.Time, declared directory.DeclaredVersion) []any {
+	fields := []any{"declared", declared.Version}
+	if !declared.DeclaredAt.IsZero() {
+		fields = append(fields, "age_ms", now.Sub(declared.DeclaredAt).Milliseconds(), "age_estimated", declared.Estimated)
+	}
+	if declared.Previous == 0 {
+		return fields
+	}
+	superseded := fmt.Sprint(declared.Previous)
+	if !declared.PreviousDeclaredAt.IsZero() {
+		superseded += fmt.Sprintf(" (%v)", now.Sub(declared.PreviousDeclaredAt).Round(time.Millisecond))
+	}
+	return append(fields, "superseded", superseded)
+}
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"log/slog"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,12 +18,14 @@
 	gateway   *Gateway
 	directory *directory.Directory
 	scope     tally.TestScope
+	log       *logRecorder
 }
 
 func newVersionFixture(t *testing.T, versionBound time.Duration) *versionFixture {
 	t.Helper()
-	logger := slog.New(slog.DiscardHandler)
-	f := &versionFixture{directory: directory.New(logger), scope: tally.NewTestScope("", nil)}
+	f := &versionFixture{scope: tally.NewTestScope("", nil), log: &logRecorder{}}
+	logger := f.log.logger()
+	f.directory = directory.New(logger)
 	f.gateway = New(Config{Name: "e", Region: "r", VersionBound: versionBound}, Deps{
 		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Logger: logger, Scope: f.scope,
 	})
@@ -75,3 +76,40 @@
 		assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), dueAfter.Seconds())
 	})
 }
+
+// minVersionLines returns the lines on changes of the minimum version.
+func (f *versionFixture) minVersionLines(t *testing.T) []map[string]any {
+	t.Helper()
+	return f.log.lines(t, "minimum version changed")
+}
+
+func TestChangeOfMinimumVersionIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 10 * time.Second
+		f := newVersionFixture(t, bound)
+		go f.gateway.enforceVersions(t.Context())
+		f.directory.SetDeclaredVersion(time.Now(), "m", 2, false)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)), []map[string]any{
+			{"service": "lm", "old": 0.0, "new": 1.0, "declared": 1.0},
+			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9200.0, "age_estimated": false, "superseded": "1"},
+		})
+	})
+}
+
+// A process that starts late does not know all superseded versions, nor the age of the
+// declared one.
+func TestLineOfMinimumVersionTellsWhatTheEntryKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newVersionFixture(t, 10*time.Second)
+		f.directory.SetDeclaredVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, true)
+		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[1:]), []map[string]any{
+			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "age_estimated": true, "superseded": "1"},
+		})
+		f.directory.SetDeclaredVersion(time.Now().Add(-9300*time.Millisecond), "m", 4, false)
+		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[2:]), []map[string]any{
+			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9300.0, "age_estimated": false, "superseded": "3 (9.5s)"},
+		})
+	})
+}
