Log the versions behind the choice of an endpoint with each request

On-call engineers could not tell from the log on which version a request began: "request ended" had the endpoint and the age of its report, but neither the version that the entry believed to be loaded there nor the one it required, so a stale report, a wrong minimum version and a request that waited at the engine looked the same.

"request ended" and "attempt failed" now have endpoint_version and min_version, both as they were when the endpoint was chosen. A refusal without a choice has the minimum version at the refusal: in a flood such lines are all that a tail of the log holds. The pool hands out what it used; choices are unchanged.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -13,6 +13,7 @@
 func (g *Gateway) acquireSlot(ctx context.Context, req *request, resumed bool) (*admission.Grant, error) {
 	grant, err := req.service.gate.Acquire(ctx, req.admissionRequest(time.Now(), resumed))
 	if err != nil {
+		req.recordRefusal(err)
 		return nil, err
 	}
 	req.queueWait += grant.Waited
@@ -49,7 +50,8 @@
 	req.logger.Info("attempt failed",
 		"request", req.metadata.ID, "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
-		"load", attempt.grant.Estimate.Load, "report_age_ms", attempt.grant.Estimate.ReportAge.Milliseconds(), "free", attempt.grant.Estimate.FreeSlots)
+		"load", attempt.grant.Estimate.Load, "report_age_ms", attempt.grant.Estimate.ReportAge.Milliseconds(), "free", attempt.grant.Estimate.FreeSlots,
+		"endpoint_version", attempt.grant.Estimate.LoadedVersion, "min_version", attempt.grant.Estimate.MinVersion)
 }
 
 // attemptOutcome returns the outcome that a failed attempt counts as in the state of
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"log/slog"
 	"strconv"
 	"time"
@@ -29,7 +30,8 @@
 	queueWait         time.Duration
 	// lastEndpointID is the ID of the endpoint that was chosen last.
 	lastEndpointID string
-	// loadAtChoice is the load estimate on which that choice was based.
+	// loadAtChoice is the load estimate on which that choice was based. Without a
+	// choice it has the minimum version at the refusal only.
 	loadAtChoice admission.LoadEstimate
 	// firstResponseAt is when the first event or the complete response arrived;
 	// zero before.
@@ -37,6 +39,15 @@
 	logger          *slog.Logger
 }
 
+// recordRefusal records the minimum version at which a request got no slot, unless an
+// endpoint was chosen before.
+func (r *request) recordRefusal(err error) {
+	var refused *admission.RefusedError
+	if r.lastEndpointID == "" && errors.As(err, &refused) {
+		r.loadAtChoice.MinVersion = refused.MinVersion
+	}
+}
+
 // timeLeft returns the time until the deadline, at least a millisecond; 0 means no
 // deadline.
 func (r *request) timeLeft(now time.Time) time.Duration {
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -27,12 +31,17 @@
 	logger := f.log.logger()
 	f.directory = directory.New(logger)
 	f.gateway = New(Config{Name: "e", Region: "r", VersionBound: versionBound}, Deps{
-		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Logger: logger, Scope: f.scope,
+		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Transport: &http.Transport{DisableCompression: true}, Logger: logger, Scope: f.scope,
 	})
-	f.directory.SetDocument(&directory.Document{Version: 1, Services: map[string]*directory.Service{
+	document := &directory.Document{Version: 1, Services: map[string]*directory.Service{
 		"lm":    {Name: "lm", Model: "m", Engine: &directory.Engine{}},
 		"plain": {Name: "plain"},
+	}}
+	document.SetRoutes([]*directory.Route{{
+		Name: "once", Host: "h.example", Prefix: "/once/", Kind: directory.NonIdempotent, Timeout: time.Minute,
+		LatencyTarget: time.Second, MaxRuns: 1, Backends: []directory.Backend{{Service: "lm", Weight: 1}},
 	}})
+	f.directory.SetDocument(document)
 	return f
 }
 
@@ -113,3 +122,62 @@
 		})
 	})
 }
+
+// requestEnd sends a request for the service "lm" and returns the line on its end.
+func (f *versionFixture) requestEnd(t *testing.T) map[string]any {
+	t.Helper()
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h.example/once/", strings.NewReader("body"))
+	request.Header.Set("Id", "42")
+	f.gateway.ServeHTTP(httptest.NewRecorder(), request)
+	ended := f.log.lines(t, "request ended")
+	assert.Assert(t, len(ended) > 0)
+	return ended[len(ended)-1]
+}
+
+// listEndpoint lists an engine of the service "lm" whose agent has just reported its
+// version.
+func (f *versionFixture) listEndpoint(t *testing.T, loadedVersion uint64, handler http.HandlerFunc) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	f.directory.PutEndpoint(&directory.Endpoint{
+		ID: "i-0", Service: "lm", Address: strings.TrimPrefix(server.URL, "http://"), Region: "r", Slots: 4,
+	})
+	(*f.gateway.services.Load())["lm"].gate.Update(func(p *admission.Pool) {
+		p.Report("i-0", admission.Report{ReceivedAt: time.Now(), LoadedVersion: loadedVersion})
+	})
+}
+
+// A request that began on a superseded version could not be told from others by the
+// log.
+func TestEndOfRequestHasTheVersionsOfTheChoice(t *testing.T) {
+	f := newVersionFixture(t, time.Hour)
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
+	f.directory.SetDeclaredVersion(time.Now(), "m", 3, false)
+	f.listEndpoint(t, 3, respondWith("response"))
+	ended := f.requestEnd(t)
+	assert.Equal(t, ended["outcome"], "answered")
+	assert.Equal(t, ended["endpoint_version"], 3.0)
+	assert.Equal(t, ended["min_version"], 2.0)
+}
+
+func TestFailedAttemptHasTheVersionsOfTheChoice(t *testing.T) {
+	f := newVersionFixture(t, time.Hour)
+	f.listEndpoint(t, 1, resetConnection)
+	f.requestEnd(t)
+	failed := f.log.lines(t, "attempt failed")
+	assert.Equal(t, len(failed), 1)
+	assert.Equal(t, failed[0]["endpoint_version"], 1.0)
+	assert.Equal(t, failed[0]["min_version"], 1.0)
+}
+
+// In a flood of refusals these lines are all that a tail of the log holds.
+func TestEndOfRefusedRequestHasTheMinimumVersion(t *testing.T) {
+	f := newVersionFixture(t, time.Hour)
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
+	f.listEndpoint(t, 1, respondWith("response"))
+	ended := f.requestEnd(t)
+	assert.Equal(t, ended["outcome"], "refused")
+	assert.Equal(t, ended["endpoint_version"], 0.0, "no endpoint was chosen")
+	assert.Equal(t, ended["min_version"], 2.0)
+}
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -28,17 +28,24 @@
 	Estimate LoadEstimate
 }
 
-// LoadEstimate is the estimated load at the time of a decision.
+// LoadEstimate is the estimated state of an endpoint at the time of a decision.
 type LoadEstimate struct {
 	Load      float64       // Requests of all entries at the endpoint.
 	ReportAge time.Duration // Age of the report it is based on; -1 for none.
 	FreeSlots int           // Free slots at all endpoints together.
+	// LoadedVersion is the version of the weights at the endpoint, MinVersion the
+	// oldest one allowed; both are 0 for services without weights.
+	LoadedVersion uint64
+	MinVersion    uint64
 }
 
 // loadEstimate returns the present estimate for an endpoint. freeSlots is the
 // number of free slots at all endpoints.
 func (p *Pool) loadEstimate(now time.Time, endpoint *endpointState, freeSlots int) LoadEstimate {
-	estimate := LoadEstimate{Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots}
+	estimate := LoadEstimate{
+		Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots,
+		LoadedVersion: endpoint.loadedVersionAt(now, &p.config), MinVersion: p.minVersion,
+	}
 	if !endpoint.report.ReceivedAt.IsZero() {
 		estimate.ReportAge = now.Sub(endpoint.report.ReceivedAt)
 	}
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -13,6 +13,8 @@
 	// RetryAfter is the expected time until a slot is free.
 	RetryAfter time.Duration
 	Waited     time.Duration
+	// MinVersion is the oldest version of the weights that was allowed.
+	MinVersion uint64
 }
 
 // Error implements error.
@@ -98,12 +100,13 @@
 		assigned = make(chan Assignment, 1)
 		g.waiters[req.ID] = assigned
 	}
+	minVersion := g.pool.minVersion
 	g.mu.Unlock()
 	switch decision.Verdict {
 	case Start:
 		return &Grant{EndpointID: decision.EndpointID, Estimate: decision.Estimate, gate: g, requestID: req.ID}, nil
 	case Refuse:
-		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.ExpectedWait}
+		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.ExpectedWait, MinVersion: minVersion}
 	}
 	return g.wait(ctx, &req, enqueuedAt, assigned)
 }
@@ -154,7 +157,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wait := g.pool.expectedWait(g.now(), req, g.pool.slotReleaseRate(g.now()))
-	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: wait, Waited: g.now().Sub(enqueuedAt)}
+	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: wait, Waited: g.now().Sub(enqueuedAt), MinVersion: g.pool.minVersion}
 }
 
 func (g *Gate) newGrant(enqueuedAt time.Time, assignment Assignment) *Grant {
--- a/routing/admission/gate_test.go
+++ b/routing/admission/gate_test.go
@@ -58,3 +58,23 @@
 	assert.Assert(t, errors.As(err, &refused))
 	assert.Assert(t, refused.RetryAfter > 0)
 }
+
+func TestRefusalHasTheMinimumVersion(t *testing.T) {
+	g := newTestGate()
+	g.Update(func(p *Pool) { p.SetMinVersion(2) })
+	minVersion := func(change func(*Request)) uint64 {
+		req := newRequest(at(1), 0)
+		change(req)
+		_, err := g.Acquire(t.Context(), *req)
+		var refused *RefusedError
+		assert.Assert(t, errors.As(err, &refused))
+		return refused.MinVersion
+	}
+	refusedAtOnce := func(*Request) {}
+	assert.Equal(t, minVersion(refusedAtOnce), uint64(2))
+	refusedAfterWait := func(req *Request) {
+		req.Resumed = true
+		req.HardDeadline = at(2)
+	}
+	assert.Equal(t, minVersion(refusedAfterWait), uint64(2))
+}
