Tell an absent load report from a fresh one in the log

"request ended" and "attempt failed" had report_age_ms=0 where no report of the endpoint had arrived: the estimate says so by an age of -1 ns, which is 0 in milliseconds. The version and load of such a choice, which come from the endpoint list, looked like those of a report that had just arrived. So did a refusal without a choice.

The field is now -1 without a report. Both lines take the fields of the estimate from one function.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -47,11 +47,24 @@
 	}
 	breakerOpened := attempt.end(outcome)
 	req.failedEndpointIDs = append(req.failedEndpointIDs, attempt.grant.EndpointID)
-	req.logger.Info("attempt failed",
+	fields := []any{
 		"request", req.metadata.ID, "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
-		"load", attempt.grant.Estimate.Load, "report_age_ms", attempt.grant.Estimate.ReportAge.Milliseconds(), "free", attempt.grant.Estimate.FreeSlots,
-		"endpoint_version", attempt.grant.Estimate.LoadedVersion, "min_version", attempt.grant.Estimate.MinVersion)
+	}
+	req.logger.Info("attempt failed", append(fields, estimateFields(attempt.grant.Estimate)...)...)
+}
+
+// estimateFields returns the log fields of the estimate behind a choice. An age of -1
+// says that there was no report.
+func estimateFields(e admission.LoadEstimate) []any {
+	reportAgeMS := int64(-1)
+	if e.ReportAge >= 0 {
+		reportAgeMS = e.ReportAge.Milliseconds()
+	}
+	return []any{
+		"load", e.Load, "report_age_ms", reportAgeMS, "free", e.FreeSlots,
+		"endpoint_version", e.LoadedVersion, "min_version", e.MinVersion,
+	}
 }
 
 // attemptOutcome returns the outcome that a failed attempt counts as in the state of
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/admission"
 )
 
 // defaultMaxBodyBytes bounds request bodies while no document sets a limit.
@@ -22,7 +23,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{arrivedAt: time.Now(), logger: g.deps.Logger}
+	req := &request{arrivedAt: time.Now(), logger: g.deps.Logger, loadAtChoice: admission.LoadEstimate{ReportAge: -1}}
 	// This deadline also covers the body of a refused request, which the server
 	// discards.
 	setBodyDeadline(w, r, req.arrivedAt.Add(durationOrDefault(g.limits().IdleTimeout, defaultIdleTimeout)))
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -78,9 +78,9 @@
 	fields := []any{
 		"request", req.metadata.ID, "route", route, "rank", req.rank, "outcome", outcome, "status", status,
 		"took_ms", duration.Milliseconds(), "first_ms", firstResponseMS, "held_ms", req.queueWait.Milliseconds(), "arrivals", req.endpointsReached, "endpoint", req.lastEndpointID,
-		"load", req.loadAtChoice.Load, "report_age_ms", req.loadAtChoice.ReportAge.Milliseconds(), "free", req.loadAtChoice.FreeSlots, "left_ms", req.metadata.TimeLeft.Milliseconds(),
-		"endpoint_version", req.loadAtChoice.LoadedVersion, "min_version", req.loadAtChoice.MinVersion,
+		"left_ms", req.metadata.TimeLeft.Milliseconds(),
 	}
+	fields = append(fields, estimateFields(req.loadAtChoice)...)
 	g.deps.Logger.Info("request ended", append(fields, extra...)...)
 	g.metrics.recordRequest(req.rankLabel(), outcome, duration)
 }
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -179,5 +179,6 @@
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "refused")
 	assert.Equal(t, ended["endpoint_version"], 0.0, "no endpoint was chosen")
+	assert.Equal(t, ended["report_age_ms"], -1.0)
 	assert.Equal(t, ended["min_version"], 2.0)
 }
