Name the service of a request on the line of its end

A route may lead to several services, so the line did not tell which gauges and which "minimum version changed" lines belong to a request. Refusals name no endpoint either, from which the service could be looked up.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 
 func (g *Gateway) newService(s *directory.Service) *service {
 	svc := &service{
+		name:        s.Name,
 		retryBudget: newRetryBudget(g.config.RetryRatio, g.config.RetryBurst),
 	}
 	svc.firstResponseNanos.Store(int64(initialFirstResponse))
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -67,16 +67,19 @@
 // finish logs and counts the end of a request.
 func (g *Gateway) finish(req *request, outcome string, status int, extra ...any) {
 	duration := time.Since(req.arrivedAt)
-	route := ""
+	route, service := "", ""
 	if req.route != nil {
 		route = req.route.Name
 	}
+	if req.service != nil {
+		service = req.service.name
+	}
 	firstResponseMS := int64(-1)
 	if !req.firstResponseAt.IsZero() {
 		firstResponseMS = req.firstResponseAt.Sub(req.arrivedAt).Milliseconds()
 	}
 	fields := []any{
-		"request", req.metadata.ID, "route", route, "rank", req.rank, "outcome", outcome, "status", status,
+		"request", req.metadata.ID, "route", route, "service", service, "rank", req.rank, "outcome", outcome, "status", status,
 		"took_ms", duration.Milliseconds(), "first_ms", firstResponseMS, "held_ms", req.queueWait.Milliseconds(), "arrivals", req.endpointsReached, "endpoint", req.lastEndpointID,
 		"left_ms", req.metadata.TimeLeft.Milliseconds(),
 	}
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -9,6 +9,7 @@
 
 // service is the gateway's state for one service.
 type service struct {
+	name        string
 	gate        *admission.Gate
 	retryBudget *retryBudget
 	// firstResponseNanos is the mean time from sending a request to its first
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -157,6 +157,7 @@
 	f.listEndpoint(t, 3, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "answered")
+	assert.Equal(t, ended["service"], "lm")
 	assert.Equal(t, ended["endpoint_version"], 3.0)
 	assert.Equal(t, ended["min_version"], 2.0)
 }
@@ -178,6 +179,7 @@
 	f.listEndpoint(t, 1, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "refused")
+	assert.Equal(t, ended["service"], "lm")
 	assert.Equal(t, ended["endpoint_version"], 0.0, "no endpoint was chosen")
 	assert.Equal(t, ended["report_age_ms"], -1.0)
 	assert.Equal(t, ended["min_version"], 2.0)
