Log the superseded versions behind the minimum version

The monitor of versions follows the history of declarations: it lists each superseded version with its age, and marks estimates.

The minimum version is the first version, 1, where no declared one is mandatory yet, also while two are within the bound, where it was 0. Both allow every loaded version. So the value logged and reported does not fall when a second version is declared.

--- a/directory/declaredversion.go
+++ b/directory/declaredversion.go
@@ -33,15 +33,15 @@
 	}
 }
 
-// Required returns the newest version that was declared at least bound ago, 0 if
-// there is none: requests may no longer start on older ones.
+// Required returns the newest version that was declared at least bound ago, and
+// FirstVersion if there is none: requests may no longer start on older ones.
 func (d DeclaredVersion) Required(now time.Time, bound time.Duration) uint64 {
 	for _, declaration := range d.Declarations() {
 		if now.Sub(declaration.DeclaredAt) >= bound {
 			return declaration.Version
 		}
 	}
-	return 0
+	return FirstVersion
 }
 
 // FirstAfter returns the oldest known declaration of a version newer than the given
--- a/gateway/versionmonitor.go
+++ b/gateway/versionmonitor.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -85,12 +86,24 @@
 	if !declared.DeclaredAt.IsZero() {
 		fields = append(fields, "age_ms", now.Sub(declared.DeclaredAt).Milliseconds(), "age_estimated", declared.Estimated)
 	}
-	if declared.Previous == 0 {
+	if declared.Previous().Version == 0 {
 		return fields
 	}
-	superseded := fmt.Sprint(declared.Previous)
-	if !declared.PreviousDeclaredAt.IsZero() {
-		superseded += fmt.Sprintf(" (%v)", now.Sub(declared.PreviousDeclaredAt).Round(time.Millisecond))
+	return append(fields, "superseded", supersededText(now, declared))
+}
+
+// supersededText lists the known superseded versions with their ages, newest first.
+func supersededText(now time.Time, declared directory.DeclaredVersion) string {
+	if len(declared.Superseded) == 0 {
+		return fmt.Sprint(declared.Previous().Version)
+	}
+	var texts []string
+	for _, d := range declared.Superseded {
+		text := fmt.Sprintf("%d (%v)", d.Version, now.Sub(d.DeclaredAt).Round(time.Millisecond))
+		if d.Estimated {
+			text = fmt.Sprintf("%d (%v, estimated)", d.Version, now.Sub(d.DeclaredAt).Round(time.Millisecond))
+		}
+		texts = append(texts, text)
 	}
-	return append(fields, "superseded", superseded)
+	return strings.Join(texts, ", ")
 }
