Test that the reported age of a superseded version counts

Fails in all three cases: MergeDeclaredVersion ignores every report of a version older than the newest one, so an entry that learnt version 2 late, or only version 3, never learns since when version 2 is declared.

--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -33,3 +33,32 @@
 	assert.Equal(t, minVersionAt(t, d, start.Add(11*time.Second)), uint64(3))
 	assert.Equal(t, minVersionAt(t, d, start.Add(14*time.Second)), uint64(4))
 }
+
+// A process that was paused or cut off learns two versions late. The reported age of
+// the older one has to count although a newer one is declared.
+func TestReportedAgeOfSupersededVersionCounts(t *testing.T) {
+	start := time.Now()
+	learntLate := start.Add(5 * time.Second)
+	for name, learn := range map[string]func(*directory.Directory){
+		"both from the store": func(d *directory.Directory) {
+			d.SetDeclaredVersion(learntLate, "m", 2, false)
+			d.SetDeclaredVersion(learntLate, "m", 3, false)
+		},
+		"the newer one from the first read": func(d *directory.Directory) {
+			d.SetDeclaredVersion(learntLate, "m", 3, true)
+		},
+		"the newer one from a report": func(d *directory.Directory) {
+			d.MergeDeclaredVersion("m", 3, start.Add(4*time.Second))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := directory.New(slog.New(slog.DiscardHandler))
+			learn(d)
+			d.MergeDeclaredVersion("m", 3, start.Add(4*time.Second))
+			d.MergeDeclaredVersion("m", 2, start)
+			assert.Assert(t, minVersionAt(t, d, start.Add(7*time.Second)) < 2)
+			assert.Equal(t, minVersionAt(t, d, start.Add(8*time.Second)), uint64(2))
+			assert.Equal(t, minVersionAt(t, d, start.Add(12*time.Second)), uint64(3))
+		})
+	}
+}
