Test that a complete download is kept until a newer one is complete

Fails: after a third declaration the agent drops the complete download of the first version although the engine still has the one before, which no request may use from the end of the bound on. The engine is idle until a newer version is complete.

--- /dev/null
+++ b/sidecar/threeversions_test.go
@@ -0,0 +1,31 @@
+package sidecar
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/directory"
+)
+
+// declareThreeVersions declares versions 2, 3 and 4 within testVersionBound.
+func declareThreeVersions(r *Reconciler) (*directory.View, directory.DeclaredVersion) {
+	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, false)
+	r.deps.Directory.SetDeclaredVersion(at(3000), testModel, 3, false)
+	r.deps.Directory.SetDeclaredVersion(at(6000), testModel, 4, false)
+	view := r.deps.Directory.View()
+	return view, view.DeclaredVersion(testModel)
+}
+
+// A third version is declared before the engine has switched to the first. While
+// neither newer one is there, the engine has to serve the first.
+func TestCompleteDownloadIsKeptUntilANewerOneIsComplete(t *testing.T) {
+	r := newReconciler(t, &fakeEngine{}, 2)
+	view, declared := declareThreeVersions(r)
+	state := &EngineState{LoadedVersion: 1, Running: 1}
+	r.reconcileDownloads(t.Context(), view, testService, declared, state)
+	assert.Assert(t, r.downloadedSet(2) != nil, "complete download was dropped")
+	version, ok := r.dueVersion(at(7000), view, declared, state)
+	assert.Assert(t, ok, "the engine keeps version 1, which no request may use from 8 s on")
+	assert.Equal(t, version, uint64(2))
+}
