Test that a switch meets the bound of the first of three versions

Fails: the latest switch follows from the previous version only. An engine that has the newest version downloaded keeps version 1 beyond the bound of version 2.

--- a/sidecar/threeversions_test.go
+++ b/sidecar/threeversions_test.go
@@ -29,3 +29,13 @@
 	assert.Assert(t, ok, "the engine keeps version 1, which no request may use from 8 s on")
 	assert.Equal(t, version, uint64(2))
 }
+
+// The engine switches before the oldest version that it has not loaded is mandatory.
+func TestSwitchMeetsTheBoundOfTheFirstOfThreeVersions(t *testing.T) {
+	r := newReconciler(t, &fakeEngine{}, 4)
+	view, declared := declareThreeVersions(r)
+	switchAt, version, ok := r.scheduledSwitch(view, declared, &EngineState{LoadedVersion: 1, Running: 1})
+	assert.Assert(t, ok)
+	assert.Equal(t, version, uint64(4))
+	assert.Assert(t, switchAt.Before(at(8000)), "switch at %v after the first declaration", switchAt.Sub(at(0)))
+}
