Test that an age beyond the encoding is not reported as younger

Fails: ages end at 25.4 s in load reports, while version_bound may be up to an hour. An entry that starts takes the version for younger than it is.

--- a/loadreport/report_test.go
+++ b/loadreport/report_test.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// With a version bound of a minute, an entry that starts would take a version declared
+// 40 s ago for younger, and allow older ones for longer.
+func TestAgeBeyondTheEncodingIsNotReportedAsYounger(t *testing.T) {
+	const age = 40 * time.Second
+	decoded, err := loadreport.DecodeReport(loadreport.Report{DeclaredVersion: 2, DeclaredAge: age}.Encode())
+	assert.NilError(t, err)
+	assert.Assert(t, decoded.DeclaredAge < 0 || decoded.DeclaredAge > age-time.Second, "decoded as %v", decoded.DeclaredAge)
+}
+
 func TestSubscriptionRoundTrip(t *testing.T) {
 	decoded, err := loadreport.DecodeSubscription(loadreport.Subscription{Demand: 70_000, Timestamp: 9}.Encode())
 	assert.NilError(t, err)
