Test that an endpoint that left is dropped while the store flaps

Fails: an endpoint that is missing after an outage is kept until the store has answered for two seconds in a row, however long ago the removal was read.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -135,3 +135,19 @@
 	}
 	assert.DeepEqual(t, ids, []string{"new", "other"})
 }
+
+// A store that fails one call every 1.5 s, or refuses one machine now and then, must not
+// keep an endpoint in use that left: missingGrace would begin anew each time.
+func TestEndpointThatLeftIsDroppedWhileTheStoreFlaps(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "left"})
+	d.SetStoreUp(at(0), false, errStoreUnavailable)
+	d.SetStoreUp(at(100), true, nil)
+	d.DropEndpoint(at(100), "left")
+	for ms := 1500; ms <= 15_000; ms += 1500 {
+		d.SetStoreUp(at(ms), false, errStoreUnavailable)
+		d.SetStoreUp(at(ms+100), true, nil)
+		d.ExpireMissing(at(ms + 1400))
+	}
+	assert.Assert(t, d.View().Endpoints["left"] == nil, "still in use 15 s after it left")
+}
