Test that an entry that starts learns the quarantine

Fails: heartbeats carry strikes of the last five seconds only, and agents relay each strike three times. A quarantine lasts ten minutes, but only at the entries that ran when the endpoints crashed.

--- a/entry/stateful_test.go
+++ b/entry/stateful_test.go
@@ -138,3 +138,20 @@
 		t.Error("quarantine does not expire")
 	}
 }
+
+// An entry that starts long after two crashes has to refuse the request too, or it
+// crashes two more endpoints after each restart.
+func TestEntryThatStartsLearnsTheQuarantine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	running := newQuarantine(clock)
+	running.recordStrike(7, "first")
+	running.recordStrike(7, "second")
+	now = now.Add(30 * time.Second)
+	started := newQuarantine(clock)
+	started.mergeStrikes(running.recentStrikes())
+	want, _ := running.quarantinedFor(7)
+	if got, refused := started.quarantinedFor(7); !refused || got != want {
+		t.Errorf("refused: %v, for %v; the running entry refuses for %v", refused, got, want)
+	}
+}
