Test that a stale fence is refused after a restart of the agent

Fails: the highest fencing number is in the agent's memory only. After a restart the agent accepts an order of a lost lease and drains the engine's calls, although the engine's status tells the higher number. The fixture can restart the agent.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -26,12 +26,15 @@
 
 // fixture is one agent with a fake engine, and a session like that of an entry.
 type fixture struct {
-	t        *testing.T
-	agent    *Agent
-	engine   *fakes.Engine
-	session  *wire.Session
-	stop     context.CancelFunc
-	runEnded chan error
+	t       *testing.T
+	agent   *Agent
+	engine  *fakes.Engine
+	session *wire.Session
+	// engineURL and slots are kept for startAgent.
+	engineURL string
+	slots     int
+	stop      context.CancelFunc
+	runEnded  chan error
 }
 
 func freeAddr(t *testing.T, network string) string {
@@ -63,27 +66,37 @@
 	})
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
+	f := &fixture{t: t, engine: engine, engineURL: server.URL, slots: slots}
+	f.startAgent()
+	t.Cleanup(func() { f.stopAgent() })
+	return f
+}
+
+// startAgent starts an agent at the engine and opens a session to it.
+func (f *fixture) startAgent() {
+	f.t.Helper()
 	origin := backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: "http://127.0.0.1:1"})
 	a, err := New(Config{
 		Instance: core.Instance{
 			ID: "m1", Role: core.RoleModel,
-			SessionAddr: freeAddr(t, "tcp"), DatagramAddr: freeAddr(t, "udp"), ChunkAddr: freeAddr(t, "tcp"),
+			SessionAddr: freeAddr(f.t, "tcp"), DatagramAddr: freeAddr(f.t, "udp"), ChunkAddr: freeAddr(f.t, "tcp"),
 		},
-		FleetKey: testKey, Slots: slots, ChecksFencing: true,
-	}, Deps{Origin: origin, Store: origin, Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: server.URL, Timeout: 10 * time.Second})})
-	assert.NilError(t, err)
+		FleetKey: testKey, Slots: f.slots, ChecksFencing: true,
+	}, Deps{Origin: origin, Store: origin, Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.engineURL, Timeout: 10 * time.Second})})
+	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fixture{t: t, agent: a, engine: engine, stop: cancel, runEnded: make(chan error, 1)}
-	go func() { f.runEnded <- a.Run(ctx) }()
-	t.Cleanup(func() {
-		a.Kill()
-		cancel()
-	})
+	f.agent, f.stop, f.runEnded = a, cancel, make(chan error, 1)
+	go func(ended chan<- error) { ended <- a.Run(ctx) }(f.runEnded)
 	<-a.Ready()
-	f.session, err = wire.Dial(t.Context(), (&net.Dialer{}).DialContext, a.cfg.Instance.SessionAddr,
+	f.session, err = wire.Dial(f.t.Context(), (&net.Dialer{}).DialContext, a.cfg.Instance.SessionAddr,
 		wire.Identity{Instance: "e1", FleetKey: testKey}, func(context.Context, *wire.Session, *wire.Stream, *wire.StreamHeader) {})
-	assert.NilError(t, err)
-	return f
+	assert.NilError(f.t, err)
+}
+
+// stopAgent kills the agent.
+func (f *fixture) stopAgent() {
+	f.agent.Kill()
+	f.stop()
 }
 
 // addModel adds a complete model to the agent without a transfer.
@@ -196,6 +209,20 @@
 	assert.Equal(t, response.GetHighestFence(), uint64(5))
 }
 
+// The agent restarts while the engine runs on, and an executor that was paused sends an
+// order of its lost lease. It must not drain the engine's calls for it.
+func TestStaleFenceIsRefusedAfterAgentRestart(t *testing.T) {
+	f := newFixture(t, 2, 0)
+	m := f.addModel("v1")
+	assert.Assert(t, f.order(5, serveOrder(m)).GetAccepted())
+	f.waitForStatus(func(s *wire.AgentStatus) bool { return !s.GetSwapping() && wire.ModelRefFromProto(s.GetServing()) == m })
+	f.stopAgent()
+	f.startAgent()
+	f.waitForStatus(func(s *wire.AgentStatus) bool { return wire.ModelRefFromProto(s.GetServing()) == m })
+	drain := &wire.OrderRequest{Order: &wire.OrderRequest_Drain{Drain: &wire.DrainOrder{StreamGraceMs: 1000}}}
+	assert.Equal(t, f.order(4, drain).GetCode(), CodeStaleFence)
+}
+
 func TestPreemptedCallResumesAndBothCallsComplete(t *testing.T) {
 	f := newFixture(t, 1, 5*time.Millisecond)
 	m := f.addModel("v1")
