Test that a drain outlives a restart of the agent

Fails: that an endpoint is drained is in its agent's memory only. A restarted agent opens it to calls until the executor orders the drain again. With the key-value service down and no holder of the lease that does not happen. The restarted agent has the configuration that names the stop.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -53,6 +53,7 @@
 	weightStore   *fakes.WeightStore
 	runCounter    *fakes.RunCounter
 	engines       []*fakes.Engine
+	instances     []core.Instance // Of the engines' agents.
 	plainServices []*fakes.PlainService
 	agents        []*agent.Agent
 	entries       []*Entry
@@ -169,6 +170,7 @@
 	instance := f.instance(fmt.Sprintf("model-%d", i), core.RoleModel, i)
 	instance.ChunkAddr = f.freeAddr()
 	f.engines = append(f.engines, engine)
+	f.instances = append(f.instances, instance)
 	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
 		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.startServer(f.recordTraceparents(engine)), Timeout: testDeadline}),
 		Origin: backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: f.urls["origin"]}),
@@ -176,6 +178,23 @@
 	})
 }
 
+// restartAgent kills the agent of an engine and starts another one with the same
+// instance. The engine runs on.
+func (f *testFleet) restartAgent(engine int) {
+	f.t.Helper()
+	instance := f.instances[engine]
+	f.agents[engine].Kill()
+	<-f.programs[instance.ID].ended
+	f.runAgent(agent.Config{Instance: instance, ChecksFencing: engine%2 == 0}, agent.Deps{
+		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.startServer(f.engines[engine]), Timeout: testDeadline}),
+		Origin: backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: f.urls["origin"]}),
+		Store:  backing.NewHTTPWeightStore(backing.HTTPConfig{BaseURL: f.urls["store"]}),
+	})
+	last := len(f.agents) - 1
+	f.agents[engine] = f.agents[last]
+	f.agents = f.agents[:last]
+}
+
 func (f *testFleet) addPlain(i int) {
 	config := fakes.PlainServiceConfig{Operations: []string{"purchase", "balance"}, Slots: 4, Seed: uint64(i)}
 	if f.plainConfig != nil {
--- a/entry/planned_test.go
+++ b/entry/planned_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -42,16 +43,19 @@
 func (f *testFleet) awaitNoNewCalls(id core.InstanceID) {
 	f.t.Helper()
 	for _, e := range f.entries {
-		f.waitUntil("no new calls for "+string(id), func() bool {
-			table := e.routes.table.Load()
-			for i := range table.Len() {
-				if s := table.Endpoint(i); s.ID == id && !s.Draining && !s.Leaving {
-					return false
-				}
-			}
+		f.waitUntil("no new calls for "+string(id), func() bool { return !e.takesNewCalls(id) })
+	}
+}
+
+// takesNewCalls reports whether the entry may send new calls to an instance.
+func (e *Entry) takesNewCalls(id core.InstanceID) bool {
+	table := e.routes.table.Load()
+	for i := range table.Len() {
+		if s := table.Endpoint(i); s.ID == id && !s.Draining && !s.Leaving {
 			return true
-		})
+		}
 	}
+	return false
 }
 
 // checkGetsNoCalls sends calls and checks that an engine gets none of them and
@@ -98,6 +102,26 @@
 	}
 }
 
+// TestDrainOutlivesAgentRestart restarts the agent of a drained endpoint while the
+// key-value service is down and no entry holds the executor's lease.
+func TestDrainOutlivesAgentRestart(t *testing.T) {
+	f, v1 := newServingFleet(t, 3, 2)
+	f.applyIntent(0, intent.Intent{Drain: &intent.Drain{Selector: intent.Selector{FailureDomain: "r1a"}, StreamGraceMS: 1000, AcceptLess: true}})
+	f.awaitNoNewCalls("model-1")
+	holder := f.leaseHolder()
+	f.kv.SetDown(true)
+	f.entries[holder].Kill()
+	<-f.programs[f.entries[holder].cfg.Instance.ID].ended
+	f.entries = slices.Delete(f.entries, holder, holder+1)
+	generation := f.entries[0].Generation()
+	f.restartAgent(1)
+	f.waitUntil("the new agent serves and has the configuration", func() bool {
+		return f.agents[1].Generation() >= generation && f.agents[1].Serving() == v1
+	})
+	time.Sleep(time.Second) // Several reports of the new agent.
+	assert.Assert(t, !f.entries[0].takesNewCalls("model-1"), "the endpoint is back in service without a resume")
+}
+
 // TestLeavingAgentCutsNoStream shuts down an agent that the instance list still
 // shows as live.
 func TestLeavingAgentCutsNoStream(t *testing.T) {
