--- a/entry/stateful_test.go
+++ b/entry/stateful_test.go
@@ -155,3 +155,20 @@
 		t.Errorf("refused: %v, for %v; the running entry refuses for %v", refused, got, want)
 	}
 }
+
+// One crash strikes more requests than a heartbeat carries. The newest have to reach the
+// other entries, or each of them learns of the crashing request by crashes of its own.
+func TestHeartbeatsCarryTheNewestStrikes(t *testing.T) {
+	const strikes = 3 * maxSharedStrikes
+	now := time.Unix(1000, 0)
+	q := newQuarantine(func() time.Time { return now })
+	for fingerprint := range uint64(strikes) {
+		now = now.Add(100 * time.Millisecond)
+		q.recordStrike(fingerprint, "crash")
+	}
+	for _, s := range q.recentStrikes() {
+		if s.GetFingerprint() < strikes-maxSharedStrikes {
+			t.Errorf("strike %d of %d is sent before newer ones", s.GetFingerprint(), strikes)
+		}
+	}
+}
