Test that a lower incarnation is accepted once the old one is long dead

Fails: an instance that stays in the instance list keeps its highest incarnation for ever. An agent that restarts after its clock was set back gets no calls until the clock has caught up.

--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -62,6 +62,19 @@
 
 // TestMembershipMatchesReferenceModel compares Membership with a reference model
 // of the newest heartbeat of each instance and of the members that must be known.
+// The incarnation is a time of day. If the clock was set back before the restart, the
+// new one is lower, and an instance that stays listed must not be lost for it.
+func TestLowerIncarnationIsAcceptedOnceTheOldOneIsLongDead(t *testing.T) {
+	m := fleet.NewMembership(fleet.DefaultTiming)
+	m.ApplyInstanceList([]core.Instance{{ID: "a"}}, start)
+	m.HandleHeartbeat(newHeartbeat("a", 100, 7), start)
+	later := start.Add(2 * fleet.DefaultTiming.RemoveAfter)
+	m.Tick(later)
+	m.ApplyInstanceList([]core.Instance{{ID: "a"}}, later)
+	m.HandleHeartbeat(newHeartbeat("a", 50, 1), later)
+	assert.Equal(t, findMember(t, m, "a").State, fleet.MemberAlive)
+}
+
 func TestMembershipMatchesReferenceModel(t *testing.T) {
 	ids := []core.InstanceID{"a", "b", "c"}
 	rapid.Check(t, func(t *rapid.T) {
