--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -62,3 +62,15 @@
 		})
 	}
 }
+
+// Two declarations in quick succession must not allow a version again that was forbidden
+// before them, such as that of an engine which fell behind.
+func TestMinVersionNeverFalls(t *testing.T) {
+	start := time.Now()
+	d := directory.New(slog.New(slog.DiscardHandler))
+	d.SetDeclaredVersion(start.Add(-time.Hour), "m", 2, false)
+	d.SetDeclaredVersion(start, "m", 3, false)
+	assert.Equal(t, minVersionAt(t, d, start), uint64(2))
+	d.SetDeclaredVersion(start.Add(time.Second), "m", 4, false)
+	assert.Equal(t, minVersionAt(t, d, start.Add(time.Second)), uint64(2))
+}
