--- a/entry/stateful_test.go
+++ b/entry/stateful_test.go
@@ -138,3 +138,37 @@
 		t.Error("quarantine does not expire")
 	}
 }
+
+// An entry that starts long after two crashes has to refuse the request too, or it
+// crashes two more endpoints after each restart.
+func TestEntryThatStartsLearnsTheQuarantine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	running := newQuarantine(clock)
+	running.recordStrike(7, "first")
+	running.recordStrike(7, "second")
+	now = now.Add(30 * time.Second)
+	started := newQuarantine(clock)
+	started.mergeStrikes(running.recentStrikes())
+	want, _ := running.quarantinedFor(7)
+	if got, refused := started.quarantinedFor(7); !refused || got != want {
+		t.Errorf("refused: %v, for %v; the running entry refuses for %v", refused, got, want)
+	}
+}
+
+// One crash strikes more requests than a heartbeat carries. The newest have to reach the
+// other entries, or each of them learns of the crashing request by crashes of its own.
+func TestHeartbeatsCarryTheNewestStrikes(t *testing.T) {
+	const strikes = 3 * maxSharedStrikes
+	now := time.Unix(1000, 0)
+	q := newQuarantine(func() time.Time { return now })
+	for fingerprint := range uint64(strikes) {
+		now = now.Add(100 * time.Millisecond)
+		q.recordStrike(fingerprint, "crash")
+	}
+	for _, s := range q.recentStrikes() {
+		if s.GetFingerprint() < strikes-maxSharedStrikes {
+			t.Errorf("strike %d of %d is sent before newer ones", s.GetFingerprint(), strikes)
+		}
+	}
+}
