Bound how long an endpoint that left outlives outages of the store

Requests go to an endpoint that stops.

Cause: the grace period of an endpoint that is missing after an outage counted from the last recovery of the store, and each failed call began it anew: the deadline was kept for the store, not for the endpoint.

Evidence: TestEndpointThatLeftIsDroppedWhileTheStoreFlaps failed before ('still in use 15 s after it left').

Change: the grace period is 2 s in which the store answers, counted from the end of the outage in which the endpoint went missing. Further outages interrupt it, so that an endpoint that had no time to be listed again is kept through them; a second test guards that.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -22,16 +22,17 @@
 
 	mu          sync.Mutex
 	subscribers []func(*View)
-	// storeRecoveredAt is when the last outage of the store ended.
-	storeRecoveredAt time.Time
+	uptime      storeUptime
 	// missing holds the IDs of endpoints that are missing from the endpoint list
-	// since an outage of the store and are kept for missingGrace.
-	missing map[string]bool
+	// since an outage of the store, with the uptime of the store at the end of that
+	// outage. They are kept for missingGrace of uptime: further outages interrupt the
+	// grace period and do not restart it.
+	missing map[string]time.Duration
 }
 
 // New returns a directory with an empty view.
 func New(logger *slog.Logger) *Directory {
-	d := &Directory{logger: logger, missing: make(map[string]bool)}
+	d := &Directory{logger: logger, missing: make(map[string]time.Duration)}
 	d.current.Store(&View{Endpoints: map[string]*Endpoint{}, DeclaredVersions: map[string]DeclaredVersion{}, StoreUp: true})
 	return d
 }
@@ -156,9 +157,9 @@
 	if d.current.Load().Endpoints[id] == nil {
 		return
 	}
-	if !d.current.Load().StoreUp || now.Sub(d.storeRecoveredAt) < missingGrace {
-		if !d.missing[id] {
-			d.missing[id] = true
+	if !d.current.Load().StoreUp || d.uptime.sinceRecovery(now) < missingGrace {
+		if _, marked := d.missing[id]; !marked {
+			d.missing[id] = d.uptime.beforeLastRecovery
 			d.logger.Info("endpoint missing after an outage of the store", "endpoint", id, "kept", missingGrace)
 		}
 		return
@@ -175,16 +176,18 @@
 	})
 }
 
-// ExpireMissing removes the endpoints that are still missing when missingGrace has
-// passed since the store recovered.
+// ExpireMissing removes the endpoints that are still missing when the store has
+// answered for missingGrace since the outage.
 func (d *Directory) ExpireMissing(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.current.Load().StoreUp || now.Sub(d.storeRecoveredAt) < missingGrace {
+	if !d.current.Load().StoreUp {
 		return
 	}
-	for id := range d.missing {
-		d.remove(id)
+	for id, uptimeAtRecovery := range d.missing {
+		if d.uptime.total(now)-uptimeAtRecovery >= missingGrace {
+			d.remove(id)
+		}
 	}
 }
 
@@ -206,9 +209,10 @@
 		return
 	}
 	if up {
-		d.storeRecoveredAt = now
+		d.uptime.recovered(now)
 		d.logger.Info("store regained")
 	} else {
+		d.uptime.lost(now)
 		d.logger.Warn("store lost, serving on the last known view", "error", cause)
 	}
 	d.update(func(v *View) { v.StoreUp = up })
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -195,3 +195,20 @@
 	}
 	assert.Assert(t, d.View().Endpoints["left"] == nil, "still in use 15 s after it left")
 }
+
+// Guards against the loss of endpoints that had no time to be listed again because
+// another outage followed.
+func TestEndpointMissingAfterAnOutageIsKeptThroughTheNextOne(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "a"})
+	d.SetStoreUp(at(0), false, errStoreUnavailable)
+	d.SetStoreUp(at(5000), true, nil)
+	d.DropEndpoint(at(5000), "a")
+	d.SetStoreUp(at(6000), false, errStoreUnavailable)
+	d.ExpireMissing(at(20_000))
+	d.SetStoreUp(at(30_000), true, nil)
+	d.ExpireMissing(at(30_900))
+	assert.Assert(t, d.View().Endpoints["a"] != nil)
+	d.ExpireMissing(at(31_000))
+	assert.Assert(t, d.View().Endpoints["a"] == nil)
+}
