--- a/directory/declaration.go
+++ b/directory/declaration.go
@@ -8,9 +8,8 @@
 	// DeclaredAt is the earliest known time at which a process learnt of the
 	// version, on this process's monotonic clock.
 	DeclaredAt time.Time
-	// Estimated marks DeclaredAt as an estimate: the version was declared before
-	// the process that learnt of it started.
-	Estimated bool
+	// Certainty says how far DeclaredAt is known.
+	Certainty Certainty
 }
 
 // declaredAtTolerance is how much earlier a reported declaration time must be to
@@ -18,10 +17,10 @@
 const declaredAtTolerance = 150 * time.Millisecond
 
 // refinedBy reports whether the time in a declaration of the same version replaces
-// the known one: a known time replaces an estimate, otherwise the earlier one wins.
+// this one: a more certain time does, otherwise the earlier one wins.
 func (d Declaration) refinedBy(other Declaration) bool {
-	if d.Estimated != other.Estimated {
-		return d.Estimated
+	if d.Certainty != other.Certainty {
+		return other.Certainty < d.Certainty
 	}
 	return other.DeclaredAt.Before(d.DeclaredAt.Add(-declaredAtTolerance))
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -72,15 +72,15 @@
 	d.update(func(v *View) { v.Document = doc })
 }
 
-// SetDeclaredVersion records a version of a model that the store names. estimated marks
-// declaredAt as an estimate. A version that is already known is ignored.
-func (d *Directory) SetDeclaredVersion(declaredAt time.Time, model string, version uint64, estimated bool) {
+// SetDeclaredVersion records a version of a model that the store names. certainty says
+// how far declaredAt is known. A version that is already known is ignored.
+func (d *Directory) SetDeclaredVersion(declaredAt time.Time, model string, version uint64, certainty Certainty) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if _, found := d.current.Load().DeclaredVersions[model].find(version); found {
 		return
 	}
-	d.addDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Estimated: estimated})
+	d.addDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Certainty: certainty})
 }
 
 // MergeDeclaration merges a declaration reported by another process. It takes effect
@@ -100,7 +100,7 @@
 		d.addDeclaration(model, reported)
 		return
 	}
-	d.logger.Info("age of a declared version learnt", "model", model, "version", reported.Version, "age_ms", time.Since(reported.DeclaredAt).Milliseconds(), "guessed", reported.Estimated)
+	d.logger.Info("age of a declared version learnt", "model", model, "version", reported.Version, "age_ms", time.Since(reported.DeclaredAt).Milliseconds(), "certainty", reported.Certainty.String())
 	d.replaceDeclaredVersion(model, known.with(reported))
 }
 
@@ -117,7 +117,7 @@
 		message = "superseded version learnt"
 	}
 	d.logger.Info(message, "model", model, "version", added.Version, "previous", next.Previous().Version, "newest", next.Version,
-		"age_ms", time.Since(added.DeclaredAt).Milliseconds(), "guessed", added.Estimated)
+		"age_ms", time.Since(added.DeclaredAt).Milliseconds(), "certainty", added.Certainty.String())
 	d.replaceDeclaredVersion(model, next)
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -57,9 +57,9 @@
 func TestDeclaredVersionOnlyIncreasesAndKeepsPrevious(t *testing.T) {
 	d := newDirectory()
 	assert.Equal(t, d.View().DeclaredVersion("m").Version, uint64(directory.FirstVersion))
-	d.SetDeclaredVersion(at(0), "m", 2, false)
-	d.SetDeclaredVersion(at(100), "m", 3, false)
-	d.SetDeclaredVersion(at(200), "m", 2, false)
+	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
+	d.SetDeclaredVersion(at(100), "m", 3, directory.Known)
+	d.SetDeclaredVersion(at(200), "m", 2, directory.Known)
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, declared.Version, uint64(3))
 	assert.Equal(t, declared.Previous(), directory.Declaration{Version: 2, DeclaredAt: at(0)})
@@ -67,19 +67,19 @@
 
 func TestEstimatedDeclarationTimeIsReplacedByReportedOne(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(-5000), "m", 2, true)
+	d.SetDeclaredVersion(at(-5000), "m", 2, directory.Guessed)
 	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-5000))
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-1000))
-	assert.Assert(t, !d.View().DeclaredVersion("m").Estimated)
+	assert.Assert(t, d.View().DeclaredVersion("m").Certainty == directory.Known)
 }
 
 // A large document can delay the watch of one process, so that it learns of a
 // version later than others.
 func TestEarliestReportedDeclarationTimeWins(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(0), "m", 2, false)
+	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-100)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(0), "difference is within the resolution of reported ages")
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-900)})
@@ -88,7 +88,7 @@
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-900), "the earliest reported time counts")
 	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(500)})
 	assert.Equal(t, d.View().DeclaredVersion("m").Version, uint64(3))
-	d.SetDeclaredVersion(at(1500), "m", 3, false)
+	d.SetDeclaredVersion(at(1500), "m", 3, directory.Known)
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(500))
 	d.MergeDeclaration("other", directory.Declaration{Version: 1, DeclaredAt: at(0)})
 	_, known := d.View().DeclaredVersions["other"]
@@ -139,11 +139,11 @@
 // never learnt of it, or learnt of it late.
 func TestReportedDeclarationsOfSupersededVersionsAreMerged(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(3000), "m", 4, false)
+	d.SetDeclaredVersion(at(3000), "m", 4, directory.Known)
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
-	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2500), Estimated: true})
+	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2500), Certainty: directory.Estimated})
 	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2000)})
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Estimated: true})
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Certainty: directory.Estimated})
 	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
 	assert.DeepEqual(t, d.View().DeclaredVersion("m"), directory.DeclaredVersion{
 		Declaration: directory.Declaration{Version: 4, DeclaredAt: at(3000)},
@@ -155,9 +155,9 @@
 // one first.
 func TestStoreAddsAVersionOlderThanTheReportedOne(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(0), "m", 2, false)
+	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
 	d.MergeDeclaration("m", directory.Declaration{Version: 4, DeclaredAt: at(2000)})
-	d.SetDeclaredVersion(at(2100), "m", 3, false)
+	d.SetDeclaredVersion(at(2100), "m", 3, directory.Known)
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, declared.Version, uint64(4))
 	assert.Equal(t, declared.Previous().Version, uint64(3))
@@ -169,7 +169,7 @@
 	d := newDirectory()
 	const newest = directory.MaxSuperseded + 5
 	for version := 2; version <= newest; version++ {
-		d.SetDeclaredVersion(at(1000*version), "m", uint64(version), false)
+		d.SetDeclaredVersion(at(1000*version), "m", uint64(version), directory.Known)
 	}
 	views := 0
 	d.Subscribe(func(*directory.View) { views++ })
@@ -212,3 +212,13 @@
 	d.ExpireMissing(at(31_000))
 	assert.Assert(t, d.View().Endpoints["a"] == nil)
 }
+
+// Guards against a process that started after an outage and holds on to its guess,
+// although others saw the version in the store's first answer.
+func TestReportedEstimateReplacesTheGuessOfAStart(t *testing.T) {
+	d := newDirectory()
+	d.SetDeclaredVersion(at(-5000), "m", 2, directory.Guessed)
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Certainty: directory.Estimated})
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-9000), Certainty: directory.Guessed})
+	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-1000))
+}
--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -179,11 +179,11 @@
 func TestEntryStartedAfterANewerVersionEnforcesTheSupersededOne(t *testing.T) {
 	p, start := newPair(t)
 	now := time.Now()
-	p.agentDirectory.SetDeclaredVersion(now.Add(-pairVersionBound-10*time.Second), pairModel, 2, false)
-	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, false)
-	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, true)
+	p.agentDirectory.SetDeclaredVersion(now.Add(-pairVersionBound-10*time.Second), pairModel, 2, directory.Known)
+	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, directory.Known)
+	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
 	start()
-	assert.Assert(t, eventually(func() bool { return !p.entryDirectory.View().DeclaredVersion(pairModel).Estimated }), "no report arrived")
+	assert.Assert(t, eventually(func() bool { return p.entryDirectory.View().DeclaredVersion(pairModel).Certainty == directory.Known }), "no report arrived")
 	assert.Assert(t, eventually(func() bool { return p.send(t) == http.StatusServiceUnavailable }), "requests still begin on version 1")
 	runs := p.runs.Load()
 	assert.Equal(t, p.send(t), http.StatusServiceUnavailable)
@@ -195,11 +195,11 @@
 func TestEntryStartedAfterANewerVersionAllowsOlderOnesWithinTheirBound(t *testing.T) {
 	p, start := newPair(t)
 	now := time.Now()
-	p.agentDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 2, false)
-	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, false)
-	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, true)
+	p.agentDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 2, directory.Known)
+	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, directory.Known)
+	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
 	start()
-	assert.Assert(t, eventually(func() bool { return !p.entryDirectory.View().DeclaredVersion(pairModel).Estimated }), "no report arrived")
+	assert.Assert(t, eventually(func() bool { return p.entryDirectory.View().DeclaredVersion(pairModel).Certainty == directory.Known }), "no report arrived")
 	assert.Equal(t, p.send(t), http.StatusOK)
 }
 
@@ -208,13 +208,13 @@
 func TestRestartedAgentLearnsDeclarationTimesFromEntries(t *testing.T) {
 	p, start := newPair(t)
 	now := time.Now()
-	p.entryDirectory.SetDeclaredVersion(now.Add(-9*time.Second), pairModel, 2, false)
-	p.entryDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 3, false)
-	p.agentDirectory.SetDeclaredVersion(now, pairModel, 3, true)
+	p.entryDirectory.SetDeclaredVersion(now.Add(-9*time.Second), pairModel, 2, directory.Known)
+	p.entryDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 3, directory.Known)
+	p.agentDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
 	start()
 	learnt := func() bool {
 		declared := p.agentDirectory.View().DeclaredVersion(pairModel)
-		return !declared.Estimated && declared.DeclaredAt.Before(now.Add(-4*time.Second))
+		return declared.Certainty == directory.Known && declared.DeclaredAt.Before(now.Add(-4*time.Second))
 	}
 	assert.Assert(t, eventually(learnt), "the agent still estimates the age of version 3")
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -481,9 +481,9 @@
 	f := newFixture(t)
 	now := time.Now()
 	f.directory.SetDocument(&directory.Document{Version: 2, Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}}})
-	f.directory.SetDeclaredVersion(now.Add(-9*time.Second), "m", 2, false)
-	f.directory.SetDeclaredVersion(now.Add(-5*time.Second), "m", 3, false)
-	f.directory.SetDeclaredVersion(now.Add(-time.Second), "m", 4, false)
+	f.directory.SetDeclaredVersion(now.Add(-9*time.Second), "m", 2, directory.Known)
+	f.directory.SetDeclaredVersion(now.Add(-5*time.Second), "m", 3, directory.Known)
+	f.directory.SetDeclaredVersion(now.Add(-time.Second), "m", 4, directory.Known)
 	minVersionAfter := func(after time.Duration) uint64 {
 		return f.gateway.minVersion(now.Add(after), f.directory.View(), "lm", time.Second)
 	}
--- a/gateway/versionhistory_test.go
+++ b/gateway/versionhistory_test.go
@@ -25,9 +25,9 @@
 func TestThirdDeclaredVersionKeepsTheBoundOfTheFirst(t *testing.T) {
 	start := time.Now()
 	d := directory.New(slog.New(slog.DiscardHandler))
-	d.SetDeclaredVersion(start, "m", 2, false)
-	d.SetDeclaredVersion(start.Add(3*time.Second), "m", 3, false)
-	d.SetDeclaredVersion(start.Add(6*time.Second), "m", 4, false)
+	d.SetDeclaredVersion(start, "m", 2, directory.Known)
+	d.SetDeclaredVersion(start.Add(3*time.Second), "m", 3, directory.Known)
+	d.SetDeclaredVersion(start.Add(6*time.Second), "m", 4, directory.Known)
 	assert.Equal(t, minVersionAt(t, d, start.Add(7*time.Second)), uint64(directory.FirstVersion))
 	assert.Equal(t, minVersionAt(t, d, start.Add(8*time.Second)), uint64(2))
 	assert.Equal(t, minVersionAt(t, d, start.Add(11*time.Second)), uint64(3))
@@ -41,11 +41,11 @@
 	learntLate := start.Add(5 * time.Second)
 	for name, learn := range map[string]func(*directory.Directory){
 		"both from the store": func(d *directory.Directory) {
-			d.SetDeclaredVersion(learntLate, "m", 2, false)
-			d.SetDeclaredVersion(learntLate, "m", 3, false)
+			d.SetDeclaredVersion(learntLate, "m", 2, directory.Known)
+			d.SetDeclaredVersion(learntLate, "m", 3, directory.Known)
 		},
 		"the newer one from the first read": func(d *directory.Directory) {
-			d.SetDeclaredVersion(learntLate, "m", 3, true)
+			d.SetDeclaredVersion(learntLate, "m", 3, directory.Guessed)
 		},
 		"the newer one from a report": func(d *directory.Directory) {
 			d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: start.Add(4 * time.Second)})
@@ -68,9 +68,9 @@
 func TestMinVersionNeverFalls(t *testing.T) {
 	start := time.Now()
 	d := directory.New(slog.New(slog.DiscardHandler))
-	d.SetDeclaredVersion(start.Add(-time.Hour), "m", 2, false)
-	d.SetDeclaredVersion(start, "m", 3, false)
+	d.SetDeclaredVersion(start.Add(-time.Hour), "m", 2, directory.Known)
+	d.SetDeclaredVersion(start, "m", 3, directory.Known)
 	assert.Equal(t, minVersionAt(t, d, start), uint64(2))
-	d.SetDeclaredVersion(start.Add(time.Second), "m", 4, false)
+	d.SetDeclaredVersion(start.Add(time.Second), "m", 4, directory.Known)
 	assert.Equal(t, minVersionAt(t, d, start.Add(time.Second)), uint64(2))
 }
--- a/gateway/versionmonitor.go
+++ b/gateway/versionmonitor.go
@@ -84,7 +84,7 @@
 func declaredVersionFields(now time.Time, declared directory.DeclaredVersion) []any {
 	fields := []any{"declared", declared.Version}
 	if !declared.DeclaredAt.IsZero() {
-		fields = append(fields, "age_ms", now.Sub(declared.DeclaredAt).Milliseconds(), "age_estimated", declared.Estimated)
+		fields = append(fields, "age_ms", now.Sub(declared.DeclaredAt).Milliseconds(), "certainty", declared.Certainty.String())
 	}
 	if declared.Previous().Version == 0 {
 		return fields
@@ -99,11 +99,8 @@
 	}
 	var texts []string
 	for _, d := range declared.Superseded {
-		text := fmt.Sprintf("%d (%v)", d.Version, now.Sub(d.DeclaredAt).Round(time.Millisecond))
-		if d.Estimated {
-			text = fmt.Sprintf("%d (%v, estimated)", d.Version, now.Sub(d.DeclaredAt).Round(time.Millisecond))
-		}
-		texts = append(texts, text)
+		age := now.Sub(d.DeclaredAt).Round(time.Millisecond)
+		texts = append(texts, fmt.Sprintf("%d (%v, %v)", d.Version, age, d.Certainty))
 	}
 	return strings.Join(texts, ", ")
 }
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -58,8 +58,8 @@
 	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 1.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 1.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), 0.0, "no version was declared")
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
-	f.directory.SetDeclaredVersion(time.Now().Add(-time.Minute), "m", 3, false)
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
+	f.directory.SetDeclaredVersion(time.Now().Add(-time.Minute), "m", 3, directory.Known)
 	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 2.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 3.0)
 	age := f.gauge(t, telemetry.MetricDeclaredVersionAge)
@@ -74,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const dueAfter = 2 * time.Second
 		f := newVersionFixture(t, versionSafetyMargin+dueAfter)
-		f.directory.SetDeclaredVersion(time.Now(), "m", 2, false)
+		f.directory.SetDeclaredVersion(time.Now(), "m", 2, directory.Known)
 		go f.gateway.enforceVersions(t.Context())
 		time.Sleep(dueAfter - versionCheckInterval)
 		synctest.Wait()
@@ -97,12 +97,12 @@
 		const bound = 10 * time.Second
 		f := newVersionFixture(t, bound)
 		go f.gateway.enforceVersions(t.Context())
-		f.directory.SetDeclaredVersion(time.Now(), "m", 2, false)
+		f.directory.SetDeclaredVersion(time.Now(), "m", 2, directory.Known)
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)), []map[string]any{
 			{"service": "lm", "old": 0.0, "new": 1.0, "declared": 1.0},
-			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9200.0, "age_estimated": false, "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9200.0, "certainty": "known", "superseded": "1"},
 		})
 	})
 }
@@ -112,13 +112,13 @@
 func TestLineOfMinimumVersionTellsWhatTheEntryKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVersionFixture(t, 10*time.Second)
-		f.directory.SetDeclaredVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, true)
+		f.directory.SetDeclaredVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, directory.Guessed)
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[1:]), []map[string]any{
-			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "age_estimated": true, "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "certainty": "guessed", "superseded": "1"},
 		})
-		f.directory.SetDeclaredVersion(time.Now().Add(-9300*time.Millisecond), "m", 4, false)
+		f.directory.SetDeclaredVersion(time.Now().Add(-9300*time.Millisecond), "m", 4, directory.Known)
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[2:]), []map[string]any{
-			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9300.0, "age_estimated": false, "superseded": "3 (9.5s, estimated)"},
+			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9300.0, "certainty": "known", "superseded": "3 (9.5s, guessed)"},
 		})
 	})
 }
@@ -152,8 +152,8 @@
 // log.
 func TestEndOfRequestHasTheVersionsOfTheChoice(t *testing.T) {
 	f := newVersionFixture(t, time.Hour)
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
-	f.directory.SetDeclaredVersion(time.Now(), "m", 3, false)
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
+	f.directory.SetDeclaredVersion(time.Now(), "m", 3, directory.Known)
 	f.listEndpoint(t, 3, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "answered")
@@ -175,7 +175,7 @@
 // In a flood of refusals these lines are all that a tail of the log holds.
 func TestEndOfRefusedRequestHasTheMinimumVersion(t *testing.T) {
 	f := newVersionFixture(t, time.Hour)
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, false)
+	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
 	f.listEndpoint(t, 1, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "refused")
--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -21,18 +21,16 @@
 type VersionAge struct {
 	Version uint64
 	Age     time.Duration
-	// Estimated marks Age as an estimate.
-	Estimated bool
+	// Certainty says how far Age is known.
+	Certainty directory.Certainty
 }
 
 const (
-	// versionAgeBytes is the length of an encoded VersionAge: version, age, flags.
+	// versionAgeBytes is the length of an encoded VersionAge: version, age, certainty.
 	versionAgeBytes = 4 + 2 + 1
 	// maxVersionAges is the most versions that a datagram holds.
 	maxVersionAges = 1 + directory.MaxSuperseded
-	// estimatedFlag is the flag of an estimated age.
-	estimatedFlag = 1
-	maxAgeUnits   = 1<<16 - 1
+	maxAgeUnits    = 1<<16 - 1
 )
 
 // VersionAgesAt returns the declarations that decide which versions requests may
@@ -45,7 +43,7 @@
 	var ages VersionAges
 	for _, declaration := range declared.Declarations() {
 		age := now.Sub(declaration.DeclaredAt)
-		ages = append(ages, VersionAge{Version: declaration.Version, Age: age, Estimated: declaration.Estimated})
+		ages = append(ages, VersionAge{Version: declaration.Version, Age: age, Certainty: declaration.Certainty})
 		if age >= bound {
 			break
 		}
@@ -62,7 +60,7 @@
 // MergeInto merges the declarations, received at now, into a directory.
 func (v VersionAges) MergeInto(d *directory.Directory, now time.Time, model string) {
 	for _, age := range v {
-		d.MergeDeclaration(model, directory.Declaration{Version: age.Version, DeclaredAt: now.Add(-age.Age), Estimated: age.Estimated})
+		d.MergeDeclaration(model, directory.Declaration{Version: age.Version, DeclaredAt: now.Add(-age.Age), Certainty: age.Certainty})
 	}
 }
 
@@ -78,11 +76,7 @@
 	for _, age := range v {
 		b = binary.BigEndian.AppendUint32(b, uint32(age.Version))
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(age.Age, 0)/durationUnit, maxAgeUnits)))
-		flags := byte(0)
-		if age.Estimated {
-			flags |= estimatedFlag
-		}
-		b = append(b, flags)
+		b = append(b, byte(age.Certainty))
 	}
 	return b
 }
@@ -98,7 +92,7 @@
 		ages = append(ages, VersionAge{
 			Version:   uint64(binary.BigEndian.Uint32(rest)),
 			Age:       time.Duration(binary.BigEndian.Uint16(rest[4:])) * durationUnit,
-			Estimated: rest[6]&estimatedFlag != 0,
+			Certainty: directory.Certainty(rest[6]),
 		})
 	}
 	return ages, nil
--- a/loadreport/versionages_test.go
+++ b/loadreport/versionages_test.go
@@ -28,7 +28,7 @@
 func TestVersionAgesRoundTrip(t *testing.T) {
 	for _, ages := range []loadreport.VersionAges{
 		nil,
-		{{Version: 3, Age: 1200 * time.Millisecond}, {Version: 2, Age: 90 * time.Minute, Estimated: true}},
+		{{Version: 3, Age: 1200 * time.Millisecond}, {Version: 2, Age: 90 * time.Minute, Certainty: directory.Estimated}},
 	} {
 		decoded, err := loadreport.DecodeVersionAges(ages.Encode())
 		assert.NilError(t, err)
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -243,9 +243,9 @@
 // mandatory, and that waits for the deadline of a version declared later.
 func TestSwitchDeadlineIsThatOfTheFirstVersionTheEngineLacks(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 4)
-	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, false)
-	r.deps.Directory.SetDeclaredVersion(at(2000), testModel, 3, false)
-	r.deps.Directory.SetDeclaredVersion(at(5000), testModel, 4, false)
+	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, directory.Known)
+	r.deps.Directory.SetDeclaredVersion(at(2000), testModel, 3, directory.Known)
+	r.deps.Directory.SetDeclaredVersion(at(5000), testModel, 4, directory.Known)
 	view := r.deps.Directory.View()
 	switchAt, version, ok := r.scheduledSwitch(view, view.DeclaredVersion(testModel), &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -211,7 +211,7 @@
 	}
 	declared := view.DeclaredVersion(service.Model)
 	report.DeclaredVersion = declared.Version
-	if !declared.Estimated && !declared.DeclaredAt.IsZero() {
+	if declared.Certainty == directory.Known && !declared.DeclaredAt.IsZero() {
 		report.DeclaredAge = now.Sub(declared.DeclaredAt)
 	}
 	report.ClosesIn = r.timeToSwitch(now, view, declared)
--- a/sidecar/threeversions_test.go
+++ b/sidecar/threeversions_test.go
@@ -10,9 +10,9 @@
 
 // declareThreeVersions declares versions 2, 3 and 4 within testVersionBound.
 func declareThreeVersions(r *Reconciler) (*directory.View, directory.DeclaredVersion) {
-	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, false)
-	r.deps.Directory.SetDeclaredVersion(at(3000), testModel, 3, false)
-	r.deps.Directory.SetDeclaredVersion(at(6000), testModel, 4, false)
+	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, directory.Known)
+	r.deps.Directory.SetDeclaredVersion(at(3000), testModel, 3, directory.Known)
+	r.deps.Directory.SetDeclaredVersion(at(6000), testModel, 4, directory.Known)
 	view := r.deps.Directory.View()
 	return view, view.DeclaredVersion(testModel)
 }
--- a/sidecar/versiongauges_test.go
+++ b/sidecar/versiongauges_test.go
@@ -33,7 +33,7 @@
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersion), 1.0)
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersionAge), 0.0, "no version was declared")
 
-	r.deps.Directory.SetDeclaredVersion(time.Now().Add(-time.Minute), testModel, 3, true)
+	r.deps.Directory.SetDeclaredVersion(time.Now().Add(-time.Minute), testModel, 3, directory.Guessed)
 	sampler.Sample()
 	assert.Equal(t, gauge(telemetry.MetricLoadedVersion), 1.0)
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersion), 3.0)
