Take ages of versions only for their model, and no impossible ones

The datagram names its model, and entries take no versions from reports, which name none, any more. Reports still carry them for older builds. - An estimate from a report locked out the known time from the store. - A process that had read a version at its start took a later time from one that learnt of it while paused. No time later than the first read is taken, but for the delay of reports. - With more versions within the bound than are kept, the required version fell. The oldest declaration stays now. - A full read after a compaction counted as known; it is an estimate. Agents send changed ages at once, and an entry waits for its list of agents before it counts the ages as sent.

The tests guard each of these.

--- a/directory/certainty.go
+++ b/directory/certainty.go
@@ -6,8 +6,8 @@
 const (
 	// Known times are those at which a process saw the version change.
 	Known Certainty = iota
-	// Estimated times are those of the first answer of the store after an outage. The
-	// version may have been declared at any moment of the outage.
+	// Estimated times are those of the store's first answer after an outage, or of a
+	// later read of everything. The version may have been declared at any moment before.
 	Estimated
 	// Guessed times are made up: the version was declared before the process started.
 	Guessed
--- a/directory/declaredversion.go
+++ b/directory/declaredversion.go
@@ -7,7 +7,9 @@
 )
 
 // MaxSuperseded bounds DeclaredVersion.Superseded. Versions are declared seconds
-// apart at the fastest, and matter for one version bound.
+// apart at the fastest, and matter for one version bound. Beyond it the oldest
+// declaration stays, so that the required version does not fall, and the one after it
+// is dropped.
 const MaxSuperseded = 15
 
 // DeclaredVersion is the version of a model that the operator wants. It is
@@ -75,20 +77,23 @@
 }
 
 // improvedBy reports whether a reported declaration refines a known one, or is
-// unknown and not older than those that with would keep.
+// unknown and would be kept.
 func (d DeclaredVersion) improvedBy(reported Declaration) bool {
 	if known, found := d.find(reported.Version); found {
 		return known.refinedBy(reported)
 	}
-	return len(d.Superseded) < MaxSuperseded || reported.Version > d.Superseded[MaxSuperseded-1].Version
+	return len(d.Superseded) < MaxSuperseded || reported.Version > d.Superseded[MaxSuperseded-2].Version
 }
 
-// with returns d with a declaration added, or replacing that of the same version.
-// The oldest declarations beyond MaxSuperseded are dropped.
+// with returns d with a declaration added, or replacing that of the same version. At
+// most MaxSuperseded older declarations are kept.
 func (d DeclaredVersion) with(added Declaration) DeclaredVersion {
 	all := slices.DeleteFunc(d.Declarations(), func(known Declaration) bool { return known.Version == added.Version })
 	all = append(all, added)
 	slices.SortFunc(all, func(a, b Declaration) int { return cmp.Compare(b.Version, a.Version) })
 	superseded := all[1:]
-	return DeclaredVersion{Declaration: all[0], Superseded: superseded[:min(len(superseded), MaxSuperseded)]}
+	if len(superseded) > MaxSuperseded {
+		superseded = slices.Delete(superseded, len(superseded)-2, len(superseded)-1)
+	}
+	return DeclaredVersion{Declaration: all[0], Superseded: superseded}
 }
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -72,20 +72,36 @@
 	d.update(func(v *View) { v.Document = doc })
 }
 
-// SetDeclaredVersion records a version of a model that the store names. certainty says
-// how far declaredAt is known. A version that is already known is ignored.
+// SetInitialVersion records a version of a model that the first read of the store names.
+// Until another process reports its age, it is taken to be assumedAge old.
+func (d *Directory) SetInitialVersion(readAt time.Time, model string, version uint64, assumedAge time.Duration) {
+	d.setDeclaration(model, Declaration{Version: version, DeclaredAt: readAt.Add(-assumedAge), Certainty: Guessed, NotAfter: readAt})
+}
+
+// SetDeclaredVersion records a version of a model that the store names later. certainty
+// says how far declaredAt is known. For a version that is already known it takes
+// effect only if it is known now and was estimated before.
 func (d *Directory) SetDeclaredVersion(declaredAt time.Time, model string, version uint64, certainty Certainty) {
+	d.setDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Certainty: certainty})
+}
+
+// setDeclaration records a declaration from the store.
+func (d *Directory) setDeclaration(model string, declaration Declaration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if _, found := d.current.Load().DeclaredVersions[model].find(version); found {
-		return
+	known, found := d.current.Load().DeclaredVersions[model].find(declaration.Version)
+	switch {
+	case !found:
+		d.addDeclaration(model, declaration)
+	case known.Certainty == Estimated && declaration.Certainty == Known:
+		d.refineDeclaration(model, declaration)
 	}
-	d.addDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Certainty: certainty})
 }
 
 // MergeDeclaration merges a declaration reported by another process. It takes effect
-// if the version is unknown here, or if its time replaces an estimate or is clearly
-// earlier because the version arrived here late. Superseded versions are merged too.
+// if the version is unknown here and recent enough to be kept, or if its time is more
+// certain or clearly earlier because the version arrived here late. Superseded versions
+// are merged too.
 func (d *Directory) MergeDeclaration(model string, reported Declaration) {
 	if reported.Version <= FirstVersion || !d.View().DeclaredVersions[model].improvedBy(reported) {
 		return
@@ -100,8 +116,19 @@
 		d.addDeclaration(model, reported)
 		return
 	}
-	d.logger.Info("age of a declared version learnt", "model", model, "version", reported.Version, "age_ms", time.Since(reported.DeclaredAt).Milliseconds(), "certainty", reported.Certainty.String())
-	d.replaceDeclaredVersion(model, known.with(reported))
+	d.refineDeclaration(model, reported)
+}
+
+// refineDeclaration replaces the time of a version that is known. The caller holds d.mu.
+func (d *Directory) refineDeclaration(model string, refined Declaration) {
+	known := d.current.Load().DeclaredVersions[model]
+	previous, _ := known.find(refined.Version)
+	refined.NotAfter = previous.NotAfter
+	if !refined.NotAfter.IsZero() && refined.DeclaredAt.After(refined.NotAfter) {
+		refined.DeclaredAt = refined.NotAfter
+	}
+	d.logger.Info("age of a declared version learnt", "model", model, "version", refined.Version, "age_ms", time.Since(refined.DeclaredAt).Milliseconds(), "certainty", refined.Certainty.String())
+	d.replaceDeclaredVersion(model, known.with(refined))
 }
 
 // addDeclaration adds the declaration of a version that is not known yet. The caller
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,7 +127,7 @@
 const cancelSafetyMargin = 350 * time.Millisecond
 
 // minVersion returns the oldest version on which a service may start a request, 0
-// for any. A declared version becomes mandatory safetyMargin before the end of
+// for a service without weights. A declared version becomes mandatory safetyMargin before the end of
 // VersionBound.
 func (g *Gateway) minVersion(now time.Time, view *directory.View, serviceName string, safetyMargin time.Duration) uint64 {
 	s := view.Document.Services[serviceName]
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 )
@@ -52,13 +51,14 @@
 	startedAt := time.Now()
 	versionAgesSentAt := time.Time{}
 	for {
-		if time.Since(versionAgesSentAt) >= loadreport.VersionAgesInterval {
+		agents := g.agentAddrs()
+		if len(agents) > 0 && time.Since(versionAgesSentAt) >= loadreport.VersionAgesInterval {
 			versionAgesSentAt = time.Now()
-			g.sendVersionAges(ctx, conn)
+			g.sendVersionAges(ctx, conn, agents)
 		}
 		demand := g.queuedDemand()
 		datagram := loadreport.Subscription{Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt))}.Encode()
-		for _, agent := range g.agentAddrs() {
+		for _, agent := range agents {
 			if _, err := conn.WriteToUDPAddrPort(datagram, agent); err != nil && ctx.Err() == nil {
 				g.deps.Logger.Warn("subscribing to load reports failed", "agent", agent, "error", err)
 			}
@@ -132,9 +132,6 @@
 	if report.Entries > 0 && int64(report.Entries) != g.entryCount.Load() {
 		g.setEntryCount(report.Entries)
 	}
-	if service := g.deps.Directory.View().Document.Services[endpoint.Service]; service != nil && report.DeclaredAge >= 0 {
-		g.deps.Directory.MergeDeclaration(service.Model, directory.Declaration{Version: report.DeclaredVersion, DeclaredAt: now.Add(-report.DeclaredAge)})
-	}
 	g.handleClosed(endpoint.ID, s, report.Closed)
 	closesAt := time.Time{}
 	if report.ClosesIn >= 0 {
--- a/gateway/versionages.go
+++ b/gateway/versionages.go
@@ -12,14 +12,15 @@
 // sendVersionAges sends each agent the ages of the declared versions of its model
 // while one is pending. Agents that have all restarted since learn them from entries
 // only.
-func (g *Gateway) sendVersionAges(ctx context.Context, conn *net.UDPConn) {
+func (g *Gateway) sendVersionAges(ctx context.Context, conn *net.UDPConn, agents []netip.AddrPort) {
 	now := time.Now()
-	for _, agent := range g.agentAddrs() {
-		ages := loadreport.VersionAgesAt(now, g.deps.Directory.View().DeclaredVersion(g.agentModel(agent.Addr())), g.config.VersionBound)
+	for _, agent := range agents {
+		model := g.agentModel(agent.Addr())
+		ages := loadreport.VersionAgesAt(now, g.deps.Directory.View().DeclaredVersion(model), g.config.VersionBound)
 		if !ages.Pending(g.config.VersionBound) {
 			continue
 		}
-		if _, err := conn.WriteToUDPAddrPort(ages.Encode(), agent); err != nil && ctx.Err() == nil {
+		if _, err := conn.WriteToUDPAddrPort(ages.Encode(model), agent); err != nil && ctx.Err() == nil {
 			g.deps.Logger.Warn("sending the ages of declared versions failed", "agent", agent, "error", err)
 		}
 	}
@@ -31,12 +32,14 @@
 	if model == "" {
 		return
 	}
-	ages, err := loadreport.DecodeVersionAges(datagram)
+	decoded, err := loadreport.DecodeVersionAges(datagram)
 	if err != nil {
 		g.deps.Logger.Warn("malformed ages of declared versions", "from", from, "error", err)
 		return
 	}
-	ages.MergeInto(g.deps.Directory, now, model)
+	if ages, ok := decoded.Ages(model); ok {
+		ages.MergeInto(g.deps.Directory, now, model)
+	}
 }
 
 // agentModel returns the model of the engine beside an agent, "" if unknown.
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -2,7 +2,8 @@
 // instances of endpoints. An entry subscribes to the reports of an agent; the agent
 // sends the load of its endpoint to every entry whose subscription has not expired.
 // Nothing is acknowledged or stored: the next datagram replaces a lost one. The
-// sender's IP address identifies the instance that a datagram is about.
+// sender's IP address identifies the instance that a report is about. Both sides tell
+// each other the ages of declared versions.
 package loadreport
 
 import (
@@ -80,7 +81,7 @@
 	Entries int
 	// DeclaredVersion is the declared version that the agent knows, and DeclaredAge
 	// the time since its declaration in steps of 100 ms. UnknownDuration is an
-	// unknown age or one beyond 25.4 s.
+	// unknown age or one beyond 25.4 s. Builds that know VersionAges read neither.
 	DeclaredVersion uint64
 	DeclaredAge     time.Duration
 	// ClosesIn is the time until the endpoint closes to change its weights, in
--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/snipestep/snipestep/directory"
 )
 
@@ -11,11 +13,18 @@
 // version is pending.
 const VersionAgesInterval = time.Second
 
-// VersionAges holds the declared versions of a service's model, newest first. Agents
-// send it to entries and entries to agents, so that the ages outlive the restart of
-// either side. A process that does not know this datagram ignores it.
+// VersionAges holds the declared versions of a model, newest first. Agents send it to
+// entries and entries to agents, so that the ages outlive the restart of either side.
+// A build that does not know this datagram logs it as malformed and drops it.
 type VersionAges []VersionAge
 
+// VersionAgesDatagram is a decoded datagram of VersionAges. It names the model, as the
+// address of an endpoint may have passed to another service unnoticed.
+type VersionAgesDatagram struct {
+	modelHash uint64
+	ages      VersionAges
+}
+
 // VersionAge is a declared version and the time since its declaration, in steps of
 // 100 ms up to 6,553 s.
 type VersionAge struct {
@@ -26,6 +35,9 @@
 }
 
 const (
+	// versionAgesHeaderBytes is the length of the part before the ages: kind, hash of
+	// the model's name.
+	versionAgesHeaderBytes = 1 + 8
 	// versionAgeBytes is the length of an encoded VersionAge: version, age, certainty.
 	versionAgeBytes = 4 + 2 + 1
 	// maxVersionAges is the most versions that a datagram holds.
@@ -57,6 +69,14 @@
 	return len(v) > 0 && v[0].Age < bound
 }
 
+// Ages returns the ages, and false if they are those of another model.
+func (d VersionAgesDatagram) Ages(model string) (VersionAges, bool) {
+	if d.modelHash != xxhash.Sum64String(model) {
+		return nil, false
+	}
+	return d.ages, true
+}
+
 // MergeInto merges the declarations, received at now, into a directory.
 func (v VersionAges) MergeInto(d *directory.Directory, now time.Time, model string) {
 	for _, age := range v {
@@ -69,10 +89,11 @@
 	return len(b) > 0 && b[0] == kindVersionAges
 }
 
-// Encode returns the ages as a datagram.
-func (v VersionAges) Encode() []byte {
+// Encode returns the ages of a model's versions as a datagram.
+func (v VersionAges) Encode(model string) []byte {
 	v = v[:min(len(v), maxVersionAges)]
-	b := append(make([]byte, 0, 1+len(v)*versionAgeBytes), kindVersionAges)
+	b := append(make([]byte, 0, versionAgesHeaderBytes+len(v)*versionAgeBytes), kindVersionAges)
+	b = binary.BigEndian.AppendUint64(b, xxhash.Sum64String(model))
 	for _, age := range v {
 		b = binary.BigEndian.AppendUint32(b, uint32(age.Version))
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(age.Age, 0)/durationUnit, maxAgeUnits)))
@@ -83,17 +104,21 @@
 
 // DecodeVersionAges decodes a VersionAges. It returns *FormatError for any other
 // datagram.
-func DecodeVersionAges(b []byte) (VersionAges, error) {
-	if !IsVersionAges(b) || (len(b)-1)%versionAgeBytes != 0 || (len(b)-1)/versionAgeBytes > maxVersionAges {
-		return nil, &FormatError{Bytes: len(b)}
+func DecodeVersionAges(b []byte) (VersionAgesDatagram, error) {
+	if !IsVersionAges(b) || len(b) < versionAgesHeaderBytes {
+		return VersionAgesDatagram{}, &FormatError{Bytes: len(b)}
+	}
+	rest := b[versionAgesHeaderBytes:]
+	if len(rest)%versionAgeBytes != 0 || len(rest)/versionAgeBytes > maxVersionAges {
+		return VersionAgesDatagram{}, &FormatError{Bytes: len(b)}
 	}
 	var ages VersionAges
-	for rest := b[1:]; len(rest) > 0; rest = rest[versionAgeBytes:] {
+	for ; len(rest) > 0; rest = rest[versionAgeBytes:] {
 		ages = append(ages, VersionAge{
 			Version:   uint64(binary.BigEndian.Uint32(rest)),
 			Age:       time.Duration(binary.BigEndian.Uint16(rest[4:])) * durationUnit,
 			Certainty: directory.Certainty(rest[6]),
 		})
 	}
-	return ages, nil
+	return VersionAgesDatagram{modelHash: binary.BigEndian.Uint64(b[1:]), ages: ages}, nil
 }
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -23,9 +23,11 @@
 	switching atomic.Bool
 	// engineState is nil until the engine answers, and while it does not.
 	engineState atomic.Pointer[EngineState]
-	// lastReport and lastReportAt are used by the reporter only.
+	// lastReport, lastReportAt and lastDeclarations are used by the reporter only.
 	lastReport   loadreport.Report
 	lastReportAt time.Time
+	// lastDeclarations are those of the last VersionAges.
+	lastDeclarations []directory.Declaration
 	// membership is used by the reconcile loop only, which derives downloadAllowed
 	// from it.
 	membership      membershipDebounce
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -41,15 +41,13 @@
 }
 
 // takeVersionAgesDue returns the entries to which VersionAges are due, and counts them
-// as sent: those that are new, and if a version is pending, those whose last ones are
-// VersionAgesInterval ago.
-func (s *subscribers) takeVersionAgesDue(now time.Time, pending bool) []netip.AddrPort {
+// as sent: those that are new, and those whose last ones are interval ago.
+func (s *subscribers) takeVersionAgesDue(now time.Time, interval time.Duration) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var due []netip.AddrPort
 	for addr, sub := range s.byAddr {
-		isNew := sub.versionAgesSentAt.IsZero()
-		if isNew || (pending && now.Sub(sub.versionAgesSentAt) >= loadreport.VersionAgesInterval) {
+		if sub.versionAgesSentAt.IsZero() || now.Sub(sub.versionAgesSentAt) >= interval {
 			sub.versionAgesSentAt = now
 			s.byAddr[addr] = sub
 			due = append(due, addr)
@@ -200,8 +198,8 @@
 	}
 }
 
-// addDeclaredVersion adds the declared version and its age to a report, for entries
-// that have just started.
+// addDeclaredVersion adds the declared version and its age to a report, for entries of
+// builds that know no loadreport.VersionAges.
 func (r *Reconciler) addDeclaredVersion(now time.Time, report *loadreport.Report) {
 	report.DeclaredAge = loadreport.UnknownDuration
 	view := r.deps.Directory.View()
--- a/sidecar/versionages.go
+++ b/sidecar/versionages.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/snipestep/snipestep/loadreport"
 )
 
+// unlimitedInterval is longer than any subscription: only new subscribers are due.
+const unlimitedInterval = time.Duration(math.MaxInt64)
+
 // sendVersionAges sends the ages of the declared versions to new subscribers, and to
-// all entries once per VersionAgesInterval while a version is pending.
+// all entries when they change and once per VersionAgesInterval while a version is
+// pending.
 func (r *Reconciler) sendVersionAges(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
 	now := time.Now()
 	view := r.deps.Directory.View()
@@ -18,12 +24,21 @@
 	if service == nil {
 		return
 	}
-	ages := loadreport.VersionAgesAt(now, view.DeclaredVersion(service.Model), r.config.VersionBound)
+	declared := view.DeclaredVersion(service.Model)
+	ages := loadreport.VersionAgesAt(now, declared, r.config.VersionBound)
 	if len(ages) == 0 {
 		return
 	}
-	datagram := ages.Encode()
-	for _, entry := range entries.takeVersionAgesDue(now, ages.Pending(r.config.VersionBound)) {
+	interval := unlimitedInterval
+	if ages.Pending(r.config.VersionBound) {
+		interval = loadreport.VersionAgesInterval
+	}
+	if declarations := declared.Declarations(); !slices.Equal(declarations, r.lastDeclarations) {
+		r.lastDeclarations = declarations
+		interval = 0
+	}
+	datagram := ages.Encode(service.Model)
+	for _, entry := range entries.takeVersionAgesDue(now, interval) {
 		if _, err := conn.WriteToUDPAddrPort(datagram, entry); err != nil && ctx.Err() == nil {
 			r.deps.Logger.Warn("sending the ages of declared versions failed", "entry", entry, "error", err)
 		}
@@ -36,10 +51,12 @@
 	if service == nil {
 		return
 	}
-	ages, err := loadreport.DecodeVersionAges(datagram)
+	decoded, err := loadreport.DecodeVersionAges(datagram)
 	if err != nil {
 		r.deps.Logger.Warn("malformed ages of declared versions", "from", from, "error", err)
 		return
 	}
-	ages.MergeInto(r.deps.Directory, now, service.Model)
+	if ages, ok := decoded.Ages(service.Model); ok {
+		ages.MergeInto(r.deps.Directory, now, service.Model)
+	}
 }
