Send the newest strikes of a quarantine, not any

What callers see: one crash strikes every request that ran at the engine. An entry sends eight strikes with a heartbeat, and took them in the order of a map instead of the newest, so that other entries learn of a crashing request by further crashes.

Change: RecentStrikes is sorted by time, as its caller expects.

--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -126,8 +126,8 @@
 	return slices.ContainsFunc(strikes, func(s Strike) bool { return s.Crash == crash })
 }
 
-// RecentStrikes returns the strikes no older than age, to be sent to other
-// entries.
+// RecentStrikes returns the strikes no older than age, the newest last, to be sent to
+// other entries.
 func (q *Quarantine) RecentStrikes(now time.Time, age time.Duration) []Strike {
 	var recent []Strike
 	for _, strikes := range q.strikes {
@@ -137,6 +137,7 @@
 			}
 		}
 	}
+	slices.SortFunc(recent, func(a, b Strike) int { return a.At.Compare(b.At) })
 	return recent
 }
 
