Keep the highest fencing number over a restart of the agent

What callers see: an executor that was paused and has lost its lease sends an order; an agent that restarted in the meantime accepts it and drains the engine's calls.

Cause: the agent kept the highest fencing number in memory only, and did not read the one in the engine's status.

An order that arrives before the first status of the engine is still accepted with an old number; an engine that checks fencing refuses it then.

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -237,6 +237,7 @@
 // engine does not serve the expected model, calls are refused and the model is
 // reloaded.
 func (c *controller) reconcile(status endpoint.EngineStatus) bool {
+	c.fenceGuard.observe(status.Fence)
 	c.state.markUp()
 	c.state.setCachedPrefixes(status.CachedPrefixes)
 	expected := c.state.serving()
--- a/agent/fenceguard.go
+++ b/agent/fenceguard.go
@@ -23,6 +23,14 @@
 	return nil
 }
 
+// observe records the highest fencing number that the engine has seen: it outlives a
+// restart of the agent.
+func (f *fenceGuard) observe(fence core.Fence) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.highest = max(f.highest, fence)
+}
+
 // highestSeen returns the highest fencing number seen.
 func (f *fenceGuard) highestSeen() core.Fence {
 	f.mu.Lock()
