Bound the size of an event of a stream

A model engine in trouble may send one event without end, for example a line without a line feed. The entry collected it in memory until the caller's deadline, and the endpoint wasn't set aside: the end by the deadline says nothing about it.

The reader kept appending to the event.

next now returns ErrEventTooLarge once an event exceeds a mebibyte, a thousand times the size of the usual ones. The attempt counts as failed, so the circuit breaker sees it, the stream resumes elsewhere or is broken off, and the connection is closed unread.

The tests play further answers without end that were bounded before, in the head, the body, chunks and trailers, fast and slow, and after the declared end, and guard these bounds: a 502 or 504, one run, the connection closed and not used again.

--- /dev/null
+++ b/gateway/endless_test.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/internal/fakes"
+)
+
+// slowPause is the time between two pieces of a slow endless answer. Within
+// slowDeadlineMS such an answer stays below all bounds on bytes.
+const (
+	slowPause      = 20 * time.Millisecond
+	slowDeadlineMS = "900"
+)
+
+func openingHead(lines string) func(*http.Request) string {
+	return func(r *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\n" + lines
+	}
+}
+
+func opening(text string) func(*http.Request) string {
+	return func(*http.Request) string { return text }
+}
+
+// endlessAnswers returns answers that never end and are no complete response at any
+// time.
+func endlessAnswers() map[string]fakes.EndlessAnswer {
+	return map[string]fakes.EndlessAnswer{
+		"noise":               {Piece: fakes.Repeat("noise")},
+		"status line":         {Opening: opening("HTTP/1.1 200 "), Piece: fakes.Repeat("x")},
+		"header line":         {Opening: openingHead("X: "), Piece: fakes.Repeat("x")},
+		"headers":             {Opening: openingHead(""), Piece: func(i int) string { return fmt.Sprintf("X%d: x\r\n", i) }},
+		"interim responses":   {Piece: fakes.Repeat("HTTP/1.1 102 Processing\r\n\r\n")},
+		"body with length":    {Opening: openingHead("Content-Length: 1000000000000\r\n\r\n"), Piece: fakes.Repeat("x")},
+		"body without length": {Opening: openingHead("\r\n"), Piece: fakes.Repeat("x")},
+		"failure's body":      {Opening: func(r *http.Request) string { return "HTTP/1.1 500 E\r\nId: " + r.Header.Get("Id") + "\r\n\r\n" }, Piece: fakes.Repeat("x")},
+		"chunks":              {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n"), Piece: fakes.Repeat("1\r\nx\r\n")},
+		"chunk size":          {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n"), Piece: fakes.Repeat("0")},
+		"chunk extension":     {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n1;"), Piece: fakes.Repeat("x")},
+		"chunk extensions":    {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n"), Piece: fakes.Repeat("1;" + strings.Repeat("x", 1000) + "\r\nx\r\n")},
+		"trailer line":        {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: "), Piece: fakes.Repeat("x")},
+		"trailers":            {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"), Piece: fakes.Repeat("X: x\r\n")},
+	}
+}
+
+// newSingleRunFixture returns a fixture whose only endpoint sends an endless answer.
+// Each of its requests may run once.
+func newSingleRunFixture(t *testing.T, answer fakes.EndlessAnswer) (*fixture, *fakes.EndlessServer) {
+	t.Helper()
+	server := startEndless(t, answer)
+	f := newFixture(t)
+	for _, path := range []string{"/once/", "/again/", "/stream/"} {
+		f.directory.View().Document.Match("h.example", path).MaxRuns = 1
+	}
+	f.addEndpoint(server.Address())
+	return f, server
+}
+
+// startEndless starts an endpoint that sends an endless answer.
+func startEndless(t *testing.T, answer fakes.EndlessAnswer) *fakes.EndlessServer {
+	t.Helper()
+	server, err := fakes.StartEndlessServer(answer)
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// assertClosedAfterOneRequest checks that a connection was closed instead of read to
+// its end or used again.
+func assertClosedAfterOneRequest(t *testing.T, server *fakes.EndlessServer) {
+	t.Helper()
+	ended := <-server.Ended()
+	assert.Assert(t, ended.PeerClosed, "the connection reached a bound of the endpoint: %d bytes", ended.Sent)
+	assert.Equal(t, ended.Requests, 1)
+}
+
+// Guards against answers without end that fill the memory or hold a request until its
+// deadline.
+func TestFastEndlessAnswerFailsTheRequestAtOnce(t *testing.T) {
+	for name, answer := range endlessAnswers() {
+		for _, path := range []string{"/once/", "/again/", "/stream/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				f, server := newSingleRunFixture(t, answer)
+				response, body, err := f.send(t, path, nil)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+				assert.Equal(t, body, "")
+				assertClosedAfterOneRequest(t, server)
+				assert.Equal(t, len(server.Requests()), 1, "the request may have run")
+			})
+		}
+	}
+}
+
+// Guards against bytes that arrive now and then and so defeat idle timeouts.
+func TestSlowEndlessAnswerEndsAtTheDeadline(t *testing.T) {
+	for name, answer := range endlessAnswers() {
+		for _, path := range []string{"/once/", "/stream/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				answer.Pause = slowPause
+				f, server := newSingleRunFixture(t, answer)
+				response, body, err := f.send(t, path, func(r *http.Request) { r.Header.Set("Left", slowDeadlineMS) })
+				assert.NilError(t, err)
+				assert.Assert(t, response.StatusCode == http.StatusGatewayTimeout || response.StatusCode == http.StatusBadGateway, "%d", response.StatusCode)
+				assert.Equal(t, body, "")
+				assertClosedAfterOneRequest(t, server)
+				assert.Equal(t, len(server.Requests()), 1, "the request may have run")
+			})
+		}
+	}
+}
+
+func TestIdempotentRequestIsRetriedAfterEndlessAnswer(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"fast": 0, "slow": slowPause} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startEndless(t, fakes.EndlessAnswer{Opening: openingHead("\r\n"), Piece: fakes.Repeat("x"), Pause: pause})
+			f := newFixture(t)
+			f.addEndpoint(server.Address())
+			good := startGood(t, f)
+			for len(server.Requests()) == 0 {
+				_, body, err := f.send(t, "/again/", func(r *http.Request) { r.Header.Set("Left", "3000") })
+				assert.NilError(t, err)
+				assert.Equal(t, body, good)
+			}
+			assertClosedAfterOneRequest(t, server)
+		})
+	}
+}
+
+// endlessEvents are streams that never end. whole is what precedes the endless part.
+func endlessEvents() map[string]struct {
+	whole string
+	piece func(int) string
+} {
+	type events = struct {
+		whole string
+		piece func(int) string
+	}
+	return map[string]events{
+		"line":       {eventStream(2), fakes.Repeat("x")},
+		"first line": {"", fakes.Repeat("x")},
+		"lines":      {eventStream(2), fakes.Repeat("data: x\n")},
+		"ID":         {eventStream(2) + "id: 3", fakes.Repeat("0")},
+	}
+}
+
+// Guards against a stream that never looks incomplete, and against an event without
+// end that fills the memory.
+func TestEndlessEventsBreakTheStreamOff(t *testing.T) {
+	for name, events := range endlessEvents() {
+		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": slowPause} {
+			t.Run(name+"/"+speed, func(t *testing.T) {
+				t.Parallel()
+				f, server := newSingleRunFixture(t, fakes.EndlessAnswer{
+					Opening: openingHead("Content-Type: text/event-stream\r\n\r\n" + events.whole), Piece: events.piece, Pause: pause,
+				})
+				response, body, err := f.send(t, "/stream/", func(r *http.Request) {
+					if pause > 0 {
+						r.Header.Set("Left", slowDeadlineMS)
+					}
+				})
+				assertClosedAfterOneRequest(t, server)
+				if events.whole == "" {
+					assert.NilError(t, err)
+					assert.Assert(t, response.StatusCode >= http.StatusBadGateway)
+					return
+				}
+				assert.Assert(t, err != nil, "the stream looks complete")
+				whole, _, _ := strings.Cut(events.whole, "id: 3")
+				assert.Equal(t, body, whole)
+			})
+		}
+	}
+}
+
+// startGood adds an endpoint that answers, and returns its answer.
+func startGood(t *testing.T, f *fixture) string {
+	t.Helper()
+	good := newFixture(t, respondWith("good"))
+	for _, e := range good.directory.View().Endpoints {
+		f.addEndpoint(e.Address)
+	}
+	return "good"
+}
+
+// Guards against bytes after the declared end of an answer being taken for the answer
+// to the next request.
+func TestBytesAfterTheDeclaredEndBelongToNoRequest(t *testing.T) {
+	heads := map[string]string{
+		"length":  "Content-Length: 2\r\n\r\nhi",
+		"chunked": "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+	}
+	for name, head := range heads {
+		for speed, pause := range map[string]time.Duration{"fast": 0, "slow": slowPause} {
+			for kind, piece := range map[string]string{"noise": "x", "answers": "HTTP/1.1 200 OK\r\nId: 42\r\nContent-Length: 5\r\n\r\nwrong"} {
+				t.Run(name+"/"+speed+"/"+kind, func(t *testing.T) {
+					t.Parallel()
+					f, server := newSingleRunFixture(t, fakes.EndlessAnswer{Opening: openingHead(head), Piece: fakes.Repeat(piece), Pause: pause})
+					for range 3 {
+						response, body, err := f.send(t, "/once/", nil)
+						assert.NilError(t, err)
+						assert.Equal(t, response.StatusCode, http.StatusOK)
+						assert.Equal(t, body, "hi")
+						assertClosedAfterOneRequest(t, server)
+					}
+				})
+			}
+		}
+	}
+}
+
+// attemptLog records the attributes of the log lines with a message.
+type attemptLog struct {
+	slog.Handler
+	mu    sync.Mutex
+	lines []map[string]slog.Value
+}
+
+func newAttemptLog() *attemptLog {
+	return &attemptLog{Handler: slog.NewTextHandler(io.Discard, nil)}
+}
+
+// Handle implements slog.Handler.
+func (l *attemptLog) Handle(_ context.Context, record slog.Record) error {
+	line := map[string]slog.Value{"msg": slog.StringValue(record.Message)}
+	record.Attrs(func(a slog.Attr) bool {
+		line[a.Key] = a.Value
+		return true
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line)
+	return nil
+}
+
+// attempts returns the lines about failed attempts.
+func (l *attemptLog) attempts() []map[string]slog.Value {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var attempts []map[string]slog.Value
+	for _, line := range l.lines {
+		if line["msg"].String() == "attempt failed" {
+			attempts = append(attempts, line)
+		}
+	}
+	return attempts
+}
+
+func TestEndlessAnswersOpenTheCircuitBreaker(t *testing.T) {
+	for name, answer := range endlessAnswers() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newSingleRunFixture(t, answer)
+			log := newAttemptLog()
+			f.gateway.deps.Logger = slog.New(log)
+			for range 2 {
+				_, _, err := f.send(t, "/once/", nil)
+				assert.NilError(t, err)
+			}
+			attempts := log.attempts()
+			assert.Equal(t, len(attempts), 2)
+			assert.Assert(t, attempts[1]["set_aside"].Bool())
+		})
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,8 +5,13 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"github.com/rotisserie/eris"
 )
 
+// ErrEventTooLarge reports an event larger than maxEventBytes.
+var ErrEventTooLarge = eris.New("event is too large")
+
 // event is one complete event of a stream, with its bytes unchanged.
 type event struct {
 	id   string // Empty if the event has none.
@@ -24,17 +29,24 @@
 	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes)}
 }
 
-// eventBufferBytes fits several events of some hundred bytes each.
-const eventBufferBytes = 4 << 10
+const (
+	// eventBufferBytes fits several events of some hundred bytes each.
+	eventBufferBytes = 4 << 10
+	// maxEventBytes bounds an event, which is held in memory until its end: a
+	// thousand times the size of one with a few tokens.
+	maxEventBytes = 1 << 20
+)
 
 // next blocks until it can return the next complete event. At the end of the
-// stream it returns io.EOF, or io.ErrUnexpectedEOF if an event is incomplete;
-// other errors come from the connection.
+// stream it returns io.EOF, or io.ErrUnexpectedEOF if an event is incomplete, and
+// ErrEventTooLarge without waiting for the end of a larger event; other errors come
+// from the connection.
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
-		line, err := r.lines.ReadBytes('\n')
-		e.data = append(e.data, line...)
+		start := len(e.data)
+		var err error
+		e.data, err = r.appendLine(e.data)
 		if err != nil {
 			r.partial = e.data
 			if errors.Is(err, io.EOF) && len(e.data) > 0 {
@@ -42,7 +54,7 @@
 			}
 			return event{}, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.data[start:], "\r\n")
 		if len(text) == 0 {
 			return e, nil
 		}
@@ -51,3 +63,17 @@
 		}
 	}
 }
+
+// appendLine appends the next line to the data of an event.
+func (r *eventReader) appendLine(data []byte) ([]byte, error) {
+	for {
+		part, err := r.lines.ReadSlice('\n')
+		data = append(data, part...)
+		if len(data) > maxEventBytes {
+			return data, ErrEventTooLarge
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return data, err
+		}
+	}
+}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -52,3 +52,23 @@
 		}
 	})
 }
+
+// Guards against an event that never ends filling the memory.
+func TestEventLargerThanTheBoundIsAnError(t *testing.T) {
+	for name, line := range map[string]string{"one line": "x", "many lines": "data: x\n"} {
+		r := newEventReader(strings.NewReader("id: 1\n\n" + strings.Repeat(line, 2*maxEventBytes)))
+		_, err := r.next()
+		assert.NilError(t, err, name)
+		_, err = r.next()
+		assert.Assert(t, errors.Is(err, ErrEventTooLarge), name)
+		assert.Assert(t, len(r.partial) < maxEventBytes+2*eventBufferBytes, name)
+	}
+}
+
+func TestLargestEventIsReadWhole(t *testing.T) {
+	largest := "data: " + strings.Repeat("x", maxEventBytes-len("data: \n\n")) + "\n\n"
+	r := newEventReader(strings.NewReader(largest))
+	e, err := r.next()
+	assert.NilError(t, err)
+	assert.Assert(t, string(e.data) == largest)
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -51,7 +51,7 @@
 	return ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
 }
 
-// testHeaderBytes is the limit on request headers in the tests.
+// testHeaderBytes is the limit on request and response headers in the tests.
 const testHeaderBytes = 8 << 10
 
 // fixture is a gateway in front of fake endpoints.
@@ -68,7 +68,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	d := directory.New(logger)
 	g := New(Config{Name: "e", Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: 8 * time.Second, Seed: 1}, Deps{
-		Directory: d, HeaderCodec: testHeaderCodec{}, Transport: &http.Transport{DisableCompression: true}, Logger: logger, Scope: tally.NoopScope,
+		Directory: d, HeaderCodec: testHeaderCodec{}, Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
 	})
 	f := &fixture{gateway: g, directory: d}
 	document := &directory.Document{Version: 1, RequiresKeys: true, Services: map[string]*directory.Service{"s": {Name: "s"}}}
@@ -84,12 +84,10 @@
 		route("/once/", directory.NonIdempotent), route("/again/", directory.Idempotent), route("/stream/", directory.Streaming),
 	})
 	d.SetDocument(document)
-	for i, handler := range endpoints {
+	for _, handler := range endpoints {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
-		d.PutEndpoint(&directory.Endpoint{
-			ID: fmt.Sprint("i-", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Region: "r", Slots: 4,
-		})
+		f.addEndpoint(strings.TrimPrefix(server.URL, "http://"))
 	}
 	gatewayServer := httptest.NewServer(g)
 	t.Cleanup(gatewayServer.Close)
@@ -97,6 +95,13 @@
 	return f
 }
 
+// addEndpoint adds the endpoint at an address to the directory.
+func (f *fixture) addEndpoint(address string) {
+	f.directory.PutEndpoint(&directory.Endpoint{
+		ID: fmt.Sprint("i-", len(f.directory.View().Endpoints)), Service: "s", Address: address, Region: "r", Slots: 4,
+	})
+}
+
 // callerResponse is a response as the caller sees it, without its body.
 type callerResponse struct {
 	StatusCode int
