Refuse a response that switches protocols

An endpoint in trouble may answer 101, which no request asks for. Callers saw that status as their answer, or, with an Upgrade header and bytes a now and then, nothing at all: neither the deadline nor the timeout of the route ended the request. In the test it ended after 30 s, when the endpoint closed, with a deadline of 0.9 s.

After a switch net/http hands the bare connection over as the body, and the context of the request no longer closes it.

send now fails such an attempt before anything is read. It may have run, so the answer is 502 unless the route allows another run, and closing the body closes the connection. The test fails without the change: 101 instead of 502, and 30 s instead of the deadline.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,6 +22,10 @@
 // while one of its slots was being acquired.
 var ErrEndpointRemoved = eris.New("endpoint was removed from the endpoint list")
 
+// ErrProtocolSwitched reports an endpoint that switched to another protocol, which no
+// request asks for. The bytes that follow are no response and have no end.
+var ErrProtocolSwitched = eris.New("endpoint switched to another protocol")
+
 // MismatchedResponseError reports a response that belongs to another request.
 type MismatchedResponseError struct {
 	Want, Got string
@@ -83,6 +87,9 @@
 		return attempt, connected.Load(), err
 	}
 	attempt.response = response
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return attempt, true, ErrProtocolSwitched
+	}
 	attempt.metadata = g.deps.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	if attempt.metadata.HasLoad {
 		g.recordResponseLoad(req.service, attempt)
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -51,9 +51,15 @@
 		"chunk extensions":    {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n"), Piece: fakes.Repeat("1;" + strings.Repeat("x", 1000) + "\r\nx\r\n")},
 		"trailer line":        {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX: "), Piece: fakes.Repeat("x")},
 		"trailers":            {Opening: openingHead("Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n"), Piece: fakes.Repeat("X: x\r\n")},
+		"switch of protocols": {Opening: switchProtocols, Piece: fakes.Repeat("x")},
+		"half a switch":       {Opening: func(r *http.Request) string { return "HTTP/1.1 101 S\r\nId: " + r.Header.Get("Id") + "\r\n\r\n" }, Piece: fakes.Repeat("x")},
 	}
 }
 
+func switchProtocols(r *http.Request) string {
+	return "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: " + r.Header.Get("Id") + "\r\n\r\n"
+}
+
 // newSingleRunFixture returns a fixture whose only endpoint sends an endless answer.
 // Each of its requests may run once.
 func newSingleRunFixture(t *testing.T, answer fakes.EndlessAnswer) (*fixture, *fakes.EndlessServer) {
