Bound how long an agent reads a staged set

Before a download an agent reads the chunks that are staged at its engine. An engine in trouble that sends one of them a byte at a time held this read, whose context ends only with the download: the agent fetched nothing, and the engine stayed on its old version for good.

recoverStagedSet now gives the whole set 2.5 s, after which the chunks are downloaded, as if they weren't staged. The test has an engine that never answers; without the change it ends in a deadlock.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -23,6 +23,9 @@
 	// stallTimeout is how long a download may make no progress before its manifest
 	// is read again: no chunk would ever match a corrupt one.
 	stallTimeout = 1500 * time.Millisecond
+	// stagedSetTimeout bounds the reading of a staged set of a few megabytes from the
+	// engine on the same instance. Without the set, its chunks are downloaded.
+	stagedSetTimeout = 2500 * time.Millisecond
 )
 
 // runDownload downloads one version until it is complete or ctx ends.
@@ -152,8 +155,11 @@
 }
 
 // recoverStagedSet returns the set that is staged at the engine and serves it to
-// peers. It returns nil if the set is incomplete or corrupt.
+// peers. It returns nil if the set is incomplete or corrupt, or not read within
+// stagedSetTimeout.
 func (r *Reconciler) recoverStagedSet(ctx context.Context, manifest *weights.Manifest, model string) *weights.Set {
+	ctx, cancel := context.WithTimeout(ctx, stagedSetTimeout)
+	defer cancel()
 	set := weights.NewSet(manifest)
 	for i := range manifest.Chunks {
 		data, err := r.deps.Engine.ReadStaged(ctx, model, i)
