Forward only events that follow in a numbered stream

After its last event an engine in trouble may go on with blank lines, comments or events without an ID. Callers got them as a part of the stream, and each restarted the timer of a silent stream, so that a byte now and then kept the stream at that endpoint until the caller's deadline.

The reader took each blank line for the end of an event, and an event without an ID was allowed to follow any other. A stream whose events lack IDs can't be resumed without gaps or repeats.

Comments and blank lines now belong to the event that follows them, within the bound on its size, or to the end of the stream; and after an event with a numeric ID only the next number may follow.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -157,10 +157,14 @@
 		piece func(int) string
 	}
 	return map[string]events{
-		"line":       {eventStream(2), fakes.Repeat("x")},
-		"first line": {"", fakes.Repeat("x")},
-		"lines":      {eventStream(2), fakes.Repeat("data: x\n")},
-		"ID":         {eventStream(2) + "id: 3", fakes.Repeat("0")},
+		"line":                       {eventStream(2), fakes.Repeat("x")},
+		"first line":                 {"", fakes.Repeat("x")},
+		"lines":                      {eventStream(2), fakes.Repeat("data: x\n")},
+		"ID":                         {eventStream(2) + "id: 3", fakes.Repeat("0")},
+		"blank lines":                {eventStream(2), fakes.Repeat("\n")},
+		"events without ID":          {eventStream(2), fakes.Repeat("data: x\n\n")},
+		"the last event, repeatedly": {eventStream(2), fakes.Repeat("id: 2\ndata: x\n\n")},
+		"comments":                   {eventStream(2), fakes.Repeat(":\n\n")},
 	}
 }
 
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -12,10 +12,13 @@
 // ErrEventTooLarge reports an event larger than maxEventBytes.
 var ErrEventTooLarge = eris.New("event is too large")
 
-// event is one complete event of a stream, with its bytes unchanged.
+// event is one complete event of a stream, with its bytes unchanged. Comments and blank
+// lines before it are part of it.
 type event struct {
 	id   string // Empty if the event has none.
 	data []byte
+	// filler is set for comments and blank lines at the end of a stream.
+	filler bool
 }
 
 // eventReader splits a stream into events.
@@ -42,11 +45,15 @@
 // ErrEventTooLarge without waiting for the end of a larger event; other errors come
 // from the connection.
 func (r *eventReader) next() (event, error) {
-	var e event
+	e := event{filler: true}
+	fillerBytes := 0
 	for {
 		start := len(e.data)
 		var err error
 		e.data, err = r.appendLine(e.data)
+		if errors.Is(err, io.EOF) && fillerBytes > 0 && len(e.data) == fillerBytes {
+			return e, nil
+		}
 		if err != nil {
 			r.partial = e.data
 			if errors.Is(err, io.EOF) && len(e.data) > 0 {
@@ -55,8 +62,13 @@
 			return event{}, err
 		}
 		text := bytes.TrimRight(e.data[start:], "\r\n")
-		if len(text) == 0 {
+		switch {
+		case len(text) == 0 && !e.filler:
 			return e, nil
+		case len(text) == 0:
+			fillerBytes = len(e.data)
+		case text[0] != ':':
+			e.filler = false
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			e.id = string(bytes.TrimSpace(value))
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -32,6 +32,8 @@
 	assert.Assert(t, isNextEvent("2", "3"))
 	assert.Assert(t, !isNextEvent("2", "4"))
 	assert.Assert(t, !isNextEvent("2", "2"))
+	assert.Assert(t, !isNextEvent("2", ""))
+	assert.Assert(t, !isNextEvent("2", "a"))
 	assert.Assert(t, isNextEvent("a", "b"), "non-numeric IDs have no order")
 }
 
@@ -53,6 +55,31 @@
 	})
 }
 
+// Guards against comments and blank lines without end that count as events, and so
+// reset the timer of a silent stream.
+func TestCommentsAndBlankLinesAreNoEvents(t *testing.T) {
+	r := newEventReader(strings.NewReader("\n: ping\n\nid: 1\n\n\n: ping\n\nid: 2\n\n: bye\n\n\n"))
+	for _, want := range []event{
+		{id: "1", data: []byte("\n: ping\n\nid: 1\n\n")},
+		{id: "2", data: []byte("\n: ping\n\nid: 2\n\n")},
+		{filler: true, data: []byte(": bye\n\n\n")},
+	} {
+		e, err := r.next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(e.data), string(want.data))
+		assert.Equal(t, e.id, want.id)
+		assert.Equal(t, e.filler, want.filler)
+	}
+	_, err := r.next()
+	assert.Assert(t, errors.Is(err, io.EOF))
+}
+
+func TestEndInsideCommentsIsUnexpectedEOF(t *testing.T) {
+	r := newEventReader(strings.NewReader("\n: pi"))
+	_, err := r.next()
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
+}
+
 // Guards against an event that never ends filling the memory.
 func TestEventLargerThanTheBoundIsAnError(t *testing.T) {
 	for name, line := range map[string]string{"one line": "x", "many lines": "data: x\n"} {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -198,7 +198,7 @@
 
 // writeEvent sends one event to the caller.
 func (s *stream) writeEvent(attempt *endpointAttempt, e event) error {
-	if s.lastEventID != "" && !isNextEvent(s.lastEventID, e.id) {
+	if s.lastEventID != "" && !e.filler && !isNextEvent(s.lastEventID, e.id) {
 		return &EventOrderError{Last: s.lastEventID, Got: e.id}
 	}
 	s.sendHeader(attempt)
@@ -228,12 +228,15 @@
 	s.gateway.metrics.recordFirstResponse(s.req.rankLabel(), s.req.firstResponseAt.Sub(s.req.arrivedAt))
 }
 
-// isNextEvent reports whether an event may follow another: numeric IDs must be
-// consecutive.
+// isNextEvent reports whether an event may follow another: after a numeric ID, the
+// next one must be consecutive.
 func isNextEvent(last, next string) bool {
-	lastNumber, errA := strconv.ParseUint(last, 10, 64)
-	nextNumber, errB := strconv.ParseUint(next, 10, 64)
-	return errA != nil || errB != nil || nextNumber == lastNumber+1
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	nextNumber, err := strconv.ParseUint(next, 10, 64)
+	return err == nil && nextNumber == lastNumber+1
 }
 
 // complete ends a stream whose endpoint has sent all events.
