Bound the size of a stream

An engine in trouble may send correct events without end after the last one, as fast as the link carries. Only the caller's deadline ended them: until then the entry forwarded them, with the processor time and the links of the other requests, and the endpoint wasn't set aside.

A stream now breaks off at 16 MiB of events, about 100,000 tokens with an event for each. The attempt counts as failed. It isn't retried: no endpoint has events that follow.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -197,6 +197,28 @@
 	}
 }
 
+// Guards against a flood of correct events after the last one, which only the
+// deadline or the bound on the size of a stream ends.
+func TestEndlessValidEventsBreakTheStreamOff(t *testing.T) {
+	nextEvent := func(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 500)) }
+	for speed, pause := range map[string]time.Duration{"fast": 0, "slow": slowPause} {
+		t.Run(speed, func(t *testing.T) {
+			t.Parallel()
+			f, server := newSingleRunFixture(t, fakes.EndlessAnswer{
+				Opening: openingHead("Content-Type: text/event-stream\r\n\r\n"), Piece: nextEvent, Pause: pause,
+			})
+			_, body, err := f.send(t, "/stream/", func(r *http.Request) {
+				if pause > 0 {
+					r.Header.Set("Left", slowDeadlineMS)
+				}
+			})
+			assert.Assert(t, err != nil, "the stream looks complete")
+			assert.Assert(t, strings.HasSuffix(body, "\n\n"), "whole events only")
+			assertClosedAfterOneRequest(t, server)
+		})
+	}
+}
+
 // startGood adds an endpoint that answers, and returns its answer.
 func startGood(t *testing.T, f *fixture) string {
 	t.Helper()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,9 @@
 // ErrEventTimeout reports an endpoint that did not send an event in time.
 var ErrEventTimeout = eris.New("endpoint sent no event in time")
 
+// ErrStreamTooLarge reports a stream larger than maxStreamBytes.
+var ErrStreamTooLarge = eris.New("stream is too large")
+
 // EventOrderError reports an event that does not follow the one before it.
 type EventOrderError struct {
 	Last, Got string
@@ -44,6 +47,9 @@
 	minEventGapTimeout   = 900 * time.Millisecond
 	// callerWriteTimeout bounds how long a write to a caller may block.
 	callerWriteTimeout = 3 * time.Second
+	// maxStreamBytes bounds the events of a stream: about 100,000 tokens with an event
+	// for each.
+	maxStreamBytes = 16 << 20
 )
 
 // stream is the state of one streamed response.
@@ -56,6 +62,8 @@
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	eventCount  int
+	// sentBytes is the size of the events that the caller received.
+	sentBytes int
 }
 
 // serveStream serves a request event by event. A stream that breaks before its
@@ -76,7 +84,8 @@
 			g.metrics.recordRetry("moved")
 			continue
 		}
-		if errors.Is(err, errCallerGone) || !g.mayRetry(ctx, req, mayHaveRun) {
+		// No endpoint can resume a stream that is longer than a whole one.
+		if errors.Is(err, errCallerGone) || errors.Is(err, ErrStreamTooLarge) || !g.mayRetry(ctx, req, mayHaveRun) {
 			s.abort(r, err)
 			return
 		}
@@ -201,6 +210,9 @@
 	if s.lastEventID != "" && !e.filler && !isNextEvent(s.lastEventID, e.id) {
 		return &EventOrderError{Last: s.lastEventID, Got: e.id}
 	}
+	if s.sentBytes+len(e.data) > maxStreamBytes {
+		return ErrStreamTooLarge
+	}
 	s.sendHeader(attempt)
 	_ = s.controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := s.w.Write(e.data); err != nil {
@@ -213,6 +225,7 @@
 		s.lastEventID = e.id
 	}
 	s.eventCount++
+	s.sentBytes += len(e.data)
 	return nil
 }
 
