Fail a buffered response at once if its length exceeds the bound

A response whose declared length exceeds the 4 MiB that the entry buffers was read until it did, or, if its bytes came slowly, until the deadline, though it could no longer be forwarded.

bufferResponse now looks at the declared length first, except in the response to a HEAD request, which has no body. Further tests guard that the largest body passes, and a HEAD request for a longer one.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -103,6 +103,10 @@
 	if attempt.metadata.Encoded {
 		return nil, ErrEncodedResponse
 	}
+	// The length in the response to a HEAD request is not that of its body.
+	if attempt.response.Body != http.NoBody && attempt.response.ContentLength > maxBufferedBytes {
+		return nil, ErrResponseTooLarge
+	}
 	body, err := io.ReadAll(io.LimitReader(attempt.response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return nil, err
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -309,3 +310,37 @@
 		})
 	}
 }
+
+// Guards against a body that is read although its declared length exceeds the bound.
+func TestDeclaredLengthAboveTheBoundFailsBeforeTheBody(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/"} {
+		f, server := newSingleRunFixture(t, fakes.EndlessAnswer{
+			Opening: openingHead(fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBufferedBytes+1)), Piece: fakes.Repeat("x"), Pause: slowPause,
+		})
+		response, _, err := f.send(t, path, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+		assertClosedAfterOneRequest(t, server)
+	}
+}
+
+func TestLargestBufferedResponseIsForwarded(t *testing.T) {
+	largest := strings.Repeat("x", maxBufferedBytes)
+	f := newFixture(t, respondWith(largest))
+	_, body, err := f.send(t, "/once/", nil)
+	assert.NilError(t, err)
+	assert.Assert(t, body == largest)
+}
+
+func TestLengthOfAHeadResponseIsNotBounded(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(2*maxBufferedBytes))
+		respondWith("")(w, r)
+	})
+	response, _, err := f.send(t, "/once/", func(r *http.Request) {
+		r.Method = http.MethodHead
+		r.Body, r.ContentLength = nil, 0
+	})
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
