Bound the errors in the log

Some errors contain what an endpoint sent: the ID of another request, the ID of an event, a status line that is none. With a header line of 4 KiB the test found 4 KiB in each of two log lines of the request; event IDs may have a mebibyte.

errorText now cuts an error after 500 bytes.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -344,3 +344,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
+
+// Guards against log lines that contain what an endpoint sent.
+func TestErrorsInTheLogAreShort(t *testing.T) {
+	answers := endlessAnswers()
+	answers["long status line"] = fakes.EndlessAnswer{Opening: opening("HTTP/1.1 " + strings.Repeat("x", testHeaderBytes/2) + "\r\n\r\n"), Piece: fakes.Repeat("x")}
+	answers["long ID"] = fakes.EndlessAnswer{Opening: opening("HTTP/1.1 200 OK\r\nId: " + strings.Repeat("x", testHeaderBytes/2) + "\r\n\r\n"), Piece: fakes.Repeat("x")}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := newSingleRunFixture(t, answer)
+			log := newAttemptLog()
+			f.gateway.deps.Logger = slog.New(log)
+			_, _, err := f.send(t, "/once/", nil)
+			assert.NilError(t, err)
+			log.mu.Lock()
+			defer log.mu.Unlock()
+			for _, line := range log.lines {
+				for key, value := range line {
+					assert.Assert(t, len(value.String()) < 1000, "%s has %d bytes", key, len(value.String()))
+				}
+			}
+		})
+	}
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/snipestep/snipestep/routing/admission"
@@ -57,11 +58,19 @@
 	return 0
 }
 
+// maxErrorTextBytes bounds an error in the log: some contain what an endpoint sent.
+const maxErrorTextBytes = 500
+
+// errorText returns the text of an error for the log, empty for nil.
 func errorText(err error) string {
 	if err == nil {
 		return ""
 	}
-	return err.Error()
+	text := err.Error()
+	if len(text) > maxErrorTextBytes {
+		text = strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "..."
+	}
+	return text
 }
 
 // finish logs and counts the end of a request.
