Count a body that doesn't end by the deadline as a failure

A plain service in trouble may begin each response at once and then send a byte now and then. Each request that isn't idempotent lasted until its deadline, and the endpoint was never set aside, so that callers kept getting 504 from it beside sound endpoints: an attempt that ends with the deadline says nothing about its endpoint.

That holds for an endpoint that hasn't answered, which may be busy. The test fails without the change: the endpoint was not set aside in eight requests.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -79,14 +79,20 @@
 	}
 	defer cancel()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, "")
-	var response *bufferedResponse
-	if err == nil {
-		response, err = bufferResponse(attempt)
-	}
 	if err != nil {
 		g.recordFailedAttempt(req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
 		return nil, mayHaveRun, err
 	}
+	response, err := bufferResponse(attempt)
+	if err != nil {
+		outcome := attemptOutcome(ctx, err)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The endpoint was quick enough to begin its response, but not to end it.
+			outcome = admission.Failed
+		}
+		g.recordFailedAttempt(req, attempt, true, outcome, err)
+		return nil, true, err
+	}
 	if response.status >= http.StatusInternalServerError && req.route.Kind == directory.Idempotent {
 		g.recordFailedAttempt(req, attempt, true, admission.Served, &statusError{status: response.status})
 		return response, true, nil
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -345,6 +345,26 @@
 	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
 
+// Guards against an endpoint that holds each request until its deadline and isn't set
+// aside, since its bytes come slowly.
+func TestSlowEndlessBodiesOpenTheCircuitBreaker(t *testing.T) {
+	t.Parallel()
+	f, _ := newSingleRunFixture(t, fakes.EndlessAnswer{Opening: openingHead("\r\n"), Piece: fakes.Repeat("x"), Pause: slowPause})
+	log := newAttemptLog()
+	f.gateway.deps.Logger = slog.New(log)
+	// On a busy machine a deadline may pass before the head arrives.
+	for range 8 {
+		_, _, err := f.send(t, "/once/", func(r *http.Request) { r.Header.Set("Left", slowDeadlineMS) })
+		assert.NilError(t, err)
+		for _, attempt := range log.attempts() {
+			if attempt["set_aside"].Bool() {
+				return
+			}
+		}
+	}
+	t.Fatal("the endpoint was not set aside")
+}
+
 // Guards against log lines that contain what an endpoint sent.
 func TestErrorsInTheLogAreShort(t *testing.T) {
 	answers := endlessAnswers()
