--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -79,14 +79,20 @@
 	}
 	defer cancel()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, "")
-	var response *bufferedResponse
-	if err == nil {
-		response, err = bufferResponse(attempt)
-	}
 	if err != nil {
 		g.recordFailedAttempt(req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
 		return nil, mayHaveRun, err
 	}
+	response, err := bufferResponse(attempt)
+	if err != nil {
+		outcome := attemptOutcome(ctx, err)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// The endpoint was quick enough to begin its response, but not to end it.
+			outcome = admission.Failed
+		}
+		g.recordFailedAttempt(req, attempt, true, outcome, err)
+		return nil, true, err
+	}
 	if response.status >= http.StatusInternalServerError && req.route.Kind == directory.Idempotent {
 		g.recordFailedAttempt(req, attempt, true, admission.Served, &statusError{status: response.status})
 		return response, true, nil
@@ -103,6 +109,10 @@
 	if attempt.metadata.Encoded {
 		return nil, ErrEncodedResponse
 	}
+	// The length in the response to a HEAD request is not that of its body.
+	if attempt.response.Body != http.NoBody && attempt.response.ContentLength > maxBufferedBytes {
+		return nil, ErrResponseTooLarge
+	}
 	body, err := io.ReadAll(io.LimitReader(attempt.response.Body, maxBufferedBytes+1))
 	if err != nil {
 		return nil, err
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -17,6 +17,9 @@
 // ErrEventTimeout reports an endpoint that did not send an event in time.
 var ErrEventTimeout = eris.New("endpoint sent no event in time")
 
+// ErrStreamTooLarge reports a stream larger than maxStreamBytes.
+var ErrStreamTooLarge = eris.New("stream is too large")
+
 // EventOrderError reports an event that does not follow the one before it.
 type EventOrderError struct {
 	Last, Got string
@@ -44,6 +47,9 @@
 	minEventGapTimeout   = 900 * time.Millisecond
 	// callerWriteTimeout bounds how long a write to a caller may block.
 	callerWriteTimeout = 3 * time.Second
+	// maxStreamBytes bounds the events of a stream: about 100,000 tokens with an event
+	// for each.
+	maxStreamBytes = 16 << 20
 )
 
 // stream is the state of one streamed response.
@@ -56,6 +62,8 @@
 	// lastEventID is the ID of the last event that the caller received.
 	lastEventID string
 	eventCount  int
+	// sentBytes is the size of the events that the caller received.
+	sentBytes int
 }
 
 // serveStream serves a request event by event. A stream that breaks before its
@@ -76,7 +84,8 @@
 			g.metrics.recordRetry("moved")
 			continue
 		}
-		if errors.Is(err, errCallerGone) || !g.mayRetry(ctx, req, mayHaveRun) {
+		// No endpoint can resume a stream that is longer than a whole one.
+		if errors.Is(err, errCallerGone) || errors.Is(err, ErrStreamTooLarge) || !g.mayRetry(ctx, req, mayHaveRun) {
 			s.abort(r, err)
 			return
 		}
@@ -198,9 +207,12 @@
 
 // writeEvent sends one event to the caller.
 func (s *stream) writeEvent(attempt *endpointAttempt, e event) error {
-	if s.lastEventID != "" && !isNextEvent(s.lastEventID, e.id) {
+	if s.lastEventID != "" && !e.filler && !isNextEvent(s.lastEventID, e.id) {
 		return &EventOrderError{Last: s.lastEventID, Got: e.id}
 	}
+	if s.sentBytes+len(e.data) > maxStreamBytes {
+		return ErrStreamTooLarge
+	}
 	s.sendHeader(attempt)
 	_ = s.controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := s.w.Write(e.data); err != nil {
@@ -213,6 +225,7 @@
 		s.lastEventID = e.id
 	}
 	s.eventCount++
+	s.sentBytes += len(e.data)
 	return nil
 }
 
@@ -228,12 +241,15 @@
 	s.gateway.metrics.recordFirstResponse(s.req.rankLabel(), s.req.firstResponseAt.Sub(s.req.arrivedAt))
 }
 
-// isNextEvent reports whether an event may follow another: numeric IDs must be
-// consecutive.
+// isNextEvent reports whether an event may follow another: after a numeric ID, the
+// next one must be consecutive.
 func isNextEvent(last, next string) bool {
-	lastNumber, errA := strconv.ParseUint(last, 10, 64)
-	nextNumber, errB := strconv.ParseUint(next, 10, 64)
-	return errA != nil || errB != nil || nextNumber == lastNumber+1
+	lastNumber, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	nextNumber, err := strconv.ParseUint(next, 10, 64)
+	return err == nil && nextNumber == lastNumber+1
 }
 
 // complete ends a stream whose endpoint has sent all events.
