Give up a kept-alive connection with unsolicited bytes before a request

Callers saw the bytes that a service had sent behind its last complete response as the response to their own request, or a broken call whose outcome is unknown, because net/http had put the connection back and given it to the next request before it looked at those bytes. A connection that the service had closed broke requests the same way.

A replayable request is repeated by net/http; one with NoReplay, as every call of an endpoint is, fails.

net/http calls GotConn before the request counts as sent on the connection, and reads ahead on an idle one. The hook therefore waits until the read ahead waits for bytes, or until net/http closed the connection because of bytes left over. Until the first write any byte, also one still in the socket, ends the connection, and the request, of which nothing was written, goes to another one.

--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -60,10 +60,22 @@
 // caller closes the body. The client's timeout does not apply. Errors are
 // *TransportError.
 func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
+	// Each of the kept-alive connections may turn out to be unusable.
+	for range maxIdleConnsPerHost {
+		var progress sendProgress
+		response, err := c.send(ctx, request, &progress)
+		if err == nil || !progress.lostIdleConn() {
+			return response, err
+		}
+	}
+	return c.send(ctx, request, new(sendProgress))
+}
+
+// send sends the request, which net/http may repeat unless NoReplay is set.
+func (c *Client) send(ctx context.Context, request Request, progress *sendProgress) (*http.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &TransportError{Cause: err}
 	}
-	var progress sendProgress
 	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, progress.trace()), request)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
--- a/internal/httpcall/config.go
+++ b/internal/httpcall/config.go
@@ -29,7 +29,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            guardConns(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
--- /dev/null
+++ b/internal/httpcall/unread_other.go
@@ -0,0 +1,10 @@
+//go:build !unix
+
+package httpcall
+
+import "net"
+
+// hasUnread reports false where a socket cannot be looked into.
+func hasUnread(net.Conn) bool {
+	return false
+}
