Bound the bytes of a token stream

Callers waited for their deadline while an engine sent comments, empty lines or events of other attempts without end behind a token: the scanner bounds a line, but nothing bounded the stream, so that the agent read on as fast as the link carried. In TestStreamIsBoundedInBytes the client took all 32 MiB that the fake server sends, and ended only with the server.

A stream may now have 1 MiB and 2 KiB for each token that the request allows, several times what the events of an answer need. Beyond that the attempt breaks off with *httpcall.TooLargeError, which closes the connection, and the entry continues elsewhere within its retries. httpcall.LimitReader tells a body that is too long from one that ended, and now also bounds whole responses. A line that a failed read cut short is reported with that failure, not as a malformed event.

The other answers without end, in a head, a body or trailers, fast or slow, were bounded before; TestEndlessAnswerBreaksCallAndItsConnection keeps it so for each kind of call.

--- a/endpoint/httpengine.go
+++ b/endpoint/httpengine.go
@@ -38,7 +38,7 @@
 		return nil, &NotStartedError{Attempt: request.Attempt, Cause: err}
 	}
 	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true}
-	return openStream(ctx, e.client, request.Attempt, httpRequest)
+	return openStream(ctx, e.client, request.Attempt, httpRequest, streamLimit(request.MaxTokens))
 }
 
 // StageChunk implements Engine.
--- a/endpoint/httpstream.go
+++ b/endpoint/httpstream.go
@@ -18,6 +18,12 @@
 const (
 	maxEventBytes    = 256 << 10
 	eventBufferBytes = 4 << 10
+	// streamBaseBytes and streamTokenBytes limit a stream, whose bytes without an
+	// event of the attempt would otherwise never end: the base holds several events
+	// of any length, the bytes for each token several times a usual event of some
+	// 200 bytes, so that comments and events of other attempts fit too.
+	streamBaseBytes  = 1 << 20
+	streamTokenBytes = 2 << 10
 )
 
 // ErrStreamTruncated reports a stream that ended before the event with Done.
@@ -38,8 +44,14 @@
 	done       bool
 }
 
-// openStream sends the request and returns once the response header arrives.
-func openStream(ctx context.Context, client *httpcall.Client, attempt string, request httpcall.Request) (TokenStream, error) {
+// streamLimit returns the bytes that a stream of at most maxTokens tokens may have.
+func streamLimit(maxTokens int) int64 {
+	return streamBaseBytes + streamTokenBytes*int64(max(0, maxTokens))
+}
+
+// openStream sends the request and returns once the response header arrives. The
+// stream breaks off after maxBytes.
+func openStream(ctx context.Context, client *httpcall.Client, attempt string, request httpcall.Request, maxBytes int64) (TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	stream := &httpStream{attempt: attempt, cancel: cancel, timeout: client.Timeout(), timedOut: new(atomic.Bool)}
 	stream.startEventTimer()
@@ -54,7 +66,7 @@
 		return nil, streamRefusal(attempt, response)
 	}
 	stream.body = response.Body
-	stream.lines = bufio.NewScanner(response.Body)
+	stream.lines = bufio.NewScanner(httpcall.LimitReader(response.Body, maxBytes))
 	stream.lines.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	return stream, nil
 }
@@ -78,6 +90,9 @@
 		return Token{}, &BrokenError{Attempt: s.attempt, Cause: err}
 	}
 	token, err := parseEvent(data)
+	if err != nil && s.lines.Err() != nil {
+		err = s.endError() // The read that failed cut the line short.
+	}
 	if err != nil {
 		return Token{}, &BrokenError{Attempt: s.attempt, Cause: err}
 	}
--- /dev/null
+++ b/internal/fakes/endlessanswers.go
@@ -0,0 +1,43 @@
+package fakes
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// EndlessHeads returns answers whose head never ends, by the place of the bytes.
+func EndlessHeads() map[string]EndlessAnswer {
+	return map[string]EndlessAnswer{
+		"status line": {Opening: opening("HTTP/1.1 200 O"), Piece: Repeat("K")},
+		"header line": {Opening: opening("HTTP/1.1 200 OK\r\nX-Noise: "), Piece: Repeat("x")},
+		"headers":     {Opening: opening("HTTP/1.1 200 OK\r\n"), Piece: Repeat("X-Noise: x\r\n")},
+		"interim":     {Piece: Repeat("HTTP/1.1 103 Early Hints\r\nX-Noise: x\r\n\r\n")},
+	}
+}
+
+// EndlessBodies returns answers with a status line, such as "HTTP/1.1 200 OK", and
+// header lines, each with its end, whose body starts with start and never ends.
+func EndlessBodies(statusLine, header, start, piece string) map[string]EndlessAnswer {
+	head := statusLine + "\r\n" + header
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	return map[string]EndlessAnswer{
+		"body with length":    {Opening: opening(head + "Content-Length: 1099511627776\r\n\r\n" + start), Piece: Repeat(piece)},
+		"body without length": {Opening: opening(head + "\r\n" + start), Piece: Repeat(piece)},
+		"chunks":              {Opening: opening(chunked + chunk(start)), Piece: Repeat(chunk(piece))},
+		"chunk extension":     {Opening: opening(chunked + chunk(start) + "1;"), Piece: Repeat("x")},
+		"trailers":            {Opening: opening(chunked + chunk(start) + "0\r\n"), Piece: Repeat("X-Noise: x\r\n")},
+	}
+}
+
+func opening(text string) func(*http.Request) string {
+	return func(*http.Request) string { return text }
+}
+
+// chunk encodes data as one chunk; empty data is no chunk, since an empty chunk
+// ends a body.
+func chunk(data string) string {
+	if data == "" {
+		return ""
+	}
+	return strconv.FormatInt(int64(len(data)), 16) + "\r\n" + data + "\r\n"
+}
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -128,12 +129,13 @@
 }
 
 func readResponse(response *http.Response, maxBytes int64) (*Response, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	data, err := io.ReadAll(LimitReader(response.Body, maxBytes))
+	var tooLarge *TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, tooLarge
+	}
 	if err != nil {
 		return nil, &TransportError{MaybeSent: true, Cause: err}
 	}
-	if int64(len(data)) > maxBytes {
-		return nil, &TooLargeError{Limit: maxBytes}
-	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
