Let only events of the attempt prolong the wait for the next one

Callers waited for their deadline while an engine sent a comment, an empty line or an event of another attempt now and then: each line of any kind restarted the timeout that PROTOCOLS.md promises for each event, so that the call could not continue elsewhere.

The timeout is now restarted by events of the attempt only.

--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"strings"
@@ -141,6 +142,24 @@
 	}
 }
 
+// Guards against a stream that defeats the timeout with a few bytes now and then
+// that are no event of the attempt.
+func TestStreamWithoutEventsOfAttemptTimesOut(t *testing.T) {
+	for name, tt := range endlessStreams {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := startEndless(t, endlessStream(tt.opening, tt.piece, slowPause))
+			config := endpoint.HTTPConfig{BaseURL: "http://" + server.Address(), Timeout: slowTimeout}
+			stream, err := endpoint.NewHTTPEngine(config).Generate(t.Context(), endpoint.GenerateRequest{Attempt: "a", MaxTokens: endlessMaxTokens})
+			assert.NilError(t, err)
+			tokens, err := readTokens(stream)
+			assert.Equal(t, tokens, 1)
+			assert.Assert(t, isError[*endpoint.BrokenError](err) && errors.Is(err, endpoint.ErrEventTimeout), "got %v", err)
+			assert.Assert(t, (<-server.Ended()).PeerClosed)
+		})
+	}
+}
+
 // Guards against bytes behind the last event that hold the connection.
 func TestConnectionIsClosedBehindLastEvent(t *testing.T) {
 	server := startEndless(t, endlessStream(streamHead+doneEvent+"\n\n", terminatorEvent+"\n\n", 0))
--- a/endpoint/httpstream.go
+++ b/endpoint/httpstream.go
@@ -29,8 +29,9 @@
 // ErrStreamTruncated reports a stream that ended before the event with Done.
 var ErrStreamTruncated = eris.New("stream ended before its final event")
 
-// ErrEventTimeout reports a stream that sent no event within the timeout.
-var ErrEventTimeout = eris.New("stream sent no event within the timeout")
+// ErrEventTimeout reports a stream that sent no event of its attempt within the
+// timeout.
+var ErrEventTimeout = eris.New("stream sent no event of the attempt within the timeout")
 
 // httpStream reads server-sent events.
 type httpStream struct {
@@ -99,6 +100,7 @@
 	if token.Attempt != s.attempt {
 		return Token{}, &AttemptMismatchError{Attempt: s.attempt, Got: token.Attempt}
 	}
+	s.resetEventTimer()
 	s.done = token.Done
 	return token, nil
 }
@@ -112,7 +114,6 @@
 // nextData returns the data field of the next event.
 func (s *httpStream) nextData() ([]byte, error) {
 	for s.lines.Scan() {
-		s.resetEventTimer()
 		data, found := bytes.CutPrefix(s.lines.Bytes(), []byte("data:"))
 		if !found {
 			continue
