Break off an attempt whose engine sends more tokens than requested

Callers got tokens beyond max_tokens, in order and of the right version, until their deadline, as fast as the engine sent them; the agent and the entry kept each of them. Nothing on the path compared their number with the request.

The agent now ends such an attempt as broken, as it does for a token out of order, and closes the connection. The entry continues at another endpoint with the tokens that the request allows, so that the caller gets a whole answer once an endpoint confirms its end, and an unknown outcome if none does.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -57,6 +57,12 @@
 }
 
 func newFixture(t *testing.T, slots int, tokenInterval time.Duration) *fixture {
+	t.Helper()
+	return newFixtureWithEngine(t, slots, tokenInterval, func(engine endpoint.Engine) endpoint.Engine { return engine })
+}
+
+// newFixtureWithEngine is newFixture with the client of the engine wrapped.
+func newFixtureWithEngine(t *testing.T, slots int, tokenInterval time.Duration, wrap func(endpoint.Engine) endpoint.Engine) *fixture {
 	t.Helper()
 	engine := fakes.NewEngine(fakes.EngineConfig{
 		Slots: slots, TokenInterval: tokenInterval, ChecksFencing: true, AttemptMismatchRatio: 0.2, ChunkDigests: manifestDigests,
@@ -70,7 +76,7 @@
 			SessionAddr: freeAddr(t, "tcp"), DatagramAddr: freeAddr(t, "udp"), ChunkAddr: freeAddr(t, "tcp"),
 		},
 		FleetKey: testKey, Slots: slots, ChecksFencing: true,
-	}, Deps{Origin: origin, Store: origin, Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: server.URL, Timeout: 10 * time.Second})})
+	}, Deps{Origin: origin, Store: origin, Engine: wrap(endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: server.URL, Timeout: 10 * time.Second}))})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fixture{t: t, agent: a, engine: engine, stop: cancel, runEnded: make(chan error, 1)}
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -80,7 +80,7 @@
 }
 
 // forward sends the stream's tokens in order. Tokens of another attempt are
-// dropped; a token out of order breaks the attempt.
+// dropped; a token out of order, or more tokens than requested, break the attempt.
 func (m *modelRunner) forward(ctx context.Context, j *job, stream endpoint.TokenStream, send sendFunc) *wire.CallEvent {
 	nextIndex := len(j.req.GetPrefixTokens()) + len(j.generated)
 	for {
@@ -103,6 +103,9 @@
 		if token.Index != nextIndex {
 			return callBrokenEvent(j, CodeOutcomeUnknown, "", "engine sent a token out of order")
 		}
+		if nextIndex >= int(j.req.GetMaxTokens()) {
+			return callBrokenEvent(j, CodeOutcomeUnknown, "", "engine sent more tokens than requested")
+		}
 		if ctx.Err() != nil {
 			return callBrokenEvent(j, CodeMoved, "", context.Cause(ctx).Error())
 		}
