Take only a whole, bounded document for an operator's answer

Operators saw success, also of a confirmation, when a server sent a document with bytes behind it, up to bytes without end: the client decoded the first JSON value and looked no further. A server that sent its head byte by byte used up the command's time, so that the servers behind it were not asked, and held watch for ever, which has no time limit.

A response now has to be one JSON document of at most 16 MiB to its end, and a head of at most 64 KiB. A server that gives none is treated like one that cannot be reached: the next one is asked, which every request of the client allows. Each server may take an equal part of the time that is left, so that a single one still has all of it. The same limit, of 30 s without a deadline, ends the start of watch; its events may come as late as ever.

--- a/cmd/snipestepctl/cli.go
+++ b/cmd/snipestepctl/cli.go
@@ -47,7 +47,7 @@
 	options = append([]kong.Option{
 		kong.Name("snipestepctl"),
 		kong.Description("Operators' command line of snipestep. Exit codes: 0 success, 1 refused or failed, " +
-			"2 wrong usage or settings, 3 conflict or stale plan, 4 no server answers, 5 outcome unknown, 130 interrupted."),
+			"2 wrong usage or settings, 3 conflict or stale plan, 4 no server gives a whole answer, 5 outcome unknown, 130 interrupted."),
 	}, options...)
 	return kong.New(cli, options...)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -4,40 +4,31 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
+	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/problem"
 )
 
-const maxResponseBytes = 16 << 20
-
-// UnreachableError reports that no server responded.
-type UnreachableError struct {
-	Servers []string
-	Cause   error // Of the last server tried.
-}
-
-// Error implements error.
-func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("none of the servers %s responded: %v", strings.Join(e.Servers, ", "), e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *UnreachableError) Unwrap() error {
-	return e.Cause
-}
+const (
+	maxResponseBytes = 16 << 20
+	// maxHeadTime limits the start of a stream if ctx has no deadline.
+	maxHeadTime = 30 * time.Second
+)
 
 // Client calls the operator API. Methods block until a server responds or ctx
-// ends. Errors are *problem.Error, *UnreachableError and decoding errors.
+// ends. Errors are *problem.Error and *UnreachableError.
 type Client struct {
 	servers    []string
 	token      string
@@ -45,11 +36,11 @@
 }
 
 // NewClient returns a client that tries the servers in turn. servers are base
-// URLs such as "http://10.0.0.1:8080". client is http.DefaultClient by
-// default.
+// URLs such as "http://10.0.0.1:8080". client is by default one that limits
+// the head of a response.
 func NewClient(servers []string, token string, client *http.Client) *Client {
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	return &Client{servers: servers, token: token, httpClient: client}
 }
@@ -91,23 +82,49 @@
 }
 
 // Watch calls receive with each status until ctx ends, receive fails or the
-// server ends the stream.
+// server ends the stream. Only the start of the stream is limited in time.
 func (c *Client) Watch(ctx context.Context, receive func(Status) error) error {
-	response, err := c.send(ctx, http.MethodGet, "/v1/watch", nil)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var events io.ReadCloser
+	err := c.tryServers(ctx, func(ctx context.Context, server string, timeout time.Duration) error {
+		opened, err := c.openWatch(ctx, server, timeout)
+		events = opened
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return &problem.Error{Problem: *problem.Read(response)}
+	defer events.Close()
+	return readEvents(events, receive)
+}
+
+// openWatch opens the stream at one server, within timeout. The stream ends with
+// ctx.
+func (c *Client) openWatch(ctx context.Context, server string, timeout time.Duration) (io.ReadCloser, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(timeout, cancel)
+	response, err := c.sendTo(ctx, server, http.MethodGet, "/v1/watch", nil)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = &problem.Error{Problem: *problem.Read(response)}
+		_ = response.Body.Close()
+	}
+	if !timer.Stop() {
+		err = context.DeadlineExceeded
 	}
-	return readEvents(response.Body, receive)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return response.Body, nil
 }
 
 func planPath(id string) string {
 	return "/v1/plans/" + url.PathEscape(id)
 }
 
+// call sends a request to the servers in turn until one gives a complete response.
+// Every request is safe to repeat.
 func (c *Client) call(ctx context.Context, method, path string, body, result any) error {
 	var data []byte
 	if body != nil {
@@ -117,35 +134,58 @@
 		}
 		data = encoded
 	}
-	response, err := c.send(ctx, method, path, data)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
+	return c.tryServers(ctx, func(ctx context.Context, server string, timeout time.Duration) error {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		response, err := c.sendTo(ctx, server, method, path, data)
+		if err != nil {
+			return err
+		}
+		defer response.Body.Close()
+		return readResult(response, result)
+	})
+}
+
+func readResult(response *http.Response, result any) error {
 	if response.StatusCode >= http.StatusMultipleChoices {
 		return &problem.Error{Problem: *problem.Read(response)}
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result); err != nil {
-		return eris.Wrap(err, "decode response")
+	// Whatever follows the document makes it no response.
+	body, err := io.ReadAll(httpcall.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return eris.Wrap(err, "read response")
 	}
-	return nil
+	return eris.Wrap(json.Unmarshal(body, result), "decode response")
 }
 
-// send tries the servers in turn until one responds. Every request is safe to
-// repeat.
-func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+// tryServers calls try for the servers in turn until one responds. Each server may
+// take an equal part of the time that is left.
+func (c *Client) tryServers(ctx context.Context, try func(ctx context.Context, server string, timeout time.Duration) error) error {
 	unreachable := &UnreachableError{Servers: c.servers, Cause: ErrNoServer}
-	for _, server := range c.servers {
-		response, err := c.sendTo(ctx, server, method, path, body)
-		if err == nil {
-			return response, nil
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { unreachable.MaybeSent = true },
+	})
+	for i, server := range c.servers {
+		err := try(ctx, server, timeLeft(ctx)/time.Duration(len(c.servers)-i))
+		var refusal *problem.Error
+		if err == nil || errors.As(err, &refusal) {
+			return err
 		}
 		unreachable.Cause = err
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return nil, unreachable
+	return unreachable
+}
+
+// timeLeft returns the time until the deadline of ctx, or maxHeadTime if it has
+// none.
+func timeLeft(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return maxHeadTime
 }
 
 // ErrNoServer reports that the client has no servers.
--- /dev/null
+++ b/operator/transport.go
@@ -0,0 +1,18 @@
+package operator
+
+import "net/http"
+
+// maxHeaderBytes limits the head of a response, interim ones included.
+const maxHeaderBytes = 64 << 10
+
+var defaultClient = newDefaultClient()
+
+func newDefaultClient() *http.Client {
+	transport, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultClient
+	}
+	transport = transport.Clone()
+	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	return &http.Client{Transport: transport}
+}
