Report a confirmation without a whole answer as of unknown outcome

Operators who confirmed a plan saw exit code 4, no server, or 1, refused or failed, when an entry took the request and its answer was no answer, although the plan may be in force by then.

From then on a confirmation without an answer is *operator.UnknownOutcomeError, exit code 5, as the documented outcome of a commit that the entry itself does not know.

--- a/cmd/snipestepctl/exit.go
+++ b/cmd/snipestepctl/exit.go
@@ -23,6 +23,7 @@
 func exitCode(err error) int {
 	var (
 		serverProblem *problem.Error
+		unknown       *operator.UnknownOutcomeError
 		unreachable   *operator.UnreachableError
 		settings      *SettingsError
 		usage         *UsageError
@@ -36,6 +37,8 @@
 		return exitInterrupted
 	case errors.As(err, &serverProblem):
 		return problemExitCode(serverProblem.Problem)
+	case errors.As(err, &unknown):
+		return exitOutcomeUnknown
 	case errors.As(err, &unreachable):
 		return exitUnreachable
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -28,7 +28,8 @@
 )
 
 // Client calls the operator API. Methods block until a server responds or ctx
-// ends. Errors are *problem.Error and *UnreachableError.
+// ends. Errors are *problem.Error and *UnreachableError, and those that a method
+// names.
 type Client struct {
 	servers    []string
 	token      string
@@ -67,11 +68,12 @@
 	return diff, err
 }
 
-// Confirm applies a plan and returns the generation that it creates.
+// Confirm applies a plan and returns the generation that it creates. It returns
+// *UnknownOutcomeError if the plan may have been applied without a response.
 func (c *Client) Confirm(ctx context.Context, id string) (core.Generation, error) {
 	var confirmation Confirmation
 	err := c.call(ctx, http.MethodPost, planPath(id)+"/confirm", nil, &confirmation)
-	return confirmation.Generation, err
+	return confirmation.Generation, confirmError(err)
 }
 
 // Status returns the state of the fleet.
