End a watch whose server sends no status among its bytes

An operator's watch showed nothing more and went on reading while a server sent comments, empty lines or other events without end: only a line was bounded. In TestWatchIsBoundedBetweenStatuses it read until the fake server ended at 32 MiB.

Watch now fails once 8 MiB, the longest status event, bring no status. A quiet stream is as good as before.

--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -153,3 +154,21 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on for ever without a status.
+func TestWatchIsBoundedBetweenStatuses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nevent: status\ndata: {}\n\n"
+	for name, piece := range map[string]string{"comments": ": x\n", "empty lines": "\n", "other events": "event: other\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			server := startEndless(t, fakes.EndlessAnswer{Opening: func(*http.Request) string { return head }, Piece: fakes.Repeat(piece)})
+			statuses := 0
+			err := endlessClient(server).Watch(t.Context(), func(operator.Status) error {
+				statuses++
+				return nil
+			})
+			assert.ErrorIs(t, err, operator.ErrNoStatus)
+			assert.Equal(t, statuses, 1)
+			assert.Assert(t, (<-server.Ended()).PeerClosed)
+		})
+	}
+}
--- a/operator/eventstream.go
+++ b/operator/eventstream.go
@@ -14,6 +14,9 @@
 // ErrStreamEnded reports that the server closed the status stream.
 var ErrStreamEnded = eris.New("the server ended the status stream")
 
+// ErrNoStatus reports a status stream that goes on without a status.
+var ErrNoStatus = eris.New("the server sends bytes without a status")
+
 const (
 	eventStreamType = "text/event-stream"
 	maxEventBytes   = 8 << 20
@@ -64,15 +67,22 @@
 	return nil
 }
 
-// readEvents calls receive with each status of an event stream.
+// readEvents calls receive with each status of an event stream. It fails if more
+// than maxEventBytes bring no status.
 func readEvents(body io.Reader, receive func(Status) error) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxEventBytes)
+	bytesWithoutStatus := 0
 	for scanner.Scan() {
 		data, ok := bytes.CutPrefix(scanner.Bytes(), dataPrefix)
 		if !ok {
+			bytesWithoutStatus += len(scanner.Bytes()) + len("\n")
+			if bytesWithoutStatus > maxEventBytes {
+				return ErrNoStatus
+			}
 			continue
 		}
+		bytesWithoutStatus = 0
 		var s Status
 		if err := json.Unmarshal(data, &s); err != nil {
 			return eris.Wrap(err, "decode status event")
