Read no chunk beyond the longest that a manifest may have

An agent kept up to 64 MiB of an answer of the origin or the weight store that never ends, for each of the four chunks that it fetches at a time, although a manifest with chunks above 16 MiB is refused before any fetch.

The bound is now 16 MiB, the longest valid chunk.

--- a/backing/httpchunks.go
+++ b/backing/httpchunks.go
@@ -9,8 +9,9 @@
 	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
-// MaxChunkBytes is the largest chunk that a ChunkSource may return.
-const MaxChunkBytes = 64 << 20
+// MaxChunkBytes is the largest chunk that a ChunkSource may return. It is that of a
+// valid manifest, weights.MaxChunkSize.
+const MaxChunkBytes = 16 << 20
 
 // fetchChunk fetches one chunk of a manifest.
 func fetchChunk(ctx context.Context, client *httpcall.Client, service string, manifest core.Digest, index int) ([]byte, error) {
