--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -70,6 +70,9 @@
 	engineConfig func(*fakes.EngineConfig)
 	plainConfig  func(*fakes.PlainServiceConfig)
 	callTimeout  time.Duration // Of the entries; 0 selects the default.
+	// wrapEngine and wrapPlain wrap the agents' clients of the endpoints; may be nil.
+	wrapEngine func(endpoint.Engine) endpoint.Engine
+	wrapPlain  func(endpoint.PlainService) endpoint.PlainService
 }
 
 func newTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
@@ -169,8 +172,12 @@
 	instance := f.instance(fmt.Sprintf("model-%d", i), core.RoleModel, i)
 	instance.ChunkAddr = f.freeAddr()
 	f.engines = append(f.engines, engine)
+	var client endpoint.Engine = endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.startServer(f.recordTraceparents(engine)), Timeout: testDeadline})
+	if f.wrapEngine != nil {
+		client = f.wrapEngine(client)
+	}
 	f.runAgent(agent.Config{Instance: instance, ChecksFencing: i%2 == 0}, agent.Deps{
-		Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.startServer(f.recordTraceparents(engine)), Timeout: testDeadline}),
+		Engine: client,
 		Origin: backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: f.urls["origin"]}),
 		Store:  backing.NewHTTPWeightStore(backing.HTTPConfig{BaseURL: f.urls["store"]}),
 	})
@@ -185,9 +192,11 @@
 	instance := f.instance(fmt.Sprintf("plain-%d", i), core.RolePlain, i)
 	instance.Service = "counter"
 	f.plainServices = append(f.plainServices, plain)
-	f.runAgent(agent.Config{Instance: instance}, agent.Deps{
-		PlainService: endpoint.NewHTTPPlainService(endpoint.HTTPConfig{BaseURL: f.startServer(plain), Timeout: testDeadline}),
-	})
+	var client endpoint.PlainService = endpoint.NewHTTPPlainService(endpoint.HTTPConfig{BaseURL: f.startServer(plain), Timeout: testDeadline})
+	if f.wrapPlain != nil {
+		client = f.wrapPlain(client)
+	}
+	f.runAgent(agent.Config{Instance: instance}, agent.Deps{PlainService: client})
 }
 
 func (f *testFleet) runAgent(cfg agent.Config, deps agent.Deps) {
