Give each case of an endless answer its own pause

Parallel cases of one answer shared its pause, which the race detector found in TestEndlessAnswerBreaksCallAndItsConnection: a fast case could run as a slow one.

--- a/backing/endless_test.go
+++ b/backing/endless_test.go
@@ -91,8 +91,7 @@
 				}
 				t.Run(answerName+"/"+callName+"/"+speedName, func(t *testing.T) {
 					t.Parallel()
-					answer.Pause = speed.pause
-					server, err := fakes.StartEndlessServer(answer)
+					server, err := fakes.StartEndlessServer(answer.WithPause(speed.pause))
 					assert.NilError(t, err)
 					t.Cleanup(server.Close)
 					config := backing.HTTPConfig{BaseURL: "http://" + server.Address(), Timeout: speed.timeout}
--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -78,8 +78,7 @@
 			for speedName, speed := range endlessSpeeds {
 				t.Run(answerName+"/"+callName+"/"+speedName, func(t *testing.T) {
 					t.Parallel()
-					answer.Pause = speed.pause
-					server := startEndless(t, answer)
+					server := startEndless(t, answer.WithPause(speed.pause))
 					config := endpoint.HTTPConfig{BaseURL: "http://" + server.Address(), Timeout: speed.timeout}
 					for range 2 {
 						err := call(t.Context(), config)
--- a/internal/fakes/endlessanswers.go
+++ b/internal/fakes/endlessanswers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // EndlessHeads returns answers whose head never ends, by the place of the bytes.
@@ -41,3 +42,9 @@
 	}
 	return strconv.FormatInt(int64(len(data)), 16) + "\r\n" + data + "\r\n"
 }
+
+// WithPause returns the answer with another pause.
+func (a EndlessAnswer) WithPause(pause time.Duration) EndlessAnswer {
+	a.Pause = pause
+	return a
+}
--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -68,8 +68,7 @@
 			for speedName, speed := range endlessSpeeds {
 				t.Run(answerName+"/"+callName+"/"+speedName, func(t *testing.T) {
 					t.Parallel()
-					answer.Pause = speed.pause
-					server := startEndless(t, answer)
+					server := startEndless(t, answer.WithPause(speed.pause))
 					ctx, cancel := context.WithTimeout(t.Context(), speed.timeout)
 					defer cancel()
 					err := call(ctx, endlessClient(server))
