Refuse a response that switches protocols

Callers of a plain service got status 101 as the operation's answer from a service that answered so unasked. With an Upgrade header and bytes now and then, calls of an endpoint, and commands of an operator, did not end with their timeout: in TestEndlessAnswerBreaksCallAndItsConnection and TestEndlessResponseIsNoResponse a timeout of 50 ms let them wait for the 30 s after which the fake server ends. An agent would so lose its slot, and the checks of its engine, for good.

After a switch net/http hands over the bare connection as the body, which the request's context no longer closes.

Such a response is now closed unread and counts as a lost one: the request may have run.

--- a/internal/fakes/endlessanswers.go
+++ b/internal/fakes/endlessanswers.go
@@ -6,13 +6,19 @@
 	"time"
 )
 
-// EndlessHeads returns answers whose head never ends, by the place of the bytes.
+// EndlessHeads returns answers whose head never ends, or ends in a switch of
+// protocols, by the place of the bytes.
 func EndlessHeads() map[string]EndlessAnswer {
 	return map[string]EndlessAnswer{
 		"status line": {Opening: opening("HTTP/1.1 200 O"), Piece: Repeat("K")},
 		"header line": {Opening: opening("HTTP/1.1 200 OK\r\nX-Noise: "), Piece: Repeat("x")},
 		"headers":     {Opening: opening("HTTP/1.1 200 OK\r\n"), Piece: Repeat("X-Noise: x\r\n")},
-		"interim":     {Piece: Repeat("HTTP/1.1 103 Early Hints\r\nX-Noise: x\r\n\r\n")},
+		"switch of protocols": {
+			Opening: switchOfProtocols("Connection: Upgrade\r\nUpgrade: x\r\n"),
+			Piece:   Repeat("x"),
+		},
+		"half a switch": {Opening: switchOfProtocols(""), Piece: Repeat("x")},
+		"interim":       {Piece: Repeat("HTTP/1.1 103 Early Hints\r\nX-Noise: x\r\n\r\n")},
 	}
 }
 
@@ -30,6 +36,13 @@
 	}
 }
 
+// switchOfProtocols returns a head with the attempt of the request, if it has one.
+func switchOfProtocols(header string) func(*http.Request) string {
+	return func(r *http.Request) string {
+		return "HTTP/1.1 101 Switching Protocols\r\n" + header + "X-Request-Id: " + r.Header.Get("X-Request-Id") + "\r\n\r\n"
+	}
+}
+
 func opening(text string) func(*http.Request) string {
 	return func(*http.Request) string { return text }
 }
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return nil, &TransportError{MaybeSent: progress.maybeSent(), Cause: err}
 	}
+	if err := RefuseSwitch(response); err != nil {
+		return nil, &TransportError{MaybeSent: true, Cause: err}
+	}
 	return response, nil
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -202,5 +202,12 @@
 	if len(body) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
-	return c.httpClient.Do(request)
+	response, err := c.httpClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpcall.RefuseSwitch(response); err != nil {
+		return nil, err
+	}
+	return response, nil
 }
