--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -30,11 +30,12 @@
 	agent   *Agent
 	engine  *fakes.Engine
 	session *wire.Session
-	// engineURL and slots are kept for startAgent.
-	engineURL string
-	slots     int
-	stop      context.CancelFunc
-	runEnded  chan error
+	// engineURL, slots and wrapEngine are kept for startAgent.
+	engineURL  string
+	slots      int
+	wrapEngine func(endpoint.Engine) endpoint.Engine
+	stop       context.CancelFunc
+	runEnded   chan error
 }
 
 func freeAddr(t *testing.T, network string) string {
@@ -60,13 +61,19 @@
 }
 
 func newFixture(t *testing.T, slots int, tokenInterval time.Duration) *fixture {
+	t.Helper()
+	return newFixtureWithEngine(t, slots, tokenInterval, func(engine endpoint.Engine) endpoint.Engine { return engine })
+}
+
+// newFixtureWithEngine is newFixture with the client of the engine wrapped.
+func newFixtureWithEngine(t *testing.T, slots int, tokenInterval time.Duration, wrap func(endpoint.Engine) endpoint.Engine) *fixture {
 	t.Helper()
 	engine := fakes.NewEngine(fakes.EngineConfig{
 		Slots: slots, TokenInterval: tokenInterval, ChecksFencing: true, AttemptMismatchRatio: 0.2, ChunkDigests: manifestDigests,
 	})
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
-	f := &fixture{t: t, engine: engine, engineURL: server.URL, slots: slots}
+	f := &fixture{t: t, engine: engine, engineURL: server.URL, slots: slots, wrapEngine: wrap}
 	f.startAgent()
 	t.Cleanup(func() { f.stopAgent() })
 	return f
@@ -82,7 +89,7 @@
 			SessionAddr: freeAddr(f.t, "tcp"), DatagramAddr: freeAddr(f.t, "udp"), ChunkAddr: freeAddr(f.t, "tcp"),
 		},
 		FleetKey: testKey, Slots: f.slots, ChecksFencing: true,
-	}, Deps{Origin: origin, Store: origin, Engine: endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.engineURL, Timeout: 10 * time.Second})})
+	}, Deps{Origin: origin, Store: origin, Engine: f.wrapEngine(endpoint.NewHTTPEngine(endpoint.HTTPConfig{BaseURL: f.engineURL, Timeout: 10 * time.Second}))})
 	assert.NilError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	f.agent, f.stop, f.runEnded = a, cancel, make(chan error, 1)
--- a/endpoint/httpstream.go
+++ b/endpoint/httpstream.go
@@ -18,13 +18,20 @@
 const (
 	maxEventBytes    = 256 << 10
 	eventBufferBytes = 4 << 10
+	// streamBaseBytes and streamTokenBytes limit a stream, whose bytes without an
+	// event of the attempt would otherwise never end: the base holds several events
+	// of any length, the bytes for each token several times a usual event of some
+	// 200 bytes, so that comments and events of other attempts fit too.
+	streamBaseBytes  = 1 << 20
+	streamTokenBytes = 2 << 10
 )
 
 // ErrStreamTruncated reports a stream that ended before the event with Done.
 var ErrStreamTruncated = eris.New("stream ended before its final event")
 
-// ErrEventTimeout reports a stream that sent no event within the timeout.
-var ErrEventTimeout = eris.New("stream sent no event within the timeout")
+// ErrEventTimeout reports a stream that sent no event of its attempt within the
+// timeout.
+var ErrEventTimeout = eris.New("stream sent no event of the attempt within the timeout")
 
 // httpStream reads server-sent events.
 type httpStream struct {
@@ -38,8 +45,14 @@
 	done       bool
 }
 
-// openStream sends the request and returns once the response header arrives.
-func openStream(ctx context.Context, client *httpcall.Client, attempt string, request httpcall.Request) (TokenStream, error) {
+// streamLimit returns the bytes that a stream of at most maxTokens tokens may have.
+func streamLimit(maxTokens int) int64 {
+	return streamBaseBytes + streamTokenBytes*int64(max(0, maxTokens))
+}
+
+// openStream sends the request and returns once the response header arrives. The
+// stream breaks off after maxBytes.
+func openStream(ctx context.Context, client *httpcall.Client, attempt string, request httpcall.Request, maxBytes int64) (TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	stream := &httpStream{attempt: attempt, cancel: cancel, timeout: client.Timeout(), timedOut: new(atomic.Bool)}
 	stream.startEventTimer()
@@ -54,7 +67,7 @@
 		return nil, streamRefusal(attempt, response)
 	}
 	stream.body = response.Body
-	stream.lines = bufio.NewScanner(response.Body)
+	stream.lines = bufio.NewScanner(httpcall.LimitReader(response.Body, maxBytes))
 	stream.lines.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	return stream, nil
 }
@@ -78,12 +91,16 @@
 		return Token{}, &BrokenError{Attempt: s.attempt, Cause: err}
 	}
 	token, err := parseEvent(data)
+	if err != nil && s.lines.Err() != nil {
+		err = s.endError() // The read that failed cut the line short.
+	}
 	if err != nil {
 		return Token{}, &BrokenError{Attempt: s.attempt, Cause: err}
 	}
 	if token.Attempt != s.attempt {
 		return Token{}, &AttemptMismatchError{Attempt: s.attempt, Got: token.Attempt}
 	}
+	s.resetEventTimer()
 	s.done = token.Done
 	return token, nil
 }
@@ -97,7 +114,6 @@
 // nextData returns the data field of the next event.
 func (s *httpStream) nextData() ([]byte, error) {
 	for s.lines.Scan() {
-		s.resetEventTimer()
 		data, found := bytes.CutPrefix(s.lines.Bytes(), []byte("data:"))
 		if !found {
 			continue
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -60,10 +61,22 @@
 // caller closes the body. The client's timeout does not apply. Errors are
 // *TransportError.
 func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
+	// Each of the kept-alive connections may turn out to be unusable.
+	for range maxIdleConnsPerHost {
+		var progress sendProgress
+		response, err := c.send(ctx, request, &progress)
+		if err == nil || !progress.lostIdleConn() {
+			return response, err
+		}
+	}
+	return c.send(ctx, request, new(sendProgress))
+}
+
+// send sends the request, which net/http may repeat unless NoReplay is set.
+func (c *Client) send(ctx context.Context, request Request, progress *sendProgress) (*http.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &TransportError{Cause: err}
 	}
-	var progress sendProgress
 	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, progress.trace()), request)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
@@ -72,6 +85,9 @@
 	if err != nil {
 		return nil, &TransportError{MaybeSent: progress.maybeSent(), Cause: err}
 	}
+	if err := RefuseSwitch(response); err != nil {
+		return nil, &TransportError{MaybeSent: true, Cause: err}
+	}
 	return response, nil
 }
 
@@ -116,12 +132,13 @@
 }
 
 func readResponse(response *http.Response, maxBytes int64) (*Response, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	data, err := io.ReadAll(LimitReader(response.Body, maxBytes))
+	var tooLarge *TooLargeError
+	if errors.As(err, &tooLarge) {
+		return nil, tooLarge
+	}
 	if err != nil {
 		return nil, &TransportError{MaybeSent: true, Cause: err}
 	}
-	if int64(len(data)) > maxBytes {
-		return nil, &TooLargeError{Limit: maxBytes}
-	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
