Compare a commit with the generations that peers announced before its read

What operators saw: of two concurrent confirmations the losing one was refused as 'busy' instead of as a conflict that names the winner.

Cause: a commit read the document first and asked for the peers' generation then. A peer that committed and announced in between looked like a service that had fallen behind. Two ages of one state, taken in the wrong order.

Change: the peers' generation is taken before the read. A peer announces only what is committed, so that the read contains it, unless the service lost it.

--- a/configuration/commit.go
+++ b/configuration/commit.go
@@ -58,6 +58,8 @@
 // attempt reads, decides and writes once. If done is false, another attempt
 // follows: at once if err is nil, otherwise after a delay.
 func (c *commit) attempt(ctx context.Context) (done bool, err error) {
+	// Peers know only committed generations, so that a later read must contain theirs.
+	peer := c.store.cfg.PeerGeneration()
 	current, err := c.store.sync(ctx)
 	if err != nil {
 		return c.unknownOutcome == nil, err
@@ -68,7 +70,7 @@
 	if current.generation()+1 != c.doc.Generation {
 		return true, c.conflictError(current.document)
 	}
-	if peer := c.store.cfg.PeerGeneration(); peer > current.generation() {
+	if peer > current.generation() {
 		return c.unknownOutcome == nil, &BehindPeersError{LocalGeneration: current.generation(), PeerGeneration: peer}
 	}
 	err = c.store.compareAndSwap(ctx, current.version, c.doc)
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -213,3 +213,30 @@
 	assert.Equal(t, c.nodes[1].holder.Generation(), core.Generation(4))
 	assert.Equal(t, c.nodes[1].holder.Current().Plan, "held")
 }
+
+// Guards against a commit that loses a race and is refused as if the service had fallen
+// behind, because a peer announces the winner between the read and the comparison.
+func TestCommitThatLosesARaceNamesTheWinner(t *testing.T) {
+	c := newCluster(1)
+	loser := &node{holder: fleet.NewDocumentHolder()}
+	winnerCommitted := false
+	loser.store = configuration.NewStore(configuration.Config{
+		KeyValue: c.kv,
+		Clock:    configuration.Clock{After: fireAtOnce},
+		Logger:   slog.New(slog.NewTextHandler(io.Discard, nil)),
+		PeerGeneration: func() core.Generation {
+			if !winnerCommitted {
+				winnerCommitted = true
+				c.commit(t, c.nodes[0])
+			}
+			return c.highestGeneration()
+		},
+	}, loser.holder)
+	doc := loser.holder.Current().Clone()
+	doc.Generation++
+	doc.Plan = "loser"
+	var conflict *configuration.GenerationConflictError
+	err := loser.store.Commit(t.Context(), doc)
+	assert.Assert(t, errors.As(err, &conflict), "%v", err)
+	assert.Equal(t, conflict.WinningPlan, "plan-1")
+}
