Count a request as not sent if its connection ended before the first write

A request on a kept-alive connection that had ended was now and then still a broken one: net/http could read the end, and close the connection, between the request's claim of it and the first write, which then failed as sent; an error that waits in the socket did not count as its end. TestConnectionClosedWhileIdle failed so once in three runs of the package.

A read that ends while a request holds the connection unwritten, a closed connection and a waiting error now all stop the write.

--- a/internal/httpcall/guardedconn.go
+++ b/internal/httpcall/guardedconn.go
@@ -69,11 +69,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if n > 0 && c.claimant != nil {
-		c.notIdle = true
-		return 0, ErrNotIdle
+	if c.claimant == nil {
+		return n, err
 	}
-	return n, err
+	c.notIdle = true
+	return 0, ErrNotIdle
 }
 
 // Write implements net.Conn.
@@ -89,7 +89,7 @@
 func (c *guardedConn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.claimant != nil && hasUnread(c.Conn) {
+	if c.claimant != nil && (c.closed || hasUnread(c.Conn)) {
 		c.notIdle = true
 	}
 	if c.notIdle {
--- a/internal/httpcall/unread_unix.go
+++ b/internal/httpcall/unread_unix.go
@@ -3,12 +3,13 @@
 package httpcall
 
 import (
+	"errors"
 	"net"
 	"syscall"
 )
 
-// hasUnread reports whether bytes, or the end of the stream, have arrived on conn
-// and were not read.
+// hasUnread reports whether bytes, the end of the stream or an error have arrived
+// on conn and were not read.
 func hasUnread(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
@@ -23,7 +24,8 @@
 	_ = rawConn.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK)
-		unread = err == nil // Sockets are non-blocking.
+		// Sockets are non-blocking.
+		unread = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
 	})
 	return unread
 }
