--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -20,7 +20,7 @@
 	// slowPause is the time between two pieces of a slow answer, slowTimeout the
 	// client's timeout then.
 	slowPause   = time.Millisecond
-	slowTimeout = 50 * time.Millisecond
+	slowTimeout = time.Second
 	// fastTimeout lets the bound in bytes act first.
 	fastTimeout = 20 * time.Second
 	// endlessMaxTokens keeps the bound of a stream below the bytes that the fake
--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -22,7 +22,7 @@
 	slowPause = time.Millisecond
 	// slowTimeout limits calls of a slow server, fastTimeout lets the bound in
 	// bytes act first.
-	slowTimeout = 50 * time.Millisecond
+	slowTimeout = time.Second
 	fastTimeout = 20 * time.Second
 	// sharedTimeout leaves a server behind a slow one half a minute.
 	sharedTimeout = time.Minute
