--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -48,7 +48,7 @@
 	breakerOpened := attempt.end(outcome)
 	req.failedEndpointIDs = append(req.failedEndpointIDs, attempt.grant.EndpointID)
 	fields := []any{
-		"request", req.metadata.ID, "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
+		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
 	}
 	req.logger.Info("attempt failed", append(fields, estimateFields(attempt.grant.Estimate)...)...)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -76,7 +76,11 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no such service", retryAfter: time.Second}
 	}
 	req.deadline = requestDeadline(req)
-	return readBody(req, w, r, document.Limits)
+	if refusal := readBody(req, w, r, document.Limits); refusal != nil {
+		return refusal
+	}
+	req.setFingerprint(r)
+	return nil
 }
 
 // limits returns the limits of the current document, none while there is no
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -88,7 +88,7 @@
 		firstResponseMS = req.firstResponseAt.Sub(req.arrivedAt).Milliseconds()
 	}
 	fields := []any{
-		"request", req.metadata.ID, "route", route, "service", service, "rank", req.rank, "outcome", outcome, "status", status,
+		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "route", route, "service", service, "rank", req.rank, "outcome", outcome, "status", status,
 		"took_ms", duration.Milliseconds(), "first_ms", firstResponseMS, "held_ms", req.queueWait.Milliseconds(), "arrivals", req.endpointsReached, "endpoint", req.lastEndpointID,
 		"left_ms", req.metadata.TimeLeft.Milliseconds(),
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"log/slog"
+	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -19,7 +21,10 @@
 	organisation core.OrganisationID
 	rank         int
 	body         []byte
-	arrivedAt    time.Time
+	// fingerprint is that of all requests with the same caller, method, path and body;
+	// 0 until the body was read.
+	fingerprint uint64
+	arrivedAt   time.Time
 	deadline     time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
@@ -57,6 +62,20 @@
 	return max(r.deadline.Sub(now), time.Millisecond)
 }
 
+// setFingerprint sets the fingerprint once the body was read.
+func (r *request) setFingerprint(httpRequest *http.Request) {
+	kind := httpRequest.Method + " " + httpRequest.Host + httpRequest.URL.RequestURI()
+	r.fingerprint = routing.Fingerprint(r.organisation, kind, r.body)
+}
+
+// fingerprintText returns the fingerprint for the log, empty for none.
+func (r *request) fingerprintText() string {
+	if r.fingerprint == 0 {
+		return ""
+	}
+	return strconv.FormatUint(r.fingerprint, 16)
+}
+
 func (r *request) rankLabel() string {
 	return strconv.Itoa(r.rank)
 }
