--- /dev/null
+++ b/gateway/crashingendpoint_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// deadlyBody is the body of a request that crashes each endpoint that runs it.
+const deadlyBody = "deadly"
+
+// soundResponse is the response to any other request, also valid as a stream.
+const soundResponse = "id: 1\ndata: x\n\n"
+
+// crashingEndpoints are endpoints of a fixture that crash under deadlyBody: such an
+// endpoint ends all its connections and refuses new ones until it is started again, at
+// the same address under a new ID. Other requests are answered.
+type crashingEndpoints struct {
+	t       *testing.T
+	fixture *fixture
+
+	mu      sync.Mutex
+	crashed []string // The addresses of the crashed endpoints.
+	crashes int
+}
+
+// newCrashingEndpoints starts count endpoints.
+func newCrashingEndpoints(t *testing.T, f *fixture, count int) *crashingEndpoints {
+	t.Helper()
+	e := &crashingEndpoints{t: t, fixture: f}
+	for range count {
+		e.start("127.0.0.1:0")
+	}
+	return e
+}
+
+// start starts an endpoint at an address and lists it.
+func (e *crashingEndpoints) start(address string) {
+	e.t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(e.t.Context(), "tcp", address)
+	assert.NilError(e.t, err)
+	server := &http.Server{}
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if string(body) != deadlyBody {
+			respondWith(soundResponse)(w, r)
+			return
+		}
+		e.mu.Lock()
+		e.crashes++
+		e.crashed = append(e.crashed, listener.Addr().String())
+		e.mu.Unlock()
+		_ = server.Close()
+	})
+	go func() { _ = server.Serve(listener) }()
+	e.t.Cleanup(func() { _ = server.Close() })
+	e.fixture.addEndpoint(listener.Addr().String())
+}
+
+// restartCrashed starts the crashed endpoints again.
+func (e *crashingEndpoints) restartCrashed() {
+	e.t.Helper()
+	e.mu.Lock()
+	crashed := e.crashed
+	e.crashed = nil
+	e.mu.Unlock()
+	for _, address := range crashed {
+		e.start(address)
+	}
+}
+
+func (e *crashingEndpoints) crashCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -25,7 +25,7 @@
 	// 0 until the body was read.
 	fingerprint uint64
 	arrivedAt   time.Time
-	deadline     time.Time // Zero for none.
+	deadline    time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
 	// endpointsReached counts the endpoints to which a connection was made.
