--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -11,11 +11,19 @@
 // acquireSlot waits for a slot at an endpoint. resumed says that the caller already
 // has a part of the response.
 func (g *Gateway) acquireSlot(ctx context.Context, req *request, resumed bool) (*admission.Grant, error) {
+	if err := g.checkQuarantine(req); err != nil {
+		return nil, err
+	}
 	grant, err := req.service.gate.Acquire(ctx, req.admissionRequest(time.Now(), resumed))
 	if err != nil {
 		req.recordRefusal(err)
 		return nil, err
 	}
+	// Strikes may have arrived while the request was queued.
+	if err := g.checkQuarantine(req); err != nil {
+		grant.Done(admission.Cancelled)
+		return nil, err
+	}
 	req.queueWait += grant.Waited
 	req.lastEndpointID = grant.EndpointID
 	req.loadAtChoice = grant.Estimate
@@ -41,9 +49,10 @@
 const maxFailedEndpoints = 4
 
 // recordFailedAttempt ends and logs an attempt without a usable response.
-func (g *Gateway) recordFailedAttempt(req *request, attempt *endpointAttempt, mayHaveRun bool, outcome admission.Outcome, err error) {
+func (g *Gateway) recordFailedAttempt(ctx context.Context, req *request, attempt *endpointAttempt, mayHaveRun bool, outcome admission.Outcome, err error) {
 	if mayHaveRun {
 		req.runs++
+		g.recordCrash(ctx, req, attempt, err)
 	}
 	breakerOpened := attempt.end(outcome)
 	req.failedEndpointIDs = append(req.failedEndpointIDs, attempt.grant.EndpointID)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,7 +53,9 @@
 	response *http.Response
 	metadata ResponseMetadata
 	sentAt   time.Time
-	cancel   context.CancelFunc
+	// answering says that an event of the response has arrived.
+	answering bool
+	cancel    context.CancelFunc
 }
 
 // end frees the slot and the connection. It reports whether the outcome opened the
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -95,6 +95,21 @@
 	return cancelled
 }
 
+// cancelMatching cancels the attempts of all endpoints that matches selects.
+func (r *attemptRegistry) cancelMatching(matches func(*request) bool, cause error) (cancelled int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, attempts := range r.attempts {
+		for req, cancel := range attempts {
+			if matches(req) {
+				cancel(cause)
+				cancelled++
+			}
+		}
+	}
+	return cancelled
+}
+
 // cancelOutdated cancels the attempts that have not started at endpoints whose
 // version is older than minVersion.
 func (g *Gateway) cancelOutdated(view *directory.View, serviceName string, s *service, minVersion uint64) {
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -80,7 +80,7 @@
 	defer cancel()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, "")
 	if err != nil {
-		g.recordFailedAttempt(req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
+		g.recordFailedAttempt(ctx, req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
 		return nil, mayHaveRun, err
 	}
 	response, err := bufferResponse(attempt)
@@ -90,13 +90,16 @@
 			// The endpoint was quick enough to begin its response, but not to end it.
 			outcome = admission.Failed
 		}
-		g.recordFailedAttempt(req, attempt, true, outcome, err)
+		g.recordFailedAttempt(ctx, req, attempt, true, outcome, err)
 		return nil, true, err
 	}
 	if response.status >= http.StatusInternalServerError && req.route.Kind == directory.Idempotent {
-		g.recordFailedAttempt(req, attempt, true, admission.Served, &statusError{status: response.status})
+		g.recordFailedAttempt(ctx, req, attempt, true, admission.Served, &statusError{status: response.status})
 		return response, true, nil
 	}
+	if response.status < http.StatusInternalServerError {
+		g.recordServed(req)
+	}
 	req.service.observeFirstResponse(time.Since(attempt.sentAt))
 	req.firstResponseAt = time.Now()
 	g.metrics.recordFirstResponse(req.rankLabel(), req.firstResponseAt.Sub(req.arrivedAt))
--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 
@@ -13,6 +15,9 @@
 // deadlyBody is the body of a request that crashes each endpoint that runs it.
 const deadlyBody = "deadly"
 
+// lateDeadlyBody is the body of a stream that crashes an endpoint after an event.
+const lateDeadlyBody = "deadly late"
+
 // soundResponse is the response to any other request, also valid as a stream.
 const soundResponse = "id: 1\ndata: x\n\n"
 
@@ -50,7 +55,11 @@
 		if err != nil {
 			return
 		}
-		if string(body) != deadlyBody {
+		switch string(body) {
+		case deadlyBody:
+		case lateDeadlyBody:
+			writeNextEvent(w, r)
+		default:
 			respondWith(soundResponse)(w, r)
 			return
 		}
@@ -65,6 +74,14 @@
 	e.fixture.addEndpoint(listener.Addr().String())
 }
 
+// writeNextEvent sends the event that follows the last one of the request.
+func writeNextEvent(w http.ResponseWriter, r *http.Request) {
+	last, _ := strconv.Atoi(r.Header.Get("Last"))
+	w.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", last+1)
+	_ = http.NewResponseController(w).Flush()
+}
+
 // restartCrashed starts the crashed endpoints again.
 func (e *crashingEndpoints) restartCrashed() {
 	e.t.Helper()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/admission"
+	"github.com/snipestep/snipestep/strikes"
 )
 
 // Gateway serves callers. It is safe for concurrent use.
@@ -27,6 +28,10 @@
 	// without a first event.
 	migratable *attemptRegistry
 	unstarted  *attemptRegistry
+	// strikes holds the strikes against requests, strikeNews those to pass on.
+	strikes    *strikes.Register
+	strikeNews *strikeNews
+	crashes    *crashDetector
 	draining   atomic.Bool
 	rejecting  atomic.Bool
 	active     atomic.Int64
@@ -44,7 +49,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikes: strikes.NewRegister(quarantineConfig(), time.Now), strikeNews: newStrikeNews(), crashes: newCrashDetector(), startedAt: time.Now()}
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	deps.Directory.Subscribe(g.applyView)
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -19,6 +19,7 @@
 		return err
 	}
 	go g.subscribeToLoadReports(ctx, conn)
+	go g.sendStrikes(ctx, conn)
 	buffer := make([]byte, loadreport.MaxDatagramBytes)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
@@ -33,6 +34,10 @@
 			g.applyVersionAges(time.Now(), from.Addr(), buffer[:n])
 			continue
 		}
+		if loadreport.IsStrikes(buffer[:n]) {
+			g.applyStrikes(from, buffer[:n])
+			continue
+		}
 		report, err := loadreport.DecodeReport(buffer[:n])
 		if err != nil {
 			g.deps.Logger.Warn("malformed load report", "error", err)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -43,3 +43,11 @@
 func (m *metrics) recordRetry(reason string) {
 	m.scope.Tagged(map[string]string{telemetry.TagCode: reason}).Counter(telemetry.MetricDirectRetries).Inc(1)
 }
+
+func (m *metrics) recordStrike() {
+	m.scope.Counter(telemetry.MetricStrikes).Inc(1)
+}
+
+func (m *metrics) updateQuarantined(requests int) {
+	m.scope.Gauge(telemetry.MetricQuarantinedFingerprints).Update(float64(requests))
+}
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/strikes"
+)
+
+// QuarantinedError reports a request that is not sent on, as it was running at several
+// crashes of endpoints.
+type QuarantinedError struct {
+	Verdict strikes.Verdict
+}
+
+// Error implements error.
+func (e *QuarantinedError) Error() string {
+	return fmt.Sprintf("request was running at crashes %s of endpoints, refused for %v more",
+		strings.Join(e.Verdict.Crashes, ", "), e.Verdict.Remaining.Round(time.Millisecond))
+}
+
+// trialAfter is when a request that was running at two crashes may run once more. Two
+// endpoints may crash for another reason while the same request runs at both, and a
+// caller whose sound request is refused should not wait as long as for a proven one.
+const trialAfter = 20 * time.Second
+
+// quarantineConfig returns the configuration of the strikes against requests.
+func quarantineConfig() routing.QuarantineConfig {
+	return routing.QuarantineConfig{TrialAfter: trialAfter}
+}
+
+// checkQuarantine returns *QuarantinedError for a request that must not be sent on.
+func (g *Gateway) checkQuarantine(req *request) error {
+	if verdict := g.strikes.Verdict(req.fingerprint); verdict.Refused {
+		return &QuarantinedError{Verdict: verdict}
+	}
+	return nil
+}
+
+// recordCrash records a strike against a request that an endpoint broke off if the
+// endpoint has crashed.
+func (g *Gateway) recordCrash(ctx context.Context, req *request, attempt *endpointAttempt, err error) {
+	if req.fingerprint == 0 || attempt.endpoint == nil || !isConnectionLost(err) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
+		return
+	}
+	crash := strikes.CrashOf(attempt.endpoint.ID)
+	news, verdict := g.strikes.Strike(req.fingerprint, crash, attempt.answering)
+	if len(news) == 0 {
+		return
+	}
+	g.strikeNews.add(news)
+	g.metrics.recordStrike()
+	req.logger.Info("request was running at a crash",
+		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.endpoint.ID,
+		"crash", strikes.CrashText(crash), "late", attempt.answering, "strikes", len(verdict.Crashes))
+	if verdict.Refused {
+		g.startQuarantine(verdict, "own")
+	}
+}
+
+// recordServed absolves a request that an endpoint ran to its end.
+func (g *Gateway) recordServed(req *request) {
+	absolved := g.strikes.Absolve(req.fingerprint)
+	if len(absolved) == 0 {
+		return
+	}
+	g.strikeNews.add(absolved)
+	req.logger.Info("request absolved of crashes", "request", req.metadata.ID, "fingerprint", req.fingerprintText(), "strikes", len(absolved))
+}
+
+// startQuarantine withdraws a quarantined request from the endpoints at which it waits,
+// before it crashes them too. The source says who recorded its last strike.
+func (g *Gateway) startQuarantine(verdict strikes.Verdict, source string) {
+	withdrawn := g.unstarted.cancelMatching(
+		func(req *request) bool { return req.fingerprint == verdict.Fingerprint }, &QuarantinedError{Verdict: verdict})
+	g.deps.Logger.Warn("request quarantined",
+		"fingerprint", fmt.Sprintf("%x", verdict.Fingerprint), "crashes", verdict.Crashes,
+		"for_ms", verdict.Remaining.Milliseconds(), "source", source, "withdrawn", withdrawn)
+}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -1,12 +1,19 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/loadreport"
 )
 
 // withBody replaces the body of a request.
@@ -43,3 +50,112 @@
 		assert.Equal(t, body, soundResponse)
 	}
 }
+
+// Guards against quarantine by connections that were only lost: links and endpoints break
+// answers off without a crash.
+func TestLostConnectionsQuarantineNobody(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/", "/stream/"} {
+		var reached atomic.Int64
+		countAndReset := func(w http.ResponseWriter, r *http.Request) {
+			reached.Add(1)
+			resetConnection(w, r)
+		}
+		f := newFixture(t, countAndReset, countAndReset, countAndReset)
+		for range 2 {
+			response, _, err := f.send(t, path, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusBadGateway, path)
+		}
+		assert.Assert(t, reached.Load() >= 2)
+		assert.Equal(t, f.gateway.strikes.Quarantined(), 0)
+		assert.Equal(t, len(f.gateway.strikeNews.take()), 0)
+	}
+}
+
+// Guards against a second entry that starts from nothing with a request that has crashed
+// endpoints at the first one.
+func TestQuarantineHoldsAtOtherEntries(t *testing.T) {
+	f, other := newFixture(t), newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 3)
+	otherEndpoints := newCrashingEndpoints(t, other, 1)
+	for range 3 {
+		_, _, err := f.send(t, "/again/", withBody(deadlyBody))
+		assert.NilError(t, err)
+		endpoints.restartCrashed()
+	}
+	datagram := f.gateway.strikeNews.take().Encode(f.gateway.config.FleetKey)
+	other.gateway.applyStrikes(netip.AddrPort{}, datagram)
+
+	response, _, err := other.send(t, "/again/", withBody(deadlyBody))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, otherEndpoints.crashCount(), 0)
+	retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, retryAfter > maxRetryAfter.Seconds(), "it is no use to come back within %v s", retryAfter)
+}
+
+// Guards against sound requests that stay suspects: they run at other endpoints after a
+// crash that they stood beside.
+func TestServedRequestIsAbsolved(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/", "/stream/"} {
+		f := newFixture(t, respondWith(soundResponse))
+		_, _, err := f.send(t, path, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, len(f.gateway.strikeNews.take()), 0, "a request without strikes has nothing to be absolved of")
+
+		fingerprint := fingerprintOf(path)
+		f.gateway.strikes.Strike(fingerprint, 1, false)
+		_, _, err = f.send(t, path, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, len(f.gateway.strikes.Verdict(fingerprint).Crashes), 0, path)
+		news := f.gateway.strikeNews.take()
+		assert.Equal(t, len(news), 1)
+		assert.Assert(t, news[0].Absolved)
+	}
+}
+
+// fingerprintOf returns the fingerprint of the request that fixture.send sends.
+func fingerprintOf(path string) uint64 {
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "http://h.example"+path, nil)
+	req := &request{organisation: "o", body: []byte("body")}
+	req.setFingerprint(r)
+	return req.fingerprint
+}
+
+// Guards against the crash of endpoints at which a quarantined stream waits already: it is
+// withdrawn from there.
+func TestQuarantineWithdrawsWaitingStreams(t *testing.T) {
+	reached, left := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The server notices that a caller leaves only after the body.
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	})
+	done := make(chan int)
+	go func() {
+		response, _, _ := f.send(t, "/stream/", nil)
+		done <- response.StatusCode
+	}()
+	<-reached
+	fingerprint := fingerprintOf("/stream/")
+	f.gateway.strikes.Strike(fingerprint, 1, false)
+	f.gateway.applyStrikes(netip.AddrPort{}, loadreport.Strikes{{Fingerprint: fingerprint, Crash: 2}}.Encode(nil))
+	<-left
+	assert.Equal(t, <-done, http.StatusBadGateway, "the request was at an endpoint, so a promise that it has not run would be false")
+}
+
+// Guards against refusals of a stream's caller that blame the stream after its answer had
+// begun: most such streams stood beside the request that crashed the endpoint.
+func TestStreamThatBrokeMidwayTwiceIsNotQuarantined(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 3)
+	_, _, err := f.send(t, "/stream/", withBody(lateDeadlyBody))
+	assert.Assert(t, err != nil, "the answer looks complete")
+	assert.Equal(t, endpoints.crashCount(), 2)
+	for _, strike := range f.gateway.strikeNews.take() {
+		assert.Assert(t, strike.Late)
+	}
+	assert.Equal(t, f.gateway.strikes.Quarantined(), 0)
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -17,6 +17,9 @@
 	reason     string
 	cause      error
 	retryAfter time.Duration
+	// retryAfterIsExact says that retryAfter is sent as it is, also if no caller waits for
+	// that long: it is no use to come back sooner.
+	retryAfterIsExact bool
 }
 
 // The bounds of Retry-After. A caller that retries sooner than minRetryAfter finds
@@ -30,6 +33,12 @@
 // slotRefusal returns the refusal for a request that has not run.
 func slotRefusal(err error) *refusal {
 	r := &refusal{status: http.StatusServiceUnavailable, reason: "no endpoint available", cause: err, retryAfter: minRetryAfter}
+	var quarantined *QuarantinedError
+	if errors.As(err, &quarantined) {
+		r.reason = "quarantined"
+		r.retryAfter = quarantined.Verdict.Remaining
+		r.retryAfterIsExact = true
+	}
 	var refused *admission.RefusedError
 	if errors.As(err, &refused) {
 		r.reason = string(refused.Reason)
@@ -41,7 +50,10 @@
 // refuse writes a refusal and logs it.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	if r.status == http.StatusServiceUnavailable {
-		after := min(max(r.retryAfter, minRetryAfter), maxRetryAfter)
+		after := r.retryAfter
+		if !r.retryAfterIsExact {
+			after = min(max(after, minRetryAfter), maxRetryAfter)
+		}
 		// Jitter keeps callers from retrying at the same time.
 		after += time.Duration(g.random.uniform() * float64(after) / 2)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -20,7 +20,7 @@
 		grant, err := (*f.gateway.services.Load())["lm"].gate.Acquire(t.Context(), admission.Request{HardDeadline: time.Now().Add(time.Minute)})
 		assert.NilError(t, err)
 		grant.Estimate.ReportAge = age
-		f.gateway.recordFailedAttempt(req, &endpointAttempt{grant: grant, cancel: func() {}}, false, admission.NotRun, eris.New("refused"))
+		f.gateway.recordFailedAttempt(t.Context(), req, &endpointAttempt{grant: grant, cancel: func() {}}, false, admission.NotRun, eris.New("refused"))
 		endedLines, failedLines := f.log.lines(t, "request ended"), f.log.lines(t, "attempt failed")
 		return endedLines[len(endedLines)-1]["report_age_ms"], failedLines[len(failedLines)-1]["report_age_ms"]
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -116,17 +116,24 @@
 	if err == nil {
 		return true, nil
 	}
-	if cause := context.Cause(attemptCtx); errors.Is(cause, ErrEventTimeout) || errors.Is(cause, errMigrated) || errors.Is(cause, errVersionTooOld) {
+	if cause := context.Cause(attemptCtx); errors.Is(cause, ErrEventTimeout) || isWithdrawal(cause) {
 		err = cause
 	}
 	outcome := attemptOutcome(ctx, err)
-	if errors.Is(err, errCallerGone) || errors.Is(err, errMigrated) || errors.Is(err, errVersionTooOld) {
+	if errors.Is(err, errCallerGone) || isWithdrawal(err) {
 		outcome = admission.Cancelled
 	}
-	g.recordFailedAttempt(req, attempt, mayHaveRun, outcome, err)
+	g.recordFailedAttempt(ctx, req, attempt, mayHaveRun, outcome, err)
 	return mayHaveRun, err
 }
 
+// isWithdrawal reports whether the gateway itself withdrew an attempt from an endpoint
+// that did nothing wrong.
+func isWithdrawal(err error) bool {
+	var quarantined *QuarantinedError
+	return errors.Is(err, errMigrated) || errors.Is(err, errVersionTooOld) || errors.As(err, &quarantined)
+}
+
 // timeOutAttempt cancels an attempt at a silent endpoint if the stream can
 // migrate: silence alone is no reason to abandon a response.
 func timeOutAttempt(cancel context.CancelCauseFunc, canMigrate bool, budget *retryBudget) {
@@ -180,6 +187,7 @@
 		attempt.grant.RecordProgress()
 		if first {
 			first = false
+			attempt.answering = true
 			onFirstEvent()
 			s.req.service.observeFirstResponse(time.Since(attempt.sentAt))
 		}
@@ -255,6 +263,7 @@
 // complete ends a stream whose endpoint has sent all events.
 func (s *stream) complete(attempt *endpointAttempt) error {
 	s.sendHeader(attempt)
+	s.gateway.recordServed(s.req)
 	attempt.end(admission.Served)
 	if s.req.runs == 0 && !s.req.firstResponseAt.IsZero() {
 		s.req.service.observeStreamDuration(time.Since(s.req.firstResponseAt), s.req.metadata.LengthHint)
--- a/loadreport/agentconfig.go
+++ b/loadreport/agentconfig.go
@@ -34,15 +34,14 @@
 	FailureDomain string `json:"domain"`
 }
 
-// SignatureError reports an agent configuration whose signature does not match
-// the fleet key.
+// SignatureError reports a datagram whose signature does not match the fleet key.
 type SignatureError struct {
 	Bytes int
 }
 
 // Error implements error.
 func (e *SignatureError) Error() string {
-	return "agent configuration is not signed with the fleet key"
+	return "datagram is not signed with the fleet key"
 }
 
 // IsAgentConfig reports whether a datagram is an agent configuration.
@@ -57,7 +56,7 @@
 	if err != nil {
 		return nil, &FormatError{}
 	}
-	data := append([]byte{kindAgentConfig}, sign(fleetKey, body)...)
+	data := append([]byte{kindAgentConfig}, sign(fleetKey, agentConfigPurpose, body)...)
 	data = append(data, body...)
 	if len(data) > MaxDatagramBytes {
 		return nil, &FormatError{Bytes: len(data)}
@@ -73,7 +72,7 @@
 		return config, &FormatError{Bytes: len(data)}
 	}
 	signature, body := data[1:1+sha256.Size], data[1+sha256.Size:]
-	if !hmac.Equal(signature, sign(fleetKey, body)) {
+	if !hmac.Equal(signature, sign(fleetKey, agentConfigPurpose, body)) {
 		return config, &SignatureError{Bytes: len(data)}
 	}
 	if err := json.Unmarshal(body, &config); err != nil {
@@ -82,9 +81,14 @@
 	return config, nil
 }
 
-func sign(key, body []byte) []byte {
+// agentConfigPurpose separates the signatures of agent configurations from those of
+// other datagrams.
+const agentConfigPurpose = "snipestep brief"
+
+// sign returns the signature of a body. The purpose is part of the datagram's format.
+func sign(key []byte, purpose string, body []byte) []byte {
 	mac := hmac.New(sha256.New, key)
-	mac.Write([]byte("snipestep brief")) // Part of the datagram format.
+	mac.Write([]byte(purpose))
 	mac.Write(body)
 	return mac.Sum(nil)
 }
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -3,7 +3,8 @@
 // sends the load of its endpoint to every entry whose subscription has not expired.
 // Nothing is acknowledged or stored: the next datagram replaces a lost one. The
 // sender's IP address identifies the instance that a report is about. Both sides tell
-// each other the ages of declared versions.
+// each other the ages of declared versions, and entries tell all other entries through
+// agents which requests were running at crashes.
 package loadreport
 
 import (
@@ -36,6 +37,7 @@
 	kindSubscription = 2
 	kindAgentConfig  = 3
 	kindVersionAges  = 4
+	kindStrikes      = 5
 )
 
 // The flags of a report.
--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -96,12 +96,17 @@
 	b = binary.BigEndian.AppendUint64(b, xxhash.Sum64String(model))
 	for _, age := range v {
 		b = binary.BigEndian.AppendUint32(b, uint32(age.Version))
-		b = binary.BigEndian.AppendUint16(b, uint16(min(max(age.Age, 0)/durationUnit, maxAgeUnits)))
+		b = binary.BigEndian.AppendUint16(b, encodeAge(age.Age))
 		b = append(b, byte(age.Certainty))
 	}
 	return b
 }
 
+// encodeAge encodes an age in two bytes; a longer one than fits becomes the longest.
+func encodeAge(age time.Duration) uint16 {
+	return uint16(min(max(age, 0)/durationUnit, maxAgeUnits))
+}
+
 // DecodeVersionAges decodes a VersionAges. It returns *FormatError for any other
 // datagram.
 func DecodeVersionAges(b []byte) (VersionAgesDatagram, error) {
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -7,9 +7,13 @@
 )
 
 const (
-	// quarantineThreshold is the number of strikes that quarantines a
-	// request.
-	quarantineThreshold = 2
+	strikeWeight     = 2
+	lateStrikeWeight = 1
+	// quarantineWeight is the weight of the strikes that quarantine a request: two, or
+	// four late ones.
+	quarantineWeight = 2 * strikeWeight
+	// provenWeight is the weight from which a request gets no trial.
+	provenWeight = 3 * strikeWeight
 
 	defaultStrikeTTL       = 2 * time.Minute
 	defaultQuarantineTTL   = 10 * time.Minute
@@ -23,6 +27,10 @@
 	// QuarantineTTL is how long a request is refused after its last strike;
 	// 10 min by default.
 	QuarantineTTL time.Duration
+	// TrialAfter is how long after the last strike a request with fewer than three (or six
+	// late ones) may run again; QuarantineTTL by default. It stays a suspect, and a third
+	// strike quarantines it for QuarantineTTL.
+	TrialAfter time.Duration
 	// MaxFingerprints bounds the fingerprints with strikes; 4096 by
 	// default.
 	MaxFingerprints int
@@ -47,6 +55,9 @@
 	if config.QuarantineTTL <= 0 {
 		config.QuarantineTTL = defaultQuarantineTTL
 	}
+	if config.TrialAfter <= 0 {
+		config.TrialAfter = config.QuarantineTTL
+	}
 	if config.MaxFingerprints <= 0 {
 		config.MaxFingerprints = defaultMaxFingerprints
 	}
@@ -85,17 +96,39 @@
 // Refused reports whether the request is quarantined, and for how much longer.
 func (q *Quarantine) Refused(now time.Time, fingerprint uint64) (time.Duration, bool) {
 	strikes := q.activeStrikes(now, fingerprint)
-	if len(strikes) < quarantineThreshold {
-		return 0, false
+	remaining := q.refusedUntil(strikes).Sub(now)
+	return max(remaining, 0), remaining > 0
+}
+
+// refusedUntil returns when the quarantine for the strikes ends, the zero time if they
+// are too few for one.
+func (q *Quarantine) refusedUntil(strikes []Strike) time.Time {
+	weight := totalWeight(strikes)
+	switch {
+	case weight < quarantineWeight:
+		return time.Time{}
+	case weight < provenWeight:
+		return lastStrikeAt(strikes).Add(q.config.TrialAfter)
+	default:
+		return lastStrikeAt(strikes).Add(q.config.QuarantineTTL)
 	}
-	return q.expiryOf(strikes).Sub(now), true
+}
+
+// Strikes returns the strikes of a fingerprint that have not expired.
+func (q *Quarantine) Strikes(now time.Time, fingerprint uint64) []Strike {
+	return slices.Clone(q.activeStrikes(now, fingerprint))
+}
+
+// Len returns the number of fingerprints with strikes, expired ones included.
+func (q *Quarantine) Len() int {
+	return len(q.strikes)
 }
 
 // Quarantined returns the number of requests in quarantine.
 func (q *Quarantine) Quarantined(now time.Time) int {
 	n := 0
 	for _, strikes := range q.strikes {
-		if len(strikes) >= quarantineThreshold && q.active(now, strikes) {
+		if now.Before(q.refusedUntil(strikes)) {
 			n++
 		}
 	}
@@ -105,15 +138,39 @@
 // ClearStrike clears the strike of a suspect that ran alone without a crash.
 // Later reports of the same crash by other entries do not count either.
 func (q *Quarantine) ClearStrike(now time.Time, fingerprint uint64) {
+	if totalWeight(q.activeStrikes(now, fingerprint)) < quarantineWeight {
+		q.Absolve(now, fingerprint)
+	}
+}
+
+// Absolve clears and returns all strikes of a request that ran to its end, which proves
+// that it crashes no endpoint. Later reports of the same crashes do not count.
+func (q *Quarantine) Absolve(now time.Time, fingerprint uint64) []Strike {
 	strikes := q.activeStrikes(now, fingerprint)
-	if len(strikes) == 0 || len(strikes) >= quarantineThreshold {
-		return
+	for _, s := range strikes {
+		q.AbsolveStrike(now, s)
+	}
+	return strikes
+}
+
+// AbsolveStrike clears one strike, also one that another entry has cleared, and reports
+// whether that was new.
+func (q *Quarantine) AbsolveStrike(now time.Time, s Strike) bool {
+	if hasCrash(q.cleared[s.Fingerprint], s.Crash) {
+		return false
+	}
+	others := slices.DeleteFunc(slices.Clone(q.strikes[s.Fingerprint]), func(other Strike) bool { return other.Crash == s.Crash })
+	if len(others) > 0 {
+		q.strikes[s.Fingerprint] = others
+	} else {
+		delete(q.strikes, s.Fingerprint)
 	}
-	delete(q.strikes, fingerprint)
 	q.dropExpiredCleared(now)
-	if len(q.cleared) < q.config.MaxFingerprints {
-		q.cleared[fingerprint] = append(q.cleared[fingerprint], strikes...)
+	if len(q.cleared) >= q.config.MaxFingerprints && q.cleared[s.Fingerprint] == nil {
+		return false
 	}
+	q.cleared[s.Fingerprint] = append(q.cleared[s.Fingerprint], s)
+	return true
 }
 
 func (q *Quarantine) dropExpiredCleared(now time.Time) {
@@ -161,16 +218,32 @@
 
 // expiryOf returns when the strikes expire.
 func (q *Quarantine) expiryOf(strikes []Strike) time.Time {
+	if totalWeight(strikes) < quarantineWeight {
+		return lastStrikeAt(strikes).Add(q.config.StrikeTTL)
+	}
+	return lastStrikeAt(strikes).Add(q.config.QuarantineTTL)
+}
+
+func totalWeight(strikes []Strike) int {
+	weight := 0
+	for _, s := range strikes {
+		if s.Late {
+			weight += lateStrikeWeight
+		} else {
+			weight += strikeWeight
+		}
+	}
+	return weight
+}
+
+func lastStrikeAt(strikes []Strike) time.Time {
 	var last time.Time
 	for _, s := range strikes {
 		if s.At.After(last) {
 			last = s.At
 		}
 	}
-	if len(strikes) < quarantineThreshold {
-		return last.Add(q.config.StrikeTTL)
-	}
-	return last.Add(q.config.QuarantineTTL)
+	return last
 }
 
 // evict drops expired fingerprints once MaxFingerprints is reached, and the one
--- a/routing/quarantine_test.go
+++ b/routing/quarantine_test.go
@@ -67,3 +67,52 @@
 	assert.Assert(t, Fingerprint("a", "b", nil) != Fingerprint("ab", "", nil))
 	assert.Equal(t, Fingerprint("a", "b", []byte("c")), Fingerprint("a", "b", []byte("c")))
 }
+
+// Guards against a caller whose sound request is refused for long after it ran by chance
+// at two crashes.
+func TestRequestWithTwoStrikesGetsATrial(t *testing.T) {
+	const trialAfter = 20 * time.Second
+	q := NewQuarantine(QuarantineConfig{TrialAfter: trialAfter})
+	q.RecordStrike(epoch, strikeAt("crash-1", epoch))
+	q.RecordStrike(epoch, strikeAt("crash-2", epoch))
+	remaining, refused := q.Refused(epoch, 1)
+	assert.Assert(t, refused)
+	assert.Equal(t, remaining, trialAfter)
+	trial := epoch.Add(trialAfter)
+	_, refused = q.Refused(trial, 1)
+	assert.Assert(t, !refused && q.IsSuspect(trial, 1))
+
+	q.RecordStrike(trial, strikeAt("crash-3", trial))
+	remaining, refused = q.Refused(trial, 1)
+	assert.Assert(t, refused, "the trial failed")
+	assert.Equal(t, remaining, defaultQuarantineTTL)
+}
+
+// Guards against the quarantine of streams that were resumed once and cut off twice:
+// requests that crash endpoints mostly do so before they answer.
+func TestLateStrikesCountHalf(t *testing.T) {
+	q := NewQuarantine(QuarantineConfig{})
+	for i, crash := range []string{"1", "2", "3", "4"} {
+		_, refused := q.Refused(epoch, 1)
+		assert.Assert(t, !refused, "after %d late strikes", i)
+		q.RecordStrike(epoch, Strike{Fingerprint: 1, Crash: crash, At: epoch, Late: true})
+	}
+	_, refused := q.Refused(epoch, 1)
+	assert.Assert(t, refused)
+}
+
+// Guards against a sound request that stays in quarantine although it ran to its end, and
+// against reports of its crashes that arrive only then.
+func TestAbsolvedRequestIsNoSuspect(t *testing.T) {
+	q := NewQuarantine(QuarantineConfig{})
+	q.RecordStrike(epoch, strikeAt("crash-1", epoch))
+	q.RecordStrike(epoch, strikeAt("crash-2", epoch))
+	assert.Equal(t, len(q.Absolve(epoch, 1)), 2)
+	assert.Assert(t, !q.IsSuspect(epoch, 1))
+	assert.Assert(t, !q.RecordStrike(epoch, strikeAt("crash-2", epoch)))
+
+	assert.Assert(t, q.AbsolveStrike(epoch, strikeAt("crash-3", epoch)), "it is absolved before its strike arrives")
+	assert.Assert(t, !q.AbsolveStrike(epoch, strikeAt("crash-3", epoch)))
+	assert.Assert(t, !q.RecordStrike(epoch, strikeAt("crash-3", epoch)))
+	assert.Assert(t, q.RecordStrike(epoch, strikeAt("crash-4", epoch)))
+}
--- a/routing/strike.go
+++ b/routing/strike.go
@@ -8,4 +8,7 @@
 	// Crash identifies the crash; strikes with the same value count once.
 	Crash string
 	At    time.Time
+	// Late says that the endpoint had begun to answer the request. Such a strike counts
+	// half: requests that crash endpoints mostly do so as they begin to run.
+	Late bool
 }
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -34,10 +34,16 @@
 	return loadreport.Echo{Known: true, Timestamp: s.subscription.Timestamp, AgentDelay: now.Sub(s.receivedAt)}
 }
 
-func (s *subscribers) add(now time.Time, from netip.AddrPort, subscription loadreport.Subscription) {
+// add records a subscription. It reports whether the entry is new or has restarted: the
+// timestamps of an entry count from its start. That they also wrap, about once a minute,
+// only makes an entry look restarted.
+func (s *subscribers) add(now time.Time, from netip.AddrPort, subscription loadreport.Subscription) (started bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.byAddr[from] = subscriber{receivedAt: now, subscription: subscription, versionAgesSentAt: s.byAddr[from].versionAgesSentAt}
+	previous, known := s.byAddr[from]
+	started = !known || subscription.Timestamp < previous.subscription.Timestamp
+	s.byAddr[from] = subscriber{receivedAt: now, subscription: subscription, versionAgesSentAt: previous.versionAgesSentAt}
+	return started
 }
 
 // takeVersionAgesDue returns the entries to which VersionAges are due, and counts them
@@ -113,6 +119,7 @@
 // receiveDatagrams handles the subscriptions and agent configurations of entries until
 // ctx ends.
 func (r *Reconciler) receiveDatagrams(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
+	relay := newStrikeRelay(entries)
 	buffer := make([]byte, loadreport.MaxDatagramBytes)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
@@ -131,12 +138,18 @@
 			r.applyVersionAges(time.Now(), from, buffer[:n])
 			continue
 		}
+		if loadreport.IsStrikes(buffer[:n]) {
+			r.relayStrikes(ctx, conn, relay, from, buffer[:n])
+			continue
+		}
 		subscription, err := loadreport.DecodeSubscription(buffer[:n])
 		if err != nil {
 			r.deps.Logger.Warn("malformed subscription to load reports", "from", from, "error", err)
 			continue
 		}
-		entries.add(time.Now(), from, subscription)
+		if started := entries.add(time.Now(), from, subscription); started {
+			r.sendStrikes(ctx, conn, from, relay.snapshot(r.config.FleetKey))
+		}
 	}
 }
 
--- /dev/null
+++ b/strikes/register.go
@@ -0,0 +1,181 @@
+package strikes
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/snipestep/snipestep/loadreport"
+	"github.com/snipestep/snipestep/routing"
+)
+
+// Register holds the strikes that one process knows. It is safe for concurrent use.
+type Register struct {
+	now func() time.Time
+	// count is the number of fingerprints with strikes, so that requests are not
+	// serialised by mu while there are none.
+	count atomic.Int64
+
+	mu         sync.Mutex
+	quarantine *routing.Quarantine
+}
+
+// Verdict is what the strikes of a request amount to.
+type Verdict struct {
+	Fingerprint uint64
+	// Crashes identify the crashes that speak against the request.
+	Crashes []string
+	// Refused says that the request is quarantined, for Remaining.
+	Refused   bool
+	Remaining time.Duration
+}
+
+// NewRegister returns an empty register.
+func NewRegister(config routing.QuarantineConfig, now func() time.Time) *Register {
+	return &Register{now: now, quarantine: routing.NewQuarantine(config)}
+}
+
+// CrashOf returns the identifier of the crash of an endpoint. Each start of an endpoint
+// has its own ID, and so can crash once.
+func CrashOf(endpointID string) uint64 {
+	return xxhash.Sum64String(endpointID)
+}
+
+// CrashText returns the identifier of a crash for logs.
+func CrashText(crash uint64) string {
+	return strconv.FormatUint(crash, 16)
+}
+
+// Verdict returns what the strikes of a request amount to.
+func (r *Register) Verdict(fingerprint uint64) Verdict {
+	if r.count.Load() == 0 {
+		return Verdict{Fingerprint: fingerprint}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.verdict(r.now(), fingerprint)
+}
+
+func (r *Register) verdict(now time.Time, fingerprint uint64) Verdict {
+	v := Verdict{Fingerprint: fingerprint}
+	for _, s := range r.quarantine.Strikes(now, fingerprint) {
+		v.Crashes = append(v.Crashes, s.Crash)
+	}
+	v.Remaining, v.Refused = r.quarantine.Refused(now, fingerprint)
+	return v
+}
+
+// Strike records that a request was running at a crash; late says that its answer had
+// begun. It returns the strike to pass on if it was new, and the verdict.
+func (r *Register) Strike(fingerprint, crash uint64, late bool) (loadreport.Strikes, Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.updateCount()
+	now := r.now()
+	isNew := r.quarantine.RecordStrike(now, routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), At: now, Late: late})
+	verdict := r.verdict(now, fingerprint)
+	if !isNew {
+		return nil, verdict
+	}
+	return loadreport.Strikes{{Fingerprint: fingerprint, Crash: crash, Late: late}}, verdict
+}
+
+// Absolve clears the strikes of a request that ran to its end, and returns them to pass
+// on.
+func (r *Register) Absolve(fingerprint uint64) loadreport.Strikes {
+	if r.count.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.updateCount()
+	now := r.now()
+	var absolved loadreport.Strikes
+	for _, s := range r.quarantine.Absolve(now, fingerprint) {
+		strike := outgoing(now, s)
+		strike.Absolved = true
+		absolved = append(absolved, strike)
+	}
+	return absolved
+}
+
+// Merge records the strikes of another process. It returns those that were new, and the
+// verdicts on the requests that they put into quarantine.
+func (r *Register) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	defer r.updateCount()
+	now := r.now()
+	for _, strike := range received {
+		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late}
+		if strike.Absolved {
+			if r.quarantine.AbsolveStrike(now, s) {
+				news = append(news, strike)
+			}
+			continue
+		}
+		wasRefused := r.verdict(now, strike.Fingerprint).Refused
+		if !r.quarantine.RecordStrike(now, s) {
+			continue
+		}
+		news = append(news, strike)
+		if verdict := r.verdict(now, strike.Fingerprint); verdict.Refused && !wasRefused {
+			quarantined = append(quarantined, verdict)
+		}
+	}
+	return news, quarantined
+}
+
+// Snapshot returns up to loadreport.MaxStrikes strikes for a process that may know none:
+// those of requests with the most strikes first, then the newest.
+func (r *Register) Snapshot() loadreport.Strikes {
+	if r.count.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	known := r.quarantine.RecentStrikes(now, maxSnapshotAge)
+	perFingerprint := make(map[uint64]int)
+	for _, s := range known {
+		perFingerprint[s.Fingerprint]++
+	}
+	slices.SortStableFunc(known, func(a, b routing.Strike) int {
+		if byCount := perFingerprint[b.Fingerprint] - perFingerprint[a.Fingerprint]; byCount != 0 {
+			return byCount
+		}
+		return b.At.Compare(a.At)
+	})
+	var snapshot loadreport.Strikes
+	for _, s := range known[:min(len(known), loadreport.MaxStrikes)] {
+		snapshot = append(snapshot, outgoing(now, s))
+	}
+	return snapshot
+}
+
+// maxSnapshotAge is the age of the oldest strikes in a snapshot, that of the longest
+// quarantine.
+const maxSnapshotAge = 10 * time.Minute
+
+// Quarantined returns the number of requests in quarantine.
+func (r *Register) Quarantined() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.quarantine.Quarantined(r.now())
+}
+
+// updateCount is called with mu held.
+func (r *Register) updateCount() {
+	r.count.Store(int64(r.quarantine.Len()))
+}
+
+// outgoing encodes a strike for other processes. Its crash is the text of CrashText.
+func outgoing(now time.Time, s routing.Strike) loadreport.Strike {
+	// Only CrashText makes these texts, so that they parse.
+	crash, _ := strconv.ParseUint(s.Crash, 16, 64)
+	return loadreport.Strike{Fingerprint: s.Fingerprint, Crash: crash, Age: now.Sub(s.At), Late: s.Late}
+}
--- /dev/null
+++ b/strikes/register_test.go
@@ -0,0 +1,104 @@
+package strikes
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/loadreport"
+	"github.com/snipestep/snipestep/routing"
+)
+
+// testClock is a clock that tests set.
+type testClock struct {
+	now time.Time
+}
+
+func newTestRegister(config routing.QuarantineConfig) (*Register, *testClock) {
+	clock := &testClock{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	return NewRegister(config, func() time.Time { return clock.now }), clock
+}
+
+func TestCrashesAtSeveralEntriesQuarantineARequestEverywhere(t *testing.T) {
+	first, _ := newTestRegister(routing.QuarantineConfig{})
+	second, _ := newTestRegister(routing.QuarantineConfig{})
+	news, verdict := first.Strike(7, 100, false)
+	assert.Assert(t, !verdict.Refused)
+	_, quarantined := second.Merge(news)
+	assert.Equal(t, len(quarantined), 0)
+
+	news, verdict = second.Strike(7, 101, false)
+	assert.Assert(t, verdict.Refused)
+	_, quarantined = first.Merge(news)
+	assert.Equal(t, len(quarantined), 1)
+	assert.DeepEqual(t, quarantined[0].Crashes, []string{CrashText(100), CrashText(101)})
+	assert.Assert(t, first.Verdict(7).Refused && second.Verdict(7).Refused)
+	assert.Assert(t, !first.Verdict(8).Refused)
+	assert.Equal(t, first.Quarantined(), 1)
+}
+
+// Guards against datagrams that come twice, by several agents, and count each time.
+func TestStrikesThatComeAgainAreNoNews(t *testing.T) {
+	r, clock := newTestRegister(routing.QuarantineConfig{})
+	received := loadreport.Strikes{{Fingerprint: 7, Crash: 100}}
+	news, _ := r.Merge(received)
+	assert.Equal(t, len(news), 1)
+	clock.now = clock.now.Add(time.Second)
+	received[0].Age = time.Second
+	news, quarantined := r.Merge(received)
+	assert.Equal(t, len(news)+len(quarantined), 0)
+	news, verdict := r.Strike(7, 100, false)
+	assert.Equal(t, len(news), 0)
+	assert.Assert(t, !verdict.Refused)
+}
+
+// Guards against innocents that stay suspects at the entries that did not serve them.
+func TestAbsolutionReachesOtherProcesses(t *testing.T) {
+	first, _ := newTestRegister(routing.QuarantineConfig{})
+	second, _ := newTestRegister(routing.QuarantineConfig{})
+	strike, _ := first.Strike(7, 100, false)
+	second.Merge(strike)
+	absolved := second.Absolve(7)
+	assert.Equal(t, len(absolved), 1)
+	news, _ := first.Merge(absolved)
+	assert.Equal(t, len(news), 1)
+	assert.Equal(t, len(first.Verdict(7).Crashes), 0)
+	news, _ = first.Merge(absolved)
+	assert.Equal(t, len(news), 0, "an absolution that comes again is no news")
+	news, _ = first.Merge(strike)
+	assert.Equal(t, len(news), 0, "a strike that arrives after its absolution is void")
+}
+
+// Guards against a process that starts and learns the newest suspects only, while a
+// request in quarantine is older.
+func TestSnapshotStartsWithTheQuarantined(t *testing.T) {
+	r, clock := newTestRegister(routing.QuarantineConfig{})
+	r.Strike(7, 100, false)
+	r.Strike(7, 101, false)
+	for fingerprint := range uint64(2 * loadreport.MaxStrikes) {
+		clock.now = clock.now.Add(time.Millisecond)
+		r.Strike(1000+fingerprint, 102, false)
+	}
+	snapshot := r.Snapshot()
+	assert.Equal(t, len(snapshot), loadreport.MaxStrikes)
+	started, _ := newTestRegister(routing.QuarantineConfig{})
+	_, quarantined := started.Merge(snapshot)
+	assert.Equal(t, len(quarantined), 1)
+	assert.Assert(t, started.Verdict(7).Refused)
+}
+
+// Guards against a flood of distinct requests at crashes that grows the table without
+// bound or drops the requests in quarantine from it.
+func TestFloodOfSuspectsKeepsTheQuarantined(t *testing.T) {
+	const limit = 50
+	r, clock := newTestRegister(routing.QuarantineConfig{MaxFingerprints: limit})
+	r.Strike(7, 100, false)
+	r.Strike(7, 101, false)
+	for fingerprint := range uint64(10 * limit) {
+		clock.now = clock.now.Add(time.Millisecond)
+		r.Strike(1000+fingerprint, 102, false)
+	}
+	assert.Assert(t, r.Verdict(7).Refused)
+	assert.Assert(t, r.quarantine.Len() <= limit)
+}
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -11,7 +11,8 @@
 	entryAndAgent = []string{ProgramEntry, ProgramAgent}
 	// directOnly marks metrics that only snipestep-direct reports. Its agents
 	// report the chunk metrics of snipestep-agent too.
-	directOnly = []string{ProgramDirect}
+	directOnly     = []string{ProgramDirect}
+	entryAndDirect = []string{ProgramEntry, ProgramDirect}
 )
 
 // Metrics lists every metric of the programs.
@@ -23,8 +24,8 @@
 	{MetricRetries, Counter, "attempts", nil, entryOnly, "Attempts after a broken one, as the retry budget allowed."},
 	{MetricResumes, Counter, "streams", nil, entryOnly, "Broken streams that continued at another endpoint."},
 	{MetricDroppedAnswers, Counter, "answers", nil, entryAndAgent, "Late or crossed answers that were dropped."},
-	{MetricQuarantinedFingerprints, Gauge, "fingerprints", nil, entryOnly, "Requests in quarantine because endpoints crashed under them."},
-	{MetricStrikes, Counter, "strikes", nil, entryOnly, "Strikes against requests that were in flight at a crash."},
+	{MetricQuarantinedFingerprints, Gauge, "fingerprints", nil, entryAndDirect, "Requests in quarantine because endpoints crashed under them."},
+	{MetricStrikes, Counter, "strikes", nil, entryAndDirect, "Strikes against requests that were in flight at a crash."},
 	{MetricClaims, Counter, "claims", []string{TagOutcome}, entryOnly, "Claims of idempotency keys by verdict."},
 	{MetricConfigGeneration, Gauge, "generation", nil, entryAndAgent, "Generation of the configuration in force."},
 	{MetricKnownInstances, Gauge, "instances", nil, entryOnly, "Agents whose heartbeats the entry hears."},
