--- a/gateway/headercodec.go
+++ b/gateway/headercodec.go
@@ -17,6 +17,9 @@
 	// PromptTokens and OutputTokens are the size of a generation, 0 if not
 	// given.
 	PromptTokens, OutputTokens int
+	// SharedParts are the IDs of the parts of the prompt that it may share with those of
+	// other requests, in order.
+	SharedParts []string
 	// LengthHint is the number of output tokens that the caller expects, 0 if not
 	// given. It is accurate only at the median.
 	LengthHint int
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -55,7 +55,7 @@
 	g.metrics.recordStrike()
 	req.logger.Info("request was running at a crash",
 		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.endpoint.ID,
-		"crash", strikes.CrashText(crash), "late", attempt.answering, "strikes", len(verdict.Crashes))
+		"crash", strikes.CrashText(crash), "late", attempt.answering, "parts", req.metadata.SharedParts, "strikes", len(verdict.Crashes))
 	if verdict.Refused {
 		g.startQuarantine(verdict, "own")
 	}
