--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -18,10 +19,13 @@
 // lateDeadlyBody is the body of a stream that crashes an endpoint after an event.
 const lateDeadlyBody = "deadly late"
 
+// deadlyPart is a part of a prompt that crashes each endpoint that runs a request with it.
+const deadlyPart = "deadly part"
+
 // soundResponse is the response to any other request, also valid as a stream.
 const soundResponse = "id: 1\ndata: x\n\n"
 
-// crashingEndpoints are endpoints of a fixture that crash under deadlyBody: such an
+// crashingEndpoints are endpoints of a fixture that crash under a deadly request: such an
 // endpoint ends all its connections and refuses new ones until it is started again, at
 // the same address under a new ID. Other requests are answered.
 type crashingEndpoints struct {
@@ -55,9 +59,9 @@
 		if err != nil {
 			return
 		}
-		switch string(body) {
-		case deadlyBody:
-		case lateDeadlyBody:
+		switch {
+		case string(body) == deadlyBody || strings.Contains(r.Header.Get("Parts"), deadlyPart):
+		case string(body) == lateDeadlyBody:
 			writeNextEvent(w, r)
 		default:
 			respondWith(soundResponse)(w, r)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -27,6 +27,9 @@
 
 func (testHeaderCodec) ReadRequest(h http.Header) (RequestMetadata, error) {
 	metadata := RequestMetadata{ID: h.Get("Id"), Key: h.Get("Key"), LastEventID: h.Get("Last")}
+	if parts := h.Get("Parts"); parts != "" {
+		metadata.SharedParts = strings.Split(parts, ",")
+	}
 	if left := h.Get("Left"); left != "" {
 		ms, err := strconv.Atoi(left)
 		if err != nil {
@@ -97,8 +100,9 @@
 
 // addEndpoint adds the endpoint at an address to the directory.
 func (f *fixture) addEndpoint(address string) {
+	started := len(f.directory.View().Endpoints)
 	f.directory.PutEndpoint(&directory.Endpoint{
-		ID: fmt.Sprint("i-", len(f.directory.View().Endpoints)), Service: "s", Address: address, Region: "r", Slots: 4,
+		ID: fmt.Sprint("i-", started), Service: "s", Address: address, Region: "r", Slots: 4, StartedUnixMS: int64(started),
 	})
 }
 
