--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -98,6 +98,7 @@
 		return response, true, nil
 	}
 	if response.status < http.StatusInternalServerError {
+		g.recordBegin(req)
 		g.recordServed(req)
 	}
 	req.service.observeFirstResponse(time.Since(attempt.sentAt))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,8 +28,9 @@
 	// without a first event.
 	migratable *attemptRegistry
 	unstarted  *attemptRegistry
-	// strikes holds the strikes against requests, strikeNews those to pass on.
-	strikes    *strikes.Register
+	// strikes holds the strikes against requests and parts of prompts, strikeNews those
+	// to pass on.
+	strikes    *strikes.Ledger
 	strikeNews *strikeNews
 	crashes    *crashDetector
 	draining   atomic.Bool
@@ -49,7 +50,11 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikes: strikes.NewRegister(quarantineConfig(), time.Now), strikeNews: newStrikeNews(), crashes: newCrashDetector(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), crashes: newCrashDetector(), startedAt: time.Now()}
+	g.strikes = &strikes.Ledger{
+		Requests: strikes.NewRegister(quarantineConfig(), time.Now),
+		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
+	}
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	deps.Directory.Subscribe(g.applyView)
@@ -101,6 +106,7 @@
 	svc := &service{
 		name:        s.Name,
 		retryBudget: newRetryBudget(g.config.RetryRatio, g.config.RetryBurst),
+		parts:       newPartTracker(),
 	}
 	svc.firstResponseNanos.Store(int64(initialFirstResponse))
 	svc.perTokenNanos.Store(int64(initialPerToken))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -79,7 +79,7 @@
 	if refusal := readBody(req, w, r, document.Limits); refusal != nil {
 		return refusal
 	}
-	req.setFingerprint(r)
+	req.setFingerprints(r)
 	return nil
 }
 
--- /dev/null
+++ b/gateway/partquarantine.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/snipestep/snipestep/routing"
+	"github.com/snipestep/snipestep/strikes"
+)
+
+const (
+	// partQuarantineStrikes is the number of strikes that quarantine a part of prompts.
+	// Requests with it share callers and other parts with sound ones, so a mistake costs
+	// more than with a single request.
+	partQuarantineStrikes = 3
+	// partProvenStrikes is the number of strikes from which a part gets no trial.
+	partProvenStrikes = 5
+	// partTrialSpread is the span over which entries spread their trials of a part, so that
+	// the first one can tell the others: its requests come at all entries.
+	partTrialSpread = 20 * time.Second
+)
+
+// partQuarantineConfig returns the configuration of the strikes against parts of prompts.
+func partQuarantineConfig(random *randomSource) routing.QuarantineConfig {
+	return routing.QuarantineConfig{
+		QuarantineStrikes: partQuarantineStrikes,
+		ProvenStrikes:     partProvenStrikes,
+		TrialAfter:        trialAfter + time.Duration(random.uniform()*float64(partTrialSpread)),
+	}
+}
+
+// checkParts returns *QuarantinedError for a request with a part that must not be sent on.
+func (g *Gateway) checkParts(req *request) error {
+	for i, fingerprint := range req.partFingerprints {
+		if verdict := g.strikes.Parts.Verdict(fingerprint); verdict.Refused {
+			return &QuarantinedError{Verdict: verdict, Part: req.metadata.SharedParts[i]}
+		}
+	}
+	return nil
+}
+
+// recordPartCrash records strikes against the parts that may be to blame for a crash before
+// the answer began.
+func (g *Gateway) recordPartCrash(req *request, crash uint64) {
+	for _, fingerprint := range req.service.parts.suspects(req) {
+		news, verdict := g.strikes.Parts.Strike(fingerprint, crash, false)
+		if len(news) == 0 {
+			continue
+		}
+		g.strikeNews.add(news)
+		g.metrics.recordStrike()
+		part := req.metadata.SharedParts[slices.Index(req.partFingerprints, fingerprint)]
+		req.logger.Info("part of a prompt may have crashed an endpoint",
+			"request", req.metadata.ID, "part", part, "fingerprint", fingerprintText(fingerprint),
+			"crash", strikes.CrashText(crash), "strikes", len(verdict.Crashes))
+		if verdict.Refused {
+			g.startQuarantine(verdict, "own")
+		}
+	}
+}
+
+// recordBegin absolves the parts of a request that an endpoint has begun to answer.
+func (g *Gateway) recordBegin(req *request) {
+	req.service.parts.recordBegin(req)
+	for _, fingerprint := range req.partFingerprints {
+		absolved := g.strikes.Parts.Absolve(fingerprint)
+		if len(absolved) == 0 {
+			continue
+		}
+		g.strikeNews.add(absolved)
+		req.logger.Info("part of prompts absolved of crashes", "request", req.metadata.ID, "fingerprint", fingerprintText(fingerprint), "strikes", len(absolved))
+	}
+}
--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/loadreport"
+	"github.com/snipestep/snipestep/routing"
 )
 
 // maxCrashesBeforePartQuarantine is the number of endpoints that a part of a prompt may
@@ -39,3 +44,62 @@
 	}
 	assert.Assert(t, endpoints.crashCount() <= maxCrashesBeforePartQuarantine, "%d endpoints crashed", endpoints.crashCount())
 }
+
+// Guards against a second entry that sends requests with a quarantined part on, and against
+// engines at which they wait already.
+func TestPartQuarantineHoldsAtOtherEntries(t *testing.T) {
+	reached, left := make(chan struct{}), make(chan struct{})
+	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The server notices that a caller leaves only after the body.
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	})
+	done := make(chan int)
+	go func() {
+		response, _, _ := f.send(t, "/stream/", withParts("waiting", "common", deadlyPart))
+		done <- response.StatusCode
+	}()
+	<-reached
+	part := routing.PartFingerprint("s", deadlyPart)
+	f.gateway.applyStrikes(netip.AddrPort{}, loadreport.Strikes{
+		{Fingerprint: part, Part: true, Crash: 1}, {Fingerprint: part, Part: true, Crash: 2}, {Fingerprint: part, Part: true, Crash: 3},
+	}.Encode(nil))
+	<-left
+	assert.Equal(t, <-done, http.StatusBadGateway)
+	response, _, err := f.send(t, "/stream/", withParts("new", "common", deadlyPart))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+}
+
+// Guards against a sound part that stays in quarantine: a request with it that waited at an
+// endpoint, or a trial, begins.
+func TestBeginAbsolvesPart(t *testing.T) {
+	f := newFixture(t, respondWith(soundResponse))
+	part := routing.PartFingerprint("s", "sound")
+	f.gateway.strikes.Parts.Strike(part, 1, false)
+	f.gateway.strikes.Parts.Strike(part, 2, false)
+	for _, path := range []string{"/stream/", "/again/"} {
+		response, _, err := f.send(t, path, withParts("body", "common", "sound"))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Equal(t, len(f.gateway.strikes.Parts.Verdict(part).Crashes), 0)
+	}
+	news := f.gateway.strikeNews.take()
+	assert.Equal(t, len(news), 2)
+	assert.Assert(t, news[0].Absolved && news[0].Part)
+}
+
+// Guards against blame for the last part of a prompt or of a stream that had begun.
+func TestStreamThatBrokeMidwayBlamesNoPart(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 3)
+	_, _, err := f.send(t, "/stream/", withParts("sound", "common"))
+	assert.NilError(t, err)
+	_, _, err = f.send(t, "/stream/", withParts(lateDeadlyBody, "common", "rare"))
+	assert.Assert(t, err != nil, "the answer looks complete")
+	assert.Equal(t, endpoints.crashCount(), 2)
+	for _, strike := range f.gateway.strikeNews.take() {
+		assert.Assert(t, !strike.Part)
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,12 +14,18 @@
 // crashes of endpoints.
 type QuarantinedError struct {
 	Verdict strikes.Verdict
+	// Part is the part of the prompt to blame, empty if the request itself is.
+	Part string
 }
 
 // Error implements error.
 func (e *QuarantinedError) Error() string {
-	return fmt.Sprintf("request was running at crashes %s of endpoints, refused for %v more",
-		strings.Join(e.Verdict.Crashes, ", "), e.Verdict.Remaining.Round(time.Millisecond))
+	culprit := "request"
+	if e.Part != "" {
+		culprit = "part " + e.Part + " of the prompt"
+	}
+	return fmt.Sprintf("%s was running at crashes %s of endpoints, refused for %v more",
+		culprit, strings.Join(e.Verdict.Crashes, ", "), e.Verdict.Remaining.Round(time.Millisecond))
 }
 
 // trialAfter is when a request that was running at two crashes may run once more. Two
@@ -34,20 +40,23 @@
 
 // checkQuarantine returns *QuarantinedError for a request that must not be sent on.
 func (g *Gateway) checkQuarantine(req *request) error {
-	if verdict := g.strikes.Verdict(req.fingerprint); verdict.Refused {
+	if verdict := g.strikes.Requests.Verdict(req.fingerprint); verdict.Refused {
 		return &QuarantinedError{Verdict: verdict}
 	}
-	return nil
+	return g.checkParts(req)
 }
 
-// recordCrash records a strike against a request that an endpoint broke off if the
-// endpoint has crashed.
+// recordCrash records strikes against a request that an endpoint broke off and against the
+// parts of its prompt, if the endpoint has crashed.
 func (g *Gateway) recordCrash(ctx context.Context, req *request, attempt *endpointAttempt, err error) {
 	if req.fingerprint == 0 || attempt.endpoint == nil || !isConnectionLost(err) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
 		return
 	}
 	crash := strikes.CrashOf(attempt.endpoint.ID)
-	news, verdict := g.strikes.Strike(req.fingerprint, crash, attempt.answering)
+	if !attempt.answering {
+		g.recordPartCrash(req, crash)
+	}
+	news, verdict := g.strikes.Requests.Strike(req.fingerprint, crash, attempt.answering)
 	if len(news) == 0 {
 		return
 	}
@@ -63,7 +72,7 @@
 
 // recordServed absolves a request that an endpoint ran to its end.
 func (g *Gateway) recordServed(req *request) {
-	absolved := g.strikes.Absolve(req.fingerprint)
+	absolved := g.strikes.Requests.Absolve(req.fingerprint)
 	if len(absolved) == 0 {
 		return
 	}
@@ -71,12 +80,16 @@
 	req.logger.Info("request absolved of crashes", "request", req.metadata.ID, "fingerprint", req.fingerprintText(), "strikes", len(absolved))
 }
 
-// startQuarantine withdraws a quarantined request from the endpoints at which it waits,
-// before it crashes them too. The source says who recorded its last strike.
+// startQuarantine withdraws the requests of a new quarantine from the endpoints at which
+// they wait, before they crash them too. The source says who recorded its last strike.
 func (g *Gateway) startQuarantine(verdict strikes.Verdict, source string) {
 	withdrawn := g.unstarted.cancelMatching(
-		func(req *request) bool { return req.fingerprint == verdict.Fingerprint }, &QuarantinedError{Verdict: verdict})
-	g.deps.Logger.Warn("request quarantined",
-		"fingerprint", fmt.Sprintf("%x", verdict.Fingerprint), "crashes", verdict.Crashes,
+		func(req *request) bool { return req.isOf(verdict) }, &QuarantinedError{Verdict: verdict})
+	message := "request quarantined"
+	if verdict.IsPart {
+		message = "part of prompts quarantined"
+	}
+	g.deps.Logger.Warn(message,
+		"fingerprint", fingerprintText(verdict.Fingerprint), "crashes", verdict.Crashes,
 		"for_ms", verdict.Remaining.Milliseconds(), "source", source, "withdrawn", withdrawn)
 }
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -105,10 +105,10 @@
 		assert.Equal(t, len(f.gateway.strikeNews.take()), 0, "a request without strikes has nothing to be absolved of")
 
 		fingerprint := fingerprintOf(path)
-		f.gateway.strikes.Strike(fingerprint, 1, false)
+		f.gateway.strikes.Requests.Strike(fingerprint, 1, false)
 		_, _, err = f.send(t, path, nil)
 		assert.NilError(t, err)
-		assert.Equal(t, len(f.gateway.strikes.Verdict(fingerprint).Crashes), 0, path)
+		assert.Equal(t, len(f.gateway.strikes.Requests.Verdict(fingerprint).Crashes), 0, path)
 		news := f.gateway.strikeNews.take()
 		assert.Equal(t, len(news), 1)
 		assert.Assert(t, news[0].Absolved)
@@ -118,8 +118,8 @@
 // fingerprintOf returns the fingerprint of the request that fixture.send sends.
 func fingerprintOf(path string) uint64 {
 	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "http://h.example"+path, nil)
-	req := &request{organisation: "o", body: []byte("body")}
-	req.setFingerprint(r)
+	req := &request{organisation: "o", body: []byte("body"), service: &service{}}
+	req.setFingerprints(r)
 	return req.fingerprint
 }
 
@@ -140,7 +140,7 @@
 	}()
 	<-reached
 	fingerprint := fingerprintOf("/stream/")
-	f.gateway.strikes.Strike(fingerprint, 1, false)
+	f.gateway.strikes.Requests.Strike(fingerprint, 1, false)
 	f.gateway.applyStrikes(netip.AddrPort{}, loadreport.Strikes{{Fingerprint: fingerprint, Crash: 2}}.Encode(nil))
 	<-left
 	assert.Equal(t, <-done, http.StatusBadGateway, "the request was at an endpoint, so a promise that it has not run would be false")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/routing/admission"
+	"github.com/snipestep/snipestep/strikes"
 )
 
 // request is the state of one caller request. It belongs to one goroutine.
@@ -24,8 +26,10 @@
 	// fingerprint is that of all requests with the same caller, method, path and body;
 	// 0 until the body was read.
 	fingerprint uint64
-	arrivedAt   time.Time
-	deadline    time.Time // Zero for none.
+	// partFingerprints are those of metadata.SharedParts.
+	partFingerprints []uint64
+	arrivedAt        time.Time
+	deadline         time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
 	// endpointsReached counts the endpoints to which a connection was made.
@@ -62,10 +66,21 @@
 	return max(r.deadline.Sub(now), time.Millisecond)
 }
 
-// setFingerprint sets the fingerprint once the body was read.
-func (r *request) setFingerprint(httpRequest *http.Request) {
+// setFingerprints sets the fingerprints once the body was read.
+func (r *request) setFingerprints(httpRequest *http.Request) {
 	kind := httpRequest.Method + " " + httpRequest.Host + httpRequest.URL.RequestURI()
 	r.fingerprint = routing.Fingerprint(r.organisation, kind, r.body)
+	for _, part := range r.metadata.SharedParts {
+		r.partFingerprints = append(r.partFingerprints, routing.PartFingerprint(r.service.name, part))
+	}
+}
+
+// isOf reports whether a verdict is on the request or on a part of its prompt.
+func (r *request) isOf(verdict strikes.Verdict) bool {
+	if verdict.IsPart {
+		return slices.Contains(r.partFingerprints, verdict.Fingerprint)
+	}
+	return r.fingerprint == verdict.Fingerprint
 }
 
 // fingerprintText returns the fingerprint for the log, empty for none.
@@ -73,7 +88,12 @@
 	if r.fingerprint == 0 {
 		return ""
 	}
-	return strconv.FormatUint(r.fingerprint, 16)
+	return fingerprintText(r.fingerprint)
+}
+
+// fingerprintText returns a fingerprint as in all log lines.
+func fingerprintText(fingerprint uint64) string {
+	return strconv.FormatUint(fingerprint, 16)
 }
 
 func (r *request) rankLabel() string {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -12,6 +12,7 @@
 	name        string
 	gate        *admission.Gate
 	retryBudget *retryBudget
+	parts       *partTracker
 	// firstResponseNanos is the mean time from sending a request to its first
 	// event or its complete response.
 	firstResponseNanos atomic.Int64
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -188,6 +188,7 @@
 		if first {
 			first = false
 			attempt.answering = true
+			s.gateway.recordBegin(s.req)
 			onFirstEvent()
 			s.req.service.observeFirstResponse(time.Since(attempt.sentAt))
 		}
--- a/loadreport/strikes.go
+++ b/loadreport/strikes.go
@@ -7,16 +7,19 @@
 	"time"
 )
 
-// Strike says that a request was running at an endpoint when that crashed, or that it is
-// absolved of this. Entries send strikes to agents, which pass what is new to them on to
+// Strike says that a request was running at an endpoint when that crashed, or that a part
+// of its prompt may be to blame, or that it is absolved of this. Entries send strikes to agents, which pass what is new to them on to
 // all entries.
 type Strike struct {
-	// Fingerprint is that of routing.Fingerprint.
+	// Fingerprint is that of routing.Fingerprint, or for a part that of
+	// routing.PartFingerprint.
 	Fingerprint uint64
 	// Crash identifies the crash; equal ones count once.
 	Crash uint64
 	// Age is the time since the crash, in steps of 100 ms up to 6,553 s.
 	Age time.Duration
+	// Part says that the strike is against a part of prompts.
+	Part bool
 	// Late says that the endpoint had begun to answer.
 	Late bool
 	// Absolved says that the request ran to its end since, so that the strike is void.
@@ -39,6 +42,7 @@
 const (
 	absolvedFlag = 1 << iota
 	lateFlag
+	partFlag
 )
 
 // strikesPurpose separates the signatures of strikes from those of other datagrams.
@@ -62,6 +66,9 @@
 		if strike.Late {
 			flags |= lateFlag
 		}
+		if strike.Part {
+			flags |= partFlag
+		}
 		body = binary.BigEndian.AppendUint64(body, strike.Fingerprint)
 		body = binary.BigEndian.AppendUint64(body, strike.Crash)
 		body = binary.BigEndian.AppendUint16(body, encodeAge(strike.Age))
@@ -87,6 +94,7 @@
 			Fingerprint: binary.BigEndian.Uint64(body),
 			Crash:       binary.BigEndian.Uint64(body[8:]),
 			Age:         time.Duration(binary.BigEndian.Uint16(body[16:])) * durationUnit,
+			Part:        body[18]&partFlag != 0,
 			Late:        body[18]&lateFlag != 0,
 			Absolved:    body[18]&absolvedFlag != 0,
 		})
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -9,15 +9,11 @@
 const (
 	strikeWeight     = 2
 	lateStrikeWeight = 1
-	// quarantineWeight is the weight of the strikes that quarantine a request: two, or
-	// four late ones.
-	quarantineWeight = 2 * strikeWeight
-	// provenWeight is the weight from which a request gets no trial.
-	provenWeight = 3 * strikeWeight
 
-	defaultStrikeTTL       = 2 * time.Minute
-	defaultQuarantineTTL   = 10 * time.Minute
-	defaultMaxFingerprints = 4096
+	defaultQuarantineStrikes = 2
+	defaultStrikeTTL         = 2 * time.Minute
+	defaultQuarantineTTL     = 10 * time.Minute
+	defaultMaxFingerprints   = 4096
 )
 
 // QuarantineConfig configures a Quarantine.
@@ -27,10 +23,14 @@
 	// QuarantineTTL is how long a request is refused after its last strike;
 	// 10 min by default.
 	QuarantineTTL time.Duration
-	// TrialAfter is how long after the last strike a request with fewer than three (or six
-	// late ones) may run again; QuarantineTTL by default. It stays a suspect, and a third
-	// strike quarantines it for QuarantineTTL.
-	TrialAfter time.Duration
+	// QuarantineStrikes is the number of strikes that quarantine a request, 2 by default;
+	// two late ones count as one.
+	QuarantineStrikes int
+	// TrialAfter is how long after the last strike a request with fewer than ProvenStrikes
+	// may run again; QuarantineTTL by default. It stays a suspect. ProvenStrikes, one more
+	// than QuarantineStrikes by default, quarantine it for QuarantineTTL.
+	TrialAfter    time.Duration
+	ProvenStrikes int
 	// MaxFingerprints bounds the fingerprints with strikes; 4096 by
 	// default.
 	MaxFingerprints int
@@ -55,6 +55,12 @@
 	if config.QuarantineTTL <= 0 {
 		config.QuarantineTTL = defaultQuarantineTTL
 	}
+	if config.QuarantineStrikes <= 0 {
+		config.QuarantineStrikes = defaultQuarantineStrikes
+	}
+	if config.ProvenStrikes <= 0 {
+		config.ProvenStrikes = config.QuarantineStrikes + 1
+	}
 	if config.TrialAfter <= 0 {
 		config.TrialAfter = config.QuarantineTTL
 	}
@@ -103,11 +109,10 @@
 // refusedUntil returns when the quarantine for the strikes ends, the zero time if they
 // are too few for one.
 func (q *Quarantine) refusedUntil(strikes []Strike) time.Time {
-	weight := totalWeight(strikes)
 	switch {
-	case weight < quarantineWeight:
+	case !q.isEnough(strikes):
 		return time.Time{}
-	case weight < provenWeight:
+	case totalWeight(strikes) < q.config.ProvenStrikes*strikeWeight:
 		return lastStrikeAt(strikes).Add(q.config.TrialAfter)
 	default:
 		return lastStrikeAt(strikes).Add(q.config.QuarantineTTL)
@@ -138,7 +143,7 @@
 // ClearStrike clears the strike of a suspect that ran alone without a crash.
 // Later reports of the same crash by other entries do not count either.
 func (q *Quarantine) ClearStrike(now time.Time, fingerprint uint64) {
-	if totalWeight(q.activeStrikes(now, fingerprint)) < quarantineWeight {
+	if !q.isEnough(q.activeStrikes(now, fingerprint)) {
 		q.Absolve(now, fingerprint)
 	}
 }
@@ -218,12 +223,17 @@
 
 // expiryOf returns when the strikes expire.
 func (q *Quarantine) expiryOf(strikes []Strike) time.Time {
-	if totalWeight(strikes) < quarantineWeight {
+	if !q.isEnough(strikes) {
 		return lastStrikeAt(strikes).Add(q.config.StrikeTTL)
 	}
 	return lastStrikeAt(strikes).Add(q.config.QuarantineTTL)
 }
 
+// isEnough reports whether the strikes quarantine a request.
+func (q *Quarantine) isEnough(strikes []Strike) bool {
+	return totalWeight(strikes) >= q.config.QuarantineStrikes*strikeWeight
+}
+
 func totalWeight(strikes []Strike) int {
 	weight := 0
 	for _, s := range strikes {
--- a/sidecar/strikerelay.go
+++ b/sidecar/strikerelay.go
@@ -14,12 +14,16 @@
 // strikeRelay passes strikes between entries, which do not know each other's addresses.
 // It keeps them for entries that start.
 type strikeRelay struct {
-	register *strikes.Register
-	entries  *subscribers
+	ledger  *strikes.Ledger
+	entries *subscribers
 }
 
 func newStrikeRelay(entries *subscribers) *strikeRelay {
-	return &strikeRelay{register: strikes.NewRegister(routing.QuarantineConfig{}, time.Now), entries: entries}
+	ledger := &strikes.Ledger{
+		Requests: strikes.NewRegister(routing.QuarantineConfig{}, time.Now),
+		Parts:    strikes.NewPartRegister(routing.QuarantineConfig{}, time.Now),
+	}
+	return &strikeRelay{ledger: ledger, entries: entries}
 }
 
 // receive records the strikes of an entry, and returns the datagram to pass on and its
@@ -29,7 +33,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	news, _ := s.register.Merge(received)
+	news, _ := s.ledger.Merge(received)
 	if len(news) == 0 {
 		return nil, nil, nil
 	}
@@ -41,7 +45,7 @@
 
 // snapshot returns the datagram for an entry that has started, nil without strikes.
 func (s *strikeRelay) snapshot(fleetKey []byte) []byte {
-	known := s.register.Snapshot()
+	known := s.ledger.Snapshot()
 	if len(known) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/strikes/ledger.go
@@ -0,0 +1,37 @@
+package strikes
+
+import (
+	"slices"
+
+	"github.com/snipestep/snipestep/loadreport"
+)
+
+// Ledger holds the strikes against requests and those against parts of prompts.
+type Ledger struct {
+	Requests, Parts *Register
+}
+
+// Merge records the strikes of another process. It returns those that were new, and the
+// verdicts on the requests and parts that they put into quarantine.
+func (l *Ledger) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
+	for _, register := range []*Register{l.Parts, l.Requests} {
+		n, q := register.Merge(received)
+		news = append(news, n...)
+		quarantined = append(quarantined, q...)
+	}
+	return news, quarantined
+}
+
+// Snapshot returns up to loadreport.MaxStrikes strikes for a process that may know none.
+// Parts come first and take at most half, unless there are few requests.
+func (l *Ledger) Snapshot() loadreport.Strikes {
+	parts, requests := l.Parts.Snapshot(), l.Requests.Snapshot()
+	partCount := min(len(parts), max(loadreport.MaxStrikes/2, loadreport.MaxStrikes-len(requests)))
+	requestCount := min(len(requests), loadreport.MaxStrikes-partCount)
+	return slices.Concat(parts[:partCount], requests[:requestCount])
+}
+
+// Quarantined returns the number of requests and parts in quarantine.
+func (l *Ledger) Quarantined() int {
+	return l.Requests.Quarantined() + l.Parts.Quarantined()
+}
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -13,9 +13,12 @@
 	"github.com/snipestep/snipestep/routing"
 )
 
-// Register holds the strikes that one process knows. It is safe for concurrent use.
+// Register holds the strikes that one process knows, against requests or against parts of
+// prompts. It is safe for concurrent use.
 type Register struct {
 	now func() time.Time
+	// parts says that the strikes are against parts of prompts.
+	parts bool
 	// count is the number of fingerprints with strikes, so that requests are not
 	// serialised by mu while there are none.
 	count atomic.Int64
@@ -24,9 +27,11 @@
 	quarantine *routing.Quarantine
 }
 
-// Verdict is what the strikes of a request amount to.
+// Verdict is what the strikes of a request or part amount to.
 type Verdict struct {
 	Fingerprint uint64
+	// IsPart says that the verdict is on a part of prompts.
+	IsPart bool
 	// Crashes identify the crashes that speak against the request.
 	Crashes []string
 	// Refused says that the request is quarantined, for Remaining.
@@ -34,11 +39,18 @@
 	Remaining time.Duration
 }
 
-// NewRegister returns an empty register.
+// NewRegister returns an empty register of strikes against requests.
 func NewRegister(config routing.QuarantineConfig, now func() time.Time) *Register {
 	return &Register{now: now, quarantine: routing.NewQuarantine(config)}
 }
 
+// NewPartRegister returns an empty register of strikes against parts of prompts.
+func NewPartRegister(config routing.QuarantineConfig, now func() time.Time) *Register {
+	r := NewRegister(config, now)
+	r.parts = true
+	return r
+}
+
 // CrashOf returns the identifier of the crash of an endpoint. Each start of an endpoint
 // has its own ID, and so can crash once.
 func CrashOf(endpointID string) uint64 {
@@ -53,7 +65,7 @@
 // Verdict returns what the strikes of a request amount to.
 func (r *Register) Verdict(fingerprint uint64) Verdict {
 	if r.count.Load() == 0 {
-		return Verdict{Fingerprint: fingerprint}
+		return Verdict{Fingerprint: fingerprint, IsPart: r.parts}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,7 +73,7 @@
 }
 
 func (r *Register) verdict(now time.Time, fingerprint uint64) Verdict {
-	v := Verdict{Fingerprint: fingerprint}
+	v := Verdict{Fingerprint: fingerprint, IsPart: r.parts}
 	for _, s := range r.quarantine.Strikes(now, fingerprint) {
 		v.Crashes = append(v.Crashes, s.Crash)
 	}
@@ -81,7 +93,7 @@
 	if !isNew {
 		return nil, verdict
 	}
-	return loadreport.Strikes{{Fingerprint: fingerprint, Crash: crash, Late: late}}, verdict
+	return loadreport.Strikes{{Fingerprint: fingerprint, Part: r.parts, Crash: crash, Late: late}}, verdict
 }
 
 // Absolve clears the strikes of a request that ran to its end, and returns them to pass
@@ -96,14 +108,14 @@
 	now := r.now()
 	var absolved loadreport.Strikes
 	for _, s := range r.quarantine.Absolve(now, fingerprint) {
-		strike := outgoing(now, s)
+		strike := r.outgoing(now, s)
 		strike.Absolved = true
 		absolved = append(absolved, strike)
 	}
 	return absolved
 }
 
-// Merge records the strikes of another process. It returns those that were new, and the
+// Merge records the strikes of another process that are of this register's kind. It returns those that were new, and the
 // verdicts on the requests that they put into quarantine.
 func (r *Register) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
 	r.mu.Lock()
@@ -111,6 +123,9 @@
 	defer r.updateCount()
 	now := r.now()
 	for _, strike := range received {
+		if strike.Part != r.parts {
+			continue
+		}
 		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late}
 		if strike.Absolved {
 			if r.quarantine.AbsolveStrike(now, s) {
@@ -152,7 +167,7 @@
 	})
 	var snapshot loadreport.Strikes
 	for _, s := range known[:min(len(known), loadreport.MaxStrikes)] {
-		snapshot = append(snapshot, outgoing(now, s))
+		snapshot = append(snapshot, r.outgoing(now, s))
 	}
 	return snapshot
 }
@@ -174,8 +189,8 @@
 }
 
 // outgoing encodes a strike for other processes. Its crash is the text of CrashText.
-func outgoing(now time.Time, s routing.Strike) loadreport.Strike {
+func (r *Register) outgoing(now time.Time, s routing.Strike) loadreport.Strike {
 	// Only CrashText makes these texts, so that they parse.
 	crash, _ := strconv.ParseUint(s.Crash, 16, 64)
-	return loadreport.Strike{Fingerprint: s.Fingerprint, Crash: crash, Age: now.Sub(s.At), Late: s.Late}
+	return loadreport.Strike{Fingerprint: s.Fingerprint, Part: r.parts, Crash: crash, Age: now.Sub(s.At), Late: s.Late}
 }
