--- a/routing/parthistory.go
+++ b/routing/parthistory.go
@@ -15,6 +15,10 @@
 	// last one with it before the part is suspected. While all endpoints stand still no
 	// part is; a part of one in fifty prompts is silent for that long once in fifty times.
 	minSilence = 200
+	// minBegun is the number of requests that must have begun before a part that never did
+	// is suspected, unless another part of its prompt has begun. It tells a new part from
+	// one that is only new to a process that has just started.
+	minBegun = 50
 )
 
 // PartHistory knows which parts of prompts requests have begun to be answered with. A part
@@ -47,7 +51,7 @@
 // answer began: those with the longest silence, if that is unusual. Several parts have
 // the same silence if they never began or always began together.
 func (h *PartHistory) Suspects(parts []uint64) []uint64 {
-	if h.begun < minSilence && !slices.ContainsFunc(parts, h.begunAt.Contains) {
+	if h.begun < minBegun && !slices.ContainsFunc(parts, h.begunAt.Contains) {
 		return nil // The process has just started.
 	}
 	longest := uint64(0)
--- a/routing/parthistory_test.go
+++ b/routing/parthistory_test.go
@@ -22,7 +22,7 @@
 	h.RecordBegin([]uint64{common})
 	assert.DeepEqual(t, h.Suspects([]uint64{common, deadly}), []uint64{deadly})
 	assert.DeepEqual(t, h.Suspects([]uint64{deadly, common}), []uint64{deadly})
-	beginOthers(h, 2*minSilence)
+	beginOthers(h, minBegun)
 	assert.DeepEqual(t, h.Suspects([]uint64{common, deadly}), []uint64{deadly})
 	assert.DeepEqual(t, h.Suspects([]uint64{3, 4}), []uint64{3, 4})
 }
