--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -31,6 +31,8 @@
 type crashingEndpoints struct {
 	t       *testing.T
 	fixture *fixture
+	// beforeCrash, if set, is called before each crash.
+	beforeCrash func()
 
 	mu      sync.Mutex
 	crashed []string // The addresses of the crashed endpoints.
@@ -67,6 +69,9 @@
 			respondWith(soundResponse)(w, r)
 			return
 		}
+		if e.beforeCrash != nil {
+			e.beforeCrash()
+		}
 		e.mu.Lock()
 		e.crashes++
 		e.crashed = append(e.crashed, listener.Addr().String())
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/strikes"
 )
@@ -49,7 +50,7 @@
 // recordCrash records strikes against a request that an endpoint broke off and against the
 // parts of its prompt, if the endpoint has crashed.
 func (g *Gateway) recordCrash(ctx context.Context, req *request, attempt *endpointAttempt, err error) {
-	if req.fingerprint == 0 || attempt.endpoint == nil || !isConnectionLost(err) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
+	if attempt.endpoint == nil || !isConnectionLost(err) || g.isLeaving(attempt.endpoint) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
 		return
 	}
 	crash := strikes.CrashOf(attempt.endpoint.ID)
@@ -70,6 +71,13 @@
 	}
 }
 
+// isLeaving reports whether an endpoint that was listed is draining or no longer listed:
+// it ends as planned, with the requests that it has not finished.
+func (g *Gateway) isLeaving(endpoint *directory.Endpoint) bool {
+	listed := g.deps.Directory.View().Endpoints[endpoint.ID]
+	return listed == nil || listed.Draining
+}
+
 // recordServed absolves a request that an endpoint ran to its end.
 func (g *Gateway) recordServed(req *request) {
 	absolved := g.strikes.Requests.Absolve(req.fingerprint)
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -72,6 +72,24 @@
 	}
 }
 
+// Guards against blame for endpoints that leave as planned with requests still open: a
+// release ends one after the other.
+func TestEndOfLeavingEndpointIsNoCrash(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 1)
+	endpoints.beforeCrash = func() {
+		for _, e := range f.directory.View().Endpoints {
+			leaving := *e
+			leaving.Draining = true
+			f.directory.PutEndpoint(&leaving)
+		}
+	}
+	response, _, err := f.send(t, "/once/", withBody(deadlyBody))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, len(f.gateway.strikeNews.take()), 0)
+}
+
 // Guards against a second entry that starts from nothing with a request that has crashed
 // endpoints at the first one.
 func TestQuarantineHoldsAtOtherEntries(t *testing.T) {
