--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -111,6 +111,7 @@
 	retryAfter, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	assert.NilError(t, err)
 	assert.Assert(t, retryAfter > maxRetryAfter.Seconds(), "it is no use to come back within %v s", retryAfter)
+	assert.Assert(t, retryAfter <= trialAfter.Seconds(), "the request may run again after %v", trialAfter)
 }
 
 // Guards against sound requests that stay suspects: they run at other endpoints after a
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -53,9 +53,9 @@
 		after := r.retryAfter
 		if !r.retryAfterIsExact {
 			after = min(max(after, minRetryAfter), maxRetryAfter)
+			// Jitter keeps callers from retrying at the same time.
+			after += time.Duration(g.random.uniform() * float64(after) / 2)
 		}
-		// Jitter keeps callers from retrying at the same time.
-		after += time.Duration(g.random.uniform() * float64(after) / 2)
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.Header()["Content-Type"] = nil
