--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	// to pass on.
 	strikes    *strikes.Ledger
 	strikeNews *strikeNews
+	trials     *trialGate
 	crashes    *crashDetector
 	draining   atomic.Bool
 	rejecting  atomic.Bool
@@ -50,9 +51,9 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), crashes: newCrashDetector(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), crashes: newCrashDetector(), startedAt: time.Now()}
 	g.strikes = &strikes.Ledger{
-		Requests: strikes.NewRegister(quarantineConfig(), time.Now),
+		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
 	}
 	g.services.Store(&map[string]*service{})
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -37,6 +37,7 @@
 		ctx, cancel = context.WithDeadline(ctx, req.deadline)
 	}
 	defer cancel()
+	defer g.trials.end(req)
 	req.service.retryBudget.recordRequest()
 	if req.route.Kind == directory.Streaming {
 		g.serveStream(ctx, w, r, req)
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -15,8 +15,9 @@
 	partQuarantineStrikes = 3
 	// partProvenStrikes is the number of strikes from which a part gets no trial.
 	partProvenStrikes = 5
-	// partTrialSpread is the span over which entries spread their trials of a part, so that
-	// the first one can tell the others: its requests come at all entries.
+	// partTrialAfter and partTrialSpread are trialAfter and trialSpread for a part, shorter
+	// since a mistake refuses sound callers.
+	partTrialAfter  = 20 * time.Second
 	partTrialSpread = 20 * time.Second
 )
 
@@ -25,14 +26,14 @@
 	return routing.QuarantineConfig{
 		QuarantineStrikes: partQuarantineStrikes,
 		ProvenStrikes:     partProvenStrikes,
-		TrialAfter:        trialAfter + time.Duration(random.uniform()*float64(partTrialSpread)),
+		TrialAfter:        partTrialAfter + random.upTo(partTrialSpread),
 	}
 }
 
 // checkParts returns *QuarantinedError for a request with a part that must not be sent on.
 func (g *Gateway) checkParts(req *request) error {
 	for i, fingerprint := range req.partFingerprints {
-		if verdict := g.strikes.Parts.Verdict(fingerprint); verdict.Refused {
+		if verdict := g.strikes.Parts.Verdict(fingerprint); g.isRefused(req, &verdict) {
 			return &QuarantinedError{Verdict: verdict, Part: req.metadata.SharedParts[i]}
 		}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -29,24 +29,41 @@
 		culprit, strings.Join(e.Verdict.Crashes, ", "), e.Verdict.Remaining.Round(time.Millisecond))
 }
 
-// trialAfter is when a request that was running at two crashes may run once more. Two
-// endpoints may crash for another reason while the same request runs at both, and a
-// caller whose sound request is refused should not wait as long as for a proven one.
-const trialAfter = 20 * time.Second
+const (
+	// trialAfter is when a request that was running at two crashes may run once more. Two
+	// endpoints may crash for another reason while the same request runs at both, and a
+	// caller whose sound request is refused should not wait as long as for a proven one.
+	trialAfter = time.Minute
+	// trialSpread is the span over which entries spread their trials of a request, so that
+	// the first one can tell the others: it may come at all entries.
+	trialSpread = time.Minute
+	// trialRetryAfter is sent while another request runs as the trial.
+	trialRetryAfter = time.Second
+)
 
 // quarantineConfig returns the configuration of the strikes against requests.
-func quarantineConfig() routing.QuarantineConfig {
-	return routing.QuarantineConfig{TrialAfter: trialAfter}
+func quarantineConfig(random *randomSource) routing.QuarantineConfig {
+	return routing.QuarantineConfig{TrialAfter: trialAfter + random.upTo(trialSpread)}
 }
 
 // checkQuarantine returns *QuarantinedError for a request that must not be sent on.
 func (g *Gateway) checkQuarantine(req *request) error {
-	if verdict := g.strikes.Requests.Verdict(req.fingerprint); verdict.Refused {
+	if verdict := g.strikes.Requests.Verdict(req.fingerprint); g.isRefused(req, &verdict) {
 		return &QuarantinedError{Verdict: verdict}
 	}
 	return g.checkParts(req)
 }
 
+// isRefused reports whether a verdict refuses a request. After a quarantine without proof
+// it refuses all but one at a time.
+func (g *Gateway) isRefused(req *request, verdict *strikes.Verdict) bool {
+	if verdict.OnTrial && !g.trials.start(req, verdict.Fingerprint) {
+		verdict.Remaining = trialRetryAfter
+		return true
+	}
+	return verdict.Refused
+}
+
 // recordCrash records strikes against a request that an endpoint broke off and against the
 // parts of its prompt, if the endpoint has crashed.
 func (g *Gateway) recordCrash(ctx context.Context, req *request, attempt *endpointAttempt, err error) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -28,8 +28,10 @@
 	fingerprint uint64
 	// partFingerprints are those of metadata.SharedParts.
 	partFingerprints []uint64
-	arrivedAt        time.Time
-	deadline         time.Time // Zero for none.
+	// trials are the fingerprints for which the request holds the trial.
+	trials    []uint64
+	arrivedAt time.Time
+	deadline  time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
 	// endpointsReached counts the endpoints to which a connection was made.
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -106,6 +106,13 @@
 	return max(remaining, 0), remaining > 0
 }
 
+// OnTrial reports whether the quarantine of a request has ended, while its strikes still
+// count.
+func (q *Quarantine) OnTrial(now time.Time, fingerprint uint64) bool {
+	strikes := q.activeStrikes(now, fingerprint)
+	return q.isEnough(strikes) && !now.Before(q.refusedUntil(strikes))
+}
+
 // refusedUntil returns when the quarantine for the strikes ends, the zero time if they
 // are too few for one.
 func (q *Quarantine) refusedUntil(strikes []Strike) time.Time {
--- a/routing/quarantine_test.go
+++ b/routing/quarantine_test.go
@@ -81,6 +81,7 @@
 	trial := epoch.Add(trialAfter)
 	_, refused = q.Refused(trial, 1)
 	assert.Assert(t, !refused && q.IsSuspect(trial, 1))
+	assert.Assert(t, q.OnTrial(trial, 1) && !q.OnTrial(epoch, 1) && !q.OnTrial(trial, 2))
 
 	q.RecordStrike(trial, strikeAt("crash-3", trial))
 	remaining, refused = q.Refused(trial, 1)
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -37,6 +37,8 @@
 	// Refused says that the request is quarantined, for Remaining.
 	Refused   bool
 	Remaining time.Duration
+	// OnTrial says that its quarantine has ended without a proof of either.
+	OnTrial bool
 }
 
 // NewRegister returns an empty register of strikes against requests.
@@ -78,6 +80,7 @@
 		v.Crashes = append(v.Crashes, s.Crash)
 	}
 	v.Remaining, v.Refused = r.quarantine.Refused(now, fingerprint)
+	v.OnTrial = r.quarantine.OnTrial(now, fingerprint)
 	return v
 }
 
