--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -187,12 +188,17 @@
 // Guards against entries that all try a quarantined request again at once, and against
 // several trials at one entry: each costs an endpoint if the request is deadly.
 func TestOneTrialRunsAtATime(t *testing.T) {
-	arrived, proceed := make(chan struct{}, 1), make(chan struct{})
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	var runs atomic.Int64
 	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
-		arrived <- struct{}{}
-		<-proceed
+		if runs.Add(1) == 1 {
+			close(arrived)
+			<-proceed
+		}
 		respondWith(soundResponse)(w, r)
 	})
+	release := sync.OnceFunc(func() { close(proceed) })
+	t.Cleanup(release)
 	f.gateway.strikes.Requests = strikes.NewRegister(routing.QuarantineConfig{TrialAfter: time.Nanosecond}, time.Now)
 	fingerprint := fingerprintOf("/once/")
 	f.gateway.strikes.Requests.Strike(fingerprint, 1, false)
@@ -206,7 +212,7 @@
 	go func() { trial <- send() }()
 	<-arrived
 	assert.Equal(t, send(), http.StatusServiceUnavailable)
-	close(proceed)
+	release()
 	assert.Equal(t, <-trial, http.StatusOK)
 	assert.Equal(t, send(), http.StatusOK, "the trial has absolved the request")
 
