--- a/gateway/crashdetector.go
+++ b/gateway/crashdetector.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/strikes"
 )
 
 const (
@@ -30,45 +31,46 @@
 	probes singleflight.Group
 
 	mu sync.Mutex
-	// crashed holds the IDs of endpoints that are known to have crashed.
-	crashed map[string]bool
+	// crashed holds the known crashes, as of strikes.CrashOf.
+	crashed map[uint64]bool
 }
 
 func newCrashDetector() *crashDetector {
-	return &crashDetector{crashed: make(map[string]bool)}
+	return &crashDetector{crashed: make(map[uint64]bool)}
 }
 
 // isCrashed reports whether an endpoint has crashed. It blocks for up to
 // crashProbeTimeout; calls for the same endpoint share one probe.
 func (d *crashDetector) isCrashed(ctx context.Context, endpoint *directory.Endpoint) bool {
-	if d.isKnown(endpoint.ID) {
+	crash := strikes.CrashOf(endpoint.ID, endpoint.StartedUnixMS)
+	if d.isKnown(crash) {
 		return true
 	}
-	refused, _, _ := d.probes.Do(endpoint.ID, func() (any, error) {
+	refused, _, _ := d.probes.Do(strikes.CrashText(crash), func() (any, error) {
 		probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
 		defer cancel()
 		return refusesConnections(probeCtx, endpoint.Address), nil
 	})
 	if crashed, _ := refused.(bool); crashed {
-		d.remember(endpoint.ID)
+		d.remember(crash)
 		return true
 	}
 	return false
 }
 
-func (d *crashDetector) isKnown(endpointID string) bool {
+func (d *crashDetector) isKnown(crash uint64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.crashed[endpointID]
+	return d.crashed[crash]
 }
 
-func (d *crashDetector) remember(endpointID string) {
+func (d *crashDetector) remember(crash uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.crashed) >= maxKnownCrashes {
 		clear(d.crashed)
 	}
-	d.crashed[endpointID] = true
+	d.crashed[crash] = true
 }
 
 // refusesConnections reports whether the instance at an address is up and nothing listens
--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -31,6 +31,8 @@
 type crashingEndpoints struct {
 	t       *testing.T
 	fixture *fixture
+	// keepIDs says that an endpoint keeps its ID when it starts again.
+	keepIDs bool
 	// beforeCrash, if set, is called before each crash.
 	beforeCrash func()
 
@@ -44,13 +46,13 @@
 	t.Helper()
 	e := &crashingEndpoints{t: t, fixture: f}
 	for range count {
-		e.start("127.0.0.1:0")
+		f.addEndpoint(e.start("127.0.0.1:0"))
 	}
 	return e
 }
 
-// start starts an endpoint at an address and lists it.
-func (e *crashingEndpoints) start(address string) {
+// start starts an endpoint at an address, and returns the address with its port.
+func (e *crashingEndpoints) start(address string) string {
 	e.t.Helper()
 	var config net.ListenConfig
 	listener, err := config.Listen(e.t.Context(), "tcp", address)
@@ -80,7 +82,7 @@
 	})
 	go func() { _ = server.Serve(listener) }()
 	e.t.Cleanup(func() { _ = server.Close() })
-	e.fixture.addEndpoint(listener.Addr().String())
+	return listener.Addr().String()
 }
 
 // writeNextEvent sends the event that follows the last one of the request.
@@ -91,7 +93,7 @@
 	_ = http.NewResponseController(w).Flush()
 }
 
-// restartCrashed starts the crashed endpoints again.
+// restartCrashed starts the crashed endpoints again, under new IDs unless keepIDs is set.
 func (e *crashingEndpoints) restartCrashed() {
 	e.t.Helper()
 	e.mu.Lock()
@@ -100,6 +102,22 @@
 	e.mu.Unlock()
 	for _, address := range crashed {
 		e.start(address)
+		if e.keepIDs {
+			e.listAgain(address)
+		} else {
+			e.fixture.addEndpoint(address)
+		}
+	}
+}
+
+// listAgain lists the endpoint at an address as started again under its ID.
+func (e *crashingEndpoints) listAgain(address string) {
+	for _, endpoint := range e.fixture.directory.View().LatestEndpoints() {
+		if endpoint.Address == address {
+			started := *endpoint
+			started.StartedUnixMS++
+			e.fixture.directory.PutEndpoint(&started)
+		}
 	}
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -70,7 +70,7 @@
 	if attempt.endpoint == nil || !isConnectionLost(err) || g.isLeaving(attempt.endpoint) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
 		return
 	}
-	crash := strikes.CrashOf(attempt.endpoint.ID)
+	crash := strikes.CrashOf(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
 	if !attempt.answering {
 		g.recordPartCrash(req, crash)
 	}
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -55,6 +55,21 @@
 	}
 }
 
+// Guards against an endpoint that starts again under its ID: its crashes counted once, so
+// that a service with one endpoint got no second strike.
+func TestEndpointThatKeepsItsIDMayCrashAgain(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 1)
+	endpoints.keepIDs = true
+	for range 2 {
+		_, _, err := f.send(t, "/once/", withBody(deadlyBody))
+		assert.NilError(t, err)
+		endpoints.restartCrashed()
+	}
+	assert.Equal(t, endpoints.crashCount(), 2)
+	assert.Equal(t, f.gateway.strikes.Quarantined(), 1)
+}
+
 // Guards against quarantine by connections that were only lost: links and endpoints break
 // answers off without a crash.
 func TestLostConnectionsQuarantineNobody(t *testing.T) {
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -53,10 +53,10 @@
 	return r
 }
 
-// CrashOf returns the identifier of the crash of an endpoint. Each start of an endpoint
-// has its own ID, and so can crash once.
-func CrashOf(endpointID string) uint64 {
-	return xxhash.Sum64String(endpointID)
+// CrashOf returns the identifier of the crash of an endpoint. An endpoint may start again
+// under its ID, so that its start time, in Unix milliseconds, is a part of it.
+func CrashOf(endpointID string, startedUnixMS int64) uint64 {
+	return xxhash.Sum64String(endpointID + " " + strconv.FormatInt(startedUnixMS, 10))
 }
 
 // CrashText returns the identifier of a crash for logs.
@@ -118,8 +118,8 @@
 	return absolved
 }
 
-// Merge records the strikes of another process that are of this register's kind. It returns those that were new, and the
-// verdicts on the requests that they put into quarantine.
+// Merge records the strikes of another process that are of this register's kind. It returns
+// those that were new, and the verdicts on the requests that they put into quarantine.
 func (r *Register) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
