--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -45,6 +45,25 @@
 	assert.Assert(t, endpoints.crashCount() <= maxCrashesBeforePartQuarantine, "%d endpoints crashed", endpoints.crashCount())
 }
 
+// Guards against blame for the parts beside a deadly one when no sound request comes between
+// its crashes.
+func TestPartBesideADeadlyOneIsNotQuarantined(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 3)
+	send := func(body string, parts ...string) int {
+		response, _, err := f.send(t, "/stream/", withParts(body, parts...))
+		assert.NilError(t, err)
+		endpoints.restartCrashed()
+		return response.StatusCode
+	}
+	assert.Equal(t, send("first", "common"), http.StatusOK)
+	for i := range 5 {
+		send(fmt.Sprint("request ", i), "common", deadlyPart)
+	}
+	assert.Equal(t, send("request", "common", deadlyPart), http.StatusServiceUnavailable)
+	assert.Equal(t, send("sound", "common"), http.StatusOK)
+}
+
 // Guards against a second entry that sends requests with a quarantined part on, and against
 // engines at which they wait already.
 func TestPartQuarantineHoldsAtOtherEntries(t *testing.T) {
