--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -85,6 +85,19 @@
 	return listener.Addr().String()
 }
 
+// silentEndpoint returns an endpoint that never answers its only request. It closes reached
+// when the request has arrived, and left when the gateway has withdrawn it.
+func silentEndpoint() (handler http.HandlerFunc, reached, left chan struct{}) {
+	reached, left = make(chan struct{}), make(chan struct{})
+	handler = func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // The server notices that a caller leaves only after the body.
+		close(reached)
+		<-r.Context().Done()
+		close(left)
+	}
+	return handler, reached, left
+}
+
 // writeNextEvent sends the event that follows the last one of the request.
 func writeNextEvent(w http.ResponseWriter, r *http.Request) {
 	last, _ := strconv.Atoi(r.Header.Get("Last"))
--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -67,13 +66,8 @@
 // Guards against a second entry that sends requests with a quarantined part on, and against
 // engines at which they wait already.
 func TestPartQuarantineHoldsAtOtherEntries(t *testing.T) {
-	reached, left := make(chan struct{}), make(chan struct{})
-	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body) // The server notices that a caller leaves only after the body.
-		close(reached)
-		<-r.Context().Done()
-		close(left)
-	})
+	endpoint, reached, left := silentEndpoint()
+	f := newFixture(t, endpoint)
 	done := make(chan int)
 	go func() {
 		response, _, _ := f.send(t, "/stream/", withParts("waiting", "common", deadlyPart))
--- a/gateway/quarantine_test.go
+++ b/gateway/quarantine_test.go
@@ -166,13 +166,8 @@
 // Guards against the crash of endpoints at which a quarantined stream waits already: it is
 // withdrawn from there.
 func TestQuarantineWithdrawsWaitingStreams(t *testing.T) {
-	reached, left := make(chan struct{}), make(chan struct{})
-	f := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(io.Discard, r.Body) // The server notices that a caller leaves only after the body.
-		close(reached)
-		<-r.Context().Done()
-		close(left)
-	})
+	endpoint, reached, left := silentEndpoint()
+	f := newFixture(t, endpoint)
 	done := make(chan int)
 	go func() {
 		response, _, _ := f.send(t, "/stream/", nil)
