Add failing tests of versions that are dated too late

Callers see requests that run on an outdated version: a process dates a declared version by when it read it. If its watch hears nothing for a while and the store is up, the version counts from the end of that time, and an entry sends requests to engines with older versions for as much longer. Likewise a known time replaces an estimated one also if it is later.

The tests fail: versions before version 2 are still allowed one version bound after the last answer of the store that did not name it.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -265,3 +265,21 @@
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-2000)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-2000))
 }
+
+// Guards against requests that begin on an outdated version because a time at which
+// another process learnt of the new one replaces an earlier one.
+func TestLaterTimeOfADeclarationDoesNotReplaceAnEarlierOne(t *testing.T) {
+	for name, learnLater := range map[string]func(*directory.Directory){
+		"from a report": func(d *directory.Directory) {
+			d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(900)})
+		},
+		"from the store": func(d *directory.Directory) { d.SetDeclaredVersion(at(900), "m", 2, directory.Known) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDirectory()
+			d.SetDeclaredVersion(at(0), "m", 2, directory.Estimated)
+			learnLater(d)
+			assert.Equal(t, d.View().DeclaredVersion("m").Required(at(8000), 8*time.Second), uint64(2))
+		})
+	}
+}
