--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/gateway"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/internal/daemon"
 	"github.com/snipestep/snipestep/platform"
 	"github.com/snipestep/snipestep/settings"
@@ -39,6 +40,7 @@
 		Directory:   deployment,
 		HeaderCodec: platform.HeaderCodec{},
 		Transport:   platform.NewTransport(endpointIdleTimeout, maxIdleConnsPerEndpoint),
+		Now:         bootclock.Now,
 		Logger:      t.Logger,
 		Scope:       t.Scope,
 	})
--- a/directory/declaration.go
+++ b/directory/declaration.go
@@ -2,37 +2,104 @@
 
 import "time"
 
-// Declaration is one declared version of a model.
+// Declaration is one declared version of a model, with the bounds on when it was
+// declared. The store tells no times, so that each process knows only when it read the
+// version and when it last had an answer without it. All times are those of bootclock.
 type Declaration struct {
 	Version uint64
-	// DeclaredAt is the earliest known time at which a process learnt of the
-	// version, on this process's monotonic clock.
-	DeclaredAt time.Time
-	// Certainty says how far DeclaredAt is known.
-	Certainty Certainty
-	// NotAfter is when this process read a version that was declared before it
-	// started, zero for others. No later DeclaredAt can be right.
+	// NotBefore is the latest time at which the version is known not to have been
+	// declared, zero if there is none.
+	NotBefore time.Time
+	// NotAfter is the earliest time at which a process is known to have read the
+	// version.
 	NotAfter time.Time
+	// StoreAwayUntil is the start of the last failed call before this process read the
+	// version, if the store was away by more than one call; else zero.
+	StoreAwayUntil time.Time
+	// GuessedAt stands in for NotBefore in a process that started after the
+	// declaration, until other processes report it; zero in others.
+	GuessedAt time.Time
 }
 
-// declaredAtTolerance is how much earlier a reported declaration time must be to
-// replace the known one: ages are reported in steps of 100 ms.
-const declaredAtTolerance = 150 * time.Millisecond
+const (
+	// notAfterTolerance is how much earlier a reported NotAfter must be to count: ages
+	// are reported in milliseconds, and the delays of datagrams vary.
+	notAfterTolerance = 20 * time.Millisecond
+	// notBeforeTolerance is how much later a reported NotBefore must be to count.
+	notBeforeTolerance = 100 * time.Millisecond
+	// contradictionTolerance is how far bounds of two processes may contradict each other
+	// by the delays of datagrams. A NotBefore that lies further after the time at which
+	// this process read the version is wrong.
+	contradictionTolerance = 500 * time.Millisecond
+)
 
-// lateTolerance is how much later than NotAfter a reported time may be: reports are
-// truncated to 100 ms at each process that passes them on, and an entry notices a
-// change up to 250 ms late.
-const lateTolerance = 500 * time.Millisecond
+// CountsFrom returns the time from which the version bound counts for requests. That is
+// the earliest possible time of the declaration, except that it skips an outage of the
+// store in which no process read the version.
+func (d Declaration) CountsFrom() time.Time {
+	from := latest(d.NotBefore, d.StoreAwayUntil)
+	if from.IsZero() {
+		from = d.GuessedAt
+	}
+	if from.IsZero() {
+		return d.NotAfter
+	}
+	return earliest(from, d.NotAfter)
+}
 
-// refinedBy reports whether the time in a declaration of the same version replaces
-// this one: a more certain time does, otherwise the earlier one wins. A time after
-// NotAfter is that of a process which learnt of the version late.
+// ScheduledFrom returns the time from which the switches of the engines are scheduled:
+// the same at all processes that read the version at the same time.
+func (d Declaration) ScheduledFrom() time.Time {
+	if d.NotBefore.IsZero() && !d.GuessedAt.IsZero() {
+		return earliest(d.GuessedAt, d.NotAfter)
+	}
+	return d.NotAfter
+}
+
+// refinedBy reports whether the bounds of another declaration of the same version
+// narrow those of this one by more than the tolerances.
 func (d Declaration) refinedBy(other Declaration) bool {
-	if !d.NotAfter.IsZero() && other.DeclaredAt.After(d.NotAfter.Add(lateTolerance)) {
-		return false
+	if !other.NotBefore.IsZero() && (d.NotBefore.IsZero() || other.NotBefore.After(d.NotBefore.Add(notBeforeTolerance))) {
+		return true
+	}
+	return other.NotAfter.Before(d.NotAfter.Add(-notAfterTolerance))
+}
+
+// intersect returns this declaration with its bounds narrowed by those of another one
+// of the same version.
+func (d Declaration) intersect(other Declaration) Declaration {
+	d.NotAfter = earliest(d.NotAfter, other.NotAfter)
+	if !other.NotBefore.After(d.NotAfter.Add(contradictionTolerance)) {
+		d.NotBefore = earliest(latest(d.NotBefore, other.NotBefore), d.NotAfter)
+	}
+	d.StoreAwayUntil = latest(d.StoreAwayUntil, other.StoreAwayUntil)
+	return d
+}
+
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// LogFields returns log fields for the time since the declaration, in milliseconds: at
+// least age_ms, at most max_age_ms, which is left out if unknown. counted_ms is the time
+// that the version bound counts.
+func (d Declaration) LogFields(now time.Time) []any {
+	fields := []any{"age_ms", now.Sub(d.NotAfter).Milliseconds(), "counted_ms", now.Sub(d.CountsFrom()).Milliseconds()}
+	if !d.NotBefore.IsZero() {
+		fields = append(fields, "max_age_ms", now.Sub(d.NotBefore).Milliseconds())
 	}
-	if d.Certainty != other.Certainty {
-		return other.Certainty < d.Certainty
+	if !d.StoreAwayUntil.IsZero() {
+		fields = append(fields, "store_away_until_ms", now.Sub(d.StoreAwayUntil).Milliseconds())
 	}
-	return other.DeclaredAt.Before(d.DeclaredAt.Add(-declaredAtTolerance))
+	return fields
 }
--- a/directory/declaredversion.go
+++ b/directory/declaredversion.go
@@ -35,11 +35,11 @@
 	}
 }
 
-// Required returns the newest version that was declared at least bound ago, and
+// Required returns the newest version that may have been declared bound ago, and
 // FirstVersion if there is none: requests may no longer start on older ones.
 func (d DeclaredVersion) Required(now time.Time, bound time.Duration) uint64 {
 	for _, declaration := range d.Declarations() {
-		if now.Sub(declaration.DeclaredAt) >= bound {
+		if now.Sub(declaration.CountsFrom()) >= bound {
 			return declaration.Version
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/snipestep/snipestep/internal/bootclock"
 )
 
 // missingGrace is how long after an outage of the store an endpoint that is missing
@@ -73,62 +75,50 @@
 }
 
 // SetInitialVersion records a version of a model that the first read of the store names.
-// Until another process reports its age, it is taken to be assumedAge old.
+// Until another process reports when it was declared, it is taken to be assumedAge old.
 func (d *Directory) SetInitialVersion(readAt time.Time, model string, version uint64, assumedAge time.Duration) {
-	d.setDeclaration(model, Declaration{Version: version, DeclaredAt: readAt.Add(-assumedAge), Certainty: Guessed, NotAfter: readAt})
-}
-
-// SetDeclaredVersion records a version of a model that the store names later. certainty
-// says how far declaredAt is known. For a version that is already known it takes
-// effect only if it is known now and was estimated before.
-func (d *Directory) SetDeclaredVersion(declaredAt time.Time, model string, version uint64, certainty Certainty) {
-	d.setDeclaration(model, Declaration{Version: version, DeclaredAt: declaredAt, Certainty: certainty})
+	d.SetDeclaration(model, Declaration{Version: version, NotAfter: readAt, GuessedAt: readAt.Add(-assumedAge)})
 }
 
-// setDeclaration records a declaration from the store.
-func (d *Directory) setDeclaration(model string, declaration Declaration) {
+// SetDeclaration records a version of a model that this process reads from the store for
+// the first time. It may be known from reports of others.
+func (d *Directory) SetDeclaration(model string, declaration Declaration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, found := d.current.Load().DeclaredVersions[model].find(declaration.Version)
-	switch {
-	case !found:
+	if !found {
 		d.addDeclaration(model, declaration)
-	case known.Certainty == Estimated && declaration.Certainty == Known:
-		d.refineDeclaration(model, declaration)
+		return
 	}
+	d.refineDeclaration(model, known.intersect(declaration))
 }
 
 // MergeDeclaration merges a declaration reported by another process. It takes effect
-// if the version is unknown here and recent enough to be kept, or if its time is more
-// certain or clearly earlier because the version arrived here late. Superseded versions
-// are merged too.
+// if the version is unknown here and recent enough to be kept, or if it narrows the
+// bounds of its time. Superseded versions are merged too.
 func (d *Directory) MergeDeclaration(model string, reported Declaration) {
 	if reported.Version <= FirstVersion || !d.View().DeclaredVersions[model].improvedBy(reported) {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.current.Load().DeclaredVersions[model]
-	if !known.improvedBy(reported) {
+	declared := d.current.Load().DeclaredVersions[model]
+	if !declared.improvedBy(reported) {
 		return
 	}
-	if _, found := known.find(reported.Version); !found {
-		d.addDeclaration(model, reported)
+	if known, found := declared.find(reported.Version); found {
+		d.refineDeclaration(model, known.intersect(reported))
 		return
 	}
-	d.refineDeclaration(model, reported)
+	d.addDeclaration(model, reported)
 }
 
-// refineDeclaration replaces the time of a version that is known. The caller holds d.mu.
+// refineDeclaration replaces the bounds of a version that is known. The caller holds
+// d.mu.
 func (d *Directory) refineDeclaration(model string, refined Declaration) {
-	known := d.current.Load().DeclaredVersions[model]
-	previous, _ := known.find(refined.Version)
-	refined.NotAfter = previous.NotAfter
-	if !refined.NotAfter.IsZero() && refined.DeclaredAt.After(refined.NotAfter) {
-		refined.DeclaredAt = refined.NotAfter
-	}
-	d.logger.Info("age of a declared version learnt", "model", model, "version", refined.Version, "age_ms", time.Since(refined.DeclaredAt).Milliseconds(), "certainty", refined.Certainty.String())
-	d.replaceDeclaredVersion(model, known.with(refined))
+	fields := []any{"model", model, "version", refined.Version}
+	d.logger.Info("age of a declared version learnt", append(fields, refined.LogFields(bootclock.Now())...)...)
+	d.replaceDeclaredVersion(model, d.current.Load().DeclaredVersions[model].with(refined))
 }
 
 // addDeclaration adds the declaration of a version that is not known yet. The caller
@@ -143,8 +133,8 @@
 	if next.Version != added.Version {
 		message = "superseded version learnt"
 	}
-	d.logger.Info(message, "model", model, "version", added.Version, "previous", next.Previous().Version, "newest", next.Version,
-		"age_ms", time.Since(added.DeclaredAt).Milliseconds(), "certainty", added.Certainty.String())
+	fields := []any{"model", model, "version", added.Version, "previous", next.Previous().Version, "newest", next.Version}
+	d.logger.Info(message, append(fields, added.LogFields(bootclock.Now())...)...)
 	d.replaceDeclaredVersion(model, next)
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
 var (
@@ -57,40 +58,40 @@
 func TestDeclaredVersionOnlyIncreasesAndKeepsPrevious(t *testing.T) {
 	d := newDirectory()
 	assert.Equal(t, d.View().DeclaredVersion("m").Version, uint64(directory.FirstVersion))
-	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
-	d.SetDeclaredVersion(at(100), "m", 3, directory.Known)
-	d.SetDeclaredVersion(at(200), "m", 2, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(2, at(0)))
+	d.SetDeclaration("m", versiontest.Declared(3, at(100)))
+	d.SetDeclaration("m", versiontest.Declared(2, at(200)))
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, declared.Version, uint64(3))
-	assert.Equal(t, declared.Previous(), directory.Declaration{Version: 2, DeclaredAt: at(0)})
+	assert.Equal(t, declared.Previous(), versiontest.Declared(2, at(0)))
 }
 
 func TestEstimatedDeclarationTimeIsReplacedByReportedOne(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(-5000), "m", 2, directory.Guessed)
-	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-5000))
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-1000))
-	assert.Assert(t, d.View().DeclaredVersion("m").Certainty == directory.Known)
+	d.SetInitialVersion(at(0), "m", 2, 5*time.Second)
+	d.MergeDeclaration("m", versiontest.Declared(1, at(0)))
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(-5000))
+	d.MergeDeclaration("m", versiontest.Declared(2, at(-1000)))
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(-1000))
+	assert.Equal(t, d.View().DeclaredVersion("m").ScheduledFrom(), at(-1000))
 }
 
 // A large document can delay the watch of one process, so that it learns of a
 // version later than others.
 func TestEarliestReportedDeclarationTimeWins(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-100)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(0), "difference is within the resolution of reported ages")
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-900)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-900))
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-900), "the earliest reported time counts")
-	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(500)})
+	d.SetDeclaration("m", versiontest.Declared(2, at(0)))
+	d.MergeDeclaration("m", versiontest.Declared(2, at(-15)))
+	assert.Equal(t, d.View().DeclaredVersion("m").NotAfter, at(0), "difference is within the variation of the delays of reports")
+	d.MergeDeclaration("m", versiontest.Declared(2, at(-900)))
+	assert.Equal(t, d.View().DeclaredVersion("m").NotAfter, at(-900))
+	d.MergeDeclaration("m", versiontest.Declared(2, at(0)))
+	assert.Equal(t, d.View().DeclaredVersion("m").NotAfter, at(-900), "the earliest reported time counts")
+	d.MergeDeclaration("m", versiontest.Declared(3, at(500)))
 	assert.Equal(t, d.View().DeclaredVersion("m").Version, uint64(3))
-	d.SetDeclaredVersion(at(1500), "m", 3, directory.Known)
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(500))
-	d.MergeDeclaration("other", directory.Declaration{Version: 1, DeclaredAt: at(0)})
+	d.SetDeclaration("m", versiontest.Declared(3, at(1500)))
+	assert.Equal(t, d.View().DeclaredVersion("m").NotAfter, at(500))
+	d.MergeDeclaration("other", versiontest.Declared(1, at(0)))
 	_, known := d.View().DeclaredVersions["other"]
 	assert.Assert(t, !known, "the first version needs no declaration")
 }
@@ -139,15 +140,15 @@
 // never learnt of it, or learnt of it late.
 func TestReportedDeclarationsOfSupersededVersionsAreMerged(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(3000), "m", 4, directory.Known)
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(0)})
-	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2500), Certainty: directory.Estimated})
-	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(2000)})
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Certainty: directory.Estimated})
-	d.MergeDeclaration("m", directory.Declaration{Version: 1, DeclaredAt: at(0)})
+	d.SetDeclaration("m", versiontest.Declared(4, at(3000)))
+	d.MergeDeclaration("m", versiontest.Declared(2, at(0)))
+	d.MergeDeclaration("m", directory.Declaration{Version: 3, NotAfter: at(2500)})
+	d.MergeDeclaration("m", versiontest.Declared(3, at(2000)))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotBefore: at(-1000), NotAfter: at(1000)})
+	d.MergeDeclaration("m", versiontest.Declared(1, at(0)))
 	assert.DeepEqual(t, d.View().DeclaredVersion("m"), directory.DeclaredVersion{
-		Declaration: directory.Declaration{Version: 4, DeclaredAt: at(3000)},
-		Superseded:  []directory.Declaration{{Version: 3, DeclaredAt: at(2000)}, {Version: 2, DeclaredAt: at(0)}},
+		Declaration: versiontest.Declared(4, at(3000)),
+		Superseded:  []directory.Declaration{versiontest.Declared(3, at(2000)), versiontest.Declared(2, at(0))},
 	})
 }
 
@@ -155,9 +156,9 @@
 // one first.
 func TestStoreAddsAVersionOlderThanTheReportedOne(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(0), "m", 2, directory.Known)
-	d.MergeDeclaration("m", directory.Declaration{Version: 4, DeclaredAt: at(2000)})
-	d.SetDeclaredVersion(at(2100), "m", 3, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(2, at(0)))
+	d.MergeDeclaration("m", versiontest.Declared(4, at(2000)))
+	d.SetDeclaration("m", versiontest.Declared(3, at(2100)))
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, declared.Version, uint64(4))
 	assert.Equal(t, declared.Previous().Version, uint64(3))
@@ -170,11 +171,11 @@
 func TestRequiredVersionNeverFallsWhenManyAreDeclared(t *testing.T) {
 	d := newDirectory()
 	const bound = time.Minute
-	d.SetDeclaredVersion(at(-60_000), "m", 2, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(2, at(-60_000)))
 	required := uint64(0)
 	for second := range 50 {
 		now := at(1000 * second)
-		d.SetDeclaredVersion(now, "m", uint64(3+second), directory.Known)
+		d.SetDeclaration("m", versiontest.Declared(uint64(3+second), now))
 		next := d.View().DeclaredVersion("m").Required(now, bound)
 		assert.Assert(t, next >= required, "%d after %d", next, required)
 		required = next
@@ -186,12 +187,12 @@
 	d := newDirectory()
 	const newest = directory.MaxSuperseded + 5
 	for version := 2; version <= newest; version++ {
-		d.SetDeclaredVersion(at(1000*version), "m", uint64(version), directory.Known)
+		d.SetDeclaration("m", versiontest.Declared(uint64(version), at(1000*version)))
 	}
 	views := 0
 	d.Subscribe(func(*directory.View) { views++ })
 	for _, dropped := range []uint64{3, 5} {
-		d.MergeDeclaration("m", directory.Declaration{Version: dropped, DeclaredAt: at(0)})
+		d.MergeDeclaration("m", versiontest.Declared(dropped, at(0)))
 	}
 	declared := d.View().DeclaredVersion("m")
 	assert.Equal(t, views, 1, "a version that is not kept changes nothing")
@@ -232,25 +233,16 @@
 	assert.Assert(t, d.View().Endpoints["a"] == nil)
 }
 
-// Guards against a process that started after an outage and holds on to its guess,
-// although others saw the version in the store's first answer.
-func TestReportedEstimateReplacesTheGuessOfAStart(t *testing.T) {
+// Guards against a process that started after a declaration and holds on to its guess,
+// although others know when the version was declared.
+func TestReportedBoundReplacesTheGuessOfAStart(t *testing.T) {
 	d := newDirectory()
-	d.SetDeclaredVersion(at(-5000), "m", 2, directory.Guessed)
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-1000), Certainty: directory.Estimated})
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-9000), Certainty: directory.Guessed})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-1000))
-}
-
-// Guards against an estimate from a report that locks out the time from the store.
-func TestKnownTimeFromTheStoreReplacesAnEstimate(t *testing.T) {
-	d := newDirectory()
-	d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: at(-5500), Certainty: directory.Estimated})
-	d.SetDeclaredVersion(at(20), "m", 3, directory.Known)
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(20))
-	d.SetDeclaredVersion(at(60_000), "m", 3, directory.Estimated)
-	d.SetDeclaredVersion(at(70_000), "m", 3, directory.Known)
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(20), "a later read tells nothing new")
+	d.SetInitialVersion(at(0), "m", 2, 5*time.Second)
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotBefore: at(-3000), NotAfter: at(-1000)})
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotAfter: at(-500)})
+	declared := d.View().DeclaredVersion("m")
+	assert.Equal(t, declared.CountsFrom(), at(-3000))
+	assert.Equal(t, declared.ScheduledFrom(), at(-1000))
 }
 
 // Guards against a process that learnt of a version late, while it was paused, and makes
@@ -258,28 +250,38 @@
 func TestTimeAfterTheFirstReadIsNotTaken(t *testing.T) {
 	d := newDirectory()
 	d.SetInitialVersion(at(0), "m", 2, 5500*time.Millisecond)
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(3000)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-5500))
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(300)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(0), "a time within the delay of reports")
-	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-2000)})
-	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-2000))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotAfter: at(3000)})
+	d.MergeDeclaration("m", versiontest.Declared(2, at(3000)))
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(-5500))
+	d.MergeDeclaration("m", versiontest.Declared(2, at(300)))
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(0), "a time within the delay of reports")
+	d.MergeDeclaration("m", versiontest.Declared(2, at(-2000)))
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(-2000))
 }
 
 // Guards against requests that begin on an outdated version because a time at which
 // another process learnt of the new one replaces an earlier one.
 func TestLaterTimeOfADeclarationDoesNotReplaceAnEarlierOne(t *testing.T) {
 	for name, learnLater := range map[string]func(*directory.Directory){
-		"from a report": func(d *directory.Directory) {
-			d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(900)})
-		},
-		"from the store": func(d *directory.Directory) { d.SetDeclaredVersion(at(900), "m", 2, directory.Known) },
+		"from a report":  func(d *directory.Directory) { d.MergeDeclaration("m", versiontest.Declared(2, at(900))) },
+		"from the store": func(d *directory.Directory) { d.SetDeclaration("m", versiontest.Declared(2, at(900))) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDirectory()
-			d.SetDeclaredVersion(at(0), "m", 2, directory.Estimated)
+			d.MergeDeclaration("m", directory.Declaration{Version: 2, NotAfter: at(0)})
 			learnLater(d)
 			assert.Equal(t, d.View().DeclaredVersion("m").Required(at(8000), 8*time.Second), uint64(2))
 		})
 	}
 }
+
+// Guards against refusals of requests after an outage of the store, in which the bound of
+// a version does not count, and against a version that looks younger because one process
+// was cut off from a store that others reached.
+func TestOutageOfTheStoreDoesNotCountUnlessAnotherProcessReadTheVersion(t *testing.T) {
+	d := newDirectory()
+	d.SetDeclaration("m", directory.Declaration{Version: 2, NotBefore: at(0), StoreAwayUntil: at(9000), NotAfter: at(9500)})
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(9000))
+	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotBefore: at(3000), NotAfter: at(4000)})
+	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(4000))
+}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -36,8 +36,10 @@
 	HeaderCodec HeaderCodec
 	// Transport sends requests to endpoints.
 	Transport http.RoundTripper
-	Logger    *slog.Logger
-	Scope     tally.Scope
+	// Now is the clock of the directory's declared versions.
+	Now    func() time.Time
+	Logger *slog.Logger
+	Scope  tally.Scope
 }
 
 func newRand(seed, stream uint64) *rand.Rand {
--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -20,6 +20,8 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/gateway"
+	"github.com/snipestep/snipestep/internal/bootclock"
+	"github.com/snipestep/snipestep/internal/versiontest"
 	"github.com/snipestep/snipestep/sidecar"
 	"github.com/snipestep/snipestep/weights"
 )
@@ -78,7 +80,7 @@
 	datagramPort := freePort(t)
 	entry := gateway.New(gateway.Config{
 		Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: pairVersionBound, DatagramAddr: fmt.Sprint("127.0.0.1:", datagramPort),
-	}, gateway.Deps{Directory: p.entryDirectory, HeaderCodec: pairCodec{}, Transport: &http.Transport{}, Logger: logger, Scope: tally.NoopScope})
+	}, gateway.Deps{Directory: p.entryDirectory, HeaderCodec: pairCodec{}, Transport: &http.Transport{}, Now: bootclock.Now, Logger: logger, Scope: tally.NoopScope})
 	agent, err := sidecar.New(sidecar.Config{
 		Service: pairService, EngineAddr: engineListener.Addr().String(), VersionBound: pairVersionBound, LinkBytesPerSecond: 1e6,
 		DatagramAddr: fmt.Sprint("127.0.0.2:", datagramPort), ChunkAddr: fmt.Sprint("127.0.0.2:", freePort(t)),
@@ -178,12 +180,12 @@
 // at an entry that started after version 3 had superseded version 2.
 func TestEntryStartedAfterANewerVersionEnforcesTheSupersededOne(t *testing.T) {
 	p, start := newPair(t)
-	now := time.Now()
-	p.agentDirectory.SetDeclaredVersion(now.Add(-pairVersionBound-10*time.Second), pairModel, 2, directory.Known)
-	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, directory.Known)
-	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
+	now := bootclock.Now()
+	p.agentDirectory.SetDeclaration(pairModel, versiontest.Declared(2, now.Add(-pairVersionBound-10*time.Second)))
+	p.agentDirectory.SetDeclaration(pairModel, versiontest.Declared(3, now.Add(-time.Second)))
+	p.entryDirectory.SetInitialVersion(now, pairModel, 3, 0)
 	start()
-	assert.Assert(t, eventually(func() bool { return p.entryDirectory.View().DeclaredVersion(pairModel).Certainty == directory.Known }), "no report arrived")
+	assert.Assert(t, eventually(func() bool { return !p.entryDirectory.View().DeclaredVersion(pairModel).NotBefore.IsZero() }), "no report arrived")
 	assert.Assert(t, eventually(func() bool { return p.send(t) == http.StatusServiceUnavailable }), "requests still begin on version 1")
 	runs := p.runs.Load()
 	assert.Equal(t, p.send(t), http.StatusServiceUnavailable)
@@ -194,12 +196,12 @@
 // that started after version 3 had superseded version 2.
 func TestEntryStartedAfterANewerVersionAllowsOlderOnesWithinTheirBound(t *testing.T) {
 	p, start := newPair(t)
-	now := time.Now()
-	p.agentDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 2, directory.Known)
-	p.agentDirectory.SetDeclaredVersion(now.Add(-time.Second), pairModel, 3, directory.Known)
-	p.entryDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
+	now := bootclock.Now()
+	p.agentDirectory.SetDeclaration(pairModel, versiontest.Declared(2, now.Add(-5*time.Second)))
+	p.agentDirectory.SetDeclaration(pairModel, versiontest.Declared(3, now.Add(-time.Second)))
+	p.entryDirectory.SetInitialVersion(now, pairModel, 3, 0)
 	start()
-	assert.Assert(t, eventually(func() bool { return p.entryDirectory.View().DeclaredVersion(pairModel).Certainty == directory.Known }), "no report arrived")
+	assert.Assert(t, eventually(func() bool { return !p.entryDirectory.View().DeclaredVersion(pairModel).NotBefore.IsZero() }), "no report arrived")
 	assert.Equal(t, p.send(t), http.StatusOK)
 }
 
@@ -207,14 +209,14 @@
 // restarted: entries that saw it pass it on.
 func TestRestartedAgentLearnsDeclarationTimesFromEntries(t *testing.T) {
 	p, start := newPair(t)
-	now := time.Now()
-	p.entryDirectory.SetDeclaredVersion(now.Add(-9*time.Second), pairModel, 2, directory.Known)
-	p.entryDirectory.SetDeclaredVersion(now.Add(-5*time.Second), pairModel, 3, directory.Known)
-	p.agentDirectory.SetDeclaredVersion(now, pairModel, 3, directory.Guessed)
+	now := bootclock.Now()
+	p.entryDirectory.SetDeclaration(pairModel, versiontest.Declared(2, now.Add(-9*time.Second)))
+	p.entryDirectory.SetDeclaration(pairModel, versiontest.Declared(3, now.Add(-5*time.Second)))
+	p.agentDirectory.SetInitialVersion(now, pairModel, 3, 0)
 	start()
 	learnt := func() bool {
 		declared := p.agentDirectory.View().DeclaredVersion(pairModel)
-		return declared.Certainty == directory.Known && declared.DeclaredAt.Before(now.Add(-4*time.Second))
+		return !declared.NotBefore.IsZero() && declared.NotAfter.Before(now.Add(-4*time.Second))
 	}
 	assert.Assert(t, eventually(learnt), "the agent still estimates the age of version 3")
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/strikes"
 )
@@ -42,6 +43,8 @@
 
 	// startedAt is the time to which the timestamps in subscriptions are relative.
 	startedAt time.Time
+	// clocks bounds when the version ages of agents were sent.
+	clocks *loadreport.ClockExchange
 
 	// applyMu serialises applyView.
 	applyMu sync.Mutex
@@ -51,7 +54,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), crashes: newCrashDetector(), startedAt: time.Now()}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), crashes: newCrashDetector(), startedAt: time.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
@@ -92,11 +95,11 @@
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
-	now := time.Now()
+	now := g.deps.Now()
 	for name, s := range next {
 		minVersion := g.minVersion(now, view, name, versionSafetyMargin)
 		s.gate.Update(func(p *admission.Pool) {
-			p.SetEndpoints(now, endpointsByService[name])
+			p.SetEndpoints(time.Now(), endpointsByService[name])
 			p.SetMinVersion(minVersion)
 		})
 		g.versions.observe(now, view, name, minVersion)
@@ -128,10 +131,9 @@
 	return svc
 }
 
-// versionSafetyMargin is subtracted from VersionBound: the entry learns of a
-// version after it was declared, and a request needs time to start. Such delays
-// reach half a second.
-const versionSafetyMargin = 800 * time.Millisecond
+// versionSafetyMargin is subtracted from VersionBound: a request needs time to start,
+// up to half a second where requests are queued at the engine.
+const versionSafetyMargin = 500 * time.Millisecond
 
 // cancelSafetyMargin is how long before the end of VersionBound the gateway cancels
 // requests that are queued at an endpoint with an outdated version: the engine can
@@ -139,8 +141,8 @@
 const cancelSafetyMargin = 350 * time.Millisecond
 
 // minVersion returns the oldest version on which a service may start a request, 0
-// for a service without weights. A declared version becomes mandatory safetyMargin before the end of
-// VersionBound.
+// for a service without weights. A declared version becomes mandatory safetyMargin before
+// the end of VersionBound. now is a time of deps.Now.
 func (g *Gateway) minVersion(now time.Time, view *directory.View, serviceName string, safetyMargin time.Duration) uint64 {
 	s := view.Document.Services[serviceName]
 	if s == nil || s.Engine == nil {
@@ -170,11 +172,12 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
 			view := g.deps.Directory.View()
 			if view.Document == nil {
 				continue
 			}
+			now := g.deps.Now()
 			for name, s := range *g.services.Load() {
 				minVersion := g.minVersion(now, view, name, versionSafetyMargin)
 				s.gate.Update(func(p *admission.Pool) { p.SetMinVersion(minVersion) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
 // testHeaderCodec uses its own header names, so that the tests need none of the
@@ -71,7 +72,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	d := directory.New(logger)
 	g := New(Config{Name: "e", Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: 8 * time.Second, Seed: 1}, Deps{
-		Directory: d, HeaderCodec: testHeaderCodec{}, Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
+		Directory: d, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
 	})
 	f := &fixture{gateway: g, directory: d}
 	document := &directory.Document{Version: 1, RequiresKeys: true, Services: map[string]*directory.Service{"s": {Name: "s"}}}
@@ -212,7 +213,7 @@
 func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
 
 func TestGatewayWithoutDocumentIsNotReadyAndRefuses(t *testing.T) {
-	g := New(Config{}, Deps{Directory: directory.New(slog.New(slog.DiscardHandler)), HeaderCodec: testHeaderCodec{}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+	g := New(Config{}, Deps{Directory: directory.New(slog.New(slog.DiscardHandler)), HeaderCodec: testHeaderCodec{}, Now: time.Now, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
 	recorder := httptest.NewRecorder()
 	g.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
 	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
@@ -472,8 +473,8 @@
 	view := &directory.View{
 		Document: &directory.Document{Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}}},
 		DeclaredVersions: map[string]directory.DeclaredVersion{"m": {
-			Declaration: directory.Declaration{Version: 3, DeclaredAt: now},
-			Superseded:  []directory.Declaration{{Version: 2, DeclaredAt: now.Add(-4 * time.Second)}},
+			Declaration: versiontest.Declared(3, now),
+			Superseded:  []directory.Declaration{versiontest.Declared(2, now.Add(-4*time.Second))},
 		}},
 	}
 	minVersionAfter := func(after time.Duration) uint64 {
@@ -490,9 +491,9 @@
 	f := newFixture(t)
 	now := time.Now()
 	f.directory.SetDocument(&directory.Document{Version: 2, Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}}})
-	f.directory.SetDeclaredVersion(now.Add(-9*time.Second), "m", 2, directory.Known)
-	f.directory.SetDeclaredVersion(now.Add(-5*time.Second), "m", 3, directory.Known)
-	f.directory.SetDeclaredVersion(now.Add(-time.Second), "m", 4, directory.Known)
+	f.directory.SetDeclaration("m", versiontest.Declared(2, now.Add(-9*time.Second)))
+	f.directory.SetDeclaration("m", versiontest.Declared(3, now.Add(-5*time.Second)))
+	f.directory.SetDeclaration("m", versiontest.Declared(4, now.Add(-time.Second)))
 	minVersionAfter := func(after time.Duration) uint64 {
 		return f.gateway.minVersion(now.Add(after), f.directory.View(), "lm", time.Second)
 	}
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		if loadreport.IsVersionAges(buffer[:n]) {
-			g.applyVersionAges(time.Now(), from.Addr(), buffer[:n])
+			g.applyVersionAges(g.deps.Now(), from, buffer[:n])
 			continue
 		}
 		if loadreport.IsStrikes(buffer[:n]) {
--- a/gateway/versionages.go
+++ b/gateway/versionages.go
@@ -13,22 +13,22 @@
 // while one is pending. Agents that have all restarted since learn them from entries
 // only.
 func (g *Gateway) sendVersionAges(ctx context.Context, conn *net.UDPConn, agents []netip.AddrPort) {
-	now := time.Now()
+	now := g.deps.Now()
 	for _, agent := range agents {
 		model := g.agentModel(agent.Addr())
 		ages := loadreport.VersionAgesAt(now, g.deps.Directory.View().DeclaredVersion(model), g.config.VersionBound)
 		if !ages.Pending(g.config.VersionBound) {
 			continue
 		}
-		if _, err := conn.WriteToUDPAddrPort(ages.Encode(model), agent); err != nil && ctx.Err() == nil {
+		if _, err := conn.WriteToUDPAddrPort(ages.Encode(model, g.clocks.Stamp(now, agent)), agent); err != nil && ctx.Err() == nil {
 			g.deps.Logger.Warn("sending the ages of declared versions failed", "agent", agent, "error", err)
 		}
 	}
 }
 
 // applyVersionAges merges the ages of declared versions that an agent knows.
-func (g *Gateway) applyVersionAges(now time.Time, from netip.Addr, datagram []byte) {
-	model := g.agentModel(from)
+func (g *Gateway) applyVersionAges(now time.Time, from netip.AddrPort, datagram []byte) {
+	model := g.agentModel(from.Addr())
 	if model == "" {
 		return
 	}
@@ -38,7 +38,8 @@
 		return
 	}
 	if ages, ok := decoded.Ages(model); ok {
-		ages.MergeInto(g.deps.Directory, now, model)
+		sentNotBefore, _ := g.clocks.Receive(now, from, decoded.Stamp)
+		ages.MergeInto(g.deps.Directory, now, sentNotBefore, model)
 	}
 }
 
--- a/gateway/versionhistory_test.go
+++ b/gateway/versionhistory_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
 // minVersionAt returns the oldest version on which a gateway with a VersionBound of
@@ -25,9 +26,9 @@
 func TestThirdDeclaredVersionKeepsTheBoundOfTheFirst(t *testing.T) {
 	start := time.Now()
 	d := directory.New(slog.New(slog.DiscardHandler))
-	d.SetDeclaredVersion(start, "m", 2, directory.Known)
-	d.SetDeclaredVersion(start.Add(3*time.Second), "m", 3, directory.Known)
-	d.SetDeclaredVersion(start.Add(6*time.Second), "m", 4, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(2, start))
+	d.SetDeclaration("m", versiontest.Declared(3, start.Add(3*time.Second)))
+	d.SetDeclaration("m", versiontest.Declared(4, start.Add(6*time.Second)))
 	assert.Equal(t, minVersionAt(t, d, start.Add(7*time.Second)), uint64(directory.FirstVersion))
 	assert.Equal(t, minVersionAt(t, d, start.Add(8*time.Second)), uint64(2))
 	assert.Equal(t, minVersionAt(t, d, start.Add(11*time.Second)), uint64(3))
@@ -41,21 +42,21 @@
 	learntLate := start.Add(5 * time.Second)
 	for name, learn := range map[string]func(*directory.Directory){
 		"both from the store": func(d *directory.Directory) {
-			d.SetDeclaredVersion(learntLate, "m", 2, directory.Known)
-			d.SetDeclaredVersion(learntLate, "m", 3, directory.Known)
+			d.SetDeclaration("m", versiontest.Declared(2, learntLate))
+			d.SetDeclaration("m", versiontest.Declared(3, learntLate))
 		},
 		"the newer one from the first read": func(d *directory.Directory) {
-			d.SetDeclaredVersion(learntLate, "m", 3, directory.Guessed)
+			d.SetInitialVersion(learntLate, "m", 3, 0)
 		},
 		"the newer one from a report": func(d *directory.Directory) {
-			d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: start.Add(4 * time.Second)})
+			d.MergeDeclaration("m", versiontest.Declared(3, start.Add(4*time.Second)))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := directory.New(slog.New(slog.DiscardHandler))
 			learn(d)
-			d.MergeDeclaration("m", directory.Declaration{Version: 3, DeclaredAt: start.Add(4 * time.Second)})
-			d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: start})
+			d.MergeDeclaration("m", versiontest.Declared(3, start.Add(4*time.Second)))
+			d.MergeDeclaration("m", versiontest.Declared(2, start))
 			assert.Assert(t, minVersionAt(t, d, start.Add(7*time.Second)) < 2)
 			assert.Equal(t, minVersionAt(t, d, start.Add(8*time.Second)), uint64(2))
 			assert.Equal(t, minVersionAt(t, d, start.Add(12*time.Second)), uint64(3))
@@ -68,9 +69,9 @@
 func TestMinVersionNeverFalls(t *testing.T) {
 	start := time.Now()
 	d := directory.New(slog.New(slog.DiscardHandler))
-	d.SetDeclaredVersion(start.Add(-time.Hour), "m", 2, directory.Known)
-	d.SetDeclaredVersion(start, "m", 3, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(2, start.Add(-time.Hour)))
+	d.SetDeclaration("m", versiontest.Declared(3, start))
 	assert.Equal(t, minVersionAt(t, d, start), uint64(2))
-	d.SetDeclaredVersion(start.Add(time.Second), "m", 4, directory.Known)
+	d.SetDeclaration("m", versiontest.Declared(4, start.Add(time.Second)))
 	assert.Equal(t, minVersionAt(t, d, start.Add(time.Second)), uint64(2))
 }
--- a/gateway/versionmonitor.go
+++ b/gateway/versionmonitor.go
@@ -47,7 +47,7 @@
 	monitored := m.service(serviceName)
 	monitored.minVersion.Update(float64(minVersion))
 	monitored.declared.Update(float64(declared.Version))
-	monitored.declaredAge.Update(ageAt(now, declared.DeclaredAt).Seconds())
+	monitored.declaredAge.Update(ageAt(now, declared.NotAfter).Seconds())
 	if minVersion == monitored.lastMinVersion {
 		return
 	}
@@ -83,8 +83,8 @@
 // version: its age and the versions that it superseded, as far as they are known.
 func declaredVersionFields(now time.Time, declared directory.DeclaredVersion) []any {
 	fields := []any{"declared", declared.Version}
-	if !declared.DeclaredAt.IsZero() {
-		fields = append(fields, "age_ms", now.Sub(declared.DeclaredAt).Milliseconds(), "certainty", declared.Certainty.String())
+	if !declared.NotAfter.IsZero() {
+		fields = append(fields, declared.LogFields(now)...)
 	}
 	if declared.Previous().Version == 0 {
 		return fields
@@ -99,8 +99,9 @@
 	}
 	var texts []string
 	for _, d := range declared.Superseded {
-		age := now.Sub(d.DeclaredAt).Round(time.Millisecond)
-		texts = append(texts, fmt.Sprintf("%d (%v, %v)", d.Version, age, d.Certainty))
+		age := now.Sub(d.NotAfter).Round(time.Millisecond)
+		counted := now.Sub(d.CountsFrom()).Round(time.Millisecond)
+		texts = append(texts, fmt.Sprintf("%d (%v, counted %v)", d.Version, age, counted))
 	}
 	return strings.Join(texts, ", ")
 }
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/telemetry"
 )
@@ -31,7 +32,7 @@
 	logger := f.log.logger()
 	f.directory = directory.New(logger)
 	f.gateway = New(Config{Name: "e", Region: "r", VersionBound: versionBound}, Deps{
-		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Transport: &http.Transport{DisableCompression: true}, Logger: logger, Scope: f.scope,
+		Directory: f.directory, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DisableCompression: true}, Logger: logger, Scope: f.scope,
 	})
 	document := &directory.Document{Version: 1, Services: map[string]*directory.Service{
 		"lm":    {Name: "lm", Model: "m", Engine: &directory.Engine{}},
@@ -58,8 +59,8 @@
 	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 1.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 1.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), 0.0, "no version was declared")
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
-	f.directory.SetDeclaredVersion(time.Now().Add(-time.Minute), "m", 3, directory.Known)
+	f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now().Add(-2*time.Hour)))
+	f.directory.SetDeclaration("m", versiontest.Declared(3, time.Now().Add(-time.Minute)))
 	assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 2.0)
 	assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersion), 3.0)
 	age := f.gauge(t, telemetry.MetricDeclaredVersionAge)
@@ -74,7 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const dueAfter = 2 * time.Second
 		f := newVersionFixture(t, versionSafetyMargin+dueAfter)
-		f.directory.SetDeclaredVersion(time.Now(), "m", 2, directory.Known)
+		f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now()))
 		go f.gateway.enforceVersions(t.Context())
 		time.Sleep(dueAfter - versionCheckInterval)
 		synctest.Wait()
@@ -97,12 +98,12 @@
 		const bound = 10 * time.Second
 		f := newVersionFixture(t, bound)
 		go f.gateway.enforceVersions(t.Context())
-		f.directory.SetDeclaredVersion(time.Now(), "m", 2, directory.Known)
+		f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now()))
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)), []map[string]any{
 			{"service": "lm", "old": 0.0, "new": 1.0, "declared": 1.0},
-			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9200.0, "certainty": "known", "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9500.0, "max_age_ms": 9500.0, "counted_ms": 9500.0, "superseded": "1"},
 		})
 	})
 }
@@ -112,13 +113,13 @@
 func TestLineOfMinimumVersionTellsWhatTheEntryKnows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newVersionFixture(t, 10*time.Second)
-		f.directory.SetDeclaredVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, directory.Guessed)
+		f.directory.SetInitialVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, 200*time.Millisecond)
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[1:]), []map[string]any{
-			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "certainty": "guessed", "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "counted_ms": 9700.0, "superseded": "1"},
 		})
-		f.directory.SetDeclaredVersion(time.Now().Add(-9300*time.Millisecond), "m", 4, directory.Known)
+		f.directory.SetDeclaration("m", versiontest.Declared(4, time.Now().Add(-9600*time.Millisecond)))
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[2:]), []map[string]any{
-			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9300.0, "certainty": "known", "superseded": "3 (9.5s, guessed)"},
+			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9600.0, "max_age_ms": 9600.0, "counted_ms": 9600.0, "superseded": "3 (9.5s, counted 9.7s)"},
 		})
 	})
 }
@@ -152,8 +153,8 @@
 // log.
 func TestEndOfRequestHasTheVersionsOfTheChoice(t *testing.T) {
 	f := newVersionFixture(t, time.Hour)
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
-	f.directory.SetDeclaredVersion(time.Now(), "m", 3, directory.Known)
+	f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now().Add(-2*time.Hour)))
+	f.directory.SetDeclaration("m", versiontest.Declared(3, time.Now()))
 	f.listEndpoint(t, 3, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "answered")
@@ -175,7 +176,7 @@
 // In a flood of refusals these lines are all that a tail of the log holds.
 func TestEndOfRefusedRequestHasTheMinimumVersion(t *testing.T) {
 	f := newVersionFixture(t, time.Hour)
-	f.directory.SetDeclaredVersion(time.Now().Add(-2*time.Hour), "m", 2, directory.Known)
+	f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now().Add(-2*time.Hour)))
 	f.listEndpoint(t, 1, respondWith("response"))
 	ended := f.requestEnd(t)
 	assert.Equal(t, ended["outcome"], "refused")
--- /dev/null
+++ b/internal/versiontest/doc.go
@@ -0,0 +1,2 @@
+// Package versiontest makes declarations of versions for tests.
+package versiontest
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -36,8 +36,9 @@
 	kindReport       = 1
 	kindSubscription = 2
 	kindAgentConfig  = 3
-	kindVersionAges  = 4
-	kindStrikes      = 5
+	// 4 was the kind of version ages without clock stamps.
+	kindStrikes     = 5
+	kindVersionAges = 6
 )
 
 // The flags of a report.
--- a/loadreport/strikes.go
+++ b/loadreport/strikes.go
@@ -101,3 +101,11 @@
 	}
 	return strikes, nil
 }
+
+// maxAgeUnits is the longest encoded age of a strike, in units of durationUnit.
+const maxAgeUnits = 1<<16 - 1
+
+// encodeAge encodes an age in two bytes; a longer one than fits becomes the longest.
+func encodeAge(age time.Duration) uint16 {
+	return uint16(min(max(age, 0)/durationUnit, maxAgeUnits))
+}
--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -21,42 +21,53 @@
 // VersionAgesDatagram is a decoded datagram of VersionAges. It names the model, as the
 // address of an endpoint may have passed to another service unnoticed.
 type VersionAgesDatagram struct {
+	// Stamp is for the receiver's ClockExchange.
+	Stamp     ClockStamp
 	modelHash uint64
 	ages      VersionAges
 }
 
-// VersionAge is a declared version and the time since its declaration, in steps of
-// 100 ms up to 6,553 s.
+// VersionAge is a declared version and the bounds on the time since its declaration, in
+// milliseconds up to 49 days.
 type VersionAge struct {
 	Version uint64
-	Age     time.Duration
-	// Certainty says how far Age is known.
-	Certainty directory.Certainty
+	// Min is the time since the first process is known to have read the version. It is
+	// rounded down.
+	Min time.Duration
+	// Max is the time since the version is known not to have been declared, rounded up;
+	// UnknownDuration without such a time.
+	Max time.Duration
 }
 
 const (
 	// versionAgesHeaderBytes is the length of the part before the ages: kind, hash of
-	// the model's name.
-	versionAgesHeaderBytes = 1 + 8
-	// versionAgeBytes is the length of an encoded VersionAge: version, age, certainty.
-	versionAgeBytes = 4 + 2 + 1
+	// the model's name, clock stamp.
+	versionAgesHeaderBytes = 1 + 8 + clockStampBytes
+	// versionAgeBytes is the length of an encoded VersionAge: version, Min, Max.
+	versionAgeBytes = 4 + 4 + 4
 	// maxVersionAges is the most versions that a datagram holds.
 	maxVersionAges = 1 + directory.MaxSuperseded
-	maxAgeUnits    = 1<<16 - 1
+	// maxMilliseconds is the longest encoded age or delay; an age of unknownMilliseconds
+	// is unknown.
+	maxMilliseconds     = 1<<32 - 2
+	unknownMilliseconds = 1<<32 - 1
 )
 
 // VersionAgesAt returns the declarations that decide which versions requests may
 // start on: the current one, and older ones up to the first that is older than the
 // version bound. It returns none for a version that needs no declaration.
 func VersionAgesAt(now time.Time, declared directory.DeclaredVersion, bound time.Duration) VersionAges {
-	if declared.DeclaredAt.IsZero() {
+	if declared.NotAfter.IsZero() {
 		return nil
 	}
 	var ages VersionAges
 	for _, declaration := range declared.Declarations() {
-		age := now.Sub(declaration.DeclaredAt)
-		ages = append(ages, VersionAge{Version: declaration.Version, Age: age, Certainty: declaration.Certainty})
-		if age >= bound {
+		age := VersionAge{Version: declaration.Version, Min: now.Sub(declaration.NotAfter), Max: UnknownDuration}
+		if !declaration.NotBefore.IsZero() {
+			age.Max = now.Sub(declaration.NotBefore)
+		}
+		ages = append(ages, age)
+		if age.Min >= bound {
 			break
 		}
 	}
@@ -66,7 +77,7 @@
 // Pending reports whether the current version is within the version bound, so that
 // the ages of older ones matter.
 func (v VersionAges) Pending(bound time.Duration) bool {
-	return len(v) > 0 && v[0].Age < bound
+	return len(v) > 0 && v[0].Min < bound
 }
 
 // Ages returns the ages, and false if they are those of another model.
@@ -77,10 +88,16 @@
 	return d.ages, true
 }
 
-// MergeInto merges the declarations, received at now, into a directory.
-func (v VersionAges) MergeInto(d *directory.Directory, now time.Time, model string) {
+// MergeInto merges the declarations of a datagram that arrived now into a directory.
+// sentNotBefore is the earliest time at which it can have been sent, zero if unknown: a
+// delay on the way would make a version look younger than it can be.
+func (v VersionAges) MergeInto(d *directory.Directory, now, sentNotBefore time.Time, model string) {
 	for _, age := range v {
-		d.MergeDeclaration(model, directory.Declaration{Version: age.Version, DeclaredAt: now.Add(-age.Age), Certainty: age.Certainty})
+		declaration := directory.Declaration{Version: age.Version, NotAfter: now.Add(-age.Min)}
+		if age.Max >= 0 && !sentNotBefore.IsZero() {
+			declaration.NotBefore = sentNotBefore.Add(-age.Max)
+		}
+		d.MergeDeclaration(model, declaration)
 	}
 }
 
@@ -90,21 +107,33 @@
 }
 
 // Encode returns the ages of a model's versions as a datagram.
-func (v VersionAges) Encode(model string) []byte {
+func (v VersionAges) Encode(model string, stamp ClockStamp) []byte {
 	v = v[:min(len(v), maxVersionAges)]
 	b := append(make([]byte, 0, versionAgesHeaderBytes+len(v)*versionAgeBytes), kindVersionAges)
-	b = binary.BigEndian.AppendUint64(b, xxhash.Sum64String(model))
+	b = stamp.append(binary.BigEndian.AppendUint64(b, xxhash.Sum64String(model)))
 	for _, age := range v {
 		b = binary.BigEndian.AppendUint32(b, uint32(age.Version))
-		b = binary.BigEndian.AppendUint16(b, encodeAge(age.Age))
-		b = append(b, byte(age.Certainty))
+		b = binary.BigEndian.AppendUint32(b, uint32(min(max(age.Min, 0).Milliseconds(), maxMilliseconds)))
+		b = binary.BigEndian.AppendUint32(b, encodeMaxAge(age.Max))
 	}
 	return b
 }
 
-// encodeAge encodes an age in two bytes; a longer one than fits becomes the longest.
-func encodeAge(age time.Duration) uint16 {
-	return uint16(min(max(age, 0)/durationUnit, maxAgeUnits))
+// encodeMaxAge encodes an upper bound of an age, rounded up. One beyond the range is
+// unknown.
+func encodeMaxAge(age time.Duration) uint32 {
+	milliseconds := (age + time.Millisecond - 1).Milliseconds()
+	if age < 0 || milliseconds > maxMilliseconds {
+		return unknownMilliseconds
+	}
+	return uint32(milliseconds)
+}
+
+func decodeMaxAge(milliseconds uint32) time.Duration {
+	if milliseconds == unknownMilliseconds {
+		return UnknownDuration
+	}
+	return time.Duration(milliseconds) * time.Millisecond
 }
 
 // DecodeVersionAges decodes a VersionAges. It returns *FormatError for any other
@@ -120,10 +149,10 @@
 	var ages VersionAges
 	for ; len(rest) > 0; rest = rest[versionAgeBytes:] {
 		ages = append(ages, VersionAge{
-			Version:   uint64(binary.BigEndian.Uint32(rest)),
-			Age:       time.Duration(binary.BigEndian.Uint16(rest[4:])) * durationUnit,
-			Certainty: directory.Certainty(rest[6]),
+			Version: uint64(binary.BigEndian.Uint32(rest)),
+			Min:     time.Duration(binary.BigEndian.Uint32(rest[4:])) * time.Millisecond,
+			Max:     decodeMaxAge(binary.BigEndian.Uint32(rest[8:])),
 		})
 	}
-	return VersionAgesDatagram{modelHash: binary.BigEndian.Uint64(b[1:]), ages: ages}, nil
+	return VersionAgesDatagram{Stamp: decodeClockStamp(b[9:]), modelHash: binary.BigEndian.Uint64(b[1:]), ages: ages}, nil
 }
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/weights"
 )
@@ -48,7 +49,7 @@
 		r.mu.Lock()
 		if d := r.downloads[version]; d != nil {
 			d.set = set
-			d.completedAt = time.Now()
+			d.completedAt = bootclock.Now()
 		}
 		r.mu.Unlock()
 		return
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/weights/swarm"
 )
@@ -26,6 +27,8 @@
 	// lastReport, lastReportAt and lastDeclarations are used by the reporter only.
 	lastReport   loadreport.Report
 	lastReportAt time.Time
+	// clocks bounds when the version ages of entries were sent.
+	clocks *loadreport.ClockExchange
 	// lastDeclarations are those of the last VersionAges.
 	lastDeclarations []directory.Declaration
 	// membership is used by the reconcile loop only, which derives downloadAllowed
@@ -39,7 +42,7 @@
 
 // New returns a Reconciler that starts to listen in Run.
 func New(config Config, deps Deps) (*Reconciler, error) {
-	r := &Reconciler{config: config, deps: deps, downloads: make(map[uint64]*download)}
+	r := &Reconciler{config: config, deps: deps, clocks: loadreport.NewClockExchange(bootclock.Now()), downloads: make(map[uint64]*download)}
 	node, err := r.newSwarmNode()
 	r.node = node
 	return r, err
@@ -92,7 +95,7 @@
 	}
 	r.downloadAllowed.Store(r.mayDownload(time.Now(), view, declared))
 	r.reconcileDownloads(ctx, view, service, declared, state)
-	version, ok := r.dueVersion(time.Now(), view, declared, state)
+	version, ok := r.dueVersion(bootclock.Now(), view, declared, state)
 	if !ok || state.OrderInProgress {
 		return
 	}
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 	"github.com/snipestep/snipestep/weights"
 )
 
@@ -133,7 +134,7 @@
 func TestEmptyEngineSwitchesAtOnceAndOthersAtTheirOffset(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
 	view := r.deps.Directory.View()
-	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}
+	declared := directory.DeclaredVersion{Declaration: versiontest.Declared(2, at(0))}
 	version, ok := r.dueVersion(at(100), view, declared, &EngineState{LoadedVersion: 0, Running: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, version, uint64(2))
@@ -147,15 +148,15 @@
 
 func TestVersionThatIsNotDownloadedIsNotDue(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	_, ok := r.dueVersion(at(9000), r.deps.Directory.View(), directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}, &EngineState{LoadedVersion: 1})
+	_, ok := r.dueVersion(at(9000), r.deps.Directory.View(), directory.DeclaredVersion{Declaration: versiontest.Declared(2, at(0))}, &EngineState{LoadedVersion: 1})
 	assert.Assert(t, !ok)
 }
 
 func TestPreviousVersionIsLoadedWhileTheDeclaredOneIsIncomplete(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
 	declared := directory.DeclaredVersion{
-		Declaration: directory.Declaration{Version: 3, DeclaredAt: at(4000)},
-		Superseded:  []directory.Declaration{{Version: 2, DeclaredAt: at(0)}},
+		Declaration: versiontest.Declared(3, at(4000)),
+		Superseded:  []directory.Declaration{versiontest.Declared(2, at(0))},
 	}
 	version, ok := r.dueVersion(at(8000), r.deps.Directory.View(), declared, &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
@@ -230,7 +231,7 @@
 
 func TestTimeToSwitchIsKnownShortlyBefore(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 2)
-	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 2, DeclaredAt: at(0)}}
+	declared := directory.DeclaredVersion{Declaration: versiontest.Declared(2, at(0))}
 	r.engineState.Store(&EngineState{LoadedVersion: 1, Running: 3})
 	timeToSwitch := r.timeToSwitch(at(2000), r.deps.Directory.View(), declared)
 	assert.Equal(t, timeToSwitch, time.Second, "the only engine switches when its download completes, at 3 s")
@@ -243,9 +244,9 @@
 // mandatory, and that waits for the deadline of a version declared later.
 func TestSwitchDeadlineIsThatOfTheFirstVersionTheEngineLacks(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 4)
-	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, directory.Known)
-	r.deps.Directory.SetDeclaredVersion(at(2000), testModel, 3, directory.Known)
-	r.deps.Directory.SetDeclaredVersion(at(5000), testModel, 4, directory.Known)
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(2, at(0)))
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(3, at(2000)))
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(4, at(5000)))
 	view := r.deps.Directory.View()
 	switchAt, version, ok := r.scheduledSwitch(view, view.DeclaredVersion(testModel), &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/loadreport"
 )
 
@@ -25,7 +26,8 @@
 type subscriber struct {
 	receivedAt   time.Time
 	subscription loadreport.Subscription
-	// versionAgesSentAt is when VersionAges were last sent, zero for a new subscriber.
+	// versionAgesSentAt is when VersionAges were last sent, on bootclock; zero if they
+	// are due at once.
 	versionAgesSentAt time.Time
 }
 
@@ -62,6 +64,16 @@
 	return due
 }
 
+// requestVersionAges makes VersionAges due to an entry that has subscribed.
+func (s *subscribers) requestVersionAges(entry netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sub, known := s.byAddr[entry]; known {
+		sub.versionAgesSentAt = time.Time{}
+		s.byAddr[entry] = sub
+	}
+}
+
 // totalDemand returns the weighted demand of the requests that are queued at all
 // entries.
 func (s *subscribers) totalDemand(now time.Time) int {
@@ -135,7 +147,7 @@
 			continue
 		}
 		if loadreport.IsVersionAges(buffer[:n]) {
-			r.applyVersionAges(time.Now(), from, buffer[:n])
+			r.applyVersionAges(bootclock.Now(), from, buffer[:n], entries)
 			continue
 		}
 		if loadreport.IsStrikes(buffer[:n]) {
@@ -191,7 +203,7 @@
 		report.LoadedVersion = state.LoadedVersion
 		report.Closed = r.switching.Load() || state.OrderInProgress
 	}
-	r.addDeclaredVersion(now, &report)
+	r.addDeclaredVersion(bootclock.Now(), &report)
 	// Reports are equal if they differ only in durations that change all the time.
 	normalised := report
 	normalised.DeclaredAge = r.lastReport.DeclaredAge
@@ -222,8 +234,8 @@
 	}
 	declared := view.DeclaredVersion(service.Model)
 	report.DeclaredVersion = declared.Version
-	if declared.Certainty == directory.Known && !declared.DeclaredAt.IsZero() {
-		report.DeclaredAge = now.Sub(declared.DeclaredAt)
+	if !declared.NotBefore.IsZero() {
+		report.DeclaredAge = now.Sub(declared.NotAfter)
 	}
 	report.ClosesIn = r.timeToSwitch(now, view, declared)
 }
--- a/sidecar/switchschedule.go
+++ b/sidecar/switchschedule.go
@@ -36,8 +36,8 @@
 			continue
 		}
 		superseded := declaration.Version != declared.Version
-		offset := switchOffset(r.config.VersionBound, completedAt.Sub(declaration.DeclaredAt), position, count, superseded)
-		switchAt := declaration.DeclaredAt.Add(offset)
+		offset := switchOffset(r.config.VersionBound, completedAt.Sub(declaration.ScheduledFrom()), position, count, superseded)
+		switchAt := declaration.ScheduledFrom().Add(offset)
 		if deadline := r.switchDeadline(declared, state); deadline.Before(switchAt) {
 			switchAt = deadline
 		}
@@ -52,9 +52,9 @@
 func (r *Reconciler) switchDeadline(declared directory.DeclaredVersion, state *EngineState) time.Time {
 	first := declared.FirstAfter(state.LoadedVersion)
 	if first.Version == declared.Version {
-		return declared.DeclaredAt.Add(r.config.VersionBound)
+		return declared.ScheduledFrom().Add(r.config.VersionBound)
 	}
-	return first.DeclaredAt.Add(time.Duration(lastSwitchFraction * float64(r.config.VersionBound)))
+	return first.ScheduledFrom().Add(time.Duration(lastSwitchFraction * float64(r.config.VersionBound)))
 }
 
 func idle(state *EngineState) bool {
--- a/sidecar/threeversions_test.go
+++ b/sidecar/threeversions_test.go
@@ -6,13 +6,14 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
 // declareThreeVersions declares versions 2, 3 and 4 within testVersionBound.
 func declareThreeVersions(r *Reconciler) (*directory.View, directory.DeclaredVersion) {
-	r.deps.Directory.SetDeclaredVersion(at(0), testModel, 2, directory.Known)
-	r.deps.Directory.SetDeclaredVersion(at(3000), testModel, 3, directory.Known)
-	r.deps.Directory.SetDeclaredVersion(at(6000), testModel, 4, directory.Known)
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(2, at(0)))
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(3, at(3000)))
+	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(4, at(6000)))
 	view := r.deps.Directory.View()
 	return view, view.DeclaredVersion(testModel)
 }
--- a/sidecar/versionages.go
+++ b/sidecar/versionages.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/loadreport"
 )
 
@@ -18,7 +19,7 @@
 // all entries when they change and once per VersionAgesInterval while a version is
 // pending.
 func (r *Reconciler) sendVersionAges(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
-	now := time.Now()
+	now := bootclock.Now()
 	view := r.deps.Directory.View()
 	service := r.engineService(view)
 	if service == nil {
@@ -37,16 +38,18 @@
 		r.lastDeclarations = declarations
 		interval = 0
 	}
-	datagram := ages.Encode(service.Model)
 	for _, entry := range entries.takeVersionAgesDue(now, interval) {
+		datagram := ages.Encode(service.Model, r.clocks.Stamp(now, entry))
 		if _, err := conn.WriteToUDPAddrPort(datagram, entry); err != nil && ctx.Err() == nil {
 			r.deps.Logger.Warn("sending the ages of declared versions failed", "entry", entry, "error", err)
 		}
 	}
 }
 
-// applyVersionAges merges the ages of declared versions that an entry knows.
-func (r *Reconciler) applyVersionAges(now time.Time, from netip.AddrPort, datagram []byte) {
+// applyVersionAges merges the ages of declared versions that an entry knows. An entry that
+// has started gets those of this agent next: it can date them only by the echo of its own
+// datagram.
+func (r *Reconciler) applyVersionAges(now time.Time, from netip.AddrPort, datagram []byte, entries *subscribers) {
 	service := r.engineService(r.deps.Directory.View())
 	if service == nil {
 		return
@@ -56,7 +59,13 @@
 		r.deps.Logger.Warn("malformed ages of declared versions", "from", from, "error", err)
 		return
 	}
-	if ages, ok := decoded.Ages(service.Model); ok {
-		ages.MergeInto(r.deps.Directory, now, service.Model)
+	ages, ok := decoded.Ages(service.Model)
+	if !ok {
+		return
+	}
+	sentNotBefore, started := r.clocks.Receive(now, from, decoded.Stamp)
+	ages.MergeInto(r.deps.Directory, now, sentNotBefore, service.Model)
+	if started {
+		entries.requestVersionAges(from)
 	}
 }
--- a/sidecar/versiongauges.go
+++ b/sidecar/versiongauges.go
@@ -1,9 +1,8 @@
 package sidecar
 
 import (
-	"time"
-
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -20,8 +19,8 @@
 	})
 	s.Gauge(telemetry.MetricDeclaredVersion, tags, func() float64 { return float64(r.declaredVersion().Version) })
 	s.Gauge(telemetry.MetricDeclaredVersionAge, tags, func() float64 {
-		if declared := r.declaredVersion(); !declared.DeclaredAt.IsZero() {
-			return time.Since(declared.DeclaredAt).Seconds()
+		if declared := r.declaredVersion(); !declared.NotAfter.IsZero() {
+			return bootclock.Since(declared.NotAfter).Seconds()
 		}
 		return 0
 	})
--- a/sidecar/versiongauges_test.go
+++ b/sidecar/versiongauges_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -33,7 +34,7 @@
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersion), 1.0)
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersionAge), 0.0, "no version was declared")
 
-	r.deps.Directory.SetDeclaredVersion(time.Now().Add(-time.Minute), testModel, 3, directory.Guessed)
+	r.deps.Directory.SetInitialVersion(bootclock.Now().Add(-time.Minute), testModel, 3, 0)
 	sampler.Sample()
 	assert.Equal(t, gauge(telemetry.MetricLoadedVersion), 1.0)
 	assert.Equal(t, gauge(telemetry.MetricDeclaredVersion), 3.0)
