--- a/telemetry/metricspage_test.go
+++ b/telemetry/metricspage_test.go
@@ -29,7 +29,7 @@
 // A collector that keeps only the start of the page saw metrics of the Go runtime and
 // nothing of the state of the process.
 func TestStartOfMetricsPageHoldsTheGauges(t *testing.T) {
-	const keptBytes = 4 << 10
+	const keptBytes = 4000
 	const gauges = 20
 	page := metricsPage(t, func(scope tally.Scope) {
 		for i := range 40 {
--- a/telemetry/scope.go
+++ b/telemetry/scope.go
@@ -14,8 +14,8 @@
 // metricPrefix is the prefix of every metric name.
 const metricPrefix = "snipestep"
 
-// newScope returns a root scope and the handler of its Prometheus page.
-func newScope(logger *slog.Logger) (tally.Scope, io.Closer, http.Handler) {
+// newScope returns a root scope, and the registry and the handler of its Prometheus page.
+func newScope(logger *slog.Logger) (tally.Scope, io.Closer, prom.Registerer, http.Handler) {
 	registry := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry,
@@ -33,5 +33,5 @@
 		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return scope, closer, reporter.HTTPHandler()
+	return scope, closer, registry, reporter.HTTPHandler()
 }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"go.opentelemetry.io/otel/trace"
@@ -22,6 +23,7 @@
 	Scope  tally.Scope
 	Tracer trace.Tracer
 
+	registry       prom.Registerer
 	metricsHandler http.Handler
 	scopeCloser    io.Closer
 	shutdownTracer func(context.Context) error
@@ -38,11 +40,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "create the span exporter")
 	}
-	scope, closer, metricsHandler := newScope(logger)
+	scope, closer, registry, metricsHandler := newScope(logger)
 	return &Telemetry{
 		Logger:         logger,
 		Scope:          scope,
 		Tracer:         tracer,
+		registry:       registry,
 		metricsHandler: metricsHandler,
 		scopeCloser:    closer,
 		shutdownTracer: shutdownTracer,
