Log where the version of an endpoint comes from

"request ended" and "attempt failed" had the version and the age of the report, from which a reader had to know that reports count for 0.7 s only. They now say version_source, report or list. Lines of requests without a chosen endpoint stay as long as they were.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -64,16 +64,21 @@
 }
 
 // estimateFields returns the log fields of the estimate behind a choice. An age of -1
-// says that there was no report.
+// says that there was no report. The source of the version is left out if no endpoint
+// with weights was chosen.
 func estimateFields(e admission.LoadEstimate) []any {
 	reportAgeMS := int64(-1)
 	if e.ReportAge >= 0 {
 		reportAgeMS = e.ReportAge.Milliseconds()
 	}
-	return []any{
+	fields := []any{
 		"load", e.Load, "report_age_ms", reportAgeMS, "free", e.FreeSlots,
 		"endpoint_version", e.LoadedVersion, "min_version", e.MinVersion,
 	}
+	if e.VersionSource != "" {
+		fields = append(fields, "version_source", string(e.VersionSource))
+	}
+	return fields
 }
 
 // attemptOutcome returns the outcome that a failed attempt counts as in the state of
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -37,8 +37,22 @@
 	// oldest one allowed; both are 0 for services without weights.
 	LoadedVersion uint64
 	MinVersion    uint64
+	// VersionSource is where LoadedVersion comes from, empty for services without
+	// weights.
+	VersionSource VersionSource
 }
 
+// VersionSource is where the version of an endpoint is known from.
+type VersionSource string
+
+// The sources of versions.
+const (
+	// VersionFromReport: a recent report of the endpoint's agent.
+	VersionFromReport VersionSource = "report"
+	// VersionFromList: the endpoint list.
+	VersionFromList VersionSource = "list"
+)
+
 // loadEstimate returns the present estimate for an endpoint. freeSlots is the
 // number of free slots at all endpoints.
 func (p *Pool) loadEstimate(now time.Time, endpoint *endpointState, freeSlots int) LoadEstimate {
@@ -46,6 +60,9 @@
 		Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots,
 		LoadedVersion: endpoint.loadedVersionAt(now, &p.config), MinVersion: p.minVersion,
 	}
+	if p.config.AgentReports {
+		estimate.VersionSource = endpoint.versionSourceAt(now, &p.config)
+	}
 	if !endpoint.report.ReceivedAt.IsZero() {
 		estimate.ReportAge = now.Sub(endpoint.report.ReceivedAt)
 	}
--- a/routing/admission/decision_test.go
+++ b/routing/admission/decision_test.go
@@ -36,3 +36,15 @@
 	endpoint := p.endpoints["a"]
 	assert.Equal(t, p.loadEstimate(at(0), endpoint, 0).LoadedVersion, uint64(1))
 }
+
+// Guards against a choice by a stale entry of the endpoint list that looks like one by
+// a report.
+func TestEstimateTellsTheSourceOfTheVersion(t *testing.T) {
+	p := enginePool(1, "a")
+	endpoint := p.endpoints["a"]
+	assert.Equal(t, p.loadEstimate(at(700), endpoint, 0).VersionSource, VersionFromReport)
+	assert.Equal(t, p.loadEstimate(at(701), endpoint, 0).VersionSource, VersionFromList)
+	plain := NewPool(Config{Region: "r"})
+	plain.SetEndpoints(at(0), []Endpoint{{ID: "a", Region: "r", Slots: 4}})
+	assert.Equal(t, plain.loadEstimate(at(0), plain.endpoints["a"], 0).VersionSource, VersionSource(""))
+}
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -68,10 +68,18 @@
 	return max(load, float64(len(s.inFlight)))
 }
 
+// versionSourceAt returns where loadedVersionAt has the version from.
+func (s *endpointState) versionSourceAt(now time.Time, config *Config) VersionSource {
+	if config.AgentReports && now.Sub(s.report.ReceivedAt) <= config.MaxReportAge {
+		return VersionFromReport
+	}
+	return VersionFromList
+}
+
 // loadedVersionAt returns the version that is loaded at the endpoint: from its
 // report if that is recent, else from the endpoint list.
 func (s *endpointState) loadedVersionAt(now time.Time, config *Config) uint64 {
-	if config.AgentReports && now.Sub(s.report.ReceivedAt) <= config.MaxReportAge {
+	if s.versionSourceAt(now, config) == VersionFromReport {
 		return s.report.LoadedVersion
 	}
 	return s.LoadedVersion
