Show the time since the store's last answer on the metrics page

A watch that hears nothing for a while, without an error, left no trace: "store lost" is logged after an error only. The gauge store_answer_age_seconds counts from the last answer of a watch, or of the full read before it. It is that of the moment at which the page is read; a gap that ends between two reads of the page is not seen.

--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -64,6 +64,7 @@
 	{MetricDeclaredVersion, Gauge, "version", []string{TagService}, directOnly, "Declared version of the weights as the process knows it; 0 while it knows no configuration."},
 	{MetricDeclaredVersionAge, Gauge, "seconds", []string{TagService}, directOnly, "Time since the declaration of that version as the process knows it, perhaps an estimate; 0 if none was declared."},
 	{MetricLoadedVersion, Gauge, "version", []string{TagService}, directOnly, "At agents: version of the weights that the engine has loaded; 0 for none, and while the engine does not answer."},
+	{MetricStoreAnswerAge, Gauge, "seconds", nil, directOnly, "Time since the store last answered the watch, or the full read before it; absent before the first answer. A watch waits for 2 s at entries and 4 s at agents. Read when the page is served."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -50,6 +50,7 @@
 	MetricDeclaredVersion         = "declared_version"
 	MetricDeclaredVersionAge      = "declared_version_age_seconds"
 	MetricLoadedVersion           = "loaded_version"
+	MetricStoreAnswerAge          = "store_answer_age_seconds"
 )
 
 // The tags of metrics.
