Show on the metrics page which versions an entry enforces and uses

An operator keeps the last seconds of an entry's log and the first 4,000 bytes of its metrics page every 5 s. Neither showed whether an entry had dropped the deadline of version 2, dated it late, or took an endpoint for newer.

version_mandatory_in_seconds has each pending version with its certainty, last_attempt_age_seconds when the entry last sent a request to an endpoint of each version, both read when the page is served and bounded in number. Counters tell the attempts by version and its source, the requests cancelled as outdated, and the reports that named an older version than was believed.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -42,6 +42,9 @@
 		Logger:      t.Logger,
 		Scope:       t.Scope,
 	})
+	if err := t.AddLiveGauges(g.LiveGauges()...); err != nil {
+		return err
+	}
 	server := &gateway.Server{Gateway: g, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, StopGrace: s.StopGrace, Logger: t.Logger}
 	// The gateway receives reports until the last request has ended.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,10 +74,15 @@
 func (g *Gateway) send(ctx context.Context, r *http.Request, req *request, grant *admission.Grant, lastEventID string) (attempt *endpointAttempt, mayHaveRun bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	attempt = &endpointAttempt{grant: grant, cancel: cancel, sentAt: time.Now()}
-	attempt.endpoint = g.deps.Directory.View().Endpoints[grant.EndpointID]
+	view := g.deps.Directory.View()
+	attempt.endpoint = view.Endpoints[grant.EndpointID]
 	if attempt.endpoint == nil {
 		return attempt, false, ErrEndpointRemoved
 	}
+	// The process may have been paused since the choice, so that the minimum version of
+	// the choice is out of date.
+	minVersion := g.minVersion(attempt.sentAt, view, req.service.name, versionSafetyMargin)
+	g.metrics.recordAttemptVersion(attempt.sentAt, req.service.name, grant.Estimate, minVersion)
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	endpointRequest := g.newEndpointRequest(httptrace.WithClientTrace(ctx, trace), r, req, attempt.endpoint, lastEventID)
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -123,6 +123,7 @@
 			continue
 		}
 		if cancelled := g.unstarted.cancelAll(id, errVersionTooOld); cancelled > 0 {
+			g.metrics.recordOutdatedCancellations(serviceName, cancelled)
 			g.deps.Logger.Info("cancelled requests queued at an endpoint with an outdated version", "endpoint", id, "held", loadedVersion, "oldest", minVersion, "requests", cancelled)
 		}
 	}
--- /dev/null
+++ b/gateway/livegauges.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/telemetry"
+)
+
+// maxReportedVersions bounds the declared versions of a service for which gauges are
+// reported. Two services with that many, about 100 bytes each, leave the other gauges
+// their place in the first 4,000 bytes of the metrics page.
+const maxReportedVersions = 6
+
+// LiveGauges returns the gauges that are read when the metrics page is served.
+func (g *Gateway) LiveGauges() []telemetry.LiveGauge {
+	return []telemetry.LiveGauge{
+		{
+			Name: telemetry.MetricVersionMandatoryIn,
+			Tags: []string{telemetry.TagService, telemetry.TagVersion, telemetry.TagCertainty},
+			Read: g.readMandatoryIn,
+		},
+		{
+			Name: telemetry.MetricLastAttemptAge,
+			Tags: []string{telemetry.TagService, telemetry.TagVersion},
+			Read: g.readLastAttempts,
+		},
+	}
+}
+
+// readMandatoryIn reports the time until each declared version becomes mandatory.
+func (g *Gateway) readMandatoryIn(report func(value float64, tagValues ...string)) {
+	now := time.Now()
+	// The view that is read after the services has the document that names them.
+	services := *g.services.Load()
+	view := g.deps.Directory.View()
+	for name := range services {
+		service := view.Document.Services[name]
+		if service == nil || service.Engine == nil {
+			continue
+		}
+		for _, d := range g.reportedDeclarations(now, view.DeclaredVersion(service.Model)) {
+			report(g.mandatoryIn(now, d).Seconds(), name, strconv.FormatUint(d.Version, 10), d.Certainty.String())
+		}
+	}
+}
+
+// mandatoryIn returns the time until requests may no longer begin on versions before a
+// declared one, negative since.
+func (g *Gateway) mandatoryIn(now time.Time, d directory.Declaration) time.Duration {
+	return g.config.VersionBound - versionSafetyMargin - now.Sub(d.DeclaredAt)
+}
+
+// reportedDeclarations returns the newest mandatory declaration and the pending ones,
+// oldest first, at most maxReportedVersions of them.
+func (g *Gateway) reportedDeclarations(now time.Time, declared directory.DeclaredVersion) []directory.Declaration {
+	var reported []directory.Declaration
+	for _, d := range declared.Declarations() {
+		if d.DeclaredAt.IsZero() {
+			continue
+		}
+		reported = append(reported, d)
+		if g.mandatoryIn(now, d) <= 0 {
+			break
+		}
+	}
+	slices.Reverse(reported)
+	return reported[:min(len(reported), maxReportedVersions)]
+}
+
+// readLastAttempts reports the time since the last attempt at each version.
+func (g *Gateway) readLastAttempts(report func(value float64, tagValues ...string)) {
+	now := time.Now()
+	for name := range *g.services.Load() {
+		for version, sentAt := range g.metrics.lastAttempts.byVersion(name) {
+			report(now.Sub(sentAt).Seconds(), name, strconv.FormatUint(version, 10))
+		}
+	}
+}
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -142,11 +142,18 @@
 	if report.ClosesIn >= 0 {
 		closesAt = now.Add(report.ClosesIn)
 	}
+	believedVersion := uint64(0)
 	s.gate.Update(func(p *admission.Pool) {
+		believedVersion = p.LoadedVersion(now, endpoint.ID)
 		p.Report(endpoint.ID, admission.Report{
 			ReceivedAt: now, RoundTrip: g.agentRoundTrip(now, report.Echo), ClosesAt: closesAt, Demand: float64(report.Demand), Running: report.Running, Waiting: report.Waiting, Slowdown: report.Slowdown, Closed: report.Closed, LoadedVersion: report.LoadedVersion,
 		})
 	})
+	// An engine that loads a version reports 0.
+	if report.LoadedVersion != 0 && report.LoadedVersion < believedVersion {
+		g.metrics.recordVersionCorrection(s.name)
+		g.deps.Logger.Warn("endpoint has an older version than was believed", "endpoint", endpoint.ID, "held", report.LoadedVersion, "believed", believedVersion)
+	}
 }
 
 // agentRoundTrip returns the round-trip time to an agent, 0 if unknown.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,16 +5,18 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
 // metrics records the gateway's metrics.
 type metrics struct {
-	scope tally.Scope
+	scope        tally.Scope
+	lastAttempts *lastAttempts
 }
 
 func newMetrics(scope tally.Scope) *metrics {
-	return &metrics{scope: telemetry.ScopeOrNoop(scope)}
+	return &metrics{scope: telemetry.ScopeOrNoop(scope), lastAttempts: newLastAttempts()}
 }
 
 // latencyBuckets range from a timely first event to a complete long stream.
@@ -48,6 +50,38 @@
 	m.scope.Counter(telemetry.MetricStrikes).Inc(1)
 }
 
+func (m *metrics) recordOutdatedCancellations(service string, requests int) {
+	m.scope.Tagged(map[string]string{telemetry.TagService: service}).Counter(telemetry.MetricOutdatedCancellations).Inc(int64(requests))
+}
+
+func (m *metrics) recordVersionCorrection(service string) {
+	m.scope.Tagged(map[string]string{telemetry.TagService: service}).Counter(telemetry.MetricVersionCorrections).Inc(1)
+}
+
+// recordAttemptVersion records the version of an attempt that is sent now, and its
+// relation to the minimum version. It ignores services without weights.
+func (m *metrics) recordAttemptVersion(now time.Time, service string, estimate admission.LoadEstimate, minVersion uint64) {
+	if estimate.VersionSource == "" {
+		return
+	}
+	m.lastAttempts.record(now, service, estimate.LoadedVersion)
+	m.scope.Tagged(map[string]string{
+		telemetry.TagService: service, telemetry.TagRelation: versionRelation(estimate.LoadedVersion, minVersion), telemetry.TagSource: string(estimate.VersionSource),
+	}).Counter(telemetry.MetricAttemptsByVersion).Inc(1)
+}
+
+// versionRelation returns how a version compares with the minimum version.
+func versionRelation(version, minVersion uint64) string {
+	switch {
+	case version < minVersion:
+		return "older"
+	case version == minVersion:
+		return "minimum"
+	default:
+		return "newer"
+	}
+}
+
 func (m *metrics) updateQuarantined(requests int) {
 	m.scope.Gauge(telemetry.MetricQuarantinedFingerprints).Update(float64(requests))
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -64,7 +64,12 @@
 	{MetricDeclaredVersion, Gauge, "version", []string{TagService}, directOnly, "Declared version of the weights as the process knows it; 0 while it knows no configuration."},
 	{MetricDeclaredVersionAge, Gauge, "seconds", []string{TagService}, directOnly, "Time since the declaration of that version as the process knows it, perhaps an estimate; 0 if none was declared."},
 	{MetricLoadedVersion, Gauge, "version", []string{TagService}, directOnly, "At agents: version of the weights that the engine has loaded; 0 for none, and while the engine does not answer."},
+	{MetricVersionMandatoryIn, Gauge, "seconds", []string{TagService, TagVersion, TagCertainty}, directOnly, "At entries: time until requests may no longer begin on versions before this one, negative since; for the pending versions and the newest mandatory one, at most six, the next due first. Read when the page is served."},
+	{MetricLastAttemptAge, Gauge, "seconds", []string{TagService, TagVersion}, directOnly, "At entries: time since a request was last sent to an endpoint that the entry took to have this version; for the four versions with the latest attempts. Read when the page is served."},
 	{MetricStoreAnswerAge, Gauge, "seconds", nil, directOnly, "Time since the store last answered the watch, or the full read before it; absent before the first answer. A watch waits for 2 s at entries and 4 s at agents. Read when the page is served."},
+	{MetricAttemptsByVersion, Counter, "attempts", []string{TagService, TagRelation, TagSource}, directOnly, "Attempts by the relation of the endpoint's version to the minimum version at sending (older, minimum or newer), and by the source of the endpoint's version: report or list."},
+	{MetricOutdatedCancellations, Counter, "requests", []string{TagService}, directOnly, "Requests cancelled because they were queued at an endpoint with an outdated version."},
+	{MetricVersionCorrections, Counter, "reports", []string{TagService}, directOnly, "Load reports that named an older version of the weights than the entry took the endpoint to have."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -50,7 +50,12 @@
 	MetricDeclaredVersion         = "declared_version"
 	MetricDeclaredVersionAge      = "declared_version_age_seconds"
 	MetricLoadedVersion           = "loaded_version"
+	MetricVersionMandatoryIn      = "version_mandatory_in_seconds"
+	MetricLastAttemptAge          = "last_attempt_age_seconds"
 	MetricStoreAnswerAge          = "store_answer_age_seconds"
+	MetricAttemptsByVersion       = "attempts_by_version_total"
+	MetricOutdatedCancellations   = "outdated_cancellations_total"
+	MetricVersionCorrections      = "version_corrections_total"
 )
 
 // The tags of metrics.
@@ -64,6 +69,11 @@
 	TagOrder   = "order"
 	TagFault   = "fault"
 	TagService = "service"
+	// TagVersion is a version of weights, TagCertainty how far its declaration time is
+	// known, TagRelation how it compares with the minimum version.
+	TagVersion   = "version"
+	TagCertainty = "certainty"
+	TagRelation  = "relation"
 )
 
 // The programs that report metrics.
