--- a/directory/declaration.go
+++ b/directory/declaration.go
@@ -37,14 +37,28 @@
 // the earliest possible time of the declaration, except that it skips an outage of the
 // store in which no process read the version.
 func (d Declaration) CountsFrom() time.Time {
-	from := latest(d.NotBefore, d.StoreAwayUntil)
-	if from.IsZero() {
-		from = d.GuessedAt
+	from, _ := d.countsFrom()
+	return from
+}
+
+// Basis returns what the time is that CountsFrom returns.
+func (d Declaration) Basis() Basis {
+	_, basis := d.countsFrom()
+	return basis
+}
+
+func (d Declaration) countsFrom() (time.Time, Basis) {
+	from, basis := d.NotBefore, BasisLastAnswer
+	if d.StoreAwayUntil.After(from) {
+		from, basis = d.StoreAwayUntil, BasisOutage
 	}
 	if from.IsZero() {
-		return d.NotAfter
+		from, basis = d.GuessedAt, BasisGuess
+	}
+	if from.IsZero() || from.After(d.NotAfter) {
+		return d.NotAfter, BasisFirstRead
 	}
-	return earliest(from, d.NotAfter)
+	return from, basis
 }
 
 // ScheduledFrom returns the time from which the switches of the engines are scheduled:
@@ -92,14 +106,12 @@
 
 // LogFields returns log fields for the time since the declaration, in milliseconds: at
 // least age_ms, at most max_age_ms, which is left out if unknown. counted_ms is the time
-// that the version bound counts.
+// that the version bound counts, and basis where that starts.
 func (d Declaration) LogFields(now time.Time) []any {
-	fields := []any{"age_ms", now.Sub(d.NotAfter).Milliseconds(), "counted_ms", now.Sub(d.CountsFrom()).Milliseconds()}
+	from, basis := d.countsFrom()
+	fields := []any{"age_ms", now.Sub(d.NotAfter).Milliseconds(), "counted_ms", now.Sub(from).Milliseconds(), "basis", string(basis)}
 	if !d.NotBefore.IsZero() {
 		fields = append(fields, "max_age_ms", now.Sub(d.NotBefore).Milliseconds())
 	}
-	if !d.StoreAwayUntil.IsZero() {
-		fields = append(fields, "store_away_until_ms", now.Sub(d.StoreAwayUntil).Milliseconds())
-	}
 	return fields
 }
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -103,7 +103,7 @@
 		synctest.Wait()
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)), []map[string]any{
 			{"service": "lm", "old": 0.0, "new": 1.0, "declared": 1.0},
-			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9500.0, "max_age_ms": 9500.0, "counted_ms": 9500.0, "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 2.0, "declared": 2.0, "age_ms": 9500.0, "max_age_ms": 9500.0, "counted_ms": 9500.0, "basis": "last answer", "superseded": "1"},
 		})
 	})
 }
@@ -115,11 +115,11 @@
 		f := newVersionFixture(t, 10*time.Second)
 		f.directory.SetInitialVersion(time.Now().Add(-9500*time.Millisecond), "m", 3, 200*time.Millisecond)
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[1:]), []map[string]any{
-			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "counted_ms": 9700.0, "superseded": "1"},
+			{"service": "lm", "old": 1.0, "new": 3.0, "declared": 3.0, "age_ms": 9500.0, "counted_ms": 9700.0, "basis": "guess", "superseded": "1"},
 		})
 		f.directory.SetDeclaration("m", versiontest.Declared(4, time.Now().Add(-9600*time.Millisecond)))
 		assert.DeepEqual(t, withoutHeader(f.minVersionLines(t)[2:]), []map[string]any{
-			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9600.0, "max_age_ms": 9600.0, "counted_ms": 9600.0, "superseded": "3 (9.5s, counted 9.7s)"},
+			{"service": "lm", "old": 3.0, "new": 4.0, "declared": 4.0, "age_ms": 9600.0, "max_age_ms": 9600.0, "counted_ms": 9600.0, "basis": "last answer", "superseded": "3 (9.5s, counted 9.7s)"},
 		})
 	})
 }
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -50,6 +50,12 @@
 	MetricDeclaredVersion         = "declared_version"
 	MetricDeclaredVersionAge      = "declared_version_age_seconds"
 	MetricLoadedVersion           = "loaded_version"
+	MetricVersionMandatoryIn      = "version_mandatory_in_seconds"
+	MetricLastAttemptAge          = "last_attempt_age_seconds"
+	MetricStoreAnswerAge          = "store_answer_age_seconds"
+	MetricAttemptsByVersion       = "attempts_by_version_total"
+	MetricOutdatedCancellations   = "outdated_cancellations_total"
+	MetricVersionCorrections      = "version_corrections_total"
 )
 
 // The tags of metrics.
@@ -63,6 +69,11 @@
 	TagOrder   = "order"
 	TagFault   = "fault"
 	TagService = "service"
+	// TagVersion is a version of weights, TagBasis what the time is from which its bound
+	// counts, TagRelation how it compares with the minimum version.
+	TagVersion  = "version"
+	TagBasis    = "basis"
+	TagRelation = "relation"
 )
 
 // The programs that report metrics.
