Measure the executor's lease on a clock without steps

What callers saw: nothing directly. An entry whose time of day was set back went on ordering agents after its lease had ended in the store; one whose time of day was set ahead gave up a lease that it held.

Cause: the end of the lease was compared as Unix time, taken from the entry's time of day, which may jump by seconds, while the store's lease runs in real time.

The lease now ends by bootclock, which counts a suspension as the time of day did, and makes no steps. Valid reads the clock of the lease itself, so that a caller cannot pass a time of another clock.

--- a/configuration/clock.go
+++ b/configuration/clock.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+
+	"github.com/snipestep/snipestep/internal/bootclock"
 )
 
 const (
@@ -16,7 +18,8 @@
 
 // Clock tells the time and waits.
 type Clock struct {
-	// Now is time.Now by default.
+	// Now is bootclock.Now by default: leases run on while this instance is suspended,
+	// and steps of the time of day do not move their end.
 	Now func() time.Time
 	// After is time.After by default.
 	After func(time.Duration) <-chan time.Time
@@ -24,7 +27,7 @@
 
 func (c Clock) withDefaults() Clock {
 	if c.Now == nil {
-		c.Now = time.Now
+		c.Now = bootclock.Now
 	}
 	if c.After == nil {
 		c.After = time.After
--- a/configuration/election_test.go
+++ b/configuration/election_test.go
@@ -89,9 +89,9 @@
 	kv := newMemoryKeyValue()
 	election, clock := newElection(kv, "a", 0)
 	lease := campaign(t, election)
-	assert.Assert(t, lease.Valid(clock.Now()))
+	assert.Assert(t, lease.Valid())
 	clock.advance(testTTL)
-	assert.Assert(t, !lease.Valid(clock.Now()))
+	assert.Assert(t, !lease.Valid())
 	clock.tick <- clock.Now()
 	<-lease.Done
 }
@@ -111,7 +111,7 @@
 	renewWith(faultNone)
 	renewWith(faultUnavailable)
 	renewWith(faultNone)
-	assert.Assert(t, lease.Valid(clock.Now()))
+	assert.Assert(t, lease.Valid())
 	renewWith(faultUnavailable)
 	renewWith(faultUnavailable)
 	renewWith(faultUnavailable)
@@ -125,5 +125,5 @@
 	kv.expire(1)
 	clock.tick <- clock.Now()
 	<-lease.Done
-	assert.Assert(t, !lease.Valid(clock.Now()))
+	assert.Assert(t, !lease.Valid())
 }
--- a/configuration/executorlease.go
+++ b/configuration/executorlease.go
@@ -21,7 +21,7 @@
 
 	cfg         ElectionConfig
 	id          backing.LeaseID
-	validUntil  atomic.Int64 // Unix time in nanoseconds.
+	validUntil  atomic.Pointer[time.Time]
 	done        chan struct{}
 	release     chan struct{}
 	releaseOnce sync.Once
@@ -41,15 +41,14 @@
 	return l
 }
 
-// Valid reports whether the lease is certainly held at now. It must be checked
-// before each order: after a pause of the process it may be false before Done is
-// closed.
-func (l *ExecutorLease) Valid(now time.Time) bool {
+// Valid reports whether the lease is certainly held. It must be checked before each
+// order: after a pause of the process it may be false before Done is closed.
+func (l *ExecutorLease) Valid() bool {
 	select {
 	case <-l.done:
 		return false
 	default:
-		return now.UnixNano() < l.validUntil.Load()
+		return l.cfg.Clock.Now().Before(*l.validUntil.Load())
 	}
 }
 
@@ -63,7 +62,8 @@
 // extend sets validUntil relative to the start of the call that granted or renewed
 // the lease, so that the local end is never after the real one.
 func (l *ExecutorLease) extend(startedAt time.Time) {
-	l.validUntil.Store(startedAt.Add(l.cfg.TTL - l.cfg.SafetyMargin).UnixNano())
+	validUntil := startedAt.Add(l.cfg.TTL - l.cfg.SafetyMargin)
+	l.validUntil.Store(&validUntil)
 }
 
 // keepAlive renews the lease until it is lost or released, and then revokes it.
@@ -88,7 +88,7 @@
 // renew tries to renew the lease once and reports whether it is still valid.
 func (l *ExecutorLease) renew(ctx context.Context) bool {
 	startedAt := l.cfg.Clock.Now()
-	if !l.Valid(startedAt) {
+	if !l.Valid() {
 		return false
 	}
 	callCtx, cancel := context.WithTimeout(ctx, min(l.cfg.CallTimeout, l.cfg.TTL/keepAlivesPerTTL))
@@ -100,7 +100,7 @@
 	if err == nil {
 		l.extend(startedAt)
 	}
-	return l.Valid(l.cfg.Clock.Now())
+	return l.Valid()
 }
 
 func (l *ExecutorLease) revoke(ctx context.Context) {
--- a/entry/assembly.go
+++ b/entry/assembly.go
@@ -72,7 +72,6 @@
 	e.executor = &executor{
 		election: configuration.NewElection(configuration.ElectionConfig{
 			KeyValue: e.deps.KeyValue,
-			Clock:    configuration.Clock{Now: e.deps.Now},
 			HolderID: e.calls.uniqueID(0),
 			MinFence: collector.highestFence,
 			Logger:   e.deps.Logger,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,7 +85,6 @@
 	e.runCtx, e.stop = context.WithCancel(context.Background())
 	e.store = configuration.NewStore(configuration.Config{
 		KeyValue:       deps.KeyValue,
-		Clock:          configuration.Clock{Now: deps.Now},
 		PeerGeneration: e.peerGeneration,
 		Logger:         deps.Logger,
 	}, e.documents)
--- a/entry/executor.go
+++ b/entry/executor.go
@@ -84,7 +84,7 @@
 	view := x.collector.collectUncached(ctx, statuses.lookup)
 	orders := intent.Reconcile(x.documents.Current(), view, x.reconcileConfig)
 	statuses.update(view, orders)
-	if len(orders) > 0 && lease.Valid(x.now()) {
+	if len(orders) > 0 && lease.Valid() {
 		x.sendOrders(ctx, lease.Fence, orders)
 	}
 	due := statuses.dueCount(view)
