Refuse a call that expired while the machine was suspended

What callers saw: a call that waited at an agent ran after the suspension of the agent's machine, however long it had lasted, although its caller had given up and been told that the outcome was unknown. Work for nobody, and for a call that is not idempotent an effect that comes late.

Cause: the agent checks the deadline again before it starts a call, to find that the process was paused, but on the monotonic clock, which stands still during a suspension.

The check now uses bootclock. The queue stays on the monotonic clock: its times of service would take a suspension for a slow endpoint.

--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -23,6 +23,7 @@
 	runner      runner
 	tracer      trace.Tracer
 	now         clock
+	bootNow     clock // Counts suspensions of the machine.
 	policy      string
 	counters    *counters
 	activeCalls activeCalls
@@ -44,13 +45,19 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go cancelOnClose(stream, cancel)
-	j := newJob(c.lastJobID.Add(1), c.policy, req, c.now())
-	finalEvent := c.runJob(ctx, stream, j)
+	finalEvent := c.runJob(ctx, stream, c.newJob(req))
 	if finalEvent != nil && stream.Send(finalEvent) == nil {
 		waitForClose(ctx)
 	}
 }
 
+// newJob returns the job of an attempt that has just arrived.
+func (c *callServer) newJob(req *wire.CallRequest) *job {
+	j := newJob(c.lastJobID.Add(1), c.policy, req, c.now())
+	j.expiresAt = c.bootNow().Add(time.Duration(req.GetDeadlineMs()) * time.Millisecond)
+	return j
+}
+
 // waitForClose blocks until the entry has read the final event and closed the
 // stream, for at most finalEventTimeout: a session that ends earlier could lose
 // the event.
@@ -78,8 +85,9 @@
 		if finalEvent, done := c.waitForSlot(ctx, j); done {
 			return finalEvent
 		}
-		if !c.now().Before(j.call.Deadline) {
-			// The process may have been paused since the job was queued.
+		if !c.bootNow().Before(j.expiresAt) {
+			// The process may have been paused, or the machine suspended, since the job
+			// was queued.
 			c.sched.post(doneEvent{id: j.call.ID})
 			return callRefusedEvent(j, refusal{code: CodePatienceExceeded})
 		}
--- a/agent/components.go
+++ b/agent/components.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/weights/swarm"
 )
@@ -69,6 +70,7 @@
 		runner:   a.newRunner(),
 		tracer:   a.deps.Tracer,
 		now:      a.deps.Now,
+		bootNow:  bootclock.Now,
 		policy:   a.cfg.Policy,
 		counters: &a.counters,
 	}
--- a/agent/job.go
+++ b/agent/job.go
@@ -23,6 +23,9 @@
 	// Only the scheduler changes it.
 	continuation bool
 	req          *wire.CallRequest
+	// expiresAt is when the caller gives up, on a clock that counts suspensions; the
+	// queue measures call.Deadline on its own clock.
+	expiresAt time.Time
 	// started and refused buffer at most one signal each.
 	started chan struct{}
 	refused chan refusal
