Do not trust a view of the claim log from before a suspension

What callers saw: a call that is not idempotent could run twice under one idempotency key, if the machine of an owner of claims had been suspended for longer than claims last (10 min, and a minute for the clocks).

Cause: an owner checks the age of its view of the log, so that after a long pause it reads the log again. The age was taken between times with monotonic readings, and Go compares these by the monotonic clock, which stands still during a suspension. The owner then writes under a sequence number that others have used and deleted.

Evidence: TestSuspendedOwnerDoesNotGrantAKeyThatIsHeld fails without the fix, with the key granted a second time.

The ages of the view, of applied entries and of uncertain batches are measured by bootclock. It never goes back, so that the check for a negative age goes. The times of claims stay on the wall clock, as owners compare them.

--- a/claim/appliedentry.go
+++ b/claim/appliedentry.go
@@ -7,6 +7,6 @@
 	sequence  uint64
 	version   uint64
 	batchID   string
-	draftedAt time.Time // By its writer's clock.
-	appliedAt time.Time // By this owner's clock.
+	draftedAt time.Time // By its writer's wall clock.
+	appliedAt time.Time // By this owner's OwnerConfig.BootNow.
 }
--- a/claim/apply.go
+++ b/claim/apply.go
@@ -13,7 +13,7 @@
 		version:   entry.version,
 		batchID:   batchID,
 		draftedAt: entry.draftedAt(),
-		appliedAt: o.config.Now(),
+		appliedAt: o.config.BootNow(),
 	})
 	if d != nil && d.batch.GetId() == batchID {
 		d.committed = true
--- a/claim/completejobs.go
+++ b/claim/completejobs.go
@@ -39,5 +39,5 @@
 			keyByClaimID[j.claimID] = j.key
 		}
 	}
-	o.uncertainBatches[d.batch.GetId()] = uncertainBatch{failedAt: o.config.Now(), keyByClaimID: keyByClaimID}
+	o.uncertainBatches[d.batch.GetId()] = uncertainBatch{failedAt: o.config.BootNow(), keyByClaimID: keyByClaimID}
 }
--- a/claim/expire.go
+++ b/claim/expire.go
@@ -29,5 +29,5 @@
 // condition matters for an entry whose write was delayed.
 func (o *Owner) deletable(e appliedEntry, now time.Time) bool {
 	expired := now.Sub(e.draftedAt) >= o.config.TTL+o.config.ClockSkew
-	return expired && now.Sub(e.appliedAt) > o.maxViewAge()
+	return expired && o.config.BootNow().Sub(e.appliedAt) > o.maxViewAge()
 }
--- a/claim/flush.go
+++ b/claim/flush.go
@@ -49,7 +49,7 @@
 // not committed, another entry was written first and has been read.
 func (o *Owner) write(ctx context.Context, d *draft) error {
 	entry := logEntry{sequence: o.nextSequence, batch: d.batch}
-	started := o.config.Now()
+	started := o.config.BootNow()
 	version, err := o.log.create(ctx, entry)
 	if err == nil {
 		entry.version = version
@@ -77,7 +77,7 @@
 // end of the log. After a long pause it may not be: another owner's entry with
 // the same sequence number may have been written and deleted meanwhile.
 func (o *Owner) viewIsFresh() bool {
-	return o.config.Now().Sub(o.syncedAt) < o.maxViewAge()
+	return o.config.BootNow().Sub(o.syncedAt) < o.maxViewAge()
 }
 
 // readBack reads the log after a failed write. It returns cause if the write
--- a/claim/owner.go
+++ b/claim/owner.go
@@ -31,7 +31,7 @@
 	replayed       bool
 	nextSequence   uint64         // Sequence number of the next entry.
 	appliedEntries []appliedEntry // Entries still in the log, oldest first.
-	syncedAt       time.Time      // When nextSequence was known to be the end of the log.
+	syncedAt       time.Time      // When nextSequence was the end of the log, by OwnerConfig.BootNow.
 	// pendingVoids maps claim identifiers to keys. These claims hold their keys
 	// although their callers were not granted them, and are to be voided.
 	pendingVoids map[string]core.Digest
--- a/claim/owner_stateful_test.go
+++ b/claim/owner_stateful_test.go
@@ -61,6 +61,7 @@
 		KeyValue: m.kv,
 		TTL:      testTTL,
 		Now:      func() time.Time { return m.now },
+		BootNow:  func() time.Time { return m.now },
 		NewID:    m.newID,
 	})
 }
--- a/claim/owner_test.go
+++ b/claim/owner_test.go
@@ -32,6 +32,7 @@
 type fixture struct {
 	kv        *testKeyValue
 	now       time.Time
+	suspended time.Duration
 	lastBatch int
 }
 
@@ -44,6 +45,7 @@
 		KeyValue: f.kv,
 		TTL:      testTTL,
 		Now:      func() time.Time { return f.now },
+		BootNow:  func() time.Time { return f.now.Add(f.suspended) },
 		NewID: func() string {
 			f.lastBatch++
 			return fmt.Sprintf("batch-%d", f.lastBatch)
@@ -111,6 +113,27 @@
 	assert.Equal(t, claimKey(f.newOwner(), "k", "c4").Kind, Done)
 }
 
+// An owner whose machine had been suspended took its view of the log for recent, and
+// granted a key that another owner had granted meanwhile, under a sequence number that
+// had been used and deleted.
+func TestSuspendedOwnerDoesNotGrantAKeyThatIsHeld(t *testing.T) {
+	f := newFixture()
+	suspended := f.newOwner()
+	assert.Equal(t, claimKey(suspended, "before", "c").Kind, Granted)
+	other := &fixture{kv: f.kv, now: f.now, lastBatch: 1000}
+	o := other.newOwner()
+	const steps = 100
+	for i := range steps {
+		assert.Equal(t, claimKey(o, fmt.Sprint(i), fmt.Sprint(i)).Kind, Granted)
+		other.now = other.now.Add(testTTL / 10)
+	}
+	assert.Equal(t, claimKey(o, "k", "other").Kind, Granted)
+
+	f.suspended = other.now.Sub(f.now)
+
+	assert.Equal(t, claimKey(suspended, "k", "mine").Kind, Held)
+}
+
 func TestExpiredEntriesAreDeleted(t *testing.T) {
 	f := newFixture()
 	o := f.newOwner()
--- a/claim/ownerconfig.go
+++ b/claim/ownerconfig.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/internal/bootclock"
 )
 
 const (
@@ -41,6 +42,9 @@
 	MaxKeys int
 	// Now returns the wall-clock time; time.Now if nil.
 	Now func() time.Time
+	// BootNow measures the age of the owner's view of the log; bootclock.Now if nil.
+	// Other owners go on while this one's machine is suspended.
+	BootNow func() time.Time
 	// NewID returns a unique identifier; a random UUID if nil.
 	NewID  func() string
 	Logger *slog.Logger
@@ -65,6 +69,9 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.BootNow == nil {
+		c.BootNow = bootclock.Now
+	}
 	if c.NewID == nil {
 		c.NewID = uuid.NewString
 	}
--- a/claim/sync.go
+++ b/claim/sync.go
@@ -22,16 +22,23 @@
 // syncMatching does the same as sync, and marks d as committed if it finds d's
 // entry.
 func (o *Owner) syncMatching(ctx context.Context, maxAge time.Duration, d *draft) error {
-	now := o.config.Now()
-	age := now.Sub(o.syncedAt)
-	if o.replayed && age >= 0 && age < maxAge {
+	startedAt := o.config.BootNow()
+	age := startedAt.Sub(o.syncedAt)
+	if o.replayed && age < maxAge {
 		return nil
 	}
-	o.expireUncertainBatches(now)
-	if !o.replayed || age < 0 || age >= o.config.TTL {
-		return o.replay(ctx, now, d)
+	now := o.config.Now()
+	o.expireUncertainBatches(startedAt)
+	var err error
+	if !o.replayed || age >= o.config.TTL {
+		err = o.replay(ctx, now, d)
+	} else {
+		err = o.catchUp(ctx, now, d)
+	}
+	if err == nil {
+		o.syncedAt = startedAt
 	}
-	return o.catchUp(ctx, now, d)
+	return err
 }
 
 // overlapEntries is the number of applied entries that catchUp reads again to
@@ -52,7 +59,6 @@
 		return o.replay(ctx, now, d)
 	}
 	o.applyAll(entries[len(overlap):], now, d)
-	o.syncedAt = now
 	return nil
 }
 
@@ -82,7 +88,6 @@
 	o.applyAll(entries, now, d)
 	o.restoreLostClaims(previous, entries, now)
 	o.replayed = true
-	o.syncedAt = now
 	return nil
 }
 
