Keep the guess of a start whatever report came before it

A report without a lower bound that arrived before the first read of the store kept the guess of that read out: the version counted from the report, up to 5.5 s too young, and requests could begin on older ones for as long. TestGuessOfAStartDoesNotDependOnTheOrderOfReports failed before (found in review).

--- a/directory/declaration.go
+++ b/directory/declaration.go
@@ -13,8 +13,9 @@
 	// NotAfter is the earliest time at which a process is known to have read the
 	// version.
 	NotAfter time.Time
-	// StoreAwayUntil is the start of the last failed call before this process read the
-	// version, if the store was away by more than one call; else zero.
+	// StoreAwayUntil is the start of the last failed call before this process learnt of
+	// the version, if several calls had failed in a row; else zero. It is not reported:
+	// one process may be cut off while the others read the store.
 	StoreAwayUntil time.Time
 	// GuessedAt stands in for NotBefore in a process that started after the
 	// declaration, until other processes report it; zero in others.
@@ -87,6 +88,9 @@
 		d.NotBefore = earliest(latest(d.NotBefore, other.NotBefore), d.NotAfter)
 	}
 	d.StoreAwayUntil = latest(d.StoreAwayUntil, other.StoreAwayUntil)
+	if d.GuessedAt.IsZero() {
+		d.GuessedAt = other.GuessedAt
+	}
 	return d
 }
 
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -285,3 +285,16 @@
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, NotBefore: at(3000), NotAfter: at(4000)})
 	assert.Equal(t, d.View().DeclaredVersion("m").CountsFrom(), at(4000))
 }
+
+// Guards against a version that looks younger than the guess of a start because a late
+// report arrived before the first read of the store.
+func TestGuessOfAStartDoesNotDependOnTheOrderOfReports(t *testing.T) {
+	late := directory.Declaration{Version: 2, NotAfter: at(-100)}
+	readFirst, reportFirst := newDirectory(), newDirectory()
+	readFirst.SetInitialVersion(at(0), "m", 2, 5500*time.Millisecond)
+	readFirst.MergeDeclaration("m", late)
+	reportFirst.MergeDeclaration("m", late)
+	reportFirst.SetInitialVersion(at(0), "m", 2, 5500*time.Millisecond)
+	assert.Equal(t, readFirst.View().DeclaredVersion("m").CountsFrom(), at(-5500))
+	assert.Equal(t, reportFirst.View().DeclaredVersion("m").CountsFrom(), at(-5500))
+}
