--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,6 +25,8 @@
 	mu          sync.Mutex
 	subscribers []func(*View)
 	uptime      storeUptime
+	// storeAwayUntil is that of the versions that reports name during an outage.
+	storeAwayUntil time.Time
 	// missing holds the IDs of endpoints that are missing from the endpoint list
 	// since an outage of the store, with the uptime of the store at the end of that
 	// outage. They are kept for missingGrace of uptime: further outages interrupt the
@@ -110,12 +112,24 @@
 		d.refineDeclaration(model, known.intersect(reported))
 		return
 	}
+	reported.StoreAwayUntil = d.storeAwayUntil
 	d.addDeclaration(model, reported)
 }
 
+// SetStoreAway records the start of the last failed call of a present outage of the
+// store, the zero time after its end.
+func (d *Directory) SetStoreAway(until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeAwayUntil = until
+}
+
 // refineDeclaration replaces the bounds of a version that is known. The caller holds
 // d.mu.
 func (d *Directory) refineDeclaration(model string, refined Declaration) {
+	if known, _ := d.current.Load().DeclaredVersions[model].find(refined.Version); known == refined {
+		return
+	}
 	fields := []any{"model", model, "version", refined.Version}
 	d.logger.Info("age of a declared version learnt", append(fields, refined.LogFields(bootclock.Now())...)...)
 	d.replaceDeclaredVersion(model, d.current.Load().DeclaredVersions[model].with(refined))
