Correct a process that dates a version too late after its bound

An entry that was cut off for longer than the version bound read the version as new when it returned. Agents, for which the version was no longer pending, told it nothing, and it allowed older versions for up to 7.5 s more. A process now sends its ages to one that reports a version younger than it knows it to be.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 	startedAt time.Time
 	// clocks bounds when the version ages of agents were sent.
 	clocks *loadreport.ClockExchange
+	// agesDue holds the datagram addresses of agents to which version ages are due.
+	agesDue sync.Map
 
 	// applyMu serialises applyView.
 	applyMu sync.Mutex
--- a/gateway/versionages.go
+++ b/gateway/versionages.go
@@ -10,14 +10,15 @@
 )
 
 // sendVersionAges sends each agent the ages of the declared versions of its model
-// while one is pending. Agents that have all restarted since learn them from entries
-// only.
+// while one is pending, or if the agent takes one for younger. Agents that have all
+// restarted since learn them from entries only.
 func (g *Gateway) sendVersionAges(ctx context.Context, conn *net.UDPConn, agents []netip.AddrPort) {
 	now := g.deps.Now()
 	for _, agent := range agents {
 		model := g.agentModel(agent.Addr())
 		ages := loadreport.VersionAgesAt(now, g.deps.Directory.View().DeclaredVersion(model), g.config.VersionBound)
-		if !ages.Pending(g.config.VersionBound) {
+		_, requested := g.agesDue.LoadAndDelete(agent)
+		if !requested && !ages.Pending(g.config.VersionBound) {
 			continue
 		}
 		if _, err := conn.WriteToUDPAddrPort(ages.Encode(model, g.clocks.Stamp(now, agent)), agent); err != nil && ctx.Err() == nil {
@@ -40,6 +41,9 @@
 	if ages, ok := decoded.Ages(model); ok {
 		sentNotBefore, _ := g.clocks.Receive(now, from, decoded.Stamp)
 		ages.MergeInto(g.deps.Directory, now, sentNotBefore, model)
+		if ages.Younger(now, g.deps.Directory.View().DeclaredVersion(model)) {
+			g.agesDue.Store(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), true)
+		}
 	}
 }
 
--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -88,6 +88,23 @@
 	return d.ages, true
 }
 
+// youngerTolerance is how much younger reported ages may be by the delays of datagrams.
+const youngerTolerance = 500 * time.Millisecond
+
+// Younger reports whether their sender takes a version for younger than the receiver,
+// which knows a declared version, does. Then the receiver should send its ages, also of
+// versions that are no longer pending.
+func (v VersionAges) Younger(now time.Time, declared directory.DeclaredVersion) bool {
+	for _, age := range v {
+		for _, known := range declared.Declarations() {
+			if age.Version == known.Version && now.Add(-age.Min).After(known.NotAfter.Add(youngerTolerance)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // MergeInto merges the declarations of a datagram that arrived now into a directory.
 // sentNotBefore is the earliest time at which it can have been sent, zero if unknown: a
 // delay on the way would make a version look younger than it can be.
--- a/sidecar/versionages.go
+++ b/sidecar/versionages.go
@@ -48,7 +48,7 @@
 
 // applyVersionAges merges the ages of declared versions that an entry knows. An entry that
 // has started gets those of this agent next: it can date them only by the echo of its own
-// datagram.
+// datagram. So does one that learnt of a version late.
 func (r *Reconciler) applyVersionAges(now time.Time, from netip.AddrPort, datagram []byte, entries *subscribers) {
 	service := r.engineService(r.deps.Directory.View())
 	if service == nil {
@@ -65,7 +65,7 @@
 	}
 	sentNotBefore, started := r.clocks.Receive(now, from, decoded.Stamp)
 	ages.MergeInto(r.deps.Directory, now, sentNotBefore, service.Model)
-	if started {
+	if started || ages.Younger(now, r.deps.Directory.View().DeclaredVersion(service.Model)) {
 		entries.requestVersionAges(from)
 	}
 }
