Know a peer by its address whatever form the socket reports

A socket for all addresses reports IPv4 senders in the form of IPv6; the clock of such a peer would not have been found when its echo was sent.

--- a/loadreport/clockexchange.go
+++ b/loadreport/clockexchange.go
@@ -36,6 +36,8 @@
 
 func (s ClockStamp) append(b []byte) []byte {
 	b = s.Echo.append(s.Sent.append(b))
+	// A negative delay, of a datagram that arrived after now was read, becomes a long
+	// one: its receiver rejects the stamp.
 	return binary.BigEndian.AppendUint32(b, uint32(min(s.EchoDelay.Milliseconds(), maxMilliseconds)))
 }
 
@@ -83,6 +85,7 @@
 
 // Stamp returns the stamp of a datagram to a peer.
 func (c *ClockExchange) Stamp(now time.Time, peer netip.AddrPort) ClockStamp {
+	peer = unmap(peer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	stamp := ClockStamp{Sent: ClockReading{Run: c.run, SinceStart: uint64(now.Sub(c.startedAt).Milliseconds())}}
@@ -97,6 +100,7 @@
 // at which the datagram can have been sent, zero if the peer echoes none of this run's.
 // started says that it is the first datagram of this run of the peer.
 func (c *ClockExchange) Receive(now time.Time, peer netip.AddrPort, stamp ClockStamp) (sentNotBefore time.Time, started bool) {
+	peer = unmap(peer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	started = c.peers[peer].sent.Run != stamp.Sent.Run
@@ -115,3 +119,9 @@
 	}
 	return sentNotBefore, started
 }
+
+// unmap returns an address with IPv4 in its own form: a socket for all addresses reports
+// senders in that of IPv6.
+func unmap(addr netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
