Cancel queued requests at engines whose version is no longer known

Requests began on a version after its bound if they were queued at an engine that, at the end of the bound, did not answer its agent, had left the endpoint list, or shared its address with a newer incarnation. cancelOutdated went through the listed endpoints and passed over those with version 0, which means "not known" as well as "none": the deadline of the requests was dropped with the record of the endpoint.

The registry of attempts now keeps the version at the choice of the endpoint, and that counts where no current one is known. Only endpoints with queued requests are looked at.

--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -23,26 +23,34 @@
 // migrate: shorter streams end by themselves, and each migration costs a retry.
 const migrationDelay = 400 * time.Millisecond
 
-// attemptRegistry holds the cancel functions of attempts by endpoint ID. It is safe
-// for concurrent use.
+// registeredAttempt is an attempt in an attemptRegistry.
+type registeredAttempt struct {
+	cancel context.CancelCauseFunc
+	// chosenVersion is the version of the weights that was loaded at the endpoint when it
+	// was chosen, 0 for a service without weights.
+	chosenVersion uint64
+}
+
+// attemptRegistry holds attempts by endpoint ID. It is safe for concurrent use.
 type attemptRegistry struct {
 	mu       sync.Mutex
-	attempts map[string]map[*request]context.CancelCauseFunc
+	attempts map[string]map[*request]registeredAttempt
 	closed   map[string]bool // By endpoint ID.
 }
 
 func newAttemptRegistry() *attemptRegistry {
-	return &attemptRegistry{attempts: make(map[string]map[*request]context.CancelCauseFunc), closed: make(map[string]bool)}
+	return &attemptRegistry{attempts: make(map[string]map[*request]registeredAttempt), closed: make(map[string]bool)}
 }
 
-// add registers an attempt; remove unregisters it.
-func (r *attemptRegistry) add(endpointID string, req *request, cancel context.CancelCauseFunc) (remove func()) {
+// add registers the attempt of a grant; remove unregisters it.
+func (r *attemptRegistry) add(grant *admission.Grant, req *request, cancel context.CancelCauseFunc) (remove func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	endpointID := grant.EndpointID
 	if r.attempts[endpointID] == nil {
-		r.attempts[endpointID] = make(map[*request]context.CancelCauseFunc)
+		r.attempts[endpointID] = make(map[*request]registeredAttempt)
 	}
-	r.attempts[endpointID][req] = cancel
+	r.attempts[endpointID][req] = registeredAttempt{cancel: cancel, chosenVersion: grant.Estimate.LoadedVersion}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -75,22 +83,46 @@
 	if !r.closed[endpointID] {
 		return 0
 	}
-	for req, cancel := range r.attempts[endpointID] {
+	for req, attempt := range r.attempts[endpointID] {
 		if allowed(req) {
-			cancel(errMigrated)
+			attempt.cancel(errMigrated)
 			cancelled++
 		}
 	}
 	return cancelled
 }
 
-// cancelAll cancels all attempts of an endpoint.
-func (r *attemptRegistry) cancelAll(endpointID string, cause error) (cancelled int) {
+// endpointsOf returns the endpoints with attempts of a service.
+func (r *attemptRegistry) endpointsOf(serviceName string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, attempts := range r.attempts {
+		for req := range attempts {
+			if req.service.name == serviceName {
+				ids = append(ids, id)
+				break
+			}
+		}
+	}
+	return ids
+}
+
+// cancelOutdated cancels the attempts of a service at an endpoint that has loaded a
+// version older than minVersion. If loadedVersion is 0, the version is not known, and
+// that at the time of the choice counts.
+func (r *attemptRegistry) cancelOutdated(endpointID, serviceName string, loadedVersion, minVersion uint64) (cancelled int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, cancel := range r.attempts[endpointID] {
-		cancel(cause)
-		cancelled++
+	for req, attempt := range r.attempts[endpointID] {
+		version := loadedVersion
+		if version == 0 {
+			version = attempt.chosenVersion
+		}
+		if req.service.name == serviceName && version < minVersion {
+			attempt.cancel(errVersionTooOld)
+			cancelled++
+		}
 	}
 	return cancelled
 }
@@ -100,9 +132,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, attempts := range r.attempts {
-		for req, cancel := range attempts {
+		for req, attempt := range attempts {
 			if matches(req) {
-				cancel(cause)
+				attempt.cancel(cause)
 				cancelled++
 			}
 		}
@@ -110,20 +142,15 @@
 	return cancelled
 }
 
-// cancelOutdated cancels the attempts that have not started at endpoints whose
-// version is older than minVersion.
+// cancelOutdated cancels the attempts of a service that have not started at endpoints
+// whose version is older than minVersion, also at endpoints that are no longer listed:
+// their engines may still start a queued request.
 func (g *Gateway) cancelOutdated(view *directory.View, serviceName string, s *service, minVersion uint64) {
-	for id, endpoint := range view.Endpoints {
-		if endpoint.Service != serviceName {
-			continue
-		}
+	for _, id := range g.unstarted.endpointsOf(serviceName) {
 		loadedVersion := uint64(0)
 		s.gate.Update(func(p *admission.Pool) { loadedVersion = p.LoadedVersion(time.Now(), id) })
-		if loadedVersion == 0 || loadedVersion >= minVersion {
-			continue
-		}
-		if cancelled := g.unstarted.cancelAll(id, errVersionTooOld); cancelled > 0 {
-			g.deps.Logger.Info("cancelled requests queued at an endpoint with an outdated version", "endpoint", id, "held", loadedVersion, "oldest", minVersion, "requests", cancelled)
+		if cancelled := g.unstarted.cancelOutdated(id, serviceName, loadedVersion, minVersion); cancelled > 0 {
+			g.deps.Logger.Info("cancelled requests queued at an endpoint with an outdated version", "endpoint", id, "listed", view.Endpoints[id] != nil, "held", loadedVersion, "oldest", minVersion, "requests", cancelled)
 		}
 	}
 }
--- /dev/null
+++ b/gateway/queuedversion_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/loadreport"
+)
+
+// withEngine adds the service "lm" with one engine, "engine", that has loaded version 1
+// and whose agent reports so. It returns the address of the engine.
+func (f *fixture) withEngine(t *testing.T, server *httptest.Server) netip.AddrPort {
+	t.Helper()
+	document := &directory.Document{
+		Version:  2,
+		Services: map[string]*directory.Service{"lm": {Name: "lm", Model: "m", Engine: &directory.Engine{}}},
+	}
+	document.SetRoutes([]*directory.Route{{
+		Name: "lm", Host: "h.example", Prefix: "/lm/", Kind: directory.Streaming, Resumable: true, Timeout: time.Minute,
+		LatencyTarget: time.Minute, GapTarget: time.Minute, MaxRuns: 2, Backends: []directory.Backend{{Service: "lm", Weight: 1}},
+	}})
+	f.directory.SetDocument(document)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f.directory.PutEndpoint(&directory.Endpoint{
+		ID: "engine", Service: "lm", Address: address.String(), Region: "r", Slots: 4, LoadedVersion: 1, StartedUnixMS: 1,
+	})
+	f.gateway.applyReport(time.Now(), address.Addr(), loadreport.Report{LoadedVersion: 1, ClosesIn: loadreport.UnknownDuration})
+	return address
+}
+
+// Guards against a request that begins on a version after its bound: it was queued at an
+// engine whose version is no longer known when the bound ends.
+func TestQueuedRequestIsCancelledAtAnEngineOfUnknownVersion(t *testing.T) {
+	for name, lose := range map[string]func(f *fixture, address netip.AddrPort){
+		"the engine does not answer its agent": func(f *fixture, address netip.AddrPort) {
+			f.gateway.applyReport(time.Now(), address.Addr(), loadreport.Report{Closed: true, ClosesIn: loadreport.UnknownDuration})
+		},
+		"the endpoint left the list": func(f *fixture, _ netip.AddrPort) {
+			f.directory.DropEndpoint(time.Now(), "engine")
+		},
+		"another incarnation is listed at its address": func(f *fixture, address netip.AddrPort) {
+			f.directory.PutEndpoint(&directory.Endpoint{
+				ID: "engine-2", Service: "lm", Address: address.String(), Region: "r", Slots: 4, StartedUnixMS: 2,
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			endpoint, reached, left := silentEndpoint()
+			server := httptest.NewServer(endpoint)
+			t.Cleanup(server.Close)
+			f := newFixture(t)
+			address := f.withEngine(t, server)
+			go func() { _, _, _ = f.send(t, "/lm/", nil) }()
+			<-reached
+			f.directory.SetDeclaredVersion(time.Now().Add(-f.gateway.config.VersionBound), "m", 2, directory.Known)
+			lose(f, address)
+			f.gateway.cancelOutdated(f.directory.View(), "lm", (*f.gateway.services.Load())["lm"], 2)
+			select {
+			case <-left:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the request is still queued at the engine")
+			}
+		})
+	}
+}
+
+// Guards against cancelled requests at engines that have the required version, or that
+// loaded it while the requests were queued.
+func TestQueuedRequestStaysAtAnEngineWithTheRequiredVersion(t *testing.T) {
+	endpoint, reached, left := silentEndpoint()
+	server := httptest.NewServer(endpoint)
+	t.Cleanup(server.Close)
+	f := newFixture(t)
+	address := f.withEngine(t, server)
+	go func() { _, _, _ = f.send(t, "/lm/", nil) }()
+	<-reached
+	service := (*f.gateway.services.Load())["lm"]
+	f.gateway.applyReport(time.Now(), address.Addr(), loadreport.Report{LoadedVersion: 2, ClosesIn: loadreport.UnknownDuration})
+	f.gateway.cancelOutdated(f.directory.View(), "lm", service, 2)
+	f.directory.DropEndpoint(time.Now(), "engine")
+	f.gateway.cancelOutdated(f.directory.View(), "lm", service, 1)
+	select {
+	case <-left:
+		t.Fatal("the request was cancelled")
+	default:
+	}
+	assert.Equal(t, len(f.gateway.unstarted.attempts["engine"]), 1)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -102,13 +102,13 @@
 	canMigrate := s.canMigrate()
 	silenceTimer := time.AfterFunc(s.firstEventTimeout(), func() { timeOutAttempt(cancel, canMigrate, req.service.retryBudget) })
 	defer silenceTimer.Stop()
-	unregisterUnstarted := g.unstarted.add(grant.EndpointID, req, cancel)
+	unregisterUnstarted := g.unstarted.add(grant, req, cancel)
 	defer unregisterUnstarted()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, s.lastEventID)
 	if err == nil {
 		unregisterMigratable := func() {}
 		if canMigrate {
-			unregisterMigratable = g.migratable.add(grant.EndpointID, req, cancel)
+			unregisterMigratable = g.migratable.add(grant, req, cancel)
 		}
 		err = s.forwardEvents(attempt, silenceTimer, unregisterUnstarted)
 		unregisterMigratable()
