Keep the age of a load report when an endpoint refuses a request

The time of the refusal is kept beside the report and closes the endpoint for as long as before: until the next report, or for the greatest age of one.

--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -17,6 +17,9 @@
 	if !p.config.AgentReports {
 		return true
 	}
+	if now.Sub(endpoint.notRunAt) <= p.config.MaxReportAge {
+		return false
+	}
 	if endpoint.report.Closed && now.Sub(endpoint.report.ReceivedAt) <= p.config.MaxReportAge {
 		return false
 	}
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -41,6 +41,9 @@
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
 	lastProgress time.Time
+	// notRunAt is when the endpoint did not run a request, zero since the last report and
+	// where responses report the load.
+	notRunAt time.Time
 }
 
 // reportCovers reports whether the report includes a request sent at sentAt. lag
@@ -80,6 +83,7 @@
 func (s *endpointState) setReport(r Report) {
 	s.report = r
 	s.endedSinceReport = 0
+	s.notRunAt = time.Time{}
 }
 
 // livenessWindow is how long after a part of a response an endpoint counts as
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -48,11 +48,7 @@
 		endpoint.breaker.recordSuccess()
 		p.meanServiceTime += time.Duration(float64(now.Sub(req.sentAt)-p.meanServiceTime) * serviceTimeWeight)
 	case NotRun:
-		// Whatever the last report said, the endpoint is full or no longer has the
-		// weights that it is listed with. This holds until the next report.
-		endpoint.report.ReceivedAt = now
-		endpoint.report.Running = max(endpoint.report.Running, endpoint.Slots+p.config.Oversubscription)
-		endpoint.report.Closed = p.config.AgentReports
+		p.recordNotRun(now, endpoint)
 	case TimedOut:
 		if !req.responseStarted {
 			endpoint.firstResponse.add(now, now.Sub(req.sentAt))
@@ -67,3 +63,16 @@
 	}
 	return false
 }
+
+// recordNotRun records that an endpoint did not run a request: whatever the last report
+// said, it is full or no longer has the weights that it is listed with. This holds until
+// the next report.
+func (p *Pool) recordNotRun(now time.Time, endpoint *endpointState) {
+	if p.config.AgentReports {
+		// The report keeps its age: what else it says, as the version, may be outdated.
+		endpoint.notRunAt = now
+		return
+	}
+	endpoint.report.ReceivedAt = now
+	endpoint.report.Running = max(endpoint.report.Running, endpoint.Slots+p.config.Oversubscription)
+}
--- a/routing/admission/pool_test.go
+++ b/routing/admission/pool_test.go
@@ -177,6 +177,22 @@
 	assert.Equal(t, len(p.Dispatch(at(41)))+boolToInt(p.Submit(at(41), newRequest(at(41), 0)).Verdict == Start) > 0, true)
 }
 
+// Guards against a version that counts as just reported although the report is old: the
+// endpoint did not run a request, which says nothing about its version.
+func TestEndpointThatRanNothingDoesNotRenewItsReport(t *testing.T) {
+	p := NewPool(Config{Region: "r", AgentReports: true})
+	p.SetEndpoints(at(0), []Endpoint{{ID: "a", Region: "r", Slots: 4, LoadedVersion: 2}})
+	p.Report("a", Report{ReceivedAt: at(0), LoadedVersion: 2})
+	p.SetEndpoints(at(5000), []Endpoint{{ID: "a", Region: "r", Slots: 4, LoadedVersion: 1}})
+	req := newRequest(at(5000), 0)
+	assert.Equal(t, p.Submit(at(5000), req).Verdict, Start)
+	p.Done(at(5020), "a", req.ID, NotRun)
+	assert.Equal(t, p.LoadedVersion(at(5020), "a"), uint64(1))
+	assert.Equal(t, p.Submit(at(5020), newRequest(at(5020), 0)).Verdict == Start, false, "the endpoint stays closed")
+	later := at(5021).Add(p.config.MaxReportAge)
+	assert.Equal(t, p.Submit(later, newRequest(later, 0)).Verdict, Start)
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
