Keep a draining endpoint draining when an older record of it follows

Requests went to an endpoint later than the drain bound after its process had read that it drains: any record replaced the one before it. A store that comes back from an older copy names the endpoint as ready again, also after its newer record is gone, and so does a watch that repeats changes from before the last page of a full read.

The directory remembers the incarnations that were draining, by ID and start time. An endpoint that starts again under its ID has another start time and is not affected.

TestDrainingIncarnationNeverBecomesReadyAgain failed before.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,11 +28,12 @@
 	// outage. They are kept for missingGrace of uptime: further outages interrupt the
 	// grace period and do not restart it.
 	missing map[string]time.Duration
+	drained *drainedIncarnations
 }
 
 // New returns a directory with an empty view.
 func New(logger *slog.Logger) *Directory {
-	d := &Directory{logger: logger, missing: make(map[string]time.Duration)}
+	d := &Directory{logger: logger, missing: make(map[string]time.Duration), drained: newDrainedIncarnations()}
 	d.current.Store(&View{Endpoints: map[string]*Endpoint{}, DeclaredVersions: map[string]DeclaredVersion{}, StoreUp: true})
 	return d
 }
@@ -157,11 +158,12 @@
 	})
 }
 
-// PutEndpoint adds or replaces an endpoint.
+// PutEndpoint adds or replaces an endpoint. An incarnation that was draining stays so.
 func (d *Directory) PutEndpoint(e *Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.missing, e.ID)
+	e = d.drained.apply(e)
 	old := d.current.Load().Endpoints[e.ID]
 	if old != nil && *old == *e {
 		return
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -265,3 +265,27 @@
 	d.MergeDeclaration("m", directory.Declaration{Version: 2, DeclaredAt: at(-2000)})
 	assert.Equal(t, d.View().DeclaredVersion("m").DeclaredAt, at(-2000))
 }
+
+// Guards against requests to an endpoint that leaves: the store may come back from an
+// older copy, and pages of a range are no snapshot, so that an older record of the same
+// incarnation follows a newer one.
+func TestDrainingIncarnationNeverBecomesReadyAgain(t *testing.T) {
+	d := newDirectory()
+	ready := directory.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 4, StartedUnixMS: 7}
+	draining := ready
+	draining.Draining = true
+	d.PutEndpoint(&ready)
+	d.PutEndpoint(&draining)
+	d.PutEndpoint(&ready)
+	assert.Assert(t, d.View().Endpoints["e"].Draining)
+
+	d.DropEndpoint(at(5000), "e")
+	assert.Assert(t, d.View().Endpoints["e"] == nil)
+	d.PutEndpoint(&ready)
+	assert.Assert(t, d.View().Endpoints["e"].Draining, "it was draining before its record expired")
+
+	restarted := ready
+	restarted.StartedUnixMS = 8
+	d.PutEndpoint(&restarted)
+	assert.Assert(t, !d.View().Endpoints["e"].Draining, "a new incarnation may keep the ID")
+}
