Learn a quarantine whose strikes have each expired

An entry that started over two minutes after the crashes ran a request that the others refused for ten: each strike was recorded on its own, and one strike expires after two minutes, so that none of those that make up the quarantine was taken. Agents lost it the same way, and had nothing to hand on.

The strikes of one fingerprint in a datagram are now recorded together. Absolutions are kept for as long as a quarantine may last elsewhere, as an entry that missed one would otherwise hand the quarantine back.

TestQuarantineIsLearntAfterItsSingleStrikesWouldHaveExpired failed before; TestAbsolutionOutlivesTheQuarantineElsewhere fails without the second part.

--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -42,8 +42,8 @@
 type Quarantine struct {
 	config  QuarantineConfig
 	strikes map[uint64][]Strike
-	// cleared holds cleared strikes until they would have expired, so that
-	// later reports of the same crash do not count.
+	// cleared holds cleared strikes for QuarantineTTL, as long as other entries may
+	// report them, so that later reports of the same crash do not count.
 	cleared map[uint64][]Strike
 }
 
@@ -77,21 +77,32 @@
 // RecordStrike records a strike seen here or at another entry and reports
 // whether it was new. Recording it again has no effect.
 func (q *Quarantine) RecordStrike(now time.Time, s Strike) bool {
-	if s.At.After(now) {
-		s.At = now
-	}
-	strikes := q.activeStrikes(now, s.Fingerprint)
-	if hasCrash(strikes, s.Crash) || hasCrash(q.cleared[s.Fingerprint], s.Crash) {
-		return false
+	return len(q.RecordStrikes(now, s.Fingerprint, []Strike{s})) > 0
+}
+
+// RecordStrikes records all strikes that another entry knows against a fingerprint and
+// returns the new ones. Several may quarantine a request although each alone has expired.
+func (q *Quarantine) RecordStrikes(now time.Time, fingerprint uint64, reported []Strike) []Strike {
+	strikes := q.activeStrikes(now, fingerprint)
+	var added []Strike
+	for _, s := range reported {
+		if hasCrash(strikes, s.Crash) || hasCrash(added, s.Crash) || hasCrash(q.cleared[fingerprint], s.Crash) {
+			continue
+		}
+		if s.At.After(now) {
+			s.At = now
+		}
+		added = append(added, s)
 	}
-	if !q.active(now, append(strikes, s)) {
-		return false
+	all := slices.Concat(strikes, added)
+	if len(added) == 0 || !q.active(now, all) {
+		return nil
 	}
 	if len(strikes) == 0 {
 		q.evict(now)
 	}
-	q.strikes[s.Fingerprint] = append(strikes, s)
-	return true
+	q.strikes[fingerprint] = all
+	return added
 }
 
 // IsSuspect reports whether the request must run alone.
@@ -187,7 +198,7 @@
 
 func (q *Quarantine) dropExpiredCleared(now time.Time) {
 	maps.DeleteFunc(q.cleared, func(_ uint64, strikes []Strike) bool {
-		return !q.active(now, strikes)
+		return !now.Before(lastStrikeAt(strikes).Add(q.config.QuarantineTTL))
 	})
 }
 
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -125,6 +125,8 @@
 	defer r.mu.Unlock()
 	defer r.updateCount()
 	now := r.now()
+	var fingerprints []uint64 // In the order of received.
+	reported := make(map[uint64][]routing.Strike)
 	for _, strike := range received {
 		if strike.Part != r.parts {
 			continue
@@ -136,12 +138,18 @@
 			}
 			continue
 		}
-		wasRefused := r.verdict(now, strike.Fingerprint).Refused
-		if !r.quarantine.RecordStrike(now, s) {
-			continue
+		if reported[s.Fingerprint] == nil {
+			fingerprints = append(fingerprints, s.Fingerprint)
+		}
+		reported[s.Fingerprint] = append(reported[s.Fingerprint], s)
+	}
+	for _, fingerprint := range fingerprints {
+		wasRefused := r.verdict(now, fingerprint).Refused
+		recorded := r.quarantine.RecordStrikes(now, fingerprint, reported[fingerprint])
+		for _, s := range recorded {
+			news = append(news, r.outgoing(now, s))
 		}
-		news = append(news, strike)
-		if verdict := r.verdict(now, strike.Fingerprint); verdict.Refused && !wasRefused {
+		if verdict := r.verdict(now, fingerprint); len(recorded) > 0 && verdict.Refused && !wasRefused {
 			quarantined = append(quarantined, verdict)
 		}
 	}
--- a/strikes/register_test.go
+++ b/strikes/register_test.go
@@ -102,3 +102,48 @@
 	assert.Assert(t, r.Verdict(7).Refused)
 	assert.Assert(t, r.quarantine.Len() <= limit)
 }
+
+// sentTo returns strikes as another process receives them.
+func sentTo(t *testing.T, sent loadreport.Strikes) loadreport.Strikes {
+	t.Helper()
+	received, err := loadreport.DecodeStrikes(nil, sent.Encode(nil))
+	assert.NilError(t, err)
+	return received
+}
+
+// Guards against an entry that starts minutes after the crashes and runs a quarantined
+// request: each of its strikes alone has expired by then.
+func TestQuarantineIsLearntAfterItsSingleStrikesWouldHaveExpired(t *testing.T) {
+	r, clock := newTestRegister(routing.QuarantineConfig{})
+	for crash := range uint64(3) {
+		r.Strike(7, 100+crash, false)
+	}
+	clock.now = clock.now.Add(3 * time.Minute)
+	assert.Assert(t, r.Verdict(7).Refused)
+	started := NewRegister(routing.QuarantineConfig{}, func() time.Time { return clock.now })
+	news, quarantined := started.Merge(sentTo(t, r.Snapshot()))
+	assert.Equal(t, len(news), 3, "an agent passes on what is new to it")
+	assert.Equal(t, len(quarantined), 1)
+	assert.Assert(t, started.Verdict(7).Refused)
+}
+
+// Guards against a quarantine that begins anew at an entry that knows of the absolution,
+// from one that missed it.
+func TestAbsolutionOutlivesTheQuarantineElsewhere(t *testing.T) {
+	missed, clock := newTestRegister(routing.QuarantineConfig{})
+	for crash := range uint64(3) {
+		missed.Strike(7, 100+crash, false)
+	}
+	clock.now = clock.now.Add(3 * time.Minute)
+	knows := NewRegister(routing.QuarantineConfig{}, func() time.Time { return clock.now })
+	knows.Merge(sentTo(t, missed.Snapshot()))
+	assert.Equal(t, len(knows.Absolve(7)), 3)
+	for range 6 {
+		clock.now = clock.now.Add(time.Minute)
+		knows.Strike(8, 200, false)
+		knows.Absolve(8)
+		news, quarantined := knows.Merge(sentTo(t, missed.Snapshot()))
+		assert.Equal(t, len(news)+len(quarantined), 0)
+		assert.Assert(t, !knows.Verdict(7).Refused)
+	}
+}
