Do not count an expired strike with a later one

Strikes are now taken in the order of the crashes, and those that had expired when the next one followed are dropped, wherever they come from.

TestExpiredStrikeDoesNotCountWithALaterOneFromElsewhere failed before.

--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -94,7 +94,8 @@
 		}
 		added = append(added, s)
 	}
-	all := slices.Concat(strikes, added)
+	all := q.unexpired(slices.Concat(strikes, added))
+	added = slices.DeleteFunc(added, func(s Strike) bool { return !hasCrash(all, s.Crash) })
 	if len(added) == 0 || !q.active(now, all) {
 		return nil
 	}
@@ -105,6 +106,19 @@
 	return added
 }
 
+// unexpired sorts the strikes of a fingerprint by time, and drops those that had expired
+// when the next one followed.
+func (q *Quarantine) unexpired(strikes []Strike) []Strike {
+	slices.SortStableFunc(strikes, func(a, b Strike) int { return a.At.Compare(b.At) })
+	first := 0
+	for next := range strikes {
+		if next > first && !strikes[next].At.Before(q.expiryOf(strikes[first:next])) {
+			first = next
+		}
+	}
+	return strikes[first:]
+}
+
 // IsSuspect reports whether the request must run alone.
 func (q *Quarantine) IsSuspect(now time.Time, fingerprint uint64) bool {
 	return len(q.activeStrikes(now, fingerprint)) > 0
--- a/strikes/register_test.go
+++ b/strikes/register_test.go
@@ -147,3 +147,19 @@
 		assert.Assert(t, !knows.Verdict(7).Refused)
 	}
 }
+
+// Guards against a sound request in quarantine: it was running at two crashes, but its
+// first strike had expired at the second one.
+func TestExpiredStrikeDoesNotCountWithALaterOneFromElsewhere(t *testing.T) {
+	first, clock := newTestRegister(routing.QuarantineConfig{})
+	second := NewRegister(routing.QuarantineConfig{}, func() time.Time { return clock.now })
+	first.Strike(7, 100, false)
+	clock.now = clock.now.Add(5 * time.Minute)
+	old := first.Snapshot()
+	later, _ := second.Strike(7, 101, false)
+	second.Merge(sentTo(t, old))
+	assert.Assert(t, !second.Verdict(7).Refused)
+	_, quarantined := first.Merge(sentTo(t, append(old, later...)))
+	assert.Equal(t, len(quarantined), 0)
+	assert.DeepEqual(t, first.Verdict(7).Crashes, []string{CrashText(101)})
+}
