End the grace period of a drain that is undone

An endpoint that was drained and resumed broke off its running calls when the grace period of the drain ended, and a second drain did so after the grace period of the first: the task of a drain waited for its timer whatever happened meanwhile. A resume now ends it.

TestUndoneDrainInterruptsNoCalls failed before ("call moves to another endpoint").

--- a/agent/controller.go
+++ b/agent/controller.go
@@ -38,8 +38,10 @@
 	swapping     bool
 	swapCount    uint64 // Swaps started so far.
 	drainOrdered bool   // Ordered out of service.
-	adapters     []string
-	role         string
+	// undoDrain ends the drain in progress; nil before the first one.
+	undoDrain context.CancelFunc
+	adapters  []string
+	role      string
 }
 
 // handleOrder answers one order and reports whether it was accepted. An
@@ -116,8 +118,13 @@
 		return
 	}
 	c.drainOrdered = true
+	undone, undo := context.WithCancel(context.Background())
+	c.undoDrain = undo
 	grace := time.Duration(order.GetStreamGraceMs()) * time.Millisecond
 	c.startTask(func(ctx context.Context) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(undone, cancel)()
 		c.drain(ctx, grace, order.GetMove())
 	})
 }
@@ -125,6 +132,9 @@
 func (c *controller) acceptResume() {
 	c.mu.Lock()
 	c.drainOrdered = false
+	if c.undoDrain != nil {
+		c.undoDrain()
+	}
 	c.mu.Unlock()
 	c.openIfServing()
 }
