Ignore a load report that a newer one has overtaken

A report that was delayed on the network behind a newer one replaced it, with the time of its arrival: an engine that had restarted empty counted as having its former version, and as open, until the next report. Its requests were refused there and retried.

Reports echo the newest subscription of the entry with a growing delay, so that the entry orders them by its own clock, without a change of the datagram and across a restart of the agent.

--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -134,19 +134,32 @@
 	if s == nil {
 		return
 	}
-	if report.Entries > 0 && int64(report.Entries) != g.entryCount.Load() {
-		g.setEntryCount(report.Entries)
-	}
-	g.handleClosed(endpoint.ID, s, report.Closed)
 	closesAt := time.Time{}
 	if report.ClosesIn >= 0 {
 		closesAt = now.Add(report.ClosesIn)
 	}
+	isNewest := false
 	s.gate.Update(func(p *admission.Pool) {
-		p.Report(endpoint.ID, admission.Report{
-			ReceivedAt: now, RoundTrip: g.agentRoundTrip(now, report.Echo), ClosesAt: closesAt, Demand: float64(report.Demand), Running: report.Running, Waiting: report.Waiting, Slowdown: report.Slowdown, Closed: report.Closed, LoadedVersion: report.LoadedVersion,
+		isNewest = p.Report(endpoint.ID, admission.Report{
+			ReceivedAt: now, Order: g.reportOrder(now, report.Echo), RoundTrip: g.agentRoundTrip(now, report.Echo), ClosesAt: closesAt, Demand: float64(report.Demand), Running: report.Running, Waiting: report.Waiting, Slowdown: report.Slowdown, Closed: report.Closed, LoadedVersion: report.LoadedVersion,
 		})
 	})
+	if !isNewest {
+		return
+	}
+	if report.Entries > 0 && int64(report.Entries) != g.entryCount.Load() {
+		g.setEntryCount(report.Entries)
+	}
+	g.handleClosed(endpoint.ID, s, report.Closed)
+}
+
+// reportOrder orders the reports of an agent by the time at which it sent them, 0 if
+// unknown.
+func (g *Gateway) reportOrder(now time.Time, echo loadreport.Echo) int64 {
+	if !echo.Known {
+		return 0
+	}
+	return echo.Order(now.Sub(g.startedAt))
 }
 
 // agentRoundTrip returns the round-trip time to an agent, 0 if unknown.
--- a/loadreport/echo.go
+++ b/loadreport/echo.go
@@ -32,6 +32,14 @@
 	return max(elapsed-e.AgentDelay, 0)
 }
 
+// Order returns a number that increases with the time at which reports were sent: they
+// echo the newest subscription, with a growing delay. sinceStart is as for RoundTrip.
+func (e Echo) Order(sinceStart time.Duration) int64 {
+	age := int64(TimestampAt(sinceStart) - e.Timestamp)
+	subscribedMS := sinceStart.Milliseconds() - age
+	return subscribedMS*SubscriptionTTL.Milliseconds() + e.AgentDelay.Milliseconds()
+}
+
 func (e Echo) append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint16(b, uint16(e.Timestamp))
 	return binary.BigEndian.AppendUint16(b, uint16(min(e.AgentDelay, SubscriptionTTL).Milliseconds()))
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -75,12 +75,19 @@
 	p.minVersion = version
 }
 
-// Report records the reported load of an endpoint.
-func (p *Pool) Report(endpointID string, report Report) {
-	if endpoint := p.endpoints[endpointID]; endpoint != nil {
-		endpoint.setReport(report)
-		p.setQuota(endpoint, report)
+// Report records the reported load of an endpoint. It returns false for a report that a
+// newer one has overtaken, which is ignored.
+func (p *Pool) Report(endpointID string, report Report) bool {
+	endpoint := p.endpoints[endpointID]
+	if endpoint == nil {
+		return true
+	}
+	if report.Order != 0 && report.Order < endpoint.report.Order {
+		return false
 	}
+	endpoint.setReport(report)
+	p.setQuota(endpoint, report)
+	return true
 }
 
 // Submit decides on a new request. An enqueued request leaves the pool by
--- a/routing/admission/report.go
+++ b/routing/admission/report.go
@@ -5,8 +5,11 @@
 // Report is the load that all entries together put on an endpoint.
 type Report struct {
 	ReceivedAt time.Time
-	Running    int // Requests that occupy a slot.
-	Waiting    int // Requests that are queued at the endpoint.
+	// Order increases with the time at which the reports of an endpoint were sent; 0 if
+	// unknown.
+	Order   int64
+	Running int // Requests that occupy a slot.
+	Waiting int // Requests that are queued at the endpoint.
 	// Slowdown is the factor by which the endpoint is slower than normal; 0 if
 	// unknown.
 	Slowdown float64
