Download a version that is declared while the engine switches

A version that was declared while an engine switched to the one before it was not downloaded until that switch had ended, up to 8 s later: the reconcile loop waited for the switch, which lasts as long as the longest stream. Requests are refused from the bound of a version until engines have it.

The switch now runs beside the loop, one at a time, and the loop waits for it at its end.

--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -21,6 +21,9 @@
 
 	// switching is set while a version switch is announced or in progress.
 	switching atomic.Bool
+	// switchRunning is set while switchVersion runs, switches waits for it.
+	switchRunning atomic.Bool
+	switches      sync.WaitGroup
 	// engineState is nil until the engine answers, and while it does not.
 	engineState atomic.Pointer[EngineState]
 	// lastReport, lastReportAt and lastDeclarations are used by the reporter only.
@@ -64,6 +67,7 @@
 
 // reconcileLoop reconciles the engine with the declared version until ctx ends.
 func (r *Reconciler) reconcileLoop(ctx context.Context) {
+	defer r.switches.Wait()
 	ticker := time.NewTicker(reconcileInterval)
 	defer ticker.Stop()
 	for {
@@ -93,12 +97,17 @@
 	r.downloadAllowed.Store(r.mayDownload(time.Now(), view, declared))
 	r.reconcileDownloads(ctx, view, service, declared, state)
 	version, ok := r.dueVersion(time.Now(), view, declared, state)
-	if !ok || state.OrderInProgress {
+	if !ok || state.OrderInProgress || !r.switchRunning.CompareAndSwap(false, true) {
 		return
 	}
-	if err := r.switchVersion(ctx, service, version, state); err != nil && ctx.Err() == nil {
-		r.deps.Logger.Warn("switching the engine's version failed", "version", version, "held", state.LoadedVersion, "error", err)
-	}
+	// A switch lasts as long as the engine's streams. Versions that are declared meanwhile
+	// have to be downloaded.
+	r.switches.Go(func() {
+		defer r.switchRunning.Store(false)
+		if err := r.switchVersion(ctx, service, version, state); err != nil && ctx.Err() == nil {
+			r.deps.Logger.Warn("switching the engine's version failed", "version", version, "held", state.LoadedVersion, "error", err)
+		}
+	})
 }
 
 // mayDownload reports whether downloads may start: at once if another engine has
