Let a newer instance list end the leaving of an outdated one

An instance that restarted got no calls from an entry for the life of its process if the instance list, which lags, named it as leaving once more after the first heartbeat of the new incarnation: only a heartbeat of a further incarnation cleared that.

Leaving from the list now lasts until a list says otherwise. Leaving from a heartbeat still outlives outdated lists.

TestLeavingInAnOutdatedListEndsWithTheNextList failed before.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -46,6 +46,10 @@
 	Leaving       bool
 	Listed        bool
 	LastHeartbeat time.Time
+
+	// announcedLeaving says that a heartbeat of this incarnation set Leaving, which an
+	// outdated list does not undo.
+	announcedLeaving bool
 }
 
 // Usable reports whether the instance may get new work.
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -101,9 +101,7 @@
 	}
 	member.Instance = instance
 	member.Listed = true
-	if instance.State == core.StateLeaving {
-		member.Leaving = true
-	}
+	member.Leaving = member.announcedLeaving || instance.State == core.StateLeaving
 }
 
 func isStale(member *Member, h Heartbeat) bool {
@@ -117,6 +115,7 @@
 	member.Incarnation = h.Incarnation
 	member.Sequence = 0
 	member.Leaving = false
+	member.announcedLeaving = false
 }
 
 func changesMember(member *Member, h Heartbeat) bool {
@@ -133,6 +132,7 @@
 	member.LastHeartbeat = now
 	if h.Leaving {
 		member.Leaving = true
+		member.announcedLeaving = true
 	}
 	if h.SessionAddr != "" {
 		member.Instance.SessionAddr = h.SessionAddr
--- a/fleet/membership_test.go
+++ b/fleet/membership_test.go
@@ -39,6 +39,21 @@
 	assert.Assert(t, !findMember(t, m, "a").Leaving)
 }
 
+// Guards against an instance that gets no calls after its restart: a list from before the
+// restart marked the new incarnation as leaving for good.
+func TestLeavingInAnOutdatedListEndsWithTheNextList(t *testing.T) {
+	m := fleet.NewMembership(fleet.DefaultTiming)
+	leaving, live := core.Instance{ID: "a", State: core.StateLeaving}, core.Instance{ID: "a", State: core.StateLive}
+	m.HandleHeartbeat(newHeartbeat("a", 1, 1), start)
+	m.ApplyInstanceList([]core.Instance{leaving}, start)
+	assert.Assert(t, findMember(t, m, "a").Leaving)
+	m.HandleHeartbeat(newHeartbeat("a", 2, 1), start)
+	m.ApplyInstanceList([]core.Instance{leaving}, start)
+	assert.Assert(t, findMember(t, m, "a").Leaving)
+	m.ApplyInstanceList([]core.Instance{live}, start)
+	assert.Assert(t, findMember(t, m, "a").Usable())
+}
+
 func TestSilentAndReplacedInstancesAreDead(t *testing.T) {
 	m := fleet.NewMembership(fleet.DefaultTiming)
 	m.ApplyInstanceList([]core.Instance{{ID: "a"}, {ID: "unheard"}}, start)
