--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -79,6 +79,7 @@
 		Directory: deployment,
 		Engine:    platform.NewEngine(s.EngineAddr),
 		Origin:    platform.NewOrigin(deployment),
+		Now:       bootclock.Now,
 		Logger:    t.Logger,
 		Scope:     t.Scope,
 	})
--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -85,7 +85,7 @@
 		Service: pairService, EngineAddr: engineListener.Addr().String(), VersionBound: pairVersionBound, LinkBytesPerSecond: 1e6,
 		DatagramAddr: fmt.Sprint("127.0.0.2:", datagramPort), ChunkAddr: fmt.Sprint("127.0.0.2:", freePort(t)),
 		FleetKey: make([]byte, 16), Location: core.Location{Region: "r"},
-	}, sidecar.Deps{Directory: p.agentDirectory, Engine: versionOneEngine{}, Origin: unavailableOrigin{}, Logger: logger, Scope: tally.NoopScope})
+	}, sidecar.Deps{Directory: p.agentDirectory, Engine: versionOneEngine{}, Origin: unavailableOrigin{}, Now: bootclock.Now, Logger: logger, Scope: tally.NoopScope})
 	assert.NilError(t, err)
 	entryServer := httptest.NewServer(entry)
 	t.Cleanup(entryServer.Close)
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -47,6 +47,8 @@
 	Directory *directory.Directory
 	Engine    Engine
 	Origin    Origin
-	Logger    *slog.Logger
-	Scope     tally.Scope
+	// Now is the clock of the directory's declared versions.
+	Now    func() time.Time
+	Logger *slog.Logger
+	Scope  tally.Scope
 }
--- a/sidecar/lateentry_test.go
+++ b/sidecar/lateentry_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
-	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/internal/versiontest"
 	"github.com/snipestep/snipestep/loadreport"
 )
@@ -19,7 +18,7 @@
 	r := newReconciler(t, nil)
 	r.deps.Directory.SetDocument(&directory.Document{Version: 1, Services: map[string]*directory.Service{"lm": testService}})
 	entry := netip.MustParseAddrPort("127.0.0.3:1")
-	now := bootclock.Now()
+	now := time.Now()
 	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(2, now.Add(-testVersionBound-time.Second)))
 	clocks := loadreport.NewClockExchange(now.Add(-time.Minute))
 	entries := &subscribers{byAddr: make(map[netip.AddrPort]subscriber)}
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -104,7 +104,7 @@
 	r, err := New(Config{
 		Service: "lm", EngineAddr: "127.0.0.1:80", DatagramAddr: "127.0.0.1:1", ChunkAddr: "127.0.0.1:2",
 		FleetKey: make([]byte, 16), VersionBound: testVersionBound, LinkBytesPerSecond: 1e6, Location: core.Location{Region: "r"},
-	}, Deps{Directory: directory.New(slog.New(slog.DiscardHandler)), Engine: engine, Origin: noOrigin{}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
+	}, Deps{Directory: directory.New(slog.New(slog.DiscardHandler)), Engine: engine, Origin: noOrigin{}, Now: time.Now, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope})
 	assert.NilError(t, err)
 	for _, v := range versions {
 		r.downloads[v] = &download{cancel: func() {}, set: completeSet(t, v), completedAt: at(3000)}
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
-	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/loadreport"
 )
 
@@ -147,7 +146,7 @@
 			continue
 		}
 		if loadreport.IsVersionAges(buffer[:n]) {
-			r.applyVersionAges(bootclock.Now(), from, buffer[:n], entries)
+			r.applyVersionAges(r.deps.Now(), from, buffer[:n], entries)
 			continue
 		}
 		if loadreport.IsStrikes(buffer[:n]) {
@@ -203,7 +202,7 @@
 		report.LoadedVersion = state.LoadedVersion
 		report.Closed = r.switching.Load() || state.OrderInProgress
 	}
-	r.addDeclaredVersion(bootclock.Now(), &report)
+	r.addDeclaredVersion(r.deps.Now(), &report)
 	// Reports are equal if they differ only in durations that change all the time.
 	normalised := report
 	normalised.DeclaredAge = r.lastReport.DeclaredAge
--- a/sidecar/versionages.go
+++ b/sidecar/versionages.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/loadreport"
 )
 
@@ -19,7 +18,7 @@
 // all entries when they change and once per VersionAgesInterval while a version is
 // pending.
 func (r *Reconciler) sendVersionAges(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
-	now := bootclock.Now()
+	now := r.deps.Now()
 	view := r.deps.Directory.View()
 	service := r.engineService(view)
 	if service == nil {
--- a/sidecar/versiongauges.go
+++ b/sidecar/versiongauges.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/snipestep/snipestep/directory"
-	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -20,7 +19,7 @@
 	s.Gauge(telemetry.MetricDeclaredVersion, tags, func() float64 { return float64(r.declaredVersion().Version) })
 	s.Gauge(telemetry.MetricDeclaredVersionAge, tags, func() float64 {
 		if declared := r.declaredVersion(); !declared.NotAfter.IsZero() {
-			return bootclock.Since(declared.NotAfter).Seconds()
+			return r.deps.Now().Sub(declared.NotAfter).Seconds()
 		}
 		return 0
 	})
