--- a/loadreport/versionages.go
+++ b/loadreport/versionages.go
@@ -171,5 +171,5 @@
 			Max:     decodeMaxAge(binary.BigEndian.Uint32(rest[8:])),
 		})
 	}
-	return VersionAgesDatagram{Stamp: decodeClockStamp(b[9:]), modelHash: binary.BigEndian.Uint64(b[1:]), ages: ages}, nil
+	return VersionAgesDatagram{Stamp: decodeClockStamp(b[versionAgesHeaderBytes-clockStampBytes:]), modelHash: binary.BigEndian.Uint64(b[1:]), ages: ages}, nil
 }
