Keep a service's minimum version when a view lacks the service

For up to 0.1 s after a document adds or removes a service, the services and the view that is enforced may differ. A view without the service set its minimum version to 0, and waiting requests began on any version, also after the bound. TestViewWithoutAServiceKeepsItsMinimumVersion failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,19 +175,26 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			view := g.deps.Directory.View()
-			if view.Document == nil {
-				continue
-			}
-			now := g.deps.Now()
-			for name, s := range *g.services.Load() {
-				minVersion := g.minVersion(now, view, name, versionSafetyMargin)
-				s.gate.Update(func(p *admission.Pool) { p.SetMinVersion(minVersion) })
-				g.versions.observe(now, view, name, minVersion)
-				if cancelBelow := g.minVersion(now, view, name, cancelSafetyMargin); cancelBelow > 0 {
-					g.cancelOutdated(view, name, s, cancelBelow)
-				}
-			}
+			g.enforceVersionsAt(g.deps.Now(), g.deps.Directory.View())
+		}
+	}
+}
+
+// enforceVersionsAt enforces the versions of one view.
+func (g *Gateway) enforceVersionsAt(now time.Time, view *directory.View) {
+	if view.Document == nil {
+		return
+	}
+	for name, s := range *g.services.Load() {
+		if view.Document.Services[name] == nil {
+			// The view is older or newer than the services. It must not lift a bound.
+			continue
+		}
+		minVersion := g.minVersion(now, view, name, versionSafetyMargin)
+		s.gate.Update(func(p *admission.Pool) { p.SetMinVersion(minVersion) })
+		g.versions.observe(now, view, name, minVersion)
+		if cancelBelow := g.minVersion(now, view, name, cancelSafetyMargin); cancelBelow > 0 {
+			g.cancelOutdated(view, name, s, cancelBelow)
 		}
 	}
 }
--- a/gateway/queuedversion_test.go
+++ b/gateway/queuedversion_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -93,3 +94,24 @@
 	f.gateway.cancelOutdated(f.directory.View(), "lm", service, 2)
 	assert.Assert(t, cancelled)
 }
+
+// Guards against a request that begins on a version after its bound while a document adds
+// or removes the service: a view that does not name the service lifts its minimum version.
+func TestViewWithoutAServiceKeepsItsMinimumVersion(t *testing.T) {
+	f := newFixture(t)
+	server := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(server.Close)
+	f.withEngine(t, server)
+	f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now().Add(-f.gateway.config.VersionBound)))
+	refusedBelow := func() uint64 {
+		_, err := (*f.gateway.services.Load())["lm"].gate.Acquire(t.Context(), admission.Request{})
+		var refused *admission.RefusedError
+		assert.Assert(t, errors.As(err, &refused), "a slot at version 1 was granted")
+		return refused.MinVersion
+	}
+	assert.Equal(t, refusedBelow(), uint64(2))
+	without := *f.directory.View()
+	without.Document = &directory.Document{Version: 1}
+	f.gateway.enforceVersionsAt(time.Now(), &without)
+	assert.Equal(t, refusedBelow(), uint64(2))
+}
