Bound a version that a report names first by the last answer of the store

A process that heard of a version from a report before it read it had no lower bound of its own, although the store had answered it without the version: a report that was late, and could not be dated by an echo, made the version look younger by the delay.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,8 +25,10 @@
 	mu          sync.Mutex
 	subscribers []func(*View)
 	uptime      storeUptime
-	// storeAwayUntil is that of the versions that reports name during an outage.
-	storeAwayUntil time.Time
+	// storeAnsweredAt and storeAwayUntil bound the times of versions that reports name
+	// before the store does.
+	storeAnsweredAt time.Time
+	storeAwayUntil  time.Time
 	// missing holds the IDs of endpoints that are missing from the endpoint list
 	// since an outage of the store, with the uptime of the store at the end of that
 	// outage. They are kept for missingGrace of uptime: further outages interrupt the
@@ -114,15 +116,20 @@
 		return
 	}
 	reported.StoreAwayUntil = d.storeAwayUntil
+	if reported.Version > declared.Version {
+		reported = reported.intersect(Declaration{NotBefore: d.storeAnsweredAt, NotAfter: reported.NotAfter})
+	}
 	d.addDeclaration(model, reported)
 }
 
-// SetStoreAway records the start of the last failed call of a present outage of the
-// store, the zero time after its end.
-func (d *Directory) SetStoreAway(until time.Time) {
+// SetStoreContact records a time at which the store had no versions but those that were
+// set, zero before its first answer, and the start of the last failed call of a present
+// outage, zero without one.
+func (d *Directory) SetStoreContact(answeredAt, awayUntil time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.storeAwayUntil = until
+	d.storeAnsweredAt = answeredAt
+	d.storeAwayUntil = awayUntil
 }
 
 // refineDeclaration replaces the bounds of a version that is known. The caller holds
