Test that no sequence of answers, reports and restarts makes a version younger

A property test drives processes with clocks of their own that read a store, exchange ages, restart, and get datagrams late, twice and out of order. A version never counts from later than its declaration, but for the rounding of ages.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	./fleet \
 	./intent \
 	./internal/fakes \
+	./loadreport \
 	./local/load \
 	./routing \
 	./routing/admission \
