--- a/sidecar/download.go
+++ b/sidecar/download.go
@@ -16,7 +16,7 @@
 type download struct {
 	cancel      context.CancelFunc
 	set         *weights.Set // nil until it is complete.
-	completedAt time.Time    // When set was completed, on bootclock.
+	completedAt time.Time    // When set was completed, by Deps.Now.
 	// haveChunks and totalChunks are as of the last poll of the progress.
 	haveChunks, totalChunks int
 	// stalled is set while no chunks arrive.
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -25,7 +25,7 @@
 type subscriber struct {
 	receivedAt   time.Time
 	subscription loadreport.Subscription
-	// versionAgesSentAt is when VersionAges were last sent, on bootclock; zero if they
+	// versionAgesSentAt is when VersionAges were last sent, by Deps.Now; zero if they
 	// are due at once.
 	versionAgesSentAt time.Time
 }
