--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -121,10 +121,10 @@
 // Guards against bytes that arrive now and then and so defeat idle timeouts.
 func TestSlowEndlessAnswerEndsAtTheDeadline(t *testing.T) {
 	for name, answer := range endlessAnswers() {
+		answer.Pause = slowPause
 		for _, path := range []string{"/once/", "/stream/"} {
 			t.Run(name+path, func(t *testing.T) {
 				t.Parallel()
-				answer.Pause = slowPause
 				f, server := newSingleRunFixture(t, answer)
 				response, body, err := f.send(t, path, withSlowDeadline)
 				sent := 1
