Log and count the rate limits that endpoints announce

In the incident of rate limits neither logs nor metrics showed what an endpoint had announced and what an entry knew of it, so that a limit that nobody reads and one that is kept badly looked the same. Responses are now read for it, and each change is logged; nothing is limited yet. A response without a limit lifts one only if its request was sent after the last response with a limit had arrived.

--- /dev/null
+++ b/gateway/announcedratelimit.go
@@ -0,0 +1,53 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/routing/admission"
+)
+
+// AnnouncedRateLimit is what a response says about the rate limit of its endpoint. The zero
+// value says that there is none.
+type AnnouncedRateLimit struct {
+	// Unknown says that the response does not tell whether there is a limit.
+	Unknown bool
+	// Limited says that the endpoint takes at most PerSecond requests from all entries
+	// together.
+	Limited   bool
+	PerSecond float64
+}
+
+// recordRateLimit records what a response says about the rate limit of its endpoint.
+func (g *Gateway) recordRateLimit(service *service, attempt *endpointAttempt) {
+	announced := attempt.metadata.RateLimit
+	if announced.Unknown || !announced.Limited && !service.hasRateLimits.Load() {
+		return
+	}
+	notice := admission.RateLimitNotice{Limited: announced.Limited, PerSecond: announced.PerSecond, At: attempt.sentAt}
+	if announced.Limited {
+		notice.At = time.Now()
+	}
+	g.applyRateLimit(service, attempt.endpoint.ID, notice, "response")
+}
+
+// applyRateLimit applies a notice of an endpoint's rate limit. source names where the
+// notice comes from in the log.
+func (g *Gateway) applyRateLimit(service *service, endpointID string, notice admission.RateLimitNotice, source string) {
+	var previous admission.RateLimitNotice
+	changed, limited := false, 0
+	service.gate.Update(func(p *admission.Pool) {
+		previous, changed = p.RecordRateLimit(endpointID, notice)
+		limited = p.RateLimited()
+		service.hasRateLimits.Store(p.HasRateLimits())
+	})
+	if !changed {
+		return
+	}
+	g.metrics.updateRateLimited(service.name, limited)
+	fields := []any{"endpoint", endpointID, "service", service.name, "source", source, "age_ms", time.Since(notice.At).Milliseconds()}
+	if !notice.Limited {
+		g.deps.Logger.Info("rate limit lifted", append(fields, "old_per_second", previous.PerSecond)...)
+		return
+	}
+	g.deps.Logger.Info("rate limit announced", append(fields, "per_second", notice.PerSecond, "old_per_second", previous.PerSecond)...)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -101,6 +101,9 @@
 	if attempt.metadata.HasLoad {
 		g.recordResponseLoad(req.service, attempt)
 	}
+	if attempt.metadata.NotRun || attempt.metadata.ID == req.metadata.ID {
+		g.recordRateLimit(req.service, attempt)
+	}
 	if attempt.metadata.NotRun {
 		return attempt, false, &NotRunError{Status: response.StatusCode}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,7 @@
 			endpointByAgent[addr.Addr()] = e
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
-			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining,
+			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, StartedUnixMS: e.StartedUnixMS,
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
@@ -103,6 +103,9 @@
 		s.gate.Update(func(p *admission.Pool) {
 			p.SetEndpoints(time.Now(), endpointsByService[name])
 			p.SetMinVersion(minVersion)
+			if s.hasRateLimits.Load() {
+				g.metrics.updateRateLimited(name, p.RateLimited())
+			}
 		})
 		g.versions.observe(now, view, name, minVersion)
 	}
--- a/gateway/headercodec.go
+++ b/gateway/headercodec.go
@@ -53,6 +53,8 @@
 	// Running and Waiting are the endpoint's load, valid if HasLoad is set.
 	HasLoad          bool
 	Running, Waiting int
+	// RateLimit is what the response says about the endpoint's rate limit.
+	RateLimit AnnouncedRateLimit
 }
 
 // HeaderCodec translates between headers on the wire and metadata.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -82,6 +82,10 @@
 	}
 }
 
+func (m *metrics) updateRateLimited(service string, endpoints int) {
+	m.scope.Tagged(map[string]string{telemetry.TagService: service}).Gauge(telemetry.MetricRateLimitedEndpoints).Update(float64(endpoints))
+}
+
 func (m *metrics) updateQuarantined(requests int) {
 	m.scope.Gauge(telemetry.MetricQuarantinedFingerprints).Update(float64(requests))
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -13,6 +13,9 @@
 	gate        *admission.Gate
 	retryBudget *retryBudget
 	parts       *partTracker
+	// hasRateLimits says that the gate knows a rate limit, so that responses without one
+	// matter.
+	hasRateLimits atomic.Bool
 	// firstResponseNanos is the mean time from sending a request to its first
 	// event or its complete response.
 	firstResponseNanos atomic.Int64
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -12,6 +12,8 @@
 	LoadedVersion uint64
 	// Draining says that the endpoint gets no new requests.
 	Draining bool
+	// StartedUnixMS tells the incarnations under one ID apart, 0 if unknown.
+	StartedUnixMS int64
 }
 
 // slowdownThreshold is the slowdown above which an endpoint is used only if no
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -28,6 +28,8 @@
 	// arrivalsByRank measures the arrival rate of each rank.
 	arrivalsByRank map[int]*arrivalRate
 	partition      latencyPartition
+	// rateLimits holds the announced rate limits by endpoint ID.
+	rateLimits map[string]*rateLimit
 }
 
 // NewPool returns a pool without endpoints.
@@ -40,6 +42,7 @@
 		meanServiceTime: config.InitialServiceTime,
 		usage:           make(map[core.OrganisationID]float64),
 		arrivalsByRank:  make(map[int]*arrivalRate),
+		rateLimits:      make(map[string]*rateLimit),
 	}
 }
 
@@ -60,6 +63,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.expireRateLimits(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -70,6 +70,7 @@
 	{MetricAttemptsByVersion, Counter, "attempts", []string{TagService, TagRelation, TagSource}, directOnly, "Attempts by the relation of the endpoint's version to the minimum version at sending (older, minimum or newer), and by the source of the endpoint's version: report or list."},
 	{MetricOutdatedCancellations, Counter, "requests", []string{TagService}, directOnly, "Requests cancelled because they were queued at an endpoint with an outdated version."},
 	{MetricVersionCorrections, Counter, "reports", []string{TagService}, directOnly, "Load reports that named an older version of the weights than the entry took the endpoint to have."},
+	{MetricRateLimitedEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that announce a limit on their requests per second; absent while none did."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -56,6 +56,7 @@
 	MetricAttemptsByVersion       = "attempts_by_version_total"
 	MetricOutdatedCancellations   = "outdated_cancellations_total"
 	MetricVersionCorrections      = "version_corrections_total"
+	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
 )
 
 // The tags of metrics.
