Keep to the rate limit that an endpoint announces

Callers of an overloaded endpoint lost more requests to it than it could bear: it announced how many requests per second it takes from all entries, and got as many as before. Ruled out: entries that each keep to the whole limit (one sent 15 requests in 4 s at a limit of 1), and retries that pass by it (none of the 74 logged requests was one).

Each entry now sends an endpoint its part of the limit, by a token bucket in the pool, through which every request goes: retries, resumed streams and the probes of the circuit breaker too. Requests beyond it go to other endpoints, are queued by rank, or are refused at once, as predictions count the limit as capacity.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,10 @@
 	}
 	pool := admission.NewPool(config)
 	pool.SetEntryCount(int(max(g.entryCount.Load(), 1)))
+	pool.SetRateLimitSharers(initialEntryCount)
+	if entryCount := g.entryCount.Load(); entryCount > 0 {
+		pool.SetRateLimitSharers(int(entryCount))
+	}
 	svc.gate = admission.NewGate(pool, time.Now)
 	return svc
 }
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -181,6 +181,9 @@
 	g.entryCount.Store(int64(n))
 	for _, s := range *g.services.Load() {
 		s.retryBudget.setEntryCount(n)
-		s.gate.Update(func(p *admission.Pool) { p.SetEntryCount(n) })
+		s.gate.Update(func(p *admission.Pool) {
+			p.SetEntryCount(n)
+			p.SetRateLimitSharers(n)
+		})
 	}
 }
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -30,6 +30,8 @@
 	partition      latencyPartition
 	// rateLimits holds the announced rate limits by endpoint ID.
 	rateLimits map[string]*rateLimit
+	// sharers is the number of entries among which rate limits are divided.
+	sharers int
 }
 
 // NewPool returns a pool without endpoints.
@@ -43,6 +45,7 @@
 		usage:           make(map[core.OrganisationID]float64),
 		arrivalsByRank:  make(map[int]*arrivalRate),
 		rateLimits:      make(map[string]*rateLimit),
+		sharers:         1,
 	}
 }
 
@@ -73,6 +76,11 @@
 	p.entryCount = max(n, 1)
 }
 
+// SetRateLimitSharers sets among how many entries rate limits are divided.
+func (p *Pool) SetRateLimitSharers(n int) {
+	p.sharers = max(n, 1)
+}
+
 // SetMinVersion sets the oldest version of the weights on which a request may start.
 // 0 allows any version, and is used for services without weights.
 func (p *Pool) SetMinVersion(version uint64) {
@@ -122,6 +130,7 @@
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
 	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
 	endpoint.quota.remaining--
+	p.takeToken(endpoint)
 	p.addUsage(now, req)
 	p.partition.add(now, req)
 }
@@ -163,12 +172,22 @@
 	free := 0
 	for _, endpoint := range p.endpoints {
 		if p.eligible(now, endpoint) {
-			free += max(endpoint.Slots-int(endpoint.load(now, &p.config, p.entryCount, 1)), 0)
+			free += p.freeSlotsAt(now, endpoint)
 		}
 	}
 	return free
 }
 
+// freeSlotsAt returns the number of free slots at an endpoint, at most as many as its rate
+// limit lets this entry use now.
+func (p *Pool) freeSlotsAt(now time.Time, endpoint *endpointState) int {
+	free := max(endpoint.Slots-int(endpoint.load(now, &p.config, p.entryCount, 1)), 0)
+	if tokens, limited := p.limitedTokens(now, endpoint); limited {
+		return int(min(tokens, float64(free)))
+	}
+	return free
+}
+
 // ReportResponseLoad records the load that a response carried. It is ignored where
 // agents report the load.
 func (p *Pool) ReportResponseLoad(now time.Time, endpointID string, running, waiting int) {
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -27,6 +27,9 @@
 type rateLimit struct {
 	startedUnixMS int64
 	notice        RateLimitNotice
+	// tokens is how many requests this entry may send now, as of refilledAt.
+	tokens     float64
+	refilledAt time.Time
 }
 
 // rateLimitRetention is how long a notice is kept that no longer matters: an endpoint may
@@ -63,6 +66,11 @@
 	if !notice.supersedes(previous) {
 		return previous, false
 	}
+	if notice.Limited && !previous.Limited {
+		// Entries that learn of a limit at the same time send at different times.
+		limit.tokens = p.config.Rand.Float64()
+		limit.refilledAt = notice.At
+	}
 	limit.notice = notice
 	return previous, notice.Limited != previous.Limited || notice.PerSecond != previous.PerSecond
 }
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -22,13 +22,18 @@
 
 // slotReleaseRate estimates how many slots per second become free for this entry.
 func (p *Pool) slotReleaseRate(now time.Time) float64 {
-	slots := 0
+	total := 0.0
 	for _, endpoint := range p.endpoints {
-		if p.eligible(now, endpoint) {
-			slots += endpoint.Slots
+		if !p.eligible(now, endpoint) {
+			continue
+		}
+		rate := float64(endpoint.Slots) / p.meanServiceTime.Seconds() / float64(p.entryCount)
+		if limited, ok := p.limitedRate(endpoint); ok {
+			rate = min(rate, limited)
 		}
+		total += rate
 	}
-	return float64(slots) / p.meanServiceTime.Seconds() / float64(p.entryCount)
+	return total
 }
 
 // expectedWait estimates how long a request waits, from the number of requests that
