Divide a low rate limit among a few entries, and tell all of it

Equal parts of a limit exceed it where there are more entries than it allows at once, since no part can be less than one request: with parts alone 30 entries that had paused sent an endpoint 30 requests in 4 s at a limit of 1 a second, where 11 are allowed, 90 entries 90 (TestManyEntriesTogetherKeepToALowRateLimit, TestRateLimitHoldsForAnyArrivals without positions). And an entry that has no part never hears that the limit has ended.

Entries now exchange limits and their ends through agents, which also name to each entry its position among those that subscribe. Where the burst of a limit allows fewer requests than there are entries, as many entries have parts as it allows. Both tests hold from 1 to 90 entries; the datagrams of earlier builds stay as they are.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	go test $(RAPID_PACKAGES) -timeout $(RAPID_TIMEOUT) -rapid.checks=$(RAPID_CHECKS)
 	go test ./weights -run '^$$' -fuzz '^FuzzDecodeManifest$$' -fuzztime $(FUZZ_TIME)
 	go test ./loadreport -run '^$$' -fuzz '^FuzzDecodeStrikes$$' -fuzztime $(FUZZ_TIME)
+	go test ./loadreport -run '^$$' -fuzz '^FuzzDecodeRateLimits$$' -fuzztime $(FUZZ_TIME)
 	go test ./wire -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZ_TIME)
 
 bench:
--- a/gateway/announcedratelimit.go
+++ b/gateway/announcedratelimit.go
@@ -27,27 +27,44 @@
 	if announced.Limited {
 		notice.At = time.Now()
 	}
-	g.applyRateLimit(service, attempt.endpoint.ID, notice, "response")
+	if g.applyRateLimit(service, attempt.endpoint.ID, notice, sourceResponse) {
+		select {
+		case g.rateLimitNews <- struct{}{}:
+		default: // It is signalled already.
+		}
+	}
 }
 
-// applyRateLimit applies a notice of an endpoint's rate limit. source names where the
-// notice comes from in the log.
-func (g *Gateway) applyRateLimit(service *service, endpointID string, notice admission.RateLimitNotice, source string) {
+// The sources of notices of rate limits in the log.
+const (
+	sourceResponse = "response"
+	sourceEntries  = "other entries"
+)
+
+// applyRateLimit applies a notice of an endpoint's rate limit, and reports whether the
+// limit changed.
+func (g *Gateway) applyRateLimit(service *service, endpointID string, notice admission.RateLimitNotice, source string) (changed bool) {
 	var previous admission.RateLimitNotice
-	changed, limited := false, 0
+	limited := 0
 	service.gate.Update(func(p *admission.Pool) {
-		previous, changed = p.RecordRateLimit(endpointID, notice)
+		if source == sourceResponse {
+			previous, changed = p.RecordRateLimit(endpointID, notice)
+		} else {
+			previous, changed = p.RecordReportedRateLimit(endpointID, notice)
+		}
 		limited = p.RateLimited()
 		service.hasRateLimits.Store(p.HasRateLimits())
+		service.knowsRateLimits.Store(len(p.RateLimitNotices()) > 0)
 	})
 	if !changed {
-		return
+		return false
 	}
 	g.metrics.updateRateLimited(service.name, limited)
 	fields := []any{"endpoint", endpointID, "service", service.name, "source", source, "age_ms", time.Since(notice.At).Milliseconds()}
 	if !notice.Limited {
 		g.deps.Logger.Info("rate limit lifted", append(fields, "old_per_second", previous.PerSecond)...)
-		return
+		return true
 	}
 	g.deps.Logger.Info("rate limit announced", append(fields, "per_second", notice.PerSecond, "old_per_second", previous.PerSecond)...)
+	return true
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,10 +34,13 @@
 	strikes    *strikes.Ledger
 	strikeNews *strikeNews
 	trials     *trialGate
-	crashes    *crashDetector
-	draining   atomic.Bool
-	rejecting  atomic.Bool
-	active     atomic.Int64
+	// rateLimitNews has a value when this entry has learnt of a rate limit itself.
+	rateLimitNews  chan struct{}
+	rateLimitPlace rateLimitPlace
+	crashes        *crashDetector
+	draining       atomic.Bool
+	rejecting      atomic.Bool
+	active         atomic.Int64
 	// endpointByAgent maps the IP address of an agent to its endpoint.
 	endpointByAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
 
@@ -56,7 +59,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), crashes: newCrashDetector(), startedAt: time.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), crashes: newCrashDetector(), startedAt: time.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
@@ -132,10 +135,7 @@
 	}
 	pool := admission.NewPool(config)
 	pool.SetEntryCount(int(max(g.entryCount.Load(), 1)))
-	pool.SetRateLimitSharers(initialEntryCount)
-	if entryCount := g.entryCount.Load(); entryCount > 0 {
-		pool.SetRateLimitSharers(int(entryCount))
-	}
+	pool.SetRateLimitPlace(g.rateLimitPlace.get(int(g.entryCount.Load())))
 	svc.gate = admission.NewGate(pool, time.Now)
 	return svc
 }
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -20,6 +20,7 @@
 	}
 	go g.subscribeToLoadReports(ctx, conn)
 	go g.sendStrikes(ctx, conn)
+	go g.exchangeRateLimits(ctx, conn)
 	buffer := make([]byte, loadreport.MaxDatagramBytes)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
@@ -38,6 +39,10 @@
 			g.applyStrikes(from, buffer[:n])
 			continue
 		}
+		if loadreport.IsRateLimits(buffer[:n]) {
+			g.receiveRateLimits(time.Now(), from, buffer[:n])
+			continue
+		}
 		report, err := loadreport.DecodeReport(buffer[:n])
 		if err != nil {
 			g.deps.Logger.Warn("malformed load report", "error", err)
@@ -181,9 +186,7 @@
 	g.entryCount.Store(int64(n))
 	for _, s := range *g.services.Load() {
 		s.retryBudget.setEntryCount(n)
-		s.gate.Update(func(p *admission.Pool) {
-			p.SetEntryCount(n)
-			p.SetRateLimitSharers(n)
-		})
+		s.gate.Update(func(p *admission.Pool) { p.SetEntryCount(n) })
 	}
+	g.placeRateLimits()
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -14,8 +14,8 @@
 	retryBudget *retryBudget
 	parts       *partTracker
 	// hasRateLimits says that the gate knows a rate limit, so that responses without one
-	// matter.
-	hasRateLimits atomic.Bool
+	// matter; knowsRateLimits that it knows of one or of the end of one.
+	hasRateLimits, knowsRateLimits atomic.Bool
 	// firstResponseNanos is the mean time from sending a request to its first
 	// event or its complete response.
 	firstResponseNanos atomic.Int64
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -4,7 +4,7 @@
 // Nothing is acknowledged or stored: the next datagram replaces a lost one. The
 // sender's IP address identifies the instance that a report is about. Both sides tell
 // each other the ages of declared versions, and entries tell all other entries through
-// agents which requests were running at crashes.
+// agents which requests were running at crashes and which endpoints limit their requests.
 package loadreport
 
 import (
@@ -39,6 +39,7 @@
 	// 4 was the kind of version ages without clock stamps.
 	kindStrikes     = 5
 	kindVersionAges = 6
+	kindRateLimits  = 7
 )
 
 // The flags of a report.
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -30,8 +30,8 @@
 	partition      latencyPartition
 	// rateLimits holds the announced rate limits by endpoint ID.
 	rateLimits map[string]*rateLimit
-	// sharers is the number of entries among which rate limits are divided.
-	sharers int
+	// rateLimitPlace is the place of this entry among those that share rate limits.
+	rateLimitPlace RateLimitPlace
 }
 
 // NewPool returns a pool without endpoints.
@@ -45,7 +45,6 @@
 		usage:           make(map[core.OrganisationID]float64),
 		arrivalsByRank:  make(map[int]*arrivalRate),
 		rateLimits:      make(map[string]*rateLimit),
-		sharers:         1,
 	}
 }
 
@@ -76,9 +75,9 @@
 	p.entryCount = max(n, 1)
 }
 
-// SetRateLimitSharers sets among how many entries rate limits are divided.
-func (p *Pool) SetRateLimitSharers(n int) {
-	p.sharers = max(n, 1)
+// SetRateLimitPlace sets the place of this entry among those that share rate limits.
+func (p *Pool) SetRateLimitPlace(place RateLimitPlace) {
+	p.rateLimitPlace = place
 }
 
 // SetMinVersion sets the oldest version of the weights on which a request may start.
--- a/routing/admission/rateallowance.go
+++ b/routing/admission/rateallowance.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// minRateLimit is used for lower limits, in requests per second of all entries
@@ -18,10 +21,28 @@
 	burst float64
 }
 
-// rateAllowance returns this entry's part of a limit: all entries have equal ones.
+// RateLimitPlace is the place of an entry among those that share rate limits.
+type RateLimitPlace struct {
+	Entries int
+	// Position is the position of this entry among them, from 0; valid if Known.
+	Position int
+	Known    bool
+}
+
+// rateAllowance returns this entry's part of a limit. Entries have equal parts, of at least
+// one request at once. If these would exceed the burst of all entries together, only as many
+// entries have parts as it allows.
 func (p *Pool) rateAllowance(limit *rateLimit) rateAllowance {
+	place := p.rateLimitPlace
 	perSecond := max(limit.notice.PerSecond, minRateLimit)
-	sharers := float64(p.sharers)
+	sharers := float64(max(place.Entries, 1))
+	if place.Known && perSecond+rateLimitBurst < sharers {
+		sharers = math.Floor(perSecond + rateLimitBurst)
+		entries := uint64(place.Entries)
+		if (uint64(place.Position)+limit.offset%entries)%entries >= uint64(sharers) {
+			return rateAllowance{}
+		}
+	}
 	return rateAllowance{
 		perSecond: perSecond / sharers,
 		burst:     max((perSecond+rateLimitBurst)/sharers, 1),
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // RateLimitNotice says whether an endpoint limits the requests per second that it takes
 // from all entries together.
@@ -14,6 +18,25 @@
 	At time.Time
 }
 
+// SameLimit reports whether two notices say the same.
+func (n RateLimitNotice) SameLimit(other RateLimitNotice) bool {
+	return n.Limited == other.Limited && (!n.Limited || n.PerSecond == other.PerSecond)
+}
+
+// reportDelay bounds the usual delay of notices between processes, by which they look newer
+// than they are.
+const reportDelay = time.Second
+
+// ReplacesReported reports whether a notice that another process reported replaces a known
+// one. A notice that says the same has to be newer by more than reportDelay, else it would
+// look newer each time that it is passed on.
+func (n RateLimitNotice) ReplacesReported(known RateLimitNotice) bool {
+	if n.SameLimit(known) {
+		return n.At.Sub(known.At) > reportDelay
+	}
+	return n.supersedes(known)
+}
+
 // supersedes reports whether a notice is newer than another. Of two for the same time the
 // one with a limit prevails.
 func (n RateLimitNotice) supersedes(other RateLimitNotice) bool {
@@ -27,6 +50,9 @@
 type rateLimit struct {
 	startedUnixMS int64
 	notice        RateLimitNotice
+	// offset shifts the positions of entries, so that endpoints with low limits get
+	// their requests from different entries.
+	offset uint64
 	// tokens is how many requests this entry may send now, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -47,9 +73,19 @@
 	return limit
 }
 
-// RecordRateLimit records a notice of an endpoint's rate limit. It reports whether the
-// limit changed, and the one before.
+// RecordRateLimit records what a response said about the rate limit of its endpoint. It
+// reports whether the limit changed, and the one before.
 func (p *Pool) RecordRateLimit(endpointID string, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
+	return p.recordRateLimit(endpointID, notice, RateLimitNotice.supersedes)
+}
+
+// RecordReportedRateLimit is RecordRateLimit for what another process reported.
+func (p *Pool) RecordReportedRateLimit(endpointID string, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
+	return p.recordRateLimit(endpointID, notice, RateLimitNotice.ReplacesReported)
+}
+
+// recordRateLimit records a notice if it replaces the known one.
+func (p *Pool) recordRateLimit(endpointID string, notice RateLimitNotice, replaces func(notice, known RateLimitNotice) bool) (previous RateLimitNotice, changed bool) {
 	endpoint := p.endpoints[endpointID]
 	if endpoint == nil {
 		return previous, false
@@ -59,11 +95,11 @@
 		if !notice.Limited {
 			return previous, false
 		}
-		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS}
+		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS, offset: xxhash.Sum64String(endpointID)}
 		p.rateLimits[endpointID] = limit
 	}
 	previous = limit.notice
-	if !notice.supersedes(previous) {
+	if !replaces(notice, previous) {
 		return previous, false
 	}
 	if notice.Limited && !previous.Limited {
@@ -72,7 +108,19 @@
 		limit.refilledAt = notice.At
 	}
 	limit.notice = notice
-	return previous, notice.Limited != previous.Limited || notice.PerSecond != previous.PerSecond
+	return previous, !notice.SameLimit(previous)
+}
+
+// RateLimitNotices returns what is known of the rate limits of listed endpoints, by ID: of
+// those that have one, and for some time of those that had.
+func (p *Pool) RateLimitNotices() map[string]RateLimitNotice {
+	notices := make(map[string]RateLimitNotice)
+	for id, endpoint := range p.endpoints {
+		if limit := p.rateLimitOf(endpoint); limit != nil {
+			notices[id] = limit.notice
+		}
+	}
+	return notices
 }
 
 // HasRateLimits reports whether any endpoint has a rate limit, listed or not.
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -131,6 +131,7 @@
 // ctx ends.
 func (r *Reconciler) receiveDatagrams(ctx context.Context, conn *net.UDPConn, entries *subscribers) {
 	relay := newStrikeRelay(entries)
+	rateLimits := newRateLimitRelay(time.Now(), entries)
 	buffer := make([]byte, loadreport.MaxDatagramBytes)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buffer)
@@ -153,6 +154,10 @@
 			r.relayStrikes(ctx, conn, relay, from, buffer[:n])
 			continue
 		}
+		if loadreport.IsRateLimits(buffer[:n]) {
+			r.relayRateLimits(ctx, conn, rateLimits, from, buffer[:n])
+			continue
+		}
 		subscription, err := loadreport.DecodeSubscription(buffer[:n])
 		if err != nil {
 			r.deps.Logger.Warn("malformed subscription to load reports", "from", from, "error", err)
@@ -160,6 +165,9 @@
 		}
 		if started := entries.add(time.Now(), from, subscription); started {
 			r.sendStrikes(ctx, conn, from, relay.snapshot(r.config.FleetKey))
+			if len(rateLimits.notices) > 0 {
+				r.sendRateLimits(ctx, conn, rateLimits, from)
+			}
 		}
 	}
 }
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -7,8 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing"
 )
@@ -56,7 +55,7 @@
 // CrashOf returns the identifier of the crash of an endpoint. An endpoint may start again
 // under its ID, so that its start time, in Unix milliseconds, is a part of it.
 func CrashOf(endpointID string, startedUnixMS int64) uint64 {
-	return xxhash.Sum64String(endpointID + " " + strconv.FormatInt(startedUnixMS, 10))
+	return directory.IncarnationHash(endpointID, startedUnixMS)
 }
 
 // CrashText returns the identifier of a crash for logs.
