Divide rate limits among entries by their demand

Agents that all entries choose alike now name to each its interval by demand, and a limit consists of permits of at least one request that lie in the intervals: 0.698 and 0.720. TestPartsOfRateLimitsFollowTheDemandOfEntries and TestEntriesGetDisjointSharesByTheirDemand guard it; the bound holds as before for 1 to 90 entries.

--- a/gateway/announcedratelimit.go
+++ b/gateway/announcedratelimit.go
@@ -28,10 +28,7 @@
 		notice.At = time.Now()
 	}
 	if g.applyRateLimit(service, attempt.endpoint.ID, notice, sourceResponse) {
-		select {
-		case g.rateLimitNews <- struct{}{}:
-		default: // It is signalled already.
-		}
+		g.signalRateLimitNews()
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,13 +34,12 @@
 	strikes    *strikes.Ledger
 	strikeNews *strikeNews
 	trials     *trialGate
-	// rateLimitNews has a value when this entry has learnt of a rate limit itself.
-	rateLimitNews  chan struct{}
-	rateLimitPlace rateLimitPlace
-	crashes        *crashDetector
-	draining       atomic.Bool
-	rejecting      atomic.Bool
-	active         atomic.Int64
+	// rateLimitNews has a value when a rate limit has changed.
+	rateLimitNews chan struct{}
+	crashes       *crashDetector
+	draining      atomic.Bool
+	rejecting     atomic.Bool
+	active        atomic.Int64
 	// endpointByAgent maps the IP address of an agent to its endpoint.
 	endpointByAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
 
@@ -135,7 +134,7 @@
 	}
 	pool := admission.NewPool(config)
 	pool.SetEntryCount(int(max(g.entryCount.Load(), 1)))
-	pool.SetRateLimitPlace(g.rateLimitPlace.get(int(g.entryCount.Load())))
+	pool.SetRateLimitShare(svc.rateLimitShare.get(time.Now(), g.entryCount.Load()))
 	svc.gate = admission.NewGate(pool, time.Now)
 	return svc
 }
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -188,5 +188,5 @@
 		s.retryBudget.setEntryCount(n)
 		s.gate.Update(func(p *admission.Pool) { p.SetEntryCount(n) })
 	}
-	g.placeRateLimits()
+	g.shareRateLimits(time.Now())
 }
--- a/gateway/ratelimitexchange.go
+++ b/gateway/ratelimitexchange.go
@@ -1,22 +1,26 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
-// rateLimitPlaceTTL is how long this entry's place among the entries is used: some agent
-// confirms it every second while there are rate limits.
-const rateLimitPlaceTTL = 10 * time.Second
+// dividingRelays is the number of agents that divide rate limits among the entries. All
+// entries choose the same ones, so that each of them knows the demand of all.
+const dividingRelays = 3
 
-// exchangeRateLimits tells agents, and through them the other entries, of the rate limits
-// that this entry knows until ctx ends: at once of changes, and regularly of all, to which
-// each agent answers with what it knows.
+// exchangeRateLimits exchanges rate limits with the agents, and through them with the other
+// entries, until ctx ends: at once when they change, and regularly for shares by the present
+// demand.
 func (g *Gateway) exchangeRateLimits(ctx context.Context, conn *net.UDPConn) {
 	ticker := time.NewTicker(snapshotInterval)
 	defer ticker.Stop()
@@ -25,29 +29,68 @@
 		case <-ctx.Done():
 			return
 		case <-g.rateLimitNews:
-			g.sendRateLimits(ctx, conn, newsRelays)
+			g.sendRateLimits(ctx, conn, append(g.dividingAgents(time.Now()), g.randomAgents(newsRelays)...))
 		case <-ticker.C:
-			g.rateLimitPlace.expire(time.Now())
-			g.placeRateLimits()
-			g.sendRateLimits(ctx, conn, snapshotRelays)
+			g.measureDemand(time.Now())
+			g.shareRateLimits(time.Now())
+			g.sendRateLimits(ctx, conn, g.dividingAgents(time.Now()))
+		}
+	}
+}
+
+// measureDemand samples the demand for each service.
+func (g *Gateway) measureDemand(now time.Time) {
+	for _, s := range *g.services.Load() {
+		arrivals := 0.0
+		s.gate.Update(func(p *admission.Pool) { arrivals = p.ArrivalRate(now) })
+		s.rateLimitShare.addDemand(arrivals)
+	}
+}
+
+// dividingAgents returns the agents that divide rate limits: those with the lowest hashes
+// among the ones that report.
+func (g *Gateway) dividingAgents(now time.Time) []netip.AddrPort {
+	reporting := make(map[netip.Addr]bool)
+	byAgent := *g.endpointByAgent.Load()
+	services := *g.services.Load()
+	for addr, endpoint := range byAgent {
+		if s := services[endpoint.Service]; s != nil {
+			s.gate.Update(func(p *admission.Pool) { reporting[addr] = p.Reports(now, endpoint.ID) })
 		}
 	}
+	agents := slices.DeleteFunc(g.agentAddrs(), func(agent netip.AddrPort) bool { return !reporting[agent.Addr()] })
+	slices.SortFunc(agents, func(a, b netip.AddrPort) int {
+		return cmp.Compare(xxhash.Sum64String(a.String()), xxhash.Sum64String(b.String()))
+	})
+	return agents[:min(len(agents), dividingRelays)]
 }
 
-// sendRateLimits sends the known rate limits to some agents, nothing if there are none.
-func (g *Gateway) sendRateLimits(ctx context.Context, conn *net.UDPConn, relays int) {
+// sendRateLimits sends the known rate limits and the demand to agents, nothing if no limit
+// is known.
+func (g *Gateway) sendRateLimits(ctx context.Context, conn *net.UDPConn, agents []netip.AddrPort) {
 	known := g.knownRateLimits(time.Now())
 	if len(known) == 0 {
 		return
 	}
-	datagram := loadreport.RateLimits{Limits: known}.Encode(g.config.FleetKey)
-	for _, agent := range g.randomAgents(relays) {
+	datagram := loadreport.RateLimits{Demands: g.demands(), Limits: known}.Encode(g.config.FleetKey)
+	for _, agent := range agents {
 		if _, err := conn.WriteToUDPAddrPort(datagram, agent); err != nil && ctx.Err() == nil {
 			g.deps.Logger.Warn("sending rate limits failed", "agent", agent, "error", err)
 		}
 	}
 }
 
+// demands returns the demand for the services with rate limits.
+func (g *Gateway) demands() []loadreport.ServiceDemand {
+	var demands []loadreport.ServiceDemand
+	for name, s := range *g.services.Load() {
+		if s.knowsRateLimits.Load() {
+			demands = append(demands, loadreport.ServiceDemand{Service: loadreport.ServiceHash(name), PerSecond: s.rateLimitShare.lastDemand()})
+		}
+	}
+	return demands
+}
+
 // knownRateLimits returns what is known of the rate limits of listed endpoints, newest
 // first.
 func (g *Gateway) knownRateLimits(now time.Time) []loadreport.RateLimit {
@@ -73,38 +116,71 @@
 	return known
 }
 
-// receiveRateLimits applies the rate limits that an agent knows.
+// receiveRateLimits applies the rate limits and the shares that an agent names.
 func (g *Gateway) receiveRateLimits(now time.Time, from netip.AddrPort, datagram []byte) {
 	received, err := loadreport.DecodeRateLimits(g.config.FleetKey, datagram)
 	if err != nil {
 		g.deps.Logger.Warn("rate limits rejected", "from", from, "error", err)
 		return
 	}
-	if received.Entries > 0 {
-		g.rateLimitPlace.set(now, admission.RateLimitPlace{Entries: received.Entries, Position: received.Position, Known: true})
-		g.placeRateLimits()
+	g.applyShares(now, received.Shares)
+	if g.applyReportedRateLimits(now, received.Limits) {
+		g.signalRateLimitNews()
 	}
-	if len(received.Limits) == 0 {
+}
+
+// applyShares applies the shares of this entry that an agent names.
+func (g *Gateway) applyShares(now time.Time, shares []loadreport.ServiceShare) {
+	if len(shares) == 0 {
 		return
 	}
-	byIncarnation := make(map[uint64]loadreport.RateLimit, len(received.Limits))
-	for _, limit := range received.Limits {
+	services := *g.services.Load()
+	for name, s := range services {
+		hash := loadreport.ServiceHash(name)
+		if i := slices.IndexFunc(shares, func(share loadreport.ServiceShare) bool { return share.Service == hash }); i >= 0 {
+			s.rateLimitShare.set(now, shares[i].Lower, shares[i].Upper)
+		}
+	}
+	g.shareRateLimits(now)
+}
+
+// applyReportedRateLimits applies the rate limits that an agent names, and reports whether
+// one of them changed.
+func (g *Gateway) applyReportedRateLimits(now time.Time, limits []loadreport.RateLimit) (changed bool) {
+	if len(limits) == 0 {
+		return false
+	}
+	byIncarnation := make(map[uint64]loadreport.RateLimit, len(limits))
+	for _, limit := range limits {
 		byIncarnation[limit.Incarnation] = limit
 	}
 	services := *g.services.Load()
 	for _, endpoint := range g.deps.Directory.View().LatestEndpoints() {
 		limit, found := byIncarnation[endpoint.IncarnationHash()]
-		if service := services[endpoint.Service]; found && service != nil {
-			notice := admission.RateLimitNotice{Limited: limit.Limited, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}
-			g.applyRateLimit(service, endpoint.ID, notice, sourceEntries)
+		service := services[endpoint.Service]
+		if !found || service == nil {
+			continue
+		}
+		notice := admission.RateLimitNotice{Limited: limit.Limited, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}
+		if g.applyRateLimit(service, endpoint.ID, notice, sourceEntries) {
+			changed = true
 		}
 	}
+	return changed
+}
+
+// signalRateLimitNews makes exchangeRateLimits send the rate limits at once.
+func (g *Gateway) signalRateLimitNews() {
+	select {
+	case g.rateLimitNews <- struct{}{}:
+	default: // It is signalled already.
+	}
 }
 
-// placeRateLimits makes all pools use this entry's place among the entries.
-func (g *Gateway) placeRateLimits() {
-	place := g.rateLimitPlace.get(int(g.entryCount.Load()))
+// shareRateLimits makes all pools use the present shares of this entry.
+func (g *Gateway) shareRateLimits(now time.Time) {
 	for _, s := range *g.services.Load() {
-		s.gate.Update(func(p *admission.Pool) { p.SetRateLimitPlace(place) })
+		share := s.rateLimitShare.get(now, g.entryCount.Load())
+		s.gate.Update(func(p *admission.Pool) { p.SetRateLimitShare(share) })
 	}
 }
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -16,6 +16,7 @@
 	// hasRateLimits says that the gate knows a rate limit, so that responses without one
 	// matter; knowsRateLimits that it knows of one or of the end of one.
 	hasRateLimits, knowsRateLimits atomic.Bool
+	rateLimitShare                 rateLimitShare
 	// firstResponseNanos is the mean time from sending a request to its first
 	// event or its complete response.
 	firstResponseNanos atomic.Int64
--- a/loadreport/ratelimits_test.go
+++ b/loadreport/ratelimits_test.go
@@ -12,21 +12,32 @@
 )
 
 func TestRateLimitsRoundTrip(t *testing.T) {
-	limits := loadreport.RateLimits{Entries: 30, Position: 29, Limits: []loadreport.RateLimit{
+	known := []loadreport.RateLimit{
 		{Incarnation: 1, Limited: true, PerSecond: 2.6, Age: 300 * time.Millisecond},
 		{Incarnation: 1<<64 - 1, Age: time.Hour},
-	}}
-	decoded, err := loadreport.DecodeRateLimits(testKey, limits.Encode(testKey))
-	assert.NilError(t, err)
-	assert.DeepEqual(t, decoded, limits)
+	}
+	for _, limits := range []loadreport.RateLimits{
+		{},
+		{Limits: known},
+		{Demands: []loadreport.ServiceDemand{{Service: 1, PerSecond: 17.5}, {Service: 2}}, Limits: known},
+		{Shares: []loadreport.ServiceShare{{Service: 1, Lower: 0.25, Upper: 1}, {Service: 2}}, Limits: known},
+	} {
+		decoded, err := loadreport.DecodeRateLimits(testKey, limits.Encode(testKey))
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded, limits)
+	}
 }
 
 func TestMostRateLimitsFitADatagram(t *testing.T) {
-	datagram := loadreport.RateLimits{Limits: make([]loadreport.RateLimit, loadreport.MaxRateLimits+1)}.Encode(testKey)
+	datagram := loadreport.RateLimits{
+		Shares: make([]loadreport.ServiceShare, loadreport.MaxRateLimitServices+1),
+		Limits: make([]loadreport.RateLimit, loadreport.MaxRateLimits+1),
+	}.Encode(testKey)
 	assert.Assert(t, len(datagram) <= loadreport.MaxDatagramBytes)
 	decoded, err := loadreport.DecodeRateLimits(testKey, datagram)
 	assert.NilError(t, err)
 	assert.Equal(t, len(decoded.Limits), loadreport.MaxRateLimits)
+	assert.Equal(t, len(decoded.Shares), loadreport.MaxRateLimitServices)
 }
 
 // Guards against datagrams from elsewhere that keep requests from an endpoint.
@@ -46,9 +57,13 @@
 	limits := func(perSecond float64) []byte {
 		return loadreport.RateLimits{Limits: []loadreport.RateLimit{{Incarnation: 1, Limited: true, PerSecond: perSecond}}}.Encode(testKey)
 	}
+	share := func(lower, upper float64) []byte {
+		return loadreport.RateLimits{Shares: []loadreport.ServiceShare{{Service: 1, Lower: lower, Upper: upper}}}.Encode(testKey)
+	}
+	demand := loadreport.RateLimits{Demands: []loadreport.ServiceDemand{{Service: 1, PerSecond: math.NaN()}}}.Encode(testKey)
 	whole := limits(1)
 	for _, datagram := range [][]byte{
-		nil, whole[:1], whole[:20], whole[:len(whole)-1], limits(math.NaN()), limits(math.Inf(1)), limits(-1), loadreport.Report{}.Encode(),
+		nil, whole[:1], whole[:20], whole[:len(whole)-1], limits(math.NaN()), limits(math.Inf(1)), limits(-1), share(0.5, 0.4), share(0, 1.1), share(math.NaN(), 1), demand, loadreport.Report{}.Encode(),
 	} {
 		_, err := loadreport.DecodeRateLimits(testKey, datagram)
 		assert.Assert(t, errors.As(err, &formatErr))
@@ -58,7 +73,7 @@
 }
 
 func FuzzDecodeRateLimits(f *testing.F) {
-	f.Add(loadreport.RateLimits{Entries: 1, Limits: []loadreport.RateLimit{{Incarnation: 1, Limited: true, PerSecond: 2}}}.Encode(testKey))
+	f.Add(loadreport.RateLimits{Demands: []loadreport.ServiceDemand{{Service: 1, PerSecond: 3}}, Limits: []loadreport.RateLimit{{Incarnation: 1, Limited: true, PerSecond: 2}}}.Encode(testKey))
 	f.Fuzz(func(t *testing.T, datagram []byte) {
 		limits, err := loadreport.DecodeRateLimits(testKey, datagram)
 		if err == nil {
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -29,9 +29,8 @@
 	arrivalsByRank map[int]*arrivalRate
 	partition      latencyPartition
 	// rateLimits holds the announced rate limits by endpoint ID.
-	rateLimits map[string]*rateLimit
-	// rateLimitPlace is the place of this entry among those that share rate limits.
-	rateLimitPlace RateLimitPlace
+	rateLimits     map[string]*rateLimit
+	rateLimitShare RateLimitShare
 }
 
 // NewPool returns a pool without endpoints.
@@ -75,9 +74,18 @@
 	p.entryCount = max(n, 1)
 }
 
-// SetRateLimitPlace sets the place of this entry among those that share rate limits.
-func (p *Pool) SetRateLimitPlace(place RateLimitPlace) {
-	p.rateLimitPlace = place
+// SetRateLimitShare sets the share of this entry in rate limits.
+func (p *Pool) SetRateLimitShare(share RateLimitShare) {
+	p.rateLimitShare = share
+}
+
+// ArrivalRate returns the number of requests per second of all ranks.
+func (p *Pool) ArrivalRate(now time.Time) float64 {
+	total := 0.0
+	for _, arrivals := range p.arrivalsByRank {
+		total += arrivals.perSecond(now)
+	}
+	return total
 }
 
 // SetMinVersion sets the oldest version of the weights on which a request may start.
@@ -151,6 +159,12 @@
 	p.usage[req.Organisation] += max(req.TotalTokens, 1)
 }
 
+// Reports reports whether the agent of an endpoint sends reports.
+func (p *Pool) Reports(now time.Time, endpointID string) bool {
+	endpoint := p.endpoints[endpointID]
+	return endpoint != nil && now.Sub(endpoint.report.ReceivedAt) <= p.config.MaxReportAge
+}
+
 // LoadedVersion returns the version of the weights that is loaded at an endpoint as
 // far as is known, 0 for none.
 func (p *Pool) LoadedVersion(now time.Time, endpointID string) uint64 {
--- a/routing/admission/rateallowance.go
+++ b/routing/admission/rateallowance.go
@@ -21,32 +21,38 @@
 	burst float64
 }
 
-// RateLimitPlace is the place of an entry among those that share rate limits.
-type RateLimitPlace struct {
+// RateLimitShare is the share of an entry in the rate limits of a service's endpoints.
+type RateLimitShare struct {
+	// Lower and Upper bound the entry's interval of [0, 1), by its part of the demand of
+	// all entries, whose intervals are disjoint; valid if Known.
+	Lower, Upper float64
+	Known        bool
+	// Entries is the number of entries. Without an interval they have equal shares.
 	Entries int
-	// Position is the position of this entry among them, from 0; valid if Known.
-	Position int
-	Known    bool
 }
 
-// rateAllowance returns this entry's part of a limit. Entries have equal parts, of at least
-// one request at once. If these would exceed the burst of all entries together, only as many
-// entries have parts as it allows.
+// rateAllowance returns this entry's part of a limit. A limit is divided into as many equal
+// permits as the burst has whole requests, since a part of less than one request is no use. The
+// permits lie evenly on [0, 1), and belong to the entries in whose intervals they lie.
 func (p *Pool) rateAllowance(limit *rateLimit) rateAllowance {
-	place := p.rateLimitPlace
 	perSecond := max(limit.notice.PerSecond, minRateLimit)
-	sharers := float64(max(place.Entries, 1))
-	if place.Known && perSecond+rateLimitBurst < sharers {
-		sharers = math.Floor(perSecond + rateLimitBurst)
-		entries := uint64(place.Entries)
-		if (uint64(place.Position)+limit.offset%entries)%entries >= uint64(sharers) {
-			return rateAllowance{}
-		}
-	}
-	return rateAllowance{
-		perSecond: perSecond / sharers,
-		burst:     max((perSecond+rateLimitBurst)/sharers, 1),
+	burst := perSecond + rateLimitBurst
+	if !p.rateLimitShare.Known {
+		entries := float64(max(p.rateLimitShare.Entries, 1))
+		return rateAllowance{perSecond: perSecond / entries, burst: max(burst/entries, 1)}
 	}
+	permits := min(math.Floor(burst), maxPermits)
+	own := p.rateLimitShare.permits(permits, limit.offset)
+	return rateAllowance{perSecond: perSecond * own / permits, burst: burst * own / permits}
+}
+
+// maxPermits is the number of permits of high limits.
+const maxPermits = 1000
+
+// permits returns how many of the permits at (i + offset) / total, for i from 0, lie in the
+// interval. offset is from 0 up to 1.
+func (s RateLimitShare) permits(total, offset float64) float64 {
+	return math.Ceil(s.Upper*total-offset) - math.Ceil(s.Lower*total-offset)
 }
 
 // limitedRate returns how many requests per second this entry may send to an endpoint; ok
--- a/routing/admission/rateallowance_test.go
+++ b/routing/admission/rateallowance_test.go
@@ -17,11 +17,22 @@
 	arrivals []time.Time
 }
 
-func newSharedEndpoint(entries int, perSecond float64, known bool) *sharedEndpoint {
+// newSharedEndpoint returns an endpoint before entries with the given demands.
+func newSharedEndpoint(perSecond float64, demands []float64) *sharedEndpoint {
+	total := 0.0
+	for _, demand := range demands {
+		total += demand
+	}
 	s := &sharedEndpoint{}
-	for i := range entries {
+	lower := 0.0
+	for i, demand := range demands {
+		upper := lower + demand/total
+		if i == len(demands)-1 {
+			upper = 1
+		}
 		p := plainPool("a")
-		p.SetRateLimitPlace(RateLimitPlace{Entries: entries, Position: i, Known: known})
+		p.SetRateLimitShare(RateLimitShare{Lower: lower, Upper: upper, Known: true, Entries: len(demands)})
+		lower = upper
 		announce(p, at(0), perSecond)
 		s.pools = append(s.pools, p)
 	}
@@ -70,7 +81,7 @@
 	for _, entries := range []int{1, 5, 10, 30, 90} {
 		for _, perSecond := range []float64{0, 0.2, 1, 2.1, 7, 40} {
 			t.Run(fmt.Sprint(entries, " entries, ", perSecond), func(t *testing.T) {
-				s := newSharedEndpoint(entries, perSecond, true)
+				s := newSharedEndpoint(perSecond, slices.Repeat([]float64{1}, entries))
 				for ms := 60_000; ms < 80_000; ms += 10 {
 					for entry := range entries {
 						s.send(at(ms), entry, 1)
@@ -96,7 +107,7 @@
 			ids = append(ids, fmt.Sprint("i-", i))
 		}
 		p := plainPool(ids...)
-		p.SetRateLimitPlace(RateLimitPlace{Entries: entries, Position: position, Known: true})
+		p.SetRateLimitShare(RateLimitShare{Lower: float64(position) / entries, Upper: float64(position+1) / entries, Known: true, Entries: entries})
 		for _, id := range ids {
 			p.RecordRateLimit(id, RateLimitNotice{Limited: true, PerSecond: 1, At: at(0)})
 		}
@@ -112,7 +123,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		entries := rapid.IntRange(1, 40).Draw(t, "entries")
 		perSecond := rapid.Float64Range(0, 20).Draw(t, "limit")
-		s := newSharedEndpoint(entries, perSecond, true)
+		demands := rapid.SliceOfN(rapid.Float64Range(0.1, 100), entries, entries).Draw(t, "demands")
+		s := newSharedEndpoint(perSecond, demands)
 		ms := 3000
 		for range rapid.IntRange(1, 40).Draw(t, "bursts") {
 			ms += rapid.IntRange(1, 8000).Draw(t, "pause")
@@ -128,6 +140,33 @@
 	})
 }
 
+// Guards against callers of a busy entry that are refused while entries with few callers
+// leave their parts of the limits unused.
+func TestPartsOfRateLimitsFollowTheDemandOfEntries(t *testing.T) {
+	const endpoints, perSecond = 40, 3.0
+	demands := []float64{1, 2, 4, 1}
+	rates := make([]float64, len(demands))
+	total := 0.0
+	for i := range endpoints {
+		lower := 0.0
+		for entry, demand := range demands {
+			upper := lower + demand/8
+			p := plainPool("a")
+			p.SetRateLimitShare(RateLimitShare{Lower: lower, Upper: upper, Known: true})
+			notice := RateLimitNotice{Limited: true, PerSecond: perSecond}
+			rate := p.rateAllowance(&rateLimit{notice: notice, offset: permitOffset(fmt.Sprint("i-", i))}).perSecond
+			rates[entry] += rate
+			total += rate
+			lower = upper
+		}
+	}
+	assert.Check(t, math.Abs(total-endpoints*perSecond) < 1e-9, "%v", total)
+	for entry, demand := range demands {
+		want := endpoints * perSecond * demand / 8
+		assert.Check(t, math.Abs(rates[entry]-want) < 0.2*want, "%v of %v", rates[entry], want)
+	}
+}
+
 // Guards against a limit that returns, or looks newer, each time that processes pass it on.
 func TestReportedRateLimitReplacesOnlyOlderOnes(t *testing.T) {
 	limited := func(ms int, perSecond float64) RateLimitNotice {
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -50,9 +50,9 @@
 type rateLimit struct {
 	startedUnixMS int64
 	notice        RateLimitNotice
-	// offset shifts the positions of entries, so that endpoints with low limits get
-	// their requests from different entries.
-	offset uint64
+	// offset shifts the permits of this endpoint, from 0 up to 1, so that endpoints with
+	// low limits get their requests from different entries.
+	offset float64
 	// tokens is how many requests this entry may send now, as of refilledAt.
 	tokens     float64
 	refilledAt time.Time
@@ -95,7 +95,7 @@
 		if !notice.Limited {
 			return previous, false
 		}
-		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS, offset: xxhash.Sum64String(endpointID)}
+		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS, offset: permitOffset(endpointID)}
 		p.rateLimits[endpointID] = limit
 	}
 	previous = limit.notice
@@ -111,6 +111,11 @@
 	return previous, !notice.SameLimit(previous)
 }
 
+// permitOffset returns a number from 0 up to 1 that every entry derives from an ID.
+func permitOffset(endpointID string) float64 {
+	return float64(xxhash.Sum64String(endpointID)>>32) / (1 << 32)
+}
+
 // RateLimitNotices returns what is known of the rate limits of listed endpoints, by ID: of
 // those that have one, and for some time of those that had.
 func (p *Pool) RateLimitNotices() map[string]RateLimitNotice {
--- a/sidecar/ratelimitrelay_test.go
+++ b/sidecar/ratelimitrelay_test.go
@@ -46,31 +46,55 @@
 	assert.DeepEqual(t, relay.limitsFor(now, from).Limits, lifted.Limits)
 }
 
-// Guards against two entries that take the same position, which would both use the part of
-// a limit that only one of them has.
-func TestEachEntryGetsAPositionOfItsOwn(t *testing.T) {
+// demandOf returns what an entry sends with its demand for service 7.
+func demandOf(perSecond float64) loadreport.RateLimits {
+	return loadreport.RateLimits{Demands: []loadreport.ServiceDemand{{Service: 7, PerSecond: perSecond}}}
+}
+
+// Guards against two entries that use the same part of a limit, and against parts that do
+// not follow the demand.
+func TestEntriesGetDisjointSharesByTheirDemand(t *testing.T) {
 	startedAt := time.Now()
 	now := startedAt.Add(loadreport.SubscriptionTTL)
 	relay := newRateLimitRelay(startedAt, subscribed(now))
-	positions := make(map[netip.AddrPort]int)
-	for _, entry := range rateLimitEntries {
-		limits := relay.limitsFor(now, entry)
-		assert.Equal(t, limits.Entries, 3)
-		positions[entry] = limits.Position
-	}
-	assert.DeepEqual(t, positions, map[netip.AddrPort]int{
-		rateLimitEntries[1]: 0, rateLimitEntries[2]: 1, rateLimitEntries[0]: 2,
-	}, comparableAddrs)
+	relay.receive(now, rateLimitEntries[0], demandOf(4-minSharedDemand))
+	// The third entry has not named its demand and counts with the mean.
+	relay.receive(now, rateLimitEntries[1], demandOf(2-minSharedDemand))
+	first := relay.shares(now, rateLimitEntries[1])
+	assert.Equal(t, len(relay.shares(now, rateLimitEntries[2])), 0, "it has not asked")
+	assert.DeepEqual(t, first, []loadreport.ServiceShare{{Service: 7, Lower: 0, Upper: 2.0 / 9}})
+	relay.receive(now, rateLimitEntries[2], demandOf(2-minSharedDemand))
+	first = relay.shares(now, rateLimitEntries[1])
+	assert.DeepEqual(t, first, []loadreport.ServiceShare{{Service: 7, Lower: 0, Upper: 0.25}})
+	assert.DeepEqual(t, relay.shares(now, rateLimitEntries[2]), []loadreport.ServiceShare{{Service: 7, Lower: 0.25, Upper: 0.5}})
+	assert.DeepEqual(t, relay.shares(now, rateLimitEntries[0]), []loadreport.ServiceShare{{Service: 7, Lower: 0.5, Upper: 1}})
 	stranger := netip.MustParseAddrPort("127.0.0.9:1")
-	assert.Equal(t, relay.limitsFor(now, stranger).Entries, 0)
+	relay.receive(now, stranger, demandOf(1))
+	assert.Equal(t, len(relay.shares(now, stranger)), 0)
 }
 
-// Guards against an agent that has just started and makes each entry believe that it is one
-// of few.
-func TestStartedAgentNamesNoPositions(t *testing.T) {
+// Guards against an agent that has just started and gives the few entries that it knows the
+// whole of each limit.
+func TestStartedAgentDividesNothing(t *testing.T) {
 	now := time.Now()
 	relay := newRateLimitRelay(now, subscribed(now))
-	assert.Equal(t, relay.limitsFor(now.Add(loadreport.SubscriptionTTL-1), rateLimitEntries[0]).Entries, 0)
+	relay.receive(now, rateLimitEntries[0], demandOf(1))
+	assert.Equal(t, len(relay.shares(now.Add(loadreport.SubscriptionTTL-1), rateLimitEntries[0])), 0)
+}
+
+// Guards against an entry that stopped and keeps its part of the limits.
+func TestOldDemandIsForgotten(t *testing.T) {
+	startedAt := time.Now()
+	now := startedAt.Add(loadreport.SubscriptionTTL)
+	entries := subscribed(now)
+	relay := newRateLimitRelay(startedAt, entries)
+	for _, entry := range rateLimitEntries {
+		relay.receive(now, entry, demandOf(1))
+	}
+	later := now.Add(rateLimitDemandTTL + loadreport.SubscriptionTTL)
+	entries.add(later, rateLimitEntries[0], loadreport.Subscription{})
+	relay.receive(later, rateLimitEntries[0], demandOf(1))
+	assert.DeepEqual(t, relay.shares(later, rateLimitEntries[0]), []loadreport.ServiceShare{{Service: 7, Lower: 0, Upper: 1}})
 }
 
 // Guards against a relay that keeps what nobody repeats.
