Send all rate limits if they do not fit one datagram

A datagram holds 37 limits, fewer than the engines of a grown deployment. Entries without a permit for an endpoint would not have heard of the end of its limit while 37 others were newer. TestManyRateLimitsTakeSeveralDatagrams guards it.

--- a/gateway/ratelimitexchange.go
+++ b/gateway/ratelimitexchange.go
@@ -72,10 +72,11 @@
 	if len(known) == 0 {
 		return
 	}
-	datagram := loadreport.RateLimits{Demands: g.demands(), Limits: known}.Encode(g.config.FleetKey)
-	for _, agent := range agents {
-		if _, err := conn.WriteToUDPAddrPort(datagram, agent); err != nil && ctx.Err() == nil {
-			g.deps.Logger.Warn("sending rate limits failed", "agent", agent, "error", err)
+	for _, datagram := range (loadreport.RateLimits{Demands: g.demands(), Limits: known}).EncodeAll(g.config.FleetKey) {
+		for _, agent := range agents {
+			if _, err := conn.WriteToUDPAddrPort(datagram, agent); err != nil && ctx.Err() == nil {
+				g.deps.Logger.Warn("sending rate limits failed", "agent", agent, "error", err)
+			}
 		}
 	}
 }
--- a/loadreport/ratelimits.go
+++ b/loadreport/ratelimits.go
@@ -79,6 +79,27 @@
 	return len(b) > 0 && b[0] == kindRateLimits
 }
 
+// maxRateLimitDatagrams bounds the datagrams in which limits are sent to one process: enough
+// for about 300 endpoints.
+const maxRateLimitDatagrams = 8
+
+// EncodeAll returns the limits in as many datagrams as they need, at most
+// maxRateLimitDatagrams, each as from Encode with all demands and shares.
+func (r RateLimits) EncodeAll(fleetKey []byte) [][]byte {
+	if len(r.Limits) <= MaxRateLimits {
+		return [][]byte{r.Encode(fleetKey)}
+	}
+	var datagrams [][]byte
+	for limits := range slices.Chunk(r.Limits, MaxRateLimits) {
+		if len(datagrams) == maxRateLimitDatagrams {
+			break
+		}
+		part := RateLimits{Demands: r.Demands, Shares: r.Shares, Limits: limits}
+		datagrams = append(datagrams, part.Encode(fleetKey))
+	}
+	return datagrams
+}
+
 // Encode returns a datagram signed with the fleet key, since a forged one would keep
 // requests from an endpoint. Of longer lists it has the first MaxRateLimits limits and the
 // first MaxRateLimitServices demands or shares, of which only one list is sent.
--- a/loadreport/ratelimits_test.go
+++ b/loadreport/ratelimits_test.go
@@ -40,6 +40,23 @@
 	assert.Equal(t, len(decoded.Shares), loadreport.MaxRateLimitServices)
 }
 
+// Guards against limits that no other entry learns of because there are many.
+func TestManyRateLimitsTakeSeveralDatagrams(t *testing.T) {
+	all := loadreport.RateLimits{
+		Demands: []loadreport.ServiceDemand{{Service: 1, PerSecond: 2}},
+		Limits:  make([]loadreport.RateLimit, 3*loadreport.MaxRateLimits-1),
+	}
+	limits := 0
+	for _, datagram := range all.EncodeAll(testKey) {
+		decoded, err := loadreport.DecodeRateLimits(testKey, datagram)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, decoded.Demands, all.Demands)
+		limits += len(decoded.Limits)
+	}
+	assert.Equal(t, limits, len(all.Limits))
+	assert.Equal(t, len(loadreport.RateLimits{Demands: all.Demands}.EncodeAll(testKey)), 1)
+}
+
 // Guards against datagrams from elsewhere that keep requests from an endpoint.
 func TestForgedRateLimitsAreRejected(t *testing.T) {
 	limits := loadreport.RateLimits{Limits: []loadreport.RateLimit{{Incarnation: 1, Limited: true, PerSecond: 1}}}
--- a/sidecar/ratelimitrelay.go
+++ b/sidecar/ratelimitrelay.go
@@ -179,8 +179,9 @@
 
 // sendRateLimits sends the known rate limits to an entry.
 func (r *Reconciler) sendRateLimits(ctx context.Context, conn *net.UDPConn, relay *rateLimitRelay, entry netip.AddrPort) {
-	datagram := relay.limitsFor(time.Now(), entry).Encode(r.config.FleetKey)
-	if _, err := conn.WriteToUDPAddrPort(datagram, entry); err != nil && ctx.Err() == nil {
-		r.deps.Logger.Warn("sending rate limits failed", "entry", entry, "error", err)
+	for _, datagram := range relay.limitsFor(time.Now(), entry).EncodeAll(r.config.FleetKey) {
+		if _, err := conn.WriteToUDPAddrPort(datagram, entry); err != nil && ctx.Err() == nil {
+			r.deps.Logger.Warn("sending rate limits failed", "entry", entry, "error", err)
+		}
 	}
 }
