Tell from one place why endpoints get no requests

Logs and metrics didn't show which endpoints were left out and why, so that an endpoint that asks for a pause, one that is full and one that is outdated looked the same in a refusal. The checks of the pool are now one list of reasons; refusals name the counts, and so does a gauge. What is chosen stays as it was.

--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -27,6 +28,11 @@
 			Tags: []string{telemetry.TagService, telemetry.TagVersion},
 			Read: g.readLastAttempts,
 		},
+		{
+			Name: telemetry.MetricUnavailableEndpoints,
+			Tags: []string{telemetry.TagService, telemetry.TagReason},
+			Read: g.readUnavailable,
+		},
 	}
 }
 
@@ -79,3 +85,15 @@
 		}
 	}
 }
+
+// readUnavailable reports how many endpoints of each service get no requests, by the reason.
+func (g *Gateway) readUnavailable(report func(value float64, tagValues ...string)) {
+	now := time.Now()
+	for name, s := range *g.services.Load() {
+		var unavailable admission.UnavailableEndpoints
+		s.gate.Update(func(p *admission.Pool) { unavailable = p.Unavailable(now) })
+		for reason, count := range unavailable {
+			report(float64(count), name, string(reason))
+		}
+	}
+}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -20,6 +20,8 @@
 	// retryAfterIsExact says that retryAfter is sent as it is, also if no caller waits for
 	// that long: it is no use to come back sooner.
 	retryAfterIsExact bool
+	// unavailable counts the endpoints that got no requests, if none had a slot.
+	unavailable admission.UnavailableEndpoints
 }
 
 // The bounds of Retry-After. A caller that retries sooner than minRetryAfter finds
@@ -43,6 +45,7 @@
 	if errors.As(err, &refused) {
 		r.reason = string(refused.Reason)
 		r.retryAfter = refused.RetryAfter
+		r.unavailable = refused.Unavailable
 	}
 	return r
 }
@@ -60,7 +63,7 @@
 	}
 	w.Header()["Content-Type"] = nil
 	w.WriteHeader(r.status)
-	g.finish(req, "refused", r.status, "reason", r.reason, "cause", errorText(r.cause), "document", g.documentVersion())
+	g.finish(req, "refused", r.status, "reason", r.reason, "unavailable", r.unavailable.String(), "cause", errorText(r.cause), "document", g.documentVersion())
 }
 
 func (g *Gateway) documentVersion() uint64 {
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -9,27 +9,6 @@
 // before it relies on the endpoint list, which may date from before a power failure.
 const firstReportTimeout = 400 * time.Millisecond
 
-// eligible reports whether an endpoint may start requests at all.
-func (p *Pool) eligible(now time.Time, endpoint *endpointState) bool {
-	if endpoint.Draining || !endpoint.breaker.allows(now, len(endpoint.inFlight)) {
-		return false
-	}
-	if !p.config.AgentReports {
-		return true
-	}
-	if now.Sub(endpoint.notRunAt) <= p.config.MaxReportAge {
-		return false
-	}
-	if endpoint.report.Closed && now.Sub(endpoint.report.ReceivedAt) <= p.config.MaxReportAge {
-		return false
-	}
-	if endpoint.report.ReceivedAt.IsZero() && now.Sub(endpoint.addedAt) < firstReportTimeout {
-		return false
-	}
-	version := endpoint.loadedVersionAt(now, &p.config)
-	return version != 0 && version >= p.minVersion
-}
-
 // capacity returns the maximum number of requests at an endpoint.
 func (p *Pool) capacity(endpoint *endpointState) float64 {
 	return float64(endpoint.Slots + p.config.Oversubscription)
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -22,8 +22,9 @@
 	Verdict      Verdict
 	EndpointID   string        // With Start.
 	ExpectedWait time.Duration // With Enqueue and Refuse.
-	// Reason is set with Refuse.
-	Reason Reason
+	// Reason and Unavailable are set with Refuse.
+	Reason      Reason
+	Unavailable UnavailableEndpoints
 	// Estimate is the load estimate on which the choice was based, with Start.
 	Estimate LoadEstimate
 }
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -15,6 +15,8 @@
 	Waited     time.Duration
 	// MinVersion is the oldest version of the weights that was allowed.
 	MinVersion uint64
+	// Unavailable counts the endpoints that got no requests at the refusal.
+	Unavailable UnavailableEndpoints
 }
 
 // Error implements error.
@@ -106,7 +108,7 @@
 	case Start:
 		return &Grant{EndpointID: decision.EndpointID, Estimate: decision.Estimate, gate: g, requestID: req.ID}, nil
 	case Refuse:
-		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.ExpectedWait, MinVersion: minVersion}
+		return nil, &RefusedError{Reason: decision.Reason, RetryAfter: decision.ExpectedWait, MinVersion: minVersion, Unavailable: decision.Unavailable}
 	}
 	return g.wait(ctx, &req, enqueuedAt, assigned)
 }
@@ -156,8 +158,12 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	wait := g.pool.expectedWait(g.now(), req, g.pool.slotReleaseRate(g.now()))
-	return nil, &RefusedError{Reason: ReasonExpired, RetryAfter: wait, Waited: g.now().Sub(enqueuedAt), MinVersion: g.pool.minVersion}
+	now := g.now()
+	wait := g.pool.expectedWait(now, req, g.pool.slotReleaseRate(now))
+	return nil, &RefusedError{
+		Reason: ReasonExpired, RetryAfter: wait, Waited: now.Sub(enqueuedAt), MinVersion: g.pool.minVersion,
+		Unavailable: g.pool.Unavailable(now),
+	}
 }
 
 func (g *Gate) newGrant(enqueuedAt time.Time, assignment Assignment) *Grant {
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -127,7 +127,7 @@
 	}
 	wait := p.expectedWait(now, req, releaseRate)
 	if !req.Resumed && now.Add(wait).After(req.HardDeadline) {
-		return Decision{Verdict: Refuse, Reason: ReasonFull, ExpectedWait: wait}
+		return Decision{Verdict: Refuse, Reason: ReasonFull, ExpectedWait: wait, Unavailable: p.Unavailable(now)}
 	}
 	p.waiting = append(p.waiting, req)
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
--- /dev/null
+++ b/routing/admission/unavailability.go
@@ -0,0 +1,85 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Unavailability is why an endpoint gets no requests at all, empty if it may get some.
+type Unavailability string
+
+// The reasons, in the order in which the first that applies is given.
+const (
+	// UnavailableDraining: the endpoint list says that the endpoint leaves.
+	UnavailableDraining Unavailability = "draining"
+	// UnavailableBroken: its responses fail, and the circuit breaker is open.
+	UnavailableBroken Unavailability = "broken"
+	// UnavailableNotRun: it has not run a request since its agent's last report.
+	UnavailableNotRun Unavailability = "not_run"
+	// UnavailableClosed: its agent reports that it accepts no requests.
+	UnavailableClosed Unavailability = "closed"
+	// UnavailableUnreported: it is new, and its agent may still report.
+	UnavailableUnreported Unavailability = "unreported"
+	// UnavailableOutdated: it has no version of the weights, or one below the minimum.
+	UnavailableOutdated Unavailability = "outdated"
+	// UnavailableRateLimited: this entry has used its part of the endpoint's rate limit.
+	UnavailableRateLimited Unavailability = "rate_limited"
+)
+
+// unavailability returns why an endpoint may start no requests. It ignores the rate limit,
+// under which an endpoint is available again and again.
+func (p *Pool) unavailability(now time.Time, endpoint *endpointState) Unavailability {
+	switch {
+	case endpoint.Draining:
+		return UnavailableDraining
+	case !endpoint.breaker.allows(now, len(endpoint.inFlight)):
+		return UnavailableBroken
+	case !p.config.AgentReports:
+		return ""
+	case now.Sub(endpoint.notRunAt) <= p.config.MaxReportAge:
+		return UnavailableNotRun
+	case endpoint.report.Closed && now.Sub(endpoint.report.ReceivedAt) <= p.config.MaxReportAge:
+		return UnavailableClosed
+	case endpoint.report.ReceivedAt.IsZero() && now.Sub(endpoint.addedAt) < firstReportTimeout:
+		return UnavailableUnreported
+	}
+	if version := endpoint.loadedVersionAt(now, &p.config); version == 0 || version < p.minVersion {
+		return UnavailableOutdated
+	}
+	return ""
+}
+
+// eligible reports whether an endpoint may start requests at all.
+func (p *Pool) eligible(now time.Time, endpoint *endpointState) bool {
+	return p.unavailability(now, endpoint) == ""
+}
+
+// UnavailableEndpoints counts the endpoints that get no requests now, by the reason.
+type UnavailableEndpoints map[Unavailability]int
+
+// Unavailable returns the number of endpoints that get no requests now, by the reason.
+func (p *Pool) Unavailable(now time.Time) UnavailableEndpoints {
+	counts := make(UnavailableEndpoints)
+	for _, endpoint := range p.endpoints {
+		reason := p.unavailability(now, endpoint)
+		if reason == "" && !p.rateLimitAllows(now, endpoint) {
+			reason = UnavailableRateLimited
+		}
+		if reason != "" {
+			counts[reason]++
+		}
+	}
+	return counts
+}
+
+// String lists the counts for the log, as "broken 2, closed 1"; empty if there are none.
+func (u UnavailableEndpoints) String() string {
+	var texts []string
+	for reason, count := range u {
+		texts = append(texts, fmt.Sprintf("%s %d", reason, count))
+	}
+	slices.Sort(texts)
+	return strings.Join(texts, ", ")
+}
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -57,6 +57,7 @@
 	MetricOutdatedCancellations   = "outdated_cancellations_total"
 	MetricVersionCorrections      = "version_corrections_total"
 	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
+	MetricUnavailableEndpoints    = "unavailable_endpoints"
 )
 
 // The tags of metrics.
@@ -70,6 +71,7 @@
 	TagOrder   = "order"
 	TagFault   = "fault"
 	TagService = "service"
+	TagReason  = "reason"
 	// TagVersion is a version of weights, TagBasis what the time is from which its bound
 	// counts, TagRelation how it compares with the minimum version.
 	TagVersion  = "version"
