Leave endpoints alone for the pause that they ask for

Callers were refused again and again because their requests went to endpoints that turned them away and had asked for a pause: up to 35 requests of one entry in 3 s. The class is that of the rate limits, an answer that is dropped unread.

The pool keeps the pause to its end and then sends single probes; it is checked again before a request is sent, since a process may stand still after the choice.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -87,6 +87,10 @@
 	if ctx.Err() != nil {
 		return admission.Cancelled
 	}
+	var resting *RestingError
+	if errors.As(err, &resting) {
+		return admission.Cancelled
+	}
 	if errors.Is(err, ErrEventTimeout) {
 		return admission.TimedOut
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,6 +79,9 @@
 	if attempt.endpoint == nil {
 		return attempt, false, ErrEndpointRemoved
 	}
+	if err := g.checkRest(req.service, grant.EndpointID); err != nil {
+		return attempt, false, err
+	}
 	// The process may have been paused since the choice, so that the minimum version of
 	// the choice is out of date.
 	minVersion := g.minVersion(g.deps.Now(), view, req.service.name, versionSafetyMargin)
@@ -103,6 +106,7 @@
 	}
 	if attempt.metadata.NotRun || attempt.metadata.ID == req.metadata.ID {
 		g.recordRateLimit(req.service, attempt)
+		g.recordRest(req.service, attempt)
 	}
 	if attempt.metadata.NotRun {
 		return attempt, false, &NotRunError{Status: response.StatusCode}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -45,6 +45,8 @@
 
 	// startedAt is the time to which the timestamps in subscriptions are relative.
 	startedAt time.Time
+	// startedAtBoot is the same time by deps.Now.
+	startedAtBoot time.Time
 	// clocks bounds when the version ages of agents were sent.
 	clocks *loadreport.ClockExchange
 	// agesDue holds the datagram addresses of agents to which version ages are due.
@@ -58,7 +60,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), crashes: newCrashDetector(), startedAt: time.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), crashes: newCrashDetector(), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
@@ -191,13 +193,17 @@
 	if view.Document == nil {
 		return
 	}
+	suspended := g.suspendedTime()
 	for name, s := range *g.services.Load() {
 		if view.Document.Services[name] == nil {
 			// The view is older or newer than the services. It must not lift a bound.
 			continue
 		}
 		minVersion := g.minVersion(now, view, name, versionSafetyMargin)
-		s.gate.Update(func(p *admission.Pool) { p.SetMinVersion(minVersion) })
+		s.gate.Update(func(p *admission.Pool) {
+			p.SetMinVersion(minVersion)
+			p.SetSuspended(suspended)
+		})
 		g.versions.observe(now, view, name, minVersion)
 		if cancelBelow := g.minVersion(now, view, name, cancelSafetyMargin); cancelBelow > 0 {
 			g.cancelOutdated(view, name, s, cancelBelow)
--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -91,7 +91,7 @@
 	now := time.Now()
 	for name, s := range *g.services.Load() {
 		var unavailable admission.UnavailableEndpoints
-		s.gate.Update(func(p *admission.Pool) { unavailable = p.Unavailable(now) })
+		s.gate.Inspect(func(p *admission.Pool) { unavailable = p.Unavailable(now) })
 		for reason, count := range unavailable {
 			report(float64(count), name, string(reason))
 		}
--- a/gateway/ratelimitexchange.go
+++ b/gateway/ratelimitexchange.go
@@ -42,7 +42,7 @@
 func (g *Gateway) measureDemand(now time.Time) {
 	for _, s := range *g.services.Load() {
 		arrivals := 0.0
-		s.gate.Update(func(p *admission.Pool) { arrivals = p.ArrivalRate(now) })
+		s.gate.Inspect(func(p *admission.Pool) { arrivals = p.ArrivalRate(now) })
 		s.rateLimitShare.addDemand(arrivals)
 	}
 }
@@ -55,7 +55,7 @@
 	services := *g.services.Load()
 	for addr, endpoint := range byAgent {
 		if s := services[endpoint.Service]; s != nil {
-			s.gate.Update(func(p *admission.Pool) { reporting[addr] = p.Reports(now, endpoint.ID) })
+			s.gate.Inspect(func(p *admission.Pool) { reporting[addr] = p.Reports(now, endpoint.ID) })
 		}
 	}
 	agents := slices.DeleteFunc(g.agentAddrs(), func(agent netip.AddrPort) bool { return !reporting[agent.Addr()] })
@@ -101,7 +101,7 @@
 		if !s.knowsRateLimits.Load() {
 			continue
 		}
-		s.gate.Update(func(p *admission.Pool) {
+		s.gate.Inspect(func(p *admission.Pool) {
 			for id, notice := range p.RateLimitNotices() {
 				endpoint := view.Endpoints[id]
 				if endpoint == nil {
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -20,6 +20,8 @@
 	// retryAfterIsExact says that retryAfter is sent as it is, also if no caller waits for
 	// that long: it is no use to come back sooner.
 	retryAfterIsExact bool
+	// spread is the largest time that is added to an exact retryAfter at random.
+	spread time.Duration
 	// unavailable counts the endpoints that got no requests, if none had a slot.
 	unavailable admission.UnavailableEndpoints
 }
@@ -32,6 +34,10 @@
 	maxRetryAfter = 1800 * time.Millisecond
 )
 
+// restSpread is the time over which callers return after the endpoints' pause, which start
+// with one request at a time.
+const restSpread = time.Second
+
 // slotRefusal returns the refusal for a request that has not run.
 func slotRefusal(err error) *refusal {
 	r := &refusal{status: http.StatusServiceUnavailable, reason: "no endpoint available", cause: err, retryAfter: minRetryAfter}
@@ -46,6 +52,10 @@
 		r.reason = string(refused.Reason)
 		r.retryAfter = refused.RetryAfter
 		r.unavailable = refused.Unavailable
+		if refused.Reason == admission.ReasonResting {
+			r.retryAfterIsExact = true
+			r.spread = restSpread
+		}
 	}
 	return r
 }
@@ -54,7 +64,9 @@
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, r *refusal) {
 	if r.status == http.StatusServiceUnavailable {
 		after := r.retryAfter
-		if !r.retryAfterIsExact {
+		if r.retryAfterIsExact {
+			after += time.Duration(g.random.uniform() * float64(r.spread))
+		} else {
 			after = min(max(after, minRetryAfter), maxRetryAfter)
 			// Jitter keeps callers from retrying at the same time.
 			after += time.Duration(g.random.uniform() * float64(after) / 2)
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -79,6 +79,8 @@
 	ReasonNoEndpoint Reason = "no endpoint can serve"
 	// ReasonFull: no slot is expected before the hard deadline.
 	ReasonFull Reason = "no place in time"
+	// ReasonResting: the endpoints that could serve have asked for a pause.
+	ReasonResting Reason = "endpoints ask for a pause"
 	// ReasonExpired: the request got no slot before its deadline.
 	ReasonExpired Reason = "waited too long for a slot"
 )
--- a/routing/admission/firstresponsedelay.go
+++ b/routing/admission/firstresponsedelay.go
@@ -92,6 +92,7 @@
 		return false
 	}
 	req.responseStarted = true
+	p.endProbing(endpoint, req.sentAt)
 	endpoint.inFlight[requestID] = req
 	endpoint.firstResponse.add(now, now.Sub(req.sentAt))
 	return true
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -81,6 +81,13 @@
 	g.dispatchWaiting()
 }
 
+// Inspect runs f on the pool under the lock. f must not make slots free.
+func (g *Gate) Inspect(f func(*Pool)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.pool)
+}
+
 // dispatchWaiting starts waiting requests. The caller holds g.mu.
 func (g *Gate) dispatchWaiting() {
 	for _, assignment := range g.pool.Dispatch(g.now()) {
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -45,6 +45,7 @@
 	}
 	switch outcome {
 	case Served:
+		p.endProbing(endpoint, req.sentAt)
 		endpoint.breaker.recordSuccess()
 		p.meanServiceTime += time.Duration(float64(now.Sub(req.sentAt)-p.meanServiceTime) * serviceTimeWeight)
 	case NotRun:
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -31,6 +31,10 @@
 	// rateLimits holds the announced rate limits by endpoint ID.
 	rateLimits     map[string]*rateLimit
 	rateLimitShare RateLimitShare
+	// rests holds the pauses that endpoints asked for by endpoint ID.
+	rests map[string]*rest
+	// suspended is how long the machine has been suspended since the process started.
+	suspended time.Duration
 }
 
 // NewPool returns a pool without endpoints.
@@ -44,6 +48,7 @@
 		usage:           make(map[core.OrganisationID]float64),
 		arrivalsByRank:  make(map[int]*arrivalRate),
 		rateLimits:      make(map[string]*rateLimit),
+		rests:           make(map[string]*rest),
 	}
 }
 
@@ -65,6 +70,7 @@
 		}
 	}
 	p.expireRateLimits(now)
+	p.expireRests(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
 }
@@ -127,12 +133,23 @@
 	}
 	wait := p.expectedWait(now, req, releaseRate)
 	if !req.Resumed && now.Add(wait).After(req.HardDeadline) {
-		return Decision{Verdict: Refuse, Reason: ReasonFull, ExpectedWait: wait, Unavailable: p.Unavailable(now)}
+		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, releaseRate), ExpectedWait: wait, Unavailable: p.Unavailable(now)}
 	}
 	p.waiting = append(p.waiting, req)
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
 }
 
+// refusalReason returns why no slot is expected in time.
+func (p *Pool) refusalReason(now time.Time, releaseRate float64) Reason {
+	if releaseRate > 0 {
+		return ReasonFull
+	}
+	if _, resting := p.earliestRestEnd(now); resting {
+		return ReasonResting
+	}
+	return ReasonFull
+}
+
 // start records that a request is sent to an endpoint.
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
 	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -14,6 +14,9 @@
 const (
 	// UnavailableDraining: the endpoint list says that the endpoint leaves.
 	UnavailableDraining Unavailability = "draining"
+	// UnavailableResting: it has asked this entry for a pause, or a probe after one is on
+	// its way.
+	UnavailableResting Unavailability = "resting"
 	// UnavailableBroken: its responses fail, and the circuit breaker is open.
 	UnavailableBroken Unavailability = "broken"
 	// UnavailableNotRun: it has not run a request since its agent's last report.
@@ -34,6 +37,8 @@
 	switch {
 	case endpoint.Draining:
 		return UnavailableDraining
+	case !p.restAllows(now, endpoint):
+		return UnavailableResting
 	case !endpoint.breaker.allows(now, len(endpoint.inFlight)):
 		return UnavailableBroken
 	case !p.config.AgentReports:
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -40,6 +40,9 @@
 // precede it and the rate in slots per second at which slots become free.
 func (p *Pool) expectedWait(now time.Time, req *Request, releaseRate float64) time.Duration {
 	if releaseRate == 0 {
+		if wait, resting := p.earliestRestEnd(now); resting {
+			return wait
+		}
 		return maxExpectedWait
 	}
 	ahead := 1
