Send nothing more to an endpoint that says in its responses that it leaves

While the store is away, or its list is late, an endpoint that leaves got requests up to its end, and its callers lost them. Cause: what its responses say about leaving was not read; the endpoint list was the only source. The class is that of the rate limits and the pauses.

The directory now drains the incarnation for good, and the check before sending covers draining and leaving endpoints beside resting ones.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -188,6 +188,30 @@
 	})
 }
 
+// SetLeaving records that an incarnation of an endpoint said in a response that it leaves.
+// It drains for good, whatever the endpoint list says, which may be older or out of reach.
+// SetLeaving reports whether this is new.
+func (d *Directory) SetLeaving(id string, startedUnixMS int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if startedUnixMS != 0 {
+		d.drained.add(incarnation{endpointID: id, startedUnixMS: startedUnixMS}, true)
+	}
+	listed := d.current.Load().Endpoints[id]
+	if listed == nil || listed.StartedUnixMS != startedUnixMS || listed.Leaving {
+		return false
+	}
+	leaving := *listed
+	leaving.Draining = true
+	leaving.Leaving = true
+	d.logger.Info("endpoint says that it leaves", "endpoint", id, "service", leaving.Service, "listed_as_draining", listed.Draining)
+	d.update(func(v *View) {
+		v.Endpoints = maps.Clone(v.Endpoints)
+		v.Endpoints[id] = &leaving
+	})
+	return true
+}
+
 // DropEndpoint removes an endpoint that is no longer listed. During an outage of
 // the store and for missingGrace after it, the endpoint is only marked as missing;
 // ExpireMissing removes it later.
--- a/directory/endpoint.go
+++ b/directory/endpoint.go
@@ -11,6 +11,8 @@
 	Slots         int
 	// Draining endpoints accept no new requests.
 	Draining bool
+	// Leaving says that a response of the endpoint, not only the endpoint list, says so.
+	Leaving bool
 	// LoadedVersion is the version of the weights that is completely loaded, 0 for
 	// none and for services without a model.
 	LoadedVersion uint64
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -87,8 +87,8 @@
 	if ctx.Err() != nil {
 		return admission.Cancelled
 	}
-	var resting *RestingError
-	if errors.As(err, &resting) {
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
 		return admission.Cancelled
 	}
 	if errors.Is(err, ErrEventTimeout) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -79,7 +79,7 @@
 	if attempt.endpoint == nil {
 		return attempt, false, ErrEndpointRemoved
 	}
-	if err := g.checkRest(req.service, grant.EndpointID); err != nil {
+	if err := checkAvailable(req.service, attempt.endpoint); err != nil {
 		return attempt, false, err
 	}
 	// The process may have been paused since the choice, so that the minimum version of
@@ -107,6 +107,9 @@
 	if attempt.metadata.NotRun || attempt.metadata.ID == req.metadata.ID {
 		g.recordRateLimit(req.service, attempt)
 		g.recordRest(req.service, attempt)
+		if attempt.metadata.Leaving {
+			g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
+		}
 	}
 	if attempt.metadata.NotRun {
 		return attempt, false, &NotRunError{Status: response.StatusCode}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -97,7 +97,7 @@
 			endpointByAgent[addr.Addr()] = e
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
-			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, StartedUnixMS: e.StartedUnixMS,
+			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
--- a/gateway/headercodec.go
+++ b/gateway/headercodec.go
@@ -55,6 +55,8 @@
 	Running, Waiting int
 	// RateLimit is what the response says about the endpoint's rate limit.
 	RateLimit AnnouncedRateLimit
+	// Leaving says that the endpoint leaves and wants no further requests.
+	Leaving bool
 	// Rest is how long the endpoint wants no requests from this entry; 0 if it does not say.
 	Rest time.Duration
 }
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -10,8 +10,9 @@
 	// LoadedVersion is the version of the weights that is completely loaded, 0 for
 	// none.
 	LoadedVersion uint64
-	// Draining says that the endpoint gets no new requests.
-	Draining bool
+	// Draining says that the endpoint gets no new requests, Leaving that it has said so
+	// itself.
+	Draining, Leaving bool
 	// StartedUnixMS tells the incarnations under one ID apart, 0 if unknown.
 	StartedUnixMS int64
 }
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -12,6 +12,8 @@
 
 // The reasons, in the order in which the first that applies is given.
 const (
+	// UnavailableLeaving: a response of the endpoint says that it leaves.
+	UnavailableLeaving Unavailability = "leaving"
 	// UnavailableDraining: the endpoint list says that the endpoint leaves.
 	UnavailableDraining Unavailability = "draining"
 	// UnavailableResting: it has asked this entry for a pause, or a probe after one is on
@@ -35,6 +37,8 @@
 // under which an endpoint is available again and again.
 func (p *Pool) unavailability(now time.Time, endpoint *endpointState) Unavailability {
 	switch {
+	case endpoint.Leaving:
+		return UnavailableLeaving
 	case endpoint.Draining:
 		return UnavailableDraining
 	case !p.restAllows(now, endpoint):
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -71,7 +71,7 @@
 	{MetricOutdatedCancellations, Counter, "requests", []string{TagService}, directOnly, "Requests cancelled because they were queued at an endpoint with an outdated version."},
 	{MetricVersionCorrections, Counter, "reports", []string{TagService}, directOnly, "Load reports that named an older version of the weights than the entry took the endpoint to have."},
 	{MetricRateLimitedEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that announce a limit on their requests per second; absent while none did."},
-	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: draining, resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights) or rate_limited; absent without any. Read when the page is served."},
+	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: leaving (by its responses), draining (by the list), resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights) or rate_limited; absent without any. Read when the page is served."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
