Keep to the pause that an endpoint asks for on the path through agents too

The scheduler now grants no credits and starts no calls until the pause ends, and refuses calls at once with the time that is left; continuations wait.

TestAgentSendsNothingForThePauseThatItsEndpointAsksFor fails without the call of restAfter (the second call is not_started at the endpoint, not busy at the agent).

--- a/agent/components.go
+++ b/agent/components.go
@@ -116,5 +116,5 @@
 	if a.deps.Engine != nil {
 		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched, counters: &a.counters}
 	}
-	return &plainRunner{service: a.cfg.Instance.Service, client: a.deps.PlainService, state: a.state, counters: &a.counters}
+	return &plainRunner{service: a.cfg.Instance.Service, client: a.deps.PlainService, state: a.state, sched: a.sched, counters: &a.counters}
 }
--- a/agent/events.go
+++ b/agent/events.go
@@ -21,6 +21,10 @@
 		e.job.refused <- refusal{code: s.closeReason}
 		return
 	}
+	if left := s.restLeft(); left > 0 && !e.job.continuation {
+		e.job.refused <- refusal{code: CodeBusy, retryAfter: left}
+		return
+	}
 	s.jobs[e.job.call.ID] = e.job
 	evicted, err := s.queue.Offer(s.now(), e.job.call)
 	for _, c := range evicted {
@@ -102,15 +106,7 @@
 	s.closed = true
 	s.drained = false
 	s.closeReason = e.reason
-	running := make(map[uint64]bool)
-	for _, c := range s.queue.Running() {
-		running[c.ID] = true
-	}
-	for id, j := range s.jobs {
-		if !running[id] && !j.continuation && s.queue.Remove(id) {
-			s.refuse(id, refusal{code: e.reason})
-		}
-	}
+	s.refuseWaiting(refusal{code: e.reason})
 	s.idleWaiters = append(s.idleWaiters, e.idle)
 }
 
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -129,6 +129,7 @@
 func (m *modelRunner) failureEvent(ctx context.Context, j *job, err error) *wire.CallEvent {
 	var notStarted *endpoint.NotStartedError
 	if errors.As(err, &notStarted) {
+		restAfter(m.sched, err)
 		if ctx.Err() == nil {
 			m.state.markDown()
 		}
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -18,6 +18,7 @@
 	service  string
 	client   endpoint.PlainService
 	state    *endpointState
+	sched    *scheduler
 	counters *counters
 }
 
@@ -41,6 +42,7 @@
 func (p *plainRunner) failureEvent(ctx context.Context, j *job, err error) *wire.CallEvent {
 	var notStarted *endpoint.NotStartedError
 	if errors.As(err, &notStarted) {
+		restAfter(p.sched, err)
 		return callRefusedEvent(j, refusal{code: CodeNotStarted, detail: err.Error()})
 	}
 	j.mayHaveStarted = true
--- /dev/null
+++ b/agent/rest.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/snipestep/snipestep/endpoint"
+)
+
+// maxRest bounds the pause that an endpoint may ask for.
+const maxRest = 24 * time.Hour
+
+// restEvent records that the endpoint wants no calls for a time. Running calls continue, and
+// waiting ones are refused, except continuations.
+type restEvent struct {
+	pause time.Duration
+}
+
+func (e restEvent) apply(s *scheduler) {
+	until := s.now().Add(min(e.pause, maxRest))
+	if until.After(s.restUntil) {
+		s.restUntil = until
+	}
+	s.refuseWaiting(refusal{code: CodeBusy, retryAfter: e.pause})
+}
+
+// restLeft returns for how long the endpoint still wants no calls, 0 if it takes them.
+func (s *scheduler) restLeft() time.Duration {
+	return max(s.restUntil.Sub(s.now()), 0)
+}
+
+// refuseWaiting refuses the jobs that wait, except continuations.
+func (s *scheduler) refuseWaiting(r refusal) {
+	running := make(map[uint64]bool)
+	for _, c := range s.queue.Running() {
+		running[c.ID] = true
+	}
+	for id, j := range s.jobs {
+		if !running[id] && !j.continuation && s.queue.Remove(id) {
+			s.refuse(id, r)
+		}
+	}
+}
+
+// currentCredits returns the credits of the queue, none while the endpoint rests.
+func (s *scheduler) currentCredits() *creditSet {
+	if s.restLeft() > 0 {
+		return &creditSet{}
+	}
+	return &creditSet{byRank: s.queue.Credits(int(s.entryCount.Load()))}
+}
+
+// restAfter makes the scheduler keep to the pause that an endpoint asked for when it turned a
+// call away.
+func restAfter(s *scheduler, err error) {
+	var notStarted *endpoint.NotStartedError
+	if !errors.As(err, &notStarted) || notStarted.Status != http.StatusServiceUnavailable || notStarted.RetryAfterMS <= 0 {
+		return
+	}
+	milliseconds := min(notStarted.RetryAfterMS, maxRest.Milliseconds())
+	s.post(restEvent{pause: time.Duration(milliseconds) * time.Millisecond})
+}
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -31,6 +31,7 @@
 	// drained says that the last call has ended after the scheduler closed.
 	// From then on the endpoint's model may change, and no call is admitted.
 	drained     bool
+	restUntil   time.Time       // The endpoint wants no calls before.
 	idleWaiters []chan struct{} // Closed once nothing is queued or running.
 
 	load atomic.Pointer[routing.Load]
@@ -109,6 +110,9 @@
 }
 
 func (s *scheduler) startReady(now time.Time) {
+	if s.restLeft() > 0 {
+		return
+	}
 	for {
 		c, ok := s.queue.Next(now)
 		if !ok {
@@ -172,7 +176,7 @@
 	load := s.queue.Load()
 	previous := s.load.Load()
 	s.load.Store(&load)
-	s.credits.Store(&creditSet{byRank: s.queue.Credits(int(s.entryCount.Load()))})
+	s.credits.Store(s.currentCredits())
 	if previous != nil && previous.Running == load.Running && previous.Waiting == load.Waiting {
 		return
 	}
