Keep the pauses of endpoints while a document does not name their service

A document without a service dropped its pool, and with it the pauses that its endpoints had asked for; when the next document named the service again, they got requests at once. Found by asking which events end a pause early. Rate limits are kept by the same means. TestPausesAndRateLimitsOutliveADocumentWithoutTheService failed before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,15 +52,18 @@
 	// agesDue holds the datagram addresses of agents to which version ages are due.
 	agesDue sync.Map
 
-	// applyMu serialises applyView.
+	// applyMu serialises applyView and guards retired.
 	applyMu sync.Mutex
+	// retired holds the services that the document no longer names but that still know
+	// pauses or rate limits of endpoints, in case it names them again.
+	retired map[string]*service
 	// entryCount is the number of live entries, 0 until an agent reports it.
 	entryCount atomic.Int64
 }
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), crashes: newCrashDetector(), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
@@ -78,17 +81,7 @@
 	}
 	g.applyMu.Lock()
 	defer g.applyMu.Unlock()
-	previous := *g.services.Load()
-	next := make(map[string]*service, len(view.Document.Services))
-	for name, s := range view.Document.Services {
-		if s.OriginAddress != "" {
-			continue
-		}
-		next[name] = previous[name]
-		if next[name] == nil {
-			next[name] = g.newService(s)
-		}
-	}
+	next := g.servicesOf(view.Document)
 	g.services.Store(&next)
 	endpointByAgent := make(map[netip.Addr]*directory.Endpoint, len(view.Endpoints))
 	endpointsByService := make(map[string][]admission.Endpoint, len(next))
@@ -115,6 +108,51 @@
 	}
 }
 
+// servicesOf returns the services of a document, and retires those that it no longer names.
+// The caller holds applyMu.
+func (g *Gateway) servicesOf(document *directory.Document) map[string]*service {
+	previous := *g.services.Load()
+	next := make(map[string]*service, len(document.Services))
+	for name, s := range document.Services {
+		if s.OriginAddress != "" {
+			continue
+		}
+		next[name] = previous[name]
+		if next[name] == nil {
+			next[name] = g.retired[name]
+		}
+		if next[name] == nil {
+			next[name] = g.newService(s)
+		}
+	}
+	for name, s := range previous {
+		if next[name] == nil {
+			g.retired[name] = s
+		}
+	}
+	g.forgetRetired(next)
+	return next
+}
+
+// forgetRetired drops the retired services that are in use again or know nothing that could
+// still matter. The caller holds applyMu.
+func (g *Gateway) forgetRetired(inUse map[string]*service) {
+	for name, s := range g.retired {
+		if inUse[name] != nil {
+			delete(g.retired, name)
+			continue
+		}
+		matters := false
+		s.gate.Update(func(p *admission.Pool) {
+			p.SetEndpoints(time.Now(), nil)
+			matters = p.HoldsNotices()
+		})
+		if !matters {
+			delete(g.retired, name)
+		}
+	}
+}
+
 func (g *Gateway) newService(s *directory.Service) *service {
 	svc := &service{
 		name:        s.Name,
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -65,6 +65,11 @@
 	return p.unavailability(now, endpoint) == ""
 }
 
+// HoldsNotices reports whether pauses or rate limits of endpoints are known, listed or not.
+func (p *Pool) HoldsNotices() bool {
+	return len(p.rests) > 0 || len(p.rateLimits) > 0
+}
+
 // UnavailableEndpoints counts the endpoints that get no requests now, by the reason.
 type UnavailableEndpoints map[Unavailability]int
 
