Apply the rate limit in a late response to the incarnation that sent it

An endpoint that restarts under its ID announces no limit, but a response of the incarnation before that arrives late limited it: the pool took the ID for the incarnation.

--- a/gateway/announcedratelimit.go
+++ b/gateway/announcedratelimit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -27,7 +28,7 @@
 	if announced.Limited {
 		notice.At = time.Now()
 	}
-	if g.applyRateLimit(service, attempt.endpoint.ID, notice, sourceResponse) {
+	if g.applyRateLimit(service, attempt.endpoint, notice, sourceResponse) {
 		g.signalRateLimitNews()
 	}
 }
@@ -40,14 +41,14 @@
 
 // applyRateLimit applies a notice of an endpoint's rate limit, and reports whether the
 // limit changed.
-func (g *Gateway) applyRateLimit(service *service, endpointID string, notice admission.RateLimitNotice, source string) (changed bool) {
+func (g *Gateway) applyRateLimit(service *service, endpoint *directory.Endpoint, notice admission.RateLimitNotice, source string) (changed bool) {
 	var previous admission.RateLimitNotice
 	limited := 0
 	service.gate.Update(func(p *admission.Pool) {
 		if source == sourceResponse {
-			previous, changed = p.RecordRateLimit(endpointID, notice)
+			previous, changed = p.RecordRateLimit(incarnationOf(endpoint), notice)
 		} else {
-			previous, changed = p.RecordReportedRateLimit(endpointID, notice)
+			previous, changed = p.RecordReportedRateLimit(incarnationOf(endpoint), notice)
 		}
 		limited = p.RateLimited()
 		service.hasRateLimits.Store(p.HasRateLimits())
@@ -57,7 +58,7 @@
 		return false
 	}
 	g.metrics.updateRateLimited(service.name, limited)
-	fields := []any{"endpoint", endpointID, "service", service.name, "source", source, "age_ms", time.Since(notice.At).Milliseconds()}
+	fields := []any{"endpoint", endpoint.ID, "service", service.name, "source", source, "age_ms", time.Since(notice.At).Milliseconds()}
 	if !notice.Limited {
 		g.deps.Logger.Info("rate limit lifted", append(fields, "old_per_second", previous.PerSecond)...)
 		return true
--- a/gateway/ratelimitexchange.go
+++ b/gateway/ratelimitexchange.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		notice := admission.RateLimitNotice{Limited: limit.Limited, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}
-		if g.applyRateLimit(service, endpoint.ID, notice, sourceEntries) {
+		if g.applyRateLimit(service, endpoint, notice, sourceEntries) {
 			changed = true
 		}
 	}
--- a/gateway/returningservice_test.go
+++ b/gateway/returningservice_test.go
@@ -19,7 +19,7 @@
 	now := time.Now()
 	(*f.gateway.services.Load())["s"].gate.Update(func(p *admission.Pool) {
 		p.Rest(now, "i-0", now.Add(time.Minute))
-		p.RecordRateLimit("i-1", admission.RateLimitNotice{Limited: true, PerSecond: 1, At: now})
+		p.RecordRateLimit(admission.Incarnation{ID: "i-1", StartedUnixMS: 1}, admission.RateLimitNotice{Limited: true, PerSecond: 1, At: now})
 	})
 	with := f.directory.View().Document
 	setServices := func(version uint64, services map[string]*directory.Service) {
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -25,6 +26,11 @@
 	perTokenNanos atomic.Int64
 }
 
+// incarnationOf returns the incarnation of an endpoint in the pools.
+func incarnationOf(e *directory.Endpoint) admission.Incarnation {
+	return admission.Incarnation{ID: e.ID, StartedUnixMS: e.StartedUnixMS}
+}
+
 const (
 	// initialFirstResponse is the initial mean: a full engine needs one pass, the
 	// prefill of the prompt and another pass.
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -17,6 +17,21 @@
 	StartedUnixMS int64
 }
 
+// Incarnation identifies one start of an endpoint.
+type Incarnation struct {
+	ID            string
+	StartedUnixMS int64 // 0 if unknown.
+}
+
+// incarnation returns the state of an endpoint if it is listed with that start, else nil.
+func (p *Pool) incarnation(i Incarnation) *endpointState {
+	endpoint := p.endpoints[i.ID]
+	if endpoint == nil || endpoint.StartedUnixMS != i.StartedUnixMS {
+		return nil
+	}
+	return endpoint
+}
+
 // slowdownThreshold is the slowdown above which an endpoint is used only if no
 // other has free slots: a first event would take over half as long again.
 const slowdownThreshold = 1.6
--- a/routing/admission/rateallowance_test.go
+++ b/routing/admission/rateallowance_test.go
@@ -109,7 +109,7 @@
 		p := plainPool(ids...)
 		p.SetRateLimitShare(RateLimitShare{Lower: float64(position) / entries, Upper: float64(position+1) / entries, Known: true, Entries: entries})
 		for _, id := range ids {
-			p.RecordRateLimit(id, RateLimitNotice{Limited: true, PerSecond: 1, At: at(0)})
+			p.RecordRateLimit(first(id), RateLimitNotice{Limited: true, PerSecond: 1, At: at(0)})
 		}
 		served[position] = startAll(p, 60_000, 61_000) > 0
 	}
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -75,18 +75,18 @@
 
 // RecordRateLimit records what a response said about the rate limit of its endpoint. It
 // reports whether the limit changed, and the one before.
-func (p *Pool) RecordRateLimit(endpointID string, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
-	return p.recordRateLimit(endpointID, notice, RateLimitNotice.supersedes)
+func (p *Pool) RecordRateLimit(i Incarnation, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
+	return p.recordRateLimit(i, notice, RateLimitNotice.supersedes)
 }
 
 // RecordReportedRateLimit is RecordRateLimit for what another process reported.
-func (p *Pool) RecordReportedRateLimit(endpointID string, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
-	return p.recordRateLimit(endpointID, notice, RateLimitNotice.ReplacesReported)
+func (p *Pool) RecordReportedRateLimit(i Incarnation, notice RateLimitNotice) (previous RateLimitNotice, changed bool) {
+	return p.recordRateLimit(i, notice, RateLimitNotice.ReplacesReported)
 }
 
 // recordRateLimit records a notice if it replaces the known one.
-func (p *Pool) recordRateLimit(endpointID string, notice RateLimitNotice, replaces func(notice, known RateLimitNotice) bool) (previous RateLimitNotice, changed bool) {
-	endpoint := p.endpoints[endpointID]
+func (p *Pool) recordRateLimit(i Incarnation, notice RateLimitNotice, replaces func(notice, known RateLimitNotice) bool) (previous RateLimitNotice, changed bool) {
+	endpoint := p.incarnation(i)
 	if endpoint == nil {
 		return previous, false
 	}
@@ -95,8 +95,8 @@
 		if !notice.Limited {
 			return previous, false
 		}
-		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS, offset: permitOffset(endpointID)}
-		p.rateLimits[endpointID] = limit
+		limit = &rateLimit{startedUnixMS: endpoint.StartedUnixMS, offset: permitOffset(i.ID)}
+		p.rateLimits[i.ID] = limit
 	}
 	previous = limit.notice
 	if !replaces(notice, previous) {
@@ -149,11 +149,11 @@
 	return count
 }
 
-// expireRateLimits drops old notices that no longer matter: of endpoints that are not
+// expireRateLimits drops old notices that no longer matter: of incarnations that are not
 // listed, and of lifted limits.
 func (p *Pool) expireRateLimits(now time.Time) {
 	for id, limit := range p.rateLimits {
-		inUse := p.endpoints[id] != nil && limit.notice.Limited
+		inUse := limit.notice.Limited && p.incarnation(Incarnation{ID: id, StartedUnixMS: limit.startedUnixMS}) != nil
 		if !inUse && now.Sub(limit.notice.At) > rateLimitRetention {
 			delete(p.rateLimits, id)
 		}
--- a/routing/admission/ratelimit_test.go
+++ b/routing/admission/ratelimit_test.go
@@ -14,6 +14,11 @@
 	return p
 }
 
+// first returns the first incarnation of an endpoint of a plainPool.
+func first(id string) Incarnation {
+	return Incarnation{ID: id, StartedUnixMS: 1}
+}
+
 // listPlain lists the endpoints of a plainPool, all with the same start time.
 func listPlain(p *Pool, now time.Time, startedUnixMS int64, ids ...string) {
 	var endpoints []Endpoint
@@ -25,12 +30,12 @@
 
 // announce records a rate limit of endpoint "a".
 func announce(p *Pool, now time.Time, perSecond float64) {
-	p.RecordRateLimit("a", RateLimitNotice{Limited: true, PerSecond: perSecond, At: now})
+	p.RecordRateLimit(first("a"), RateLimitNotice{Limited: true, PerSecond: perSecond, At: now})
 }
 
 // lift records that endpoint "a" has had no rate limit since a time.
 func lift(p *Pool, since time.Time) {
-	p.RecordRateLimit("a", RateLimitNotice{At: since})
+	p.RecordRateLimit(first("a"), RateLimitNotice{At: since})
 }
 
 // startAll submits requests of low rank every 10 ms from one time to another, each of which
