Apply the pause in a late response to the incarnation that sent it

As for rate limits: an endpoint that had restarted under its ID rested for the pause that a late response of the incarnation before asked for.

--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -15,7 +15,7 @@
 	now, began := time.Now(), false
 	service.gate.Update(func(p *admission.Pool) {
 		p.SetSuspended(g.suspendedTime())
-		began = p.Rest(now, attempt.endpoint.ID, now.Add(pause))
+		began = p.Rest(now, incarnationOf(attempt.endpoint), now.Add(pause))
 	})
 	if began {
 		g.deps.Logger.Info("endpoint asks for a pause", "endpoint", attempt.endpoint.ID, "service", service.name, "for_ms", pause.Milliseconds())
--- a/gateway/rest_test.go
+++ b/gateway/rest_test.go
@@ -15,7 +15,9 @@
 	f := newFixture(t, http.NotFound)
 	s := (*f.gateway.services.Load())["s"]
 	const left = 7 * time.Second
-	s.gate.Update(func(p *admission.Pool) { p.Rest(time.Now(), "i-0", time.Now().Add(left)) })
+	s.gate.Update(func(p *admission.Pool) {
+		p.Rest(time.Now(), incarnationOf(f.directory.View().Endpoints["i-0"]), time.Now().Add(left))
+	})
 	response, _, err := f.send(t, "/once/", func(r *http.Request) { r.Header.Set("Left", "900") })
 	assert.NilError(t, err)
 	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
--- a/gateway/returningservice_test.go
+++ b/gateway/returningservice_test.go
@@ -18,7 +18,7 @@
 	f := newFixture(t, http.NotFound, http.NotFound)
 	now := time.Now()
 	(*f.gateway.services.Load())["s"].gate.Update(func(p *admission.Pool) {
-		p.Rest(now, "i-0", now.Add(time.Minute))
+		p.Rest(now, admission.Incarnation{ID: "i-0"}, now.Add(time.Minute))
 		p.RecordRateLimit(admission.Incarnation{ID: "i-1", StartedUnixMS: 1}, admission.RateLimitNotice{Limited: true, PerSecond: 1, At: now})
 	})
 	with := f.directory.View().Document
--- a/gateway/unavailableerror_test.go
+++ b/gateway/unavailableerror_test.go
@@ -19,7 +19,9 @@
 func TestRequestIsNotSentToAnEndpointThatBecameUnavailable(t *testing.T) {
 	for reason, change := range map[admission.Unavailability]func(*fixture){
 		admission.UnavailableResting: func(f *fixture) {
-			(*f.gateway.services.Load())["s"].gate.Update(func(p *admission.Pool) { p.Rest(time.Now(), "i-0", time.Now().Add(time.Minute)) })
+			(*f.gateway.services.Load())["s"].gate.Update(func(p *admission.Pool) {
+				p.Rest(time.Now(), incarnationOf(f.directory.View().Endpoints["i-0"]), time.Now().Add(time.Minute))
+			})
 		},
 		admission.UnavailableLeaving: func(f *fixture) {
 			f.directory.SetLeaving("i-0", f.directory.View().Endpoints["i-0"].StartedUnixMS)
--- a/routing/admission/rest.go
+++ b/routing/admission/rest.go
@@ -30,8 +30,8 @@
 // Rest records that an endpoint wants no requests until a time. The latest end of several
 // holds: responses overtake each other. It reports whether the endpoint was not resting
 // before.
-func (p *Pool) Rest(now time.Time, endpointID string, until time.Time) (began bool) {
-	endpoint := p.endpoints[endpointID]
+func (p *Pool) Rest(now time.Time, i Incarnation, until time.Time) (began bool) {
+	endpoint := p.incarnation(i)
 	if endpoint == nil || !until.After(now) {
 		return false
 	}
@@ -40,7 +40,7 @@
 	if known != nil && !until.After(p.restEnd(known)) {
 		return false
 	}
-	p.rests[endpointID] = &rest{startedUnixMS: endpoint.StartedUnixMS, until: until, suspended: p.suspended, probing: true}
+	p.rests[i.ID] = &rest{startedUnixMS: endpoint.StartedUnixMS, until: until, suspended: p.suspended, probing: true}
 	return began
 }
 
@@ -103,10 +103,11 @@
 	return wait, ok
 }
 
-// expireRests drops the rests that are over and whose endpoints are no longer listed.
+// expireRests drops the rests that are over and whose incarnations are no longer listed.
 func (p *Pool) expireRests(now time.Time) {
 	for id, r := range p.rests {
-		if p.endpoints[id] == nil && !now.Before(p.restEnd(r)) {
+		listed := p.incarnation(Incarnation{ID: id, StartedUnixMS: r.startedUnixMS}) != nil
+		if !listed && !now.Before(p.restEnd(r)) {
 			delete(p.rests, id)
 		}
 	}
--- a/routing/admission/rest_test.go
+++ b/routing/admission/rest_test.go
@@ -20,8 +20,8 @@
 	p := enginePool(1, "a")
 	before, decision := start(p, at(1))
 	assert.Equal(t, decision.Verdict, Start)
-	assert.Assert(t, p.Rest(at(10), "a", at(3010)))
-	assert.Assert(t, !p.Rest(at(11), "a", at(1011)))
+	assert.Assert(t, p.Rest(at(10), Incarnation{ID: "a"}, at(3010)))
+	assert.Assert(t, !p.Rest(at(11), Incarnation{ID: "a"}, at(1011)))
 	p.Report("a", Report{ReceivedAt: at(500), LoadedVersion: 1})
 	p.RecordProgress(at(600), "a", before.ID)
 	p.Done(at(700), "a", before.ID, Served)
@@ -36,12 +36,12 @@
 // Guards against an endpoint that is flooded when its pause ends, and asks for the next one.
 func TestEndpointIsProbedAfterItsRest(t *testing.T) {
 	p := plainPool("a")
-	p.Rest(at(0), "a", at(1000))
+	p.Rest(at(0), first("a"), at(1000))
 	probe, decision := start(p, at(1000))
 	assert.Equal(t, decision.Verdict, Start)
 	assert.Equal(t, p.Unavailable(at(1001)).String(), "resting 1")
 	p.Done(at(1010), "a", probe.ID, NotRun)
-	assert.Assert(t, p.Rest(at(1010), "a", at(2010)))
+	assert.Assert(t, p.Rest(at(1010), first("a"), at(2010)))
 
 	probe, decision = start(p, at(3100))
 	assert.Equal(t, decision.Verdict, Start)
@@ -57,7 +57,7 @@
 	p := plainPool("a")
 	_, decision := start(p, at(0))
 	assert.Equal(t, decision.Verdict, Start)
-	p.Rest(at(10), "a", at(1000))
+	p.Rest(at(10), first("a"), at(1000))
 	_, decision = start(p, at(1000))
 	assert.Equal(t, decision.Verdict, Start)
 }
@@ -65,7 +65,7 @@
 // Guards against a pause that passes on to the next incarnation.
 func TestRestartedEndpointDoesNotRest(t *testing.T) {
 	p := plainPool("a")
-	p.Rest(at(0), "a", at(5000))
+	p.Rest(at(0), first("a"), at(5000))
 	listPlain(p, at(1000), 2, "a")
 	assert.Assert(t, !p.Resting(at(1000), "a"))
 }
@@ -74,7 +74,7 @@
 func TestSuspendedTimeCountsTowardsARest(t *testing.T) {
 	p := plainPool("a")
 	p.SetSuspended(time.Second)
-	p.Rest(at(0), "a", at(5000))
+	p.Rest(at(0), first("a"), at(5000))
 	assert.Assert(t, p.Resting(at(4999), "a"))
 	p.SetSuspended(3 * time.Second)
 	assert.Assert(t, p.Resting(at(2999), "a"))
@@ -85,8 +85,8 @@
 // return before one does.
 func TestRequestsAreRefusedUntilTheFirstRestEnds(t *testing.T) {
 	p := plainPool("a", "b")
-	p.Rest(at(0), "a", at(5000))
-	p.Rest(at(0), "b", at(3000))
+	p.Rest(at(0), first("a"), at(5000))
+	p.Rest(at(0), first("b"), at(3000))
 	_, decision := start(p, at(100))
 	assert.Equal(t, decision.Verdict, Refuse)
 	assert.Equal(t, decision.Reason, ReasonResting)
