Bound the datagrams about rate limits that change with each response

Each change went to eleven agents, each of which passed it on to every entry, and every entry that learnt of it did the same: with 16 entries and limits that change with each response, by arithmetic, thousands of datagrams a second. Found in review. Limits within a tenth of each other now count as the same, changes are sent five times a second at most and to the three dividing agents only, and what an entry learns from others it sends on with its next regular datagram.

--- a/gateway/ratelimitexchange.go
+++ b/gateway/ratelimitexchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/snipestep/snipestep/internal/delay"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 )
@@ -18,6 +19,10 @@
 // entries choose the same ones, so that each of them knows the demand of all.
 const dividingRelays = 3
 
+// rateLimitNewsInterval bounds how often changes are sent: endpoints may change their limits
+// with each response.
+const rateLimitNewsInterval = 200 * time.Millisecond
+
 // exchangeRateLimits exchanges rate limits with the agents, and through them with the other
 // entries, until ctx ends: at once when they change, and regularly for shares by the present
 // demand.
@@ -29,7 +34,8 @@
 		case <-ctx.Done():
 			return
 		case <-g.rateLimitNews:
-			g.sendRateLimits(ctx, conn, append(g.dividingAgents(time.Now()), g.randomAgents(newsRelays)...))
+			g.sendRateLimits(ctx, conn, g.dividingAgents(time.Now()))
+			delay.For(ctx, rateLimitNewsInterval)
 		case <-ticker.C:
 			g.measureDemand(time.Now())
 			g.shareRateLimits(time.Now())
@@ -125,9 +131,7 @@
 		return
 	}
 	g.applyShares(now, received.Shares)
-	if g.applyReportedRateLimits(now, received.Limits) {
-		g.signalRateLimitNews()
-	}
+	g.applyReportedRateLimits(now, received.Limits)
 }
 
 // applyShares applies the shares of this entry that an agent names.
@@ -145,11 +149,11 @@
 	g.shareRateLimits(now)
 }
 
-// applyReportedRateLimits applies the rate limits that an agent names, and reports whether
-// one of them changed.
-func (g *Gateway) applyReportedRateLimits(now time.Time, limits []loadreport.RateLimit) (changed bool) {
+// applyReportedRateLimits applies the rate limits that an agent names. With the first one of
+// a service the agents are told of the demand for it.
+func (g *Gateway) applyReportedRateLimits(now time.Time, limits []loadreport.RateLimit) {
 	if len(limits) == 0 {
-		return false
+		return
 	}
 	byIncarnation := make(map[uint64]loadreport.RateLimit, len(limits))
 	for _, limit := range limits {
@@ -163,11 +167,11 @@
 			continue
 		}
 		notice := admission.RateLimitNotice{Limited: limit.Limited, PerSecond: limit.PerSecond, At: now.Add(-limit.Age)}
-		if g.applyRateLimit(service, endpoint, notice, sourceEntries) {
-			changed = true
+		knownBefore := service.knowsRateLimits.Load()
+		if g.applyRateLimit(service, endpoint, notice, sourceEntries) && !knownBefore {
+			g.signalRateLimitNews()
 		}
 	}
-	return changed
 }
 
 // signalRateLimitNews makes exchangeRateLimits send the rate limits at once.
--- a/routing/admission/rateallowance_test.go
+++ b/routing/admission/rateallowance_test.go
@@ -178,6 +178,7 @@
 	}{
 		"passed on":          {limited(1010, 2), limited(1000, 2), false},
 		"confirmed":          {limited(2500, 2), limited(1000, 2), true},
+		"changed a little":   {limited(1010, 2.1), limited(1000, 2), false},
 		"changed":            {limited(1010, 3), limited(1000, 2), true},
 		"changed before":     {limited(990, 3), limited(1000, 2), false},
 		"lifted":             {RateLimitNotice{At: at(1010)}, limited(1000, 2), true},
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,9 +19,16 @@
 	At time.Time
 }
 
-// SameLimit reports whether two notices say the same.
+// limitTolerance is the relative difference up to which two limits count as the same, so that
+// one that changes a little with each response is not passed on each time.
+const limitTolerance = 0.1
+
+// SameLimit reports whether two notices say about the same.
 func (n RateLimitNotice) SameLimit(other RateLimitNotice) bool {
-	return n.Limited == other.Limited && (!n.Limited || n.PerSecond == other.PerSecond)
+	if n.Limited != other.Limited {
+		return false
+	}
+	return math.Abs(n.PerSecond-other.PerSecond) <= limitTolerance*max(n.PerSecond, other.PerSecond)
 }
 
 // reportDelay bounds the usual delay of notices between processes, by which they look newer
