Read the rate limit of a response to another request too

A response that arrives late on a connection belongs to another request, and was dropped with what it announced, though it comes from the endpoint. It still lifts no limit, since nobody knows when its request was sent.

--- a/gateway/announcedratelimit.go
+++ b/gateway/announcedratelimit.go
@@ -18,10 +18,13 @@
 	PerSecond float64
 }
 
-// recordRateLimit records what a response says about the rate limit of its endpoint.
-func (g *Gateway) recordRateLimit(service *service, attempt *endpointAttempt) {
+// recordRateLimit records what a response says about the rate limit of its endpoint. belongs
+// says that the response is to the request of the attempt: one to another request, sent
+// nobody knows when, lifts no limit.
+func (g *Gateway) recordRateLimit(service *service, attempt *endpointAttempt, belongs bool) {
 	announced := attempt.metadata.RateLimit
-	if announced.Unknown || !announced.Limited && !service.hasRateLimits.Load() {
+	lifts := belongs && service.hasRateLimits.Load()
+	if announced.Unknown || !announced.Limited && !lifts {
 		return
 	}
 	notice := admission.RateLimitNotice{Limited: announced.Limited, PerSecond: announced.PerSecond, At: attempt.sentAt}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -52,7 +52,12 @@
 }
 
 func (testHeaderCodec) ReadResponse(_ int, h http.Header) ResponseMetadata {
-	return ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
+	metadata := ResponseMetadata{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != ""}
+	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		metadata.RateLimit = AnnouncedRateLimit{Limited: true, PerSecond: perSecond}
+	}
+	metadata.Rest, _ = time.ParseDuration(h.Get("Rest"))
+	return metadata
 }
 
 // testHeaderBytes is the limit on request and response headers in the tests.
