Read the pause and the departure in a response to another request too

As for rate limits: a late response on a connection was dropped with the pause that it asked for, and with what it said about leaving. TestPauseInAMismatchedResponseCounts failed before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -106,11 +106,9 @@
 	}
 	belongs := attempt.metadata.NotRun || attempt.metadata.ID == req.metadata.ID
 	g.recordRateLimit(req.service, attempt, belongs)
-	if belongs {
-		g.recordRest(req.service, attempt)
-		if attempt.metadata.Leaving {
-			g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
-		}
+	g.recordRest(req.service, attempt)
+	if attempt.metadata.Leaving {
+		g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
 	}
 	if attempt.metadata.NotRun {
 		return attempt, false, &NotRunError{Status: response.StatusCode}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -57,6 +57,7 @@
 		metadata.RateLimit = AnnouncedRateLimit{Limited: true, PerSecond: perSecond}
 	}
 	metadata.Rest, _ = time.ParseDuration(h.Get("Rest"))
+	metadata.Leaving = h.Get("Leaves") != ""
 	return metadata
 }
 
--- a/gateway/mismatchedresponse_test.go
+++ b/gateway/mismatchedresponse_test.go
@@ -44,3 +44,19 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
 	assert.Equal(t, f.rateLimited(), 1)
 }
+
+// Guards against a pause, or a departure, that is not noticed because the response that
+// announced it was to another request.
+func TestPauseInAMismatchedResponseCounts(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "other")
+		w.Header().Set("Rest", "1m")
+		w.Header().Set("Leaves", "1")
+	})
+	_, _, err := f.send(t, "/once/", nil)
+	assert.NilError(t, err)
+	resting := false
+	(*f.gateway.services.Load())["s"].gate.Inspect(func(p *admission.Pool) { resting = p.Resting(time.Now(), "i-0") })
+	assert.Assert(t, resting)
+	assert.Assert(t, f.directory.View().Endpoints["i-0"].Leaving)
+}
