Leave tokens of rate limits to urgent requests

Cause: tokens come one at a time, and a request that arrives while one is there takes it; urgent requests may wait for the shortest time, so that the others took most. Ruled out: the order of the queue, which holds in TestUrgentRequestsGoFirstWithinARateLimit.

A less urgent request now leaves a token for a while, the longer the more of the capacity requests of more urgent ranks claim.

--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -62,6 +62,10 @@
 	var best *endpointState
 	bestScore := 0.0
 	unreportedWeight := p.unreportedWeight(freeSlots)
+	claimed := 0.0
+	if !req.Resumed {
+		claimed = p.urgentClaim(now, req.Rank)
+	}
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
 		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) {
@@ -69,7 +73,7 @@
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
 		closing := endpoint.closing(now, &p.config)
-		if !p.rateLimitAllows(now, endpoint) || !endpoint.quota.allows(now, endpoint, &p.config) || load >= p.capacity(endpoint) || (closing && now.Add(req.ExpectedServiceTime).After(endpoint.report.ClosesAt)) {
+		if !p.rateLimitAllowsAfter(now, endpoint, claimed) || !endpoint.quota.allows(now, endpoint, &p.config) || load >= p.capacity(endpoint) || (closing && now.Add(req.ExpectedServiceTime).After(endpoint.report.ClosesAt)) {
 			continue
 		}
 		prefill := endpoint.prefillBacklog(&p.config, p.competingEntries(endpoint))
--- a/routing/admission/rateallowance.go
+++ b/routing/admission/rateallowance.go
@@ -31,9 +31,13 @@
 	Entries int
 }
 
+// permitBurst is the least burst of a permit, in requests: one, and half a one by which less
+// urgent requests wait for more urgent ones.
+const permitBurst = 1.5
+
 // rateAllowance returns this entry's part of a limit. A limit is divided into as many equal
-// permits as the burst has whole requests, since a part of less than one request is no use. The
-// permits lie evenly on [0, 1), and belong to the entries in whose intervals they lie.
+// permits as its burst allows, since a part of less than one request is no use. The permits lie
+// evenly on [0, 1), and belong to the entries in whose intervals they lie.
 func (p *Pool) rateAllowance(limit *rateLimit) rateAllowance {
 	perSecond := max(limit.notice.PerSecond, minRateLimit)
 	burst := perSecond + rateLimitBurst
@@ -41,7 +45,7 @@
 		entries := float64(max(p.rateLimitShare.Entries, 1))
 		return rateAllowance{perSecond: perSecond / entries, burst: max(burst/entries, 1)}
 	}
-	permits := min(math.Floor(burst), maxPermits)
+	permits := min(math.Floor(burst/permitBurst), maxPermits)
 	own := p.rateLimitShare.permits(permits, limit.offset)
 	return rateAllowance{perSecond: perSecond * own / permits, burst: burst * own / permits}
 }
@@ -81,8 +85,42 @@
 
 // rateLimitAllows reports whether the rate limit of an endpoint permits a further request.
 func (p *Pool) rateLimitAllows(now time.Time, endpoint *endpointState) bool {
+	return p.rateLimitAllowsAfter(now, endpoint, 0)
+}
+
+// maxReserve is the most that rateLimitAllowsAfter reserves, in requests. Below permitBurst - 1,
+// so that a token which no urgent request takes is used.
+const maxReserve = 0.4
+
+// rateLimitAllowsAfter reports whether the rate limit of an endpoint permits a further request
+// while more urgent ones claim a part of the capacity, from 0 to 1. Tokens come one at a time:
+// without a reserve for urgent requests, whichever request comes next would take each.
+func (p *Pool) rateLimitAllowsAfter(now time.Time, endpoint *endpointState, claimed float64) bool {
 	tokens, ok := p.limitedTokens(now, endpoint)
-	return !ok || tokens >= 1
+	if !ok {
+		return true
+	}
+	// A bucket without room for a reserve has none.
+	needed := min(1+maxReserve*claimed, p.rateAllowance(p.rateLimitOf(endpoint)).burst)
+	return tokens >= max(needed, 1)
+}
+
+// urgentClaim returns which part of the capacity requests of ranks more urgent than a given one
+// claim, from 0 to 1. It is 0 without rate limits.
+func (p *Pool) urgentClaim(now time.Time, rank int) float64 {
+	if len(p.rateLimits) == 0 {
+		return 0
+	}
+	arrivals := 0.0
+	for other, rate := range p.arrivalsByRank {
+		if other < rank {
+			arrivals += rate.perSecond(now)
+		}
+	}
+	if arrivals == 0 {
+		return 0
+	}
+	return min(arrivals/p.slotReleaseRate(now), 1)
 }
 
 // takeToken counts a request that is sent to an endpoint.
--- a/routing/admission/rateallowance_test.go
+++ b/routing/admission/rateallowance_test.go
@@ -167,6 +167,22 @@
 	}
 }
 
+// Guards against less urgent requests that never get a token because the bucket has no room
+// for the reserve.
+func TestReserveForUrgentRequestsNeverTakesAllOfALimit(t *testing.T) {
+	for _, share := range []RateLimitShare{{Entries: 8}, {Upper: 0.5, Known: true}, {Upper: 1, Known: true}} {
+		p := plainPool("a")
+		p.SetRateLimitShare(share)
+		announce(p, at(0), 2)
+		for ms := 0; ms < 60_000; ms += 10 {
+			p.recordArrival(at(ms), newRequest(at(ms), 0))
+		}
+		endpoint := p.endpoints["a"]
+		assert.Equal(t, p.urgentClaim(at(60_000), 1), 1.0)
+		assert.Check(t, p.rateLimitAllowsAfter(at(60_000), endpoint, 1), "%+v", share)
+	}
+}
+
 // Guards against a limit that returns, or looks newer, each time that processes pass it on.
 func TestReportedRateLimitReplacesOnlyOlderOnes(t *testing.T) {
 	limited := func(ms int, perSecond float64) RateLimitNotice {
