--- a/agent/rest_test.go
+++ b/agent/rest_test.go
@@ -66,3 +66,25 @@
 		assert.Assert(t, last.GetDone() != nil)
 	})
 }
+
+// Guards against an engine that keeps getting calls in the pause that it asked for.
+func TestPauseOfAnEngineStopsItsCredits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 3 * time.Second
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		sched := newScheduler(routing.QueueConfig{Slots: 4, MaxWaiting: 4}, time.Now)
+		go sched.run(ctx)
+		sched.post(openEvent{})
+		synctest.Wait()
+		assert.Assert(t, *sched.credits.Load() != (creditSet{}))
+		runner := &modelRunner{state: newEndpointState("a", 1), sched: sched, counters: &counters{}}
+		j := newJob(1, "", &wire.CallRequest{DeadlineMs: 1000}, time.Now())
+		turnedAway := &endpoint.NotStartedError{Status: http.StatusServiceUnavailable, RetryAfterMS: pause.Milliseconds()}
+		runner.failureEvent(ctx, j, turnedAway)
+		time.Sleep(pause - time.Millisecond)
+		assert.Assert(t, *sched.credits.Load() == (creditSet{}))
+		time.Sleep(idleTickInterval)
+		assert.Assert(t, *sched.credits.Load() != (creditSet{}))
+	})
+}
