Take only a refusal with the request's own ID as not run

Cause: send took any response that says not run for this request's, whatever ID it carried (NotRun || ID == own). An endpoint that writes an earlier refusal once more on a kept connection made a request that it runs look as if it had not run. Now the ID is compared first: any response with another ID, or without one, leaves the outcome unknown, 421 included. The request is answered with 502, or goes to another endpoint if it may run again. Limit, pause and departure in such a response count as before; it still lifts no limit.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -104,18 +104,20 @@
 	if attempt.metadata.HasLoad {
 		g.recordResponseLoad(req.service, attempt)
 	}
-	belongs := attempt.metadata.NotRun || attempt.metadata.ID == req.metadata.ID
+	// Only its ID tells to which request a response belongs: an endpoint may write an earlier
+	// response once more.
+	belongs := attempt.metadata.ID == req.metadata.ID
 	g.recordRateLimit(req.service, attempt, belongs)
 	g.recordRest(req.service, attempt)
 	if attempt.metadata.Leaving {
 		g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
 	}
+	if !belongs {
+		return attempt, true, &MismatchedResponseError{Want: req.metadata.ID, Got: attempt.metadata.ID}
+	}
 	if attempt.metadata.NotRun {
 		return attempt, false, &NotRunError{Status: response.StatusCode}
 	}
-	if attempt.metadata.ID != req.metadata.ID {
-		return attempt, true, &MismatchedResponseError{Want: req.metadata.ID, Got: attempt.metadata.ID}
-	}
 	return attempt, true, nil
 }
 
