Guard the entries' connections, and give one up after a response to another request

Cause: net/http puts a connection back as soon as the head of a response without a body has arrived. After a repeated refusal the response to the request itself may still follow, and was taken for that of the next request on the connection. A refusal behind a complete response was taken for the next one's too, if that request got the connection before it was noticed.

The guard of the clients of the own protocols is now the package connguard, and the entries' transport uses it: bytes on an idle connection are noticed before a request is written, a request that could not be written to a kept connection goes out on another one and counts as not sent, and a connection that carried a response to another request is retired. Closing the connection alone leaves a window: another request may already have it, so a retired connection refuses the first write too.

Tests: TestConnectionOfARepeatedRefusalCarriesNoOtherRequest (502 instead of 200 before), TestRefusalBehindAResponseHarmsNoRequest (failed 1 of 2 times with six processors, 0 of 4 with fewer), TestRetiredConnectionCarriesNoRequest. TestConnectionClosedWhileIdleHarmsNoRequest moves with the guard and uses the transport itself.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,12 +9,12 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -86,15 +86,12 @@
 	// the choice is out of date.
 	minVersion := g.minVersion(g.deps.Now(), view, req.service.name, versionSafetyMargin)
 	g.metrics.recordAttemptVersion(attempt.sentAt, req.service.name, grant.Estimate, minVersion)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	endpointRequest := g.newEndpointRequest(httptrace.WithClientTrace(ctx, trace), r, req, attempt.endpoint, lastEventID)
-	response, err := g.deps.Transport.RoundTrip(endpointRequest) //nolint:bodyclose // attempt.end closes it.
-	if connected.Load() {
+	response, progress, err := g.roundTrip(ctx, r, req, attempt.endpoint, lastEventID) //nolint:bodyclose // attempt.end closes it.
+	if progress.MaybeSent() {
 		req.endpointsReached++
 	}
 	if err != nil {
-		return attempt, connected.Load(), err
+		return attempt, progress.MaybeSent(), err
 	}
 	attempt.response = response
 	if response.StatusCode == http.StatusSwitchingProtocols {
@@ -113,6 +110,8 @@
 		g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
 	}
 	if !belongs {
+		// The response to this request may still follow.
+		progress.Retire()
 		return attempt, true, &MismatchedResponseError{Want: req.metadata.ID, Got: attempt.metadata.ID}
 	}
 	if attempt.metadata.NotRun {
@@ -121,6 +120,23 @@
 	return attempt, true, nil
 }
 
+// maxLostIdleConns bounds the kept-alive connections that one attempt may find unusable. They
+// become so together when an endpoint restarts.
+const maxLostIdleConns = 16
+
+// roundTrip sends a request and returns when the response header has arrived. A request that
+// could not be written to a kept-alive connection is sent on another one.
+func (g *Gateway) roundTrip(ctx context.Context, r *http.Request, req *request, endpoint *directory.Endpoint, lastEventID string) (*http.Response, *connguard.Progress, error) {
+	for lost := 0; ; lost++ {
+		progress := new(connguard.Progress)
+		endpointRequest := g.newEndpointRequest(httptrace.WithClientTrace(ctx, progress.Trace()), r, req, endpoint, lastEventID)
+		response, err := g.deps.Transport.RoundTrip(endpointRequest)
+		if err == nil || !progress.LostIdleConn() || lost >= maxLostIdleConns || ctx.Err() != nil {
+			return response, progress, err
+		}
+	}
+}
+
 // recordResponseLoad records the load from a response header. It still includes
 // the request itself.
 func (g *Gateway) recordResponseLoad(service *service, attempt *endpointAttempt) {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
@@ -78,7 +79,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	d := directory.New(logger)
 	g := New(Config{Name: "e", Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: 8 * time.Second, Seed: 1}, Deps{
-		Directory: d, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
+		Directory: d, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DialContext: connguard.Wrap(new(net.Dialer).DialContext), DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
 	})
 	f := &fixture{gateway: g, directory: d}
 	document := &directory.Document{Version: 1, RequiresKeys: true, Services: map[string]*directory.Service{"s": {Name: "s"}}}
--- a/gateway/repeatedrefusal_test.go
+++ b/gateway/repeatedrefusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -193,3 +194,52 @@
 		}
 	}
 }
+
+// Guards against a response that is taken for that of a later request: net/http has put the
+// connection that carried a foreign refusal without a body back before the request's own
+// response arrives.
+func TestConnectionOfARepeatedRefusalCarriesNoOtherRequest(t *testing.T) {
+	for _, path := range []string{"/once/", "/again/", "/stream/"} {
+		late := ""
+		f := newRawFixture(t, 1, startRawEndpoint(t, func(e *rawEndpoint, w io.Writer, r *http.Request, requestNumber int) {
+			switch {
+			case late == "":
+				late = e.run(r)
+				_, _ = io.WriteString(w, refusalText(refusedID, http.StatusServiceUnavailable, ""))
+			case requestNumber == 1:
+				_, _ = io.WriteString(w, e.run(r))
+			default:
+				_, _ = io.WriteString(w, late)
+			}
+		}))
+		for i, status := range []int{http.StatusBadGateway, http.StatusOK} {
+			response, _, err := f.sendAs(t, strconv.Itoa(42+i), path)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, status)
+		}
+	}
+}
+
+// Guards against a lost response: a refusal that follows a complete response is noticed before
+// the next request is written.
+func TestRefusalBehindAResponseHarmsNoRequest(t *testing.T) {
+	const requests = 100
+	for name, refusal := range foreignRefusals() {
+		for _, path := range []string{"/once/", "/again/", "/stream/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				endpoint := startRawEndpoint(t, func(e *rawEndpoint, w io.Writer, r *http.Request, _ int) {
+					_, _ = io.WriteString(w, e.run(r)+refusal)
+				})
+				f := newRawFixture(t, 1, endpoint)
+				for i := range requests {
+					response, body, err := f.sendAs(t, strconv.Itoa(i), path)
+					assert.NilError(t, err)
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					assert.Equal(t, body, runEvent)
+				}
+				assert.Equal(t, endpoint.runs.Load(), int64(requests))
+			})
+		}
+	}
+}
--- a/internal/httpcall/guardedconn.go
+++ b/internal/connguard/conn.go
@@ -1,4 +1,4 @@
-package httpcall
+package connguard
 
 import (
 	"context"
@@ -12,11 +12,9 @@
 // the request was written.
 var ErrNotIdle = eris.New("server closed the connection or sent bytes before the request")
 
-// guardedConn is a connection on which bytes count as a response only after a
-// request was written. net/http takes bytes that follow a complete response for
-// the response to the next request if that request gets the connection before
-// they are noticed.
-type guardedConn struct {
+// Conn is a connection on which bytes count as a response only after a request was
+// written.
+type Conn struct {
 	net.Conn
 
 	mu      sync.Mutex // Guards the fields below.
@@ -24,25 +22,26 @@
 	reading bool       // A Read waits for bytes.
 	closed  bool
 	// claimant is the request that got the connection and wrote nothing yet.
-	claimant *sendProgress
+	claimant *Progress
 	notIdle  bool // The connection carries no more requests.
 }
 
-type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// guardConns returns dial with guarded connections.
-func guardConns(dial dialFunc) dialFunc {
+// Wrap returns dial with guarded connections.
+func Wrap(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return newGuardedConn(conn), nil
+		return newConn(conn), nil
 	}
 }
 
-func newGuardedConn(conn net.Conn) *guardedConn {
-	c := &guardedConn{Conn: conn}
+func newConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -50,7 +49,7 @@
 // claim registers the request that is about to be written. It blocks until the
 // transport has used up all that it read before: it then waits for more, or
 // closes the connection because of bytes that belong to no request.
-func (c *guardedConn) claim(claimant *sendProgress) {
+func (c *Conn) claim(claimant *Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for !c.reading && !c.closed {
@@ -60,7 +59,7 @@
 }
 
 // Read implements net.Conn.
-func (c *guardedConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = true
 	c.changed.Broadcast()
@@ -77,7 +76,7 @@
 }
 
 // Write implements net.Conn.
-func (c *guardedConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
@@ -86,7 +85,7 @@
 
 // beginWrite reports a request that must not be written. The request then counts as
 // not sent.
-func (c *guardedConn) beginWrite() error {
+func (c *Conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.claimant != nil && (c.closed || hasUnread(c.Conn)) {
@@ -102,8 +101,16 @@
 	return nil
 }
 
+// retire closes the connection. A request that gets it later is not written.
+func (c *Conn) retire() {
+	c.mu.Lock()
+	c.notIdle = true
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
 // Close implements net.Conn.
-func (c *guardedConn) Close() error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
 	c.changed.Broadcast()
--- a/internal/httpcall/unread_other.go
+++ b/internal/connguard/unread_other.go
@@ -1,6 +1,6 @@
 //go:build !unix
 
-package httpcall
+package connguard
 
 import "net"
 
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
+
+	"github.com/snipestep/snipestep/internal/connguard"
 )
 
 const maxErrorBytes = 64 << 10
@@ -63,27 +65,27 @@
 func (c *Client) Open(ctx context.Context, request Request) (*http.Response, error) {
 	// Each of the kept-alive connections may turn out to be unusable.
 	for range maxIdleConnsPerHost {
-		var progress sendProgress
+		var progress connguard.Progress
 		response, err := c.send(ctx, request, &progress)
-		if err == nil || !progress.lostIdleConn() {
+		if err == nil || !progress.LostIdleConn() {
 			return response, err
 		}
 	}
-	return c.send(ctx, request, new(sendProgress))
+	return c.send(ctx, request, new(connguard.Progress))
 }
 
 // send sends the request, which net/http may repeat unless NoReplay is set.
-func (c *Client) send(ctx context.Context, request Request, progress *sendProgress) (*http.Response, error) {
+func (c *Client) send(ctx context.Context, request Request, progress *connguard.Progress) (*http.Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &TransportError{Cause: err}
 	}
-	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, progress.trace()), request)
+	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, progress.Trace()), request)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
 	}
 	response, err := c.httpClient.Do(httpRequest)
 	if err != nil {
-		return nil, &TransportError{MaybeSent: progress.maybeSent(), Cause: err}
+		return nil, &TransportError{MaybeSent: progress.MaybeSent(), Cause: err}
 	}
 	if err := RefuseSwitch(response); err != nil {
 		return nil, &TransportError{MaybeSent: true, Cause: err}
--- a/internal/httpcall/config.go
+++ b/internal/httpcall/config.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/snipestep/snipestep/internal/connguard"
 )
 
 const (
@@ -29,7 +31,7 @@
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            guardConns(dialer.DialContext),
+		DialContext:            connguard.Wrap(dialer.DialContext),
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
