Do not end a resumed stream as complete without an event

Cause: a stream that broke off ended as complete if the next endpoint answered 200 and sent no event, as one that failed may. That alone does not tell that the events before were all. Now the stream goes to a further endpoint, if it may, or is broken off. A caller that resumes after the last event itself still gets an endpoint's empty response: that is the endpoint's whole answer.

Cost: a stream that breaks between its last event and its end is broken off too.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,6 +20,11 @@
 // ErrStreamTooLarge reports a stream larger than maxStreamBytes.
 var ErrStreamTooLarge = eris.New("stream is too large")
 
+// ErrNoEventResumed reports an endpoint that was to resume a stream and sent no event. That
+// alone does not tell that the events before were all: an endpoint that failed may end its
+// response just so.
+var ErrNoEventResumed = eris.New("endpoint sent no event of the stream that it was to resume")
+
 // EventOrderError reports an event that does not follow the one before it.
 type EventOrderError struct {
 	Last, Got string
@@ -174,9 +179,13 @@
 		return s.forwardFailure(attempt)
 	}
 	reader := newEventReader(attempt.response.Body)
-	first := true
+	first, resuming := true, s.headerSent
 	for {
 		e, err := reader.next()
+		// A filler is the end of the stream.
+		if resuming && first && (errors.Is(err, io.EOF) || e.filler) {
+			return ErrNoEventResumed
+		}
 		if errors.Is(err, io.EOF) {
 			return s.complete(attempt)
 		}
