Take only a refusal with the request's own identifier as not started

Cause: on the path through agents too, a refusal counted as this request's whatever identifier it carried: any 4xx or 503 to a stream or an order, and to a plain call one without an identifier. Now the answers to streams that do not start, calls and orders have to repeat X-Request-Id; orders have one of their own. Any other answer leaves the outcome unknown, and its connection is retired. The agent counts no crash for it, and keeps to a pause in its Retry-After.

The fakes repeat it. TestErrorTellsWhetherAttemptStarted used one handler without an identifier for all calls; it now has one that repeats it, and for the calls one per meaning: a refusal, or an answer that belongs to no call. TestEndlessAnswerBreaksCallAndItsConnection and TestRefusalOfStreamWithEndlessBody- IsNotStarted answer with the request's identifier.

Looked at besides: events between entry and agent carry their attempt and have a stream of their own each; the engine's orders on the users' platform carry the expected count of orders and are followed by reads of its state, chunks are verified; the store's answers carry no identifier, and a second answer on its connection could be taken for the next one: not seen, no test.

--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -139,6 +139,12 @@
 	if ctx.Err() != nil {
 		return callBrokenEvent(j, CodeMoved, "", context.Cause(ctx).Error())
 	}
+	var mismatched *endpoint.AttemptMismatchError
+	if errors.As(err, &mismatched) {
+		restAfter(m.sched, err)
+		m.counters.misdelivered.Add(1)
+		return callBrokenEvent(j, CodeOutcomeUnknown, "", err.Error())
+	}
 	crash := m.state.markDown()
 	return callBrokenEvent(j, CodeCrash, "", crash)
 }
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -51,6 +51,7 @@
 	}
 	var mismatched *endpoint.AttemptMismatchError
 	if errors.As(err, &mismatched) {
+		restAfter(p.sched, err)
 		p.counters.misdelivered.Add(1)
 		return callBrokenEvent(j, CodeOutcomeUnknown, "", err.Error())
 	}
--- a/agent/rest.go
+++ b/agent/rest.go
@@ -52,12 +52,20 @@
 }
 
 // restAfter makes the scheduler keep to the pause that an endpoint asked for when it turned a
-// call away.
+// call away, also if its answer was to another call.
 func restAfter(s *scheduler, err error) {
+	status, retryAfterMS := 0, int64(0)
 	var notStarted *endpoint.NotStartedError
-	if !errors.As(err, &notStarted) || notStarted.Status != http.StatusServiceUnavailable || notStarted.RetryAfterMS <= 0 {
+	var mismatched *endpoint.AttemptMismatchError
+	switch {
+	case errors.As(err, &notStarted):
+		status, retryAfterMS = notStarted.Status, notStarted.RetryAfterMS
+	case errors.As(err, &mismatched):
+		status, retryAfterMS = mismatched.Status, mismatched.RetryAfterMS
+	}
+	if status != http.StatusServiceUnavailable || retryAfterMS <= 0 {
 		return
 	}
-	milliseconds := min(notStarted.RetryAfterMS, maxRest.Milliseconds())
+	milliseconds := min(retryAfterMS, maxRest.Milliseconds())
 	s.post(restEvent{pause: time.Duration(milliseconds) * time.Millisecond})
 }
--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -33,7 +33,10 @@
 	"slow": {slowPause, slowTimeout},
 }
 
-// endlessCalls are calls whose answers carry the identifier of attempt a.
+// firstOrderID is the identifier of a client's first order.
+const firstOrderID = "order-1"
+
+// endlessCalls are calls whose answers carry the identifier of attempt a, or firstOrderID.
 var endlessCalls = map[string]func(context.Context, endpoint.HTTPConfig) error{
 	"generate": func(ctx context.Context, config endpoint.HTTPConfig) error {
 		stream, err := endpoint.NewHTTPEngine(config).Generate(ctx, endpoint.GenerateRequest{Attempt: "a", MaxTokens: endlessMaxTokens})
@@ -71,10 +74,14 @@
 // Guards against an answer without end that holds a call, counts as an answer or as
 // a refusal, or whose connection carries another request.
 func TestEndlessAnswerBreaksCallAndItsConnection(t *testing.T) {
-	answers := fakes.EndlessHeads()
-	maps.Copy(answers, fakes.EndlessBodies("HTTP/1.1 200 OK", endpoint.AttemptHeader+": a\r\n", "{}", strings.Repeat(" ", 16)))
-	for answerName, answer := range answers {
-		for callName, call := range endlessCalls {
+	for callName, call := range endlessCalls {
+		id := "a"
+		if callName == "order" {
+			id = firstOrderID
+		}
+		answers := fakes.EndlessHeads()
+		maps.Copy(answers, fakes.EndlessBodies("HTTP/1.1 200 OK", endpoint.AttemptHeader+": "+id+"\r\n", "{}", strings.Repeat(" ", 16)))
+		for answerName, answer := range answers {
 			for speedName, speed := range endlessSpeeds {
 				t.Run(answerName+"/"+callName+"/"+speedName, func(t *testing.T) {
 					t.Parallel()
@@ -95,7 +102,7 @@
 
 // A status tells by itself that the attempt has not started, whatever follows.
 func TestRefusalOfStreamWithEndlessBodyIsNotStarted(t *testing.T) {
-	for name, answer := range fakes.EndlessBodies("HTTP/1.1 503 Service Unavailable", "", "", " ") {
+	for name, answer := range fakes.EndlessBodies("HTTP/1.1 503 Service Unavailable", endpoint.AttemptHeader+": a\r\n", "", " ") {
 		t.Run(name, func(t *testing.T) {
 			server := startEndless(t, answer)
 			config := endpoint.HTTPConfig{BaseURL: "http://" + server.Address(), Timeout: fastTimeout}
--- a/endpoint/errors.go
+++ b/endpoint/errors.go
@@ -46,7 +46,10 @@
 // the identifier of another attempt.
 type AttemptMismatchError struct {
 	Attempt string
-	Got     string
+	Got     string // Empty for an answer that carries no identifier.
+	// Status and RetryAfterMS are those of the answer, 0 for an event.
+	Status       int
+	RetryAfterMS int64
 }
 
 // Error implements error.
--- a/endpoint/http_test.go
+++ b/endpoint/http_test.go
@@ -32,7 +32,20 @@
 }
 
 func respondWithError(status int) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(endpoint.AttemptHeader, r.Header.Get(endpoint.AttemptHeader))
+		httpcall.WriteError(w, status, httpcall.ErrorDocument{Code: "c"})
+	}
+}
+
+// respondToCall answers a call with a status: as a refusal before it ran, or without telling
+// to which call.
+func respondToCall(status int, refusal bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if refusal {
+			w.Header().Set(endpoint.AttemptHeader, r.Header.Get(endpoint.AttemptHeader))
+			w.Header().Set(endpoint.RunHeader, endpoint.RunNotRun)
+		}
 		httpcall.WriteError(w, status, httpcall.ErrorDocument{Code: "c"})
 	}
 }
@@ -49,28 +62,29 @@
 func TestErrorTellsWhetherAttemptStarted(t *testing.T) {
 	notStarted := isError[*endpoint.NotStartedError]
 	broken := isError[*endpoint.BrokenError]
+	mismatched := isError[*endpoint.AttemptMismatchError]
 	for name, tt := range map[string]struct {
-		handler http.HandlerFunc
-		want    func(error) bool
+		handler, callHandler http.HandlerFunc
+		want, wantOfCall     func(error) bool
 	}{
-		"400":     {respondWithError(400), notStarted},
-		"404":     {respondWithError(404), notStarted},
-		"408":     {respondWithError(408), broken},
-		"429":     {respondWithError(429), notStarted},
-		"500":     {respondWithError(500), broken},
-		"502":     {respondWithError(502), broken},
-		"503":     {respondWithError(503), notStarted},
-		"504":     {respondWithError(504), broken},
-		"dropped": {dropConnection, broken},
+		"400":     {respondWithError(400), respondToCall(400, true), notStarted, notStarted},
+		"404":     {respondWithError(404), respondToCall(404, true), notStarted, notStarted},
+		"408":     {respondWithError(408), respondToCall(408, false), broken, mismatched},
+		"429":     {respondWithError(429), respondToCall(429, true), notStarted, notStarted},
+		"500":     {respondWithError(500), respondToCall(500, false), broken, mismatched},
+		"502":     {respondWithError(502), respondToCall(502, false), broken, mismatched},
+		"503":     {respondWithError(503), respondToCall(503, true), notStarted, notStarted},
+		"504":     {respondWithError(504), respondToCall(504, false), broken, mismatched},
+		"dropped": {dropConnection, dropConnection, broken, broken},
 	} {
 		t.Run(name, func(t *testing.T) {
 			config := startServer(t, tt.handler)
 			_, err := endpoint.NewHTTPEngine(config).Generate(t.Context(), endpoint.GenerateRequest{Attempt: "a"})
 			assert.Assert(t, tt.want(err), "generate: %v", err)
-			_, err = endpoint.NewHTTPPlainService(config).Call(t.Context(), endpoint.PlainRequest{Attempt: "a", Operation: "o"})
-			assert.Assert(t, tt.want(err), "call: %v", err)
 			_, err = endpoint.NewHTTPEngine(config).Order(t.Context(), endpoint.Order{Fence: 1})
 			assert.Assert(t, tt.want(err), "order: %v", err)
+			_, err = endpoint.NewHTTPPlainService(startServer(t, tt.callHandler)).Call(t.Context(), endpoint.PlainRequest{Attempt: "a", Operation: "o"})
+			assert.Assert(t, tt.wantOfCall(err), "call: %v", err)
 		})
 	}
 }
--- a/endpoint/httpconfig.go
+++ b/endpoint/httpconfig.go
@@ -13,6 +13,9 @@
 
 // Headers of the endpoint protocols.
 const (
+	//
+	// An answer repeats AttemptHeader. A refusal that does not tells nothing about the
+	// request.
 	AttemptHeader        = "X-Request-Id"
 	IdempotencyKeyHeader = "Idempotency-Key"
 	// RunHeader with the value RunNotRun marks the response to a call that did
@@ -24,9 +27,12 @@
 // CodeFenced is the error code for an order with a stale fencing number.
 const CodeFenced = "fenced"
 
-// attemptError converts an error of the HTTP client to *NotStartedError or
-// *BrokenError.
+// attemptError converts an error of the HTTP client to *NotStartedError,
+// *AttemptMismatchError or *BrokenError.
 func attemptError(attempt string, err error) error {
+	if mismatch := mismatchError(attempt, err); mismatch != nil {
+		return mismatch
+	}
 	var statusErr *httpcall.StatusError
 	if errors.As(err, &statusErr) && refusedBeforeStart(statusErr.Status) {
 		return newNotStartedError(attempt, statusErr)
--- a/endpoint/httpengine.go
+++ b/endpoint/httpengine.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/httpcall"
@@ -22,6 +23,8 @@
 // use.
 type HTTPEngine struct {
 	client *httpcall.Client
+	// orders counts the orders, which have no other identifier.
+	orders atomic.Uint64
 }
 
 var _ Engine = (*HTTPEngine)(nil)
@@ -37,7 +40,7 @@
 	if err != nil {
 		return nil, &NotStartedError{Attempt: request.Attempt, Cause: err}
 	}
-	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true}
+	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true, Belongs: repeatsUnlessStarted(request.Attempt)}
 	return openStream(ctx, e.client, request.Attempt, httpRequest, streamLimit(request.MaxTokens))
 }
 
@@ -54,10 +57,11 @@
 	if err != nil {
 		return outcome, &NotStartedError{Cause: err}
 	}
-	request := httpcall.Request{Method: http.MethodPost, Path: "/v1/order", Header: jsonHeader(), Body: body, NoReplay: true}
+	id := "order-" + strconv.FormatUint(e.orders.Add(1), 10)
+	request := httpcall.Request{Method: http.MethodPost, Path: "/v1/order", Header: attemptHeader(id), Body: body, NoReplay: true, Belongs: repeats(id)}
 	response, err := e.client.Call(ctx, request, maxStatusBytes)
 	if err != nil {
-		return outcome, orderError(order, err)
+		return outcome, orderError(id, order, err)
 	}
 	if err := response.Decode(&outcome); err != nil {
 		return outcome, &BrokenError{Cause: err}
@@ -104,12 +108,12 @@
 	return nil
 }
 
-func orderError(order Order, err error) error {
+func orderError(id string, order Order, err error) error {
 	var statusErr *httpcall.StatusError
 	if errors.As(err, &statusErr) && statusErr.Document.Code == CodeFenced {
 		return &FencedError{Fence: order.Fence, Highest: core.Fence(statusErr.Document.HighestFence)}
 	}
-	return attemptError("", err)
+	return attemptError(id, err)
 }
 
 func completionRequest(request GenerateRequest) CompletionRequest {
--- a/endpoint/httpplainservice.go
+++ b/endpoint/httpplainservice.go
@@ -53,21 +53,15 @@
 		Header:   header,
 		Body:     request.Body,
 		NoReplay: true,
+		Belongs:  repeats(request.Attempt),
 	}
 }
 
 // parsePlainResponse distinguishes the operation's answer from a refusal before
 // the operation started.
 func parsePlainResponse(attempt string, response *httpcall.Response) (PlainResponse, error) {
-	answeredAttempt := response.Header.Get(AttemptHeader)
-	if answeredAttempt != "" && answeredAttempt != attempt {
-		return PlainResponse{}, &AttemptMismatchError{Attempt: attempt, Got: answeredAttempt}
-	}
 	if response.Header.Get(RunHeader) == RunNotRun {
 		return PlainResponse{}, newNotStartedError(attempt, response.StatusError())
 	}
-	if answeredAttempt == "" {
-		return PlainResponse{}, attemptError(attempt, response.StatusError())
-	}
-	return PlainResponse{Attempt: answeredAttempt, Status: response.Status, Body: response.Body}, nil
+	return PlainResponse{Attempt: attempt, Status: response.Status, Body: response.Body}, nil
 }
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -94,6 +94,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	repeatAttempt(w, r)
 	if e.restarting() {
 		writeError(w, http.StatusServiceUnavailable, codeRestarting)
 		return
--- a/internal/fakes/plainservice.go
+++ b/internal/fakes/plainservice.go
@@ -64,6 +64,7 @@
 
 // ServeHTTP implements http.Handler.
 func (p *PlainService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	repeatAttempt(w, r)
 	if _, available := p.currentProcess(); !available {
 		p.reject(w, http.StatusServiceUnavailable, codeRestarting)
 		return
--- a/internal/fakes/response.go
+++ b/internal/fakes/response.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/snipestep/snipestep/backing"
+	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
@@ -19,6 +20,13 @@
 	httpcall.WriteError(w, http.StatusTooManyRequests, document)
 }
 
+// repeatAttempt puts the identifier of the request into its response.
+func repeatAttempt(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get(endpoint.AttemptHeader); attempt != "" {
+		w.Header().Set(endpoint.AttemptHeader, attempt)
+	}
+}
+
 // abortConnection drops the connection without a response.
 func abortConnection() {
 	panic(http.ErrAbortHandler)
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -90,6 +90,12 @@
 	if err := RefuseSwitch(response); err != nil {
 		return nil, &TransportError{MaybeSent: true, Cause: err}
 	}
+	if request.Belongs != nil && !request.Belongs(response.StatusCode, response.Header) {
+		// The response to this request may still follow.
+		progress.Retire()
+		_ = response.Body.Close()
+		return nil, &TransportError{MaybeSent: true, Cause: &ForeignResponseError{Status: response.StatusCode, Header: response.Header}}
+	}
 	return response, nil
 }
 
--- a/internal/httpcall/request.go
+++ b/internal/httpcall/request.go
@@ -12,4 +12,7 @@
 	// NoReplay prevents the transport from sending the request again when a
 	// kept-alive connection breaks.
 	NoReplay bool
+	// Belongs reports whether a response is to this request; nil takes any. It gets the
+	// status and the header.
+	Belongs func(int, http.Header) bool
 }
