Abort the connection of a stream that cannot be made whole

Cause: on the path through agents a stream that broke off got its error event and then the end of a complete response. Callers that look for [DONE] know that it is not whole; proxies, and callers that read the framing alone, took it for complete. The connection is now aborted behind the event.

--- a/entry/completion.go
+++ b/entry/completion.go
@@ -27,8 +27,7 @@
 		return
 	}
 	if stream, ok := m.sink.(*streamSink); ok && stream.headerWritten {
-		stream.writeError(problemOf(finalRefusal(err, true)))
-		return
+		stream.abort(problemOf(finalRefusal(err, true)))
 	}
 	h.writeRefusal(w, err)
 }
--- a/entry/streamsink.go
+++ b/entry/streamsink.go
@@ -59,8 +59,14 @@
 	return s.headerWritten
 }
 
-// writeError ends an incomplete stream with an error event, without the [DONE]
-// event.
+// abort ends an incomplete stream with an error event, without the [DONE] event, and aborts
+// the connection, so that the framing of the response does not say that it is complete. It
+// does not return.
+func (s *streamSink) abort(p problem.Problem) {
+	s.writeError(p)
+	panic(http.ErrAbortHandler)
+}
+
 func (s *streamSink) writeError(p problem.Problem) {
 	body, err := json.Marshal(p)
 	if err != nil {
--- a/entry/streamsink_test.go
+++ b/entry/streamsink_test.go
@@ -18,7 +18,7 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		sink := newStreamSink(w, "id", "m")
 		_ = sink.writeToken("v1", "Dear ")
-		sink.writeError(problem.Problem{Status: http.StatusBadGateway, Code: CodeRetriesExceeded})
+		sink.abort(problem.Problem{Status: http.StatusBadGateway, Code: CodeRetriesExceeded})
 	}))
 	defer server.Close()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, http.NoBody)
