Leave out superseded versions that can no longer be of use

Cause: agents went on with the download of a superseded version, and loaded it, whenever it was three quarters there. Where the origin fails while two versions are declared, the first one is complete only when requests have to start on the second: its chunks took their part of the origin and the links from the second one, and the engines were busy with it, while nothing was served. Now a superseded version is downloaded, or loaded, only if it can serve for a second before its successor is mandatory, by the mean rate of its download so far. The declared one always is.

The older tests of superseded downloads used declarations without times, which are long past; they now have times within the bound, and the same expectations.

--- a/directory/declaredversion.go
+++ b/directory/declaredversion.go
@@ -12,6 +12,11 @@
 // is dropped.
 const MaxSuperseded = 15
 
+// VersionSafetyMargin is how long before the end of the version bound entries stop to start
+// requests on an older version: a request needs time to start, up to half a second where
+// requests are queued at the engine.
+const VersionSafetyMargin = 500 * time.Millisecond
+
 // DeclaredVersion is the version of a model that the operator wants. It is
 // immutable once it is part of a View.
 type DeclaredVersion struct {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -179,9 +179,8 @@
 	return svc
 }
 
-// versionSafetyMargin is subtracted from VersionBound: a request needs time to start,
-// up to half a second where requests are queued at the engine.
-const versionSafetyMargin = 500 * time.Millisecond
+// versionSafetyMargin is subtracted from VersionBound.
+const versionSafetyMargin = directory.VersionSafetyMargin
 
 // cancelSafetyMargin is how long before the end of VersionBound the gateway cancels
 // requests that are queued at an endpoint with an outdated version: the engine can
--- a/sidecar/download.go
+++ b/sidecar/download.go
@@ -19,6 +19,10 @@
 	completedAt time.Time    // When set was completed, by Deps.Now.
 	// haveChunks and totalChunks are as of the last poll of the progress.
 	haveChunks, totalChunks int
+	// firstHaveChunks are those of the first poll, at beganAt; progressedAt is the time of
+	// the last poll that found more. Times are those of Deps.Now.
+	firstHaveChunks       int
+	beganAt, progressedAt time.Time
 	// stalled is set while no chunks arrive.
 	stalled bool
 }
@@ -48,18 +52,26 @@
 }
 
 // shouldFinishPrevious reports whether the download of the previous version should
-// continue: it is complete or has reached continueStalledFraction, or it progresses
+// continue. It never does once it is too late for the version to be of use. Else it does if
+// it is complete or has reached continueStalledFraction, or it progresses
 // and has reached continueFraction, or the declared version's download is stalled.
 // If the previous one is stalled too, or has not started, the last case requires that
 // another engine has loaded the previous version: otherwise the two downloads would
 // share the origin once it answers again. The caller holds r.mu.
-func (r *Reconciler) shouldFinishPrevious(declared directory.DeclaredVersion, loadedElsewhere bool) bool {
-	previousDownload := r.downloads[declared.Previous().Version]
+func (r *Reconciler) shouldFinishPrevious(now time.Time, declared directory.DeclaredVersion, loadedElsewhere bool) bool {
+	previousVersion := declared.Previous().Version
+	previousDownload := r.downloads[previousVersion]
 	declaredDownload := r.downloads[declared.Version]
 	declaredStalled := declaredDownload != nil && declaredDownload.stalled
+	completeAt := now
+	if previousDownload != nil {
+		completeAt = previousDownload.earliestCompletion(now)
+	}
 	switch {
 	case previousDownload != nil && previousDownload.set != nil:
 		return true
+	case !r.isWorthLoading(declared, previousVersion, completeAt):
+		return false
 	case previousDownload == nil || previousDownload.stalled && !previousDownload.hasFraction(continueStalledFraction):
 		return declaredStalled && loadedElsewhere
 	case previousDownload.hasFraction(continueFraction):
@@ -86,7 +98,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wanted := []uint64{declared.Version}
-	finishPrevious := behind && r.shouldFinishPrevious(declared, loadedElsewhere)
+	finishPrevious := behind && r.shouldFinishPrevious(r.deps.Now(), declared, loadedElsewhere)
 	if finishPrevious {
 		wanted = append(wanted, previous)
 	}
--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -119,6 +119,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d := r.downloads[version]; d != nil {
+		now := r.deps.Now()
+		if d.totalChunks == 0 {
+			d.firstHaveChunks, d.beganAt = have, now
+		}
+		if have > d.haveChunks {
+			d.progressedAt = now
+		}
 		d.haveChunks, d.totalChunks = have, total
 		d.stalled = d.stalled && have == 0 || stalled
 	}
--- a/sidecar/reconciler_test.go
+++ b/sidecar/reconciler_test.go
@@ -165,29 +165,29 @@
 
 func TestSupersededDownloadContinuesOnlyAboveMinimumFraction(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 3}, Superseded: []directory.Declaration{{Version: 2}}}
+	declared := directory.DeclaredVersion{Declaration: versiontest.Declared(3, at(2000)), Superseded: []directory.Declaration{versiontest.Declared(2, at(0))}}
 	r.downloads[2] = &download{cancel: func() {}, haveChunks: 1, totalChunks: 64}
-	assert.Assert(t, !r.shouldFinishPrevious(declared, true))
+	assert.Assert(t, !r.shouldFinishPrevious(at(3000), declared, true))
 	r.downloads[2].haveChunks = 16
-	assert.Assert(t, r.shouldFinishPrevious(declared, false))
+	assert.Assert(t, r.shouldFinishPrevious(at(3000), declared, false))
 	delete(r.downloads, 2)
 	r.downloads[3] = &download{cancel: func() {}, stalled: true}
-	assert.Assert(t, r.shouldFinishPrevious(declared, true), "the newer one is stalled")
-	assert.Assert(t, !r.shouldFinishPrevious(declared, false), "neither version is available")
+	assert.Assert(t, r.shouldFinishPrevious(at(3000), declared, true), "the newer one is stalled")
+	assert.Assert(t, !r.shouldFinishPrevious(at(3000), declared, false), "neither version is available")
 }
 
 // The origin fails while a second version is declared. Once it is back, the two
 // downloads must not share it.
 func TestStalledSupersededDownloadContinuesOnlyIfNearlyComplete(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{})
-	declared := directory.DeclaredVersion{Declaration: directory.Declaration{Version: 3}, Superseded: []directory.Declaration{{Version: 2}}}
+	declared := directory.DeclaredVersion{Declaration: versiontest.Declared(3, at(2000)), Superseded: []directory.Declaration{versiontest.Declared(2, at(0))}}
 	r.downloads[2] = &download{cancel: func() {}, haveChunks: 28, totalChunks: 64, stalled: true}
 	r.downloads[3] = &download{cancel: func() {}, stalled: true}
-	assert.Assert(t, !r.shouldFinishPrevious(declared, false))
+	assert.Assert(t, !r.shouldFinishPrevious(at(3000), declared, false))
 	r.downloads[2].haveChunks = 48
-	assert.Assert(t, r.shouldFinishPrevious(declared, false), "nearly complete")
+	assert.Assert(t, r.shouldFinishPrevious(at(3000), declared, false), "nearly complete")
 	r.recordStall(2)
-	assert.Assert(t, r.shouldFinishPrevious(declared, false), "the chunks stay when the manifest cannot be read")
+	assert.Assert(t, r.shouldFinishPrevious(at(3000), declared, false), "the chunks stay when the manifest cannot be read")
 }
 
 func TestSwitchStagesVerifiedChunksAndLoadsThem(t *testing.T) {
@@ -248,7 +248,7 @@
 	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(3, at(2000)))
 	r.deps.Directory.SetDeclaration(testModel, versiontest.Declared(4, at(5000)))
 	view := r.deps.Directory.View()
-	switchAt, version, ok := r.scheduledSwitch(view, view.DeclaredVersion(testModel), &EngineState{LoadedVersion: 1, Running: 1})
+	switchAt, version, ok := r.scheduledSwitch(at(5000), view, view.DeclaredVersion(testModel), &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, version, uint64(4))
 	assert.Equal(t, switchAt, at(0).Add(time.Duration(lastSwitchFraction*float64(testVersionBound))))
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -258,7 +258,7 @@
 	if state == nil || state.LoadedVersion == 0 {
 		return loadreport.UnknownDuration
 	}
-	switchAt, _, ok := r.scheduledSwitch(view, declared, state)
+	switchAt, _, ok := r.scheduledSwitch(now, view, declared, state)
 	if !ok || switchAt.Sub(now) > switchNotice {
 		return loadreport.UnknownDuration
 	}
--- a/sidecar/switchschedule.go
+++ b/sidecar/switchschedule.go
@@ -15,7 +15,7 @@
 // is one. An engine that has no version loaded, or that is idle and can load the
 // declared version, does not wait for its scheduled switch.
 func (r *Reconciler) dueVersion(now time.Time, view *directory.View, declared directory.DeclaredVersion, state *EngineState) (uint64, bool) {
-	switchAt, version, ok := r.scheduledSwitch(view, declared, state)
+	switchAt, version, ok := r.scheduledSwitch(now, view, declared, state)
 	if !ok {
 		return 0, false
 	}
@@ -24,8 +24,8 @@
 }
 
 // scheduledSwitch returns when the engine switches its version, and to which. It
-// reports false while no newer version is downloaded.
-func (r *Reconciler) scheduledSwitch(view *directory.View, declared directory.DeclaredVersion, state *EngineState) (switchAt time.Time, version uint64, ok bool) {
+// reports false while no newer version that is worth loading is downloaded.
+func (r *Reconciler) scheduledSwitch(now time.Time, view *directory.View, declared directory.DeclaredVersion, state *EngineState) (switchAt time.Time, version uint64, ok bool) {
 	if state.LoadedVersion >= declared.Version {
 		return time.Time{}, 0, false
 	}
@@ -35,6 +35,9 @@
 		if !ok || declaration.Version <= state.LoadedVersion {
 			continue
 		}
+		if !r.isWorthLoading(declared, declaration.Version, now) {
+			continue
+		}
 		superseded := declaration.Version != declared.Version
 		offset := switchOffset(r.config.VersionBound, completedAt.Sub(declaration.ScheduledFrom()), position, count, superseded)
 		switchAt := declaration.ScheduledFrom().Add(offset)
--- a/sidecar/threeversions_test.go
+++ b/sidecar/threeversions_test.go
@@ -35,7 +35,7 @@
 func TestSwitchMeetsTheBoundOfTheFirstOfThreeVersions(t *testing.T) {
 	r := newReconciler(t, &fakeEngine{}, 4)
 	view, declared := declareThreeVersions(r)
-	switchAt, version, ok := r.scheduledSwitch(view, declared, &EngineState{LoadedVersion: 1, Running: 1})
+	switchAt, version, ok := r.scheduledSwitch(at(6000), view, declared, &EngineState{LoadedVersion: 1, Running: 1})
 	assert.Assert(t, ok)
 	assert.Equal(t, version, uint64(4))
 	assert.Assert(t, switchAt.Before(at(8000)), "switch at %v after the first declaration", switchAt.Sub(at(0)))
