Keep to an endpoint's limit on calls a second on the path through agents

Now answers may have Snipestep-Rate-Limit. The agent is the only one that sends its endpoint calls, so nothing has to be divided: it starts calls by a token bucket of half a second, and grants no credits while waiting calls use the limit up, so that entries go elsewhere. An answer to another request, one sent before the announcement, or an unreadable header ends no limit. The number is read in one place for both paths, core.LowestRate.

TestAgentKeepsToTheLimitThatItsEndpointAnnounces: within 1.5 times the limit + 5 in each 4 s at 0.5, 2.6 and 40 calls a second, over nine tenths of the limit used, and it ends; it fails with the bucket taken out.

--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -30,7 +30,9 @@
 	}
 	run := newEngineRun(ctx, m, j)
 	defer run.finish()
-	stream, err := m.engine.Generate(run.streamCtx, generateRequest(j, serving))
+	request := generateRequest(j, serving)
+	request.OnNotice = m.sched.noticeHandler()
+	stream, err := m.engine.Generate(run.streamCtx, request)
 	if err != nil {
 		return m.failureEvent(ctx, j, err)
 	}
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -32,6 +32,7 @@
 		Operation:      j.req.GetOperation(),
 		IdempotencyKey: j.req.GetIdempotencyKey(),
 		Body:           j.req.GetBody(),
+		OnNotice:       p.sched.noticeHandler(),
 	})
 	if err != nil {
 		return p.failureEvent(ctx, j, err)
--- a/agent/rest.go
+++ b/agent/rest.go
@@ -43,9 +43,14 @@
 	}
 }
 
-// currentCredits returns the credits of the queue, none while the endpoint rests.
+// currentCredits returns the credits of the queue, none while the endpoint rests or its limit
+// admits no more calls than those that wait.
 func (s *scheduler) currentCredits() *creditSet {
-	if s.restLeft() > 0 {
+	waiting := 0
+	for _, calls := range s.queue.Load().Waiting {
+		waiting += calls
+	}
+	if s.restLeft() > 0 || !s.limit.allows(s.now(), waiting+1) {
 		return &creditSet{}
 	}
 	return &creditSet{byRank: s.queue.Credits(int(s.entryCount.Load()))}
--- a/agent/scheduler.go
+++ b/agent/scheduler.go
@@ -32,9 +32,12 @@
 	// From then on the endpoint's model may change, and no call is admitted.
 	drained     bool
 	restUntil   time.Time       // The endpoint wants no calls before.
+	limit       callLimit       // The calls a second that the endpoint takes.
 	idleWaiters []chan struct{} // Closed once nothing is queued or running.
 
-	load atomic.Pointer[routing.Load]
+	// isLimited says that limit is set.
+	isLimited atomic.Bool
+	load      atomic.Pointer[routing.Load]
 	// credits are the calls that each of entryCount entries may send.
 	entryCount  atomic.Int32
 	credits     atomic.Pointer[creditSet]
@@ -61,7 +64,7 @@
 // run handles events until ctx ends.
 func (s *scheduler) run(ctx context.Context) {
 	defer close(s.done)
-	// Ticks matter only while calls wait or run.
+	// Ticks matter only while calls wait or run, or a limit admits more of them.
 	tick := time.NewTicker(idleTickInterval)
 	defer tick.Stop()
 	busy := false
@@ -74,7 +77,7 @@
 		case <-tick.C:
 		}
 		s.step()
-		if nowBusy := len(s.jobs) > 0; nowBusy != busy {
+		if nowBusy := len(s.jobs) > 0 || s.limit.isSet(); nowBusy != busy {
 			busy = nowBusy
 			tick.Reset(tickInterval(busy))
 		}
@@ -113,11 +116,12 @@
 	if s.restLeft() > 0 {
 		return
 	}
-	for {
+	for s.limit.allows(now, 1) {
 		c, ok := s.queue.Next(now)
 		if !ok {
 			return
 		}
+		s.limit.take()
 		if j := s.jobs[c.ID]; j != nil {
 			j.started <- struct{}{}
 		}
--- a/endpoint/generaterequest.go
+++ b/endpoint/generaterequest.go
@@ -17,4 +17,7 @@
 	// CacheHandle names an exported KV cache to import; empty for none.
 	CacheHandle string
 	Model       core.ModelRef
+	// OnNotice gets what the header of an answer says of the engine, also of an answer to
+	// another request; nil ignores it.
+	OnNotice func(Notice)
 }
--- a/endpoint/httpengine.go
+++ b/endpoint/httpengine.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, &NotStartedError{Attempt: request.Attempt, Cause: err}
 	}
-	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true, Belongs: repeatsUnlessStarted(request.Attempt)}
+	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true, Belongs: noticing(repeatsUnlessStarted(request.Attempt), request.OnNotice)}
 	return openStream(ctx, e.client, request.Attempt, httpRequest, streamLimit(request.MaxTokens))
 }
 
--- a/endpoint/httpplainservice.go
+++ b/endpoint/httpplainservice.go
@@ -53,7 +53,7 @@
 		Header:   header,
 		Body:     request.Body,
 		NoReplay: true,
-		Belongs:  repeats(request.Attempt),
+		Belongs:  noticing(repeats(request.Attempt), request.OnNotice),
 	}
 }
 
--- a/endpoint/plainrequest.go
+++ b/endpoint/plainrequest.go
@@ -8,6 +8,9 @@
 	// IdempotencyKey is the caller's key; empty for none.
 	IdempotencyKey string
 	Body           []byte
+	// OnNotice gets what the header of an answer says of the service, also of an answer to
+	// another call; nil ignores it.
+	OnNotice func(Notice)
 }
 
 // PlainResponse is the service's answer. Status is an HTTP status, which may be
