Let the largest answer of a plain service through the session to the entry

Cause: a session's messages were bounded at 4 MiB, while a plain service may answer with 8 MiB. The bound now holds the largest answer with the fields around it. TestLargestPlainAnswerReachesTheCaller: 502 before, the whole 8 MiB now.

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -9,8 +9,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// MaxMessageSize limits one message on a stream, in bytes.
-const MaxMessageSize = 4 << 20
+// MaxMessageSize limits one message on a stream, in bytes: the largest answer of a plain
+// service, 8 MiB, with the fields around it.
+const MaxMessageSize = 8<<20 + 64<<10
 
 const streamReadBuffer = 1 << 10 // Bytes.
 
