Count an attempt that got no connection as not sent

Cause: asked MaybeSent, which takes a request without a trace of a connection as sent, as it may have a transport that calls no hooks. A request that was withdrawn before it asked for a connection then counted as one that may have run: an unknown outcome instead of 'not run', and one of its runs used up. The entries' transport calls the hooks, so Sent is asked now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -87,11 +87,11 @@
 	minVersion := g.minVersion(g.deps.Now(), view, req.service.name, versionSafetyMargin)
 	g.metrics.recordAttemptVersion(attempt.sentAt, req.service.name, grant.Estimate, minVersion)
 	response, progress, err := g.roundTrip(ctx, r, req, attempt.endpoint, lastEventID) //nolint:bodyclose // attempt.end closes it.
-	if progress.MaybeSent() {
+	if progress.Sent() {
 		req.endpointsReached++
 	}
 	if err != nil {
-		return attempt, progress.MaybeSent(), err
+		return attempt, progress.Sent(), err
 	}
 	attempt.response = response
 	if response.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/connguard/doc.go
+++ b/internal/connguard/doc.go
@@ -2,7 +2,7 @@
 // that follow a complete response belong to no request, but net/http takes them for the
 // response to the next request that gets the connection before they are noticed.
 //
-// A Dialer's connections look for such bytes before a request is written, and a Progress
+// The connections of Wrap look for such bytes before a request is written, and a Progress
 // tells whether a request that failed may have been sent. A response that belongs to another
 // request shows that the two sides disagree on which request comes next: Progress.Retire
 // then keeps the connection from carrying any further request.
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// Sent reports whether bytes may have been sent, by a transport that calls the trace hooks.
+func (p *Progress) Sent() bool {
+	return p.sent.Load()
+}
+
 // MaybeSent reports whether bytes may have been sent. A transport that calls no
 // trace hook, or has connections of its own, counts as one that sent.
 func (p *Progress) MaybeSent() bool {
