--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -239,7 +239,7 @@
 	assert.NilError(t, slow.Recv(firstEvent))
 	assert.Equal(t, firstEvent.GetToken().GetText(), fakes.TokenText("slow", "v1", 0))
 	fast := f.readToEnd(f.startCall(m, core.RankUrgent, "fast", 3), "fast", "v1")
-	assert.Equal(t, fast.GetDone().GetTokens(), uint32(3))
+	assert.Equal(t, fast.GetDone().GetTokens(), uint32(3), "%v", fast)
 	nextIndex := uint32(1)
 	for {
 		e := &wire.CallEvent{}
