Let the operators' client end an endless body by its own bound in tests

The bound of the fake is now set by the answer, 96 MiB for bodies in this test and 32 MiB as before everywhere else, and the test asserts what it is about: that the client reads no more than its own bound.

--- a/internal/fakes/endlessserver.go
+++ b/internal/fakes/endlessserver.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// maxEndlessBytes and maxEndlessTime bound what a connection carries if its peer
+	// defaultEndlessBytes and maxEndlessTime bound what a connection carries if its peer
 	// fails to close it; maxEndlessConns bounds the connections of a server.
-	maxEndlessBytes = 32 << 20
-	maxEndlessTime  = 30 * time.Second
-	maxEndlessConns = 64
+	defaultEndlessBytes = 32 << 20
+	maxEndlessTime      = 30 * time.Second
+	maxEndlessConns     = 64
 	// endlessBatchBytes is the least size of a write without a pause.
 	endlessBatchBytes = 16 << 10
 )
@@ -31,6 +31,15 @@
 	// Pause is the time between two pieces; with 0, they are sent as fast as the
 	// connection carries them.
 	Pause time.Duration
+	// MaxBytes bounds what a connection carries; 0 is defaultEndlessBytes.
+	MaxBytes int64
+}
+
+func (a EndlessAnswer) maxBytes() int64 {
+	if a.MaxBytes == 0 {
+		return defaultEndlessBytes
+	}
+	return a.MaxBytes
 }
 
 // Repeat returns an EndlessAnswer.Piece that is always the same.
@@ -146,7 +155,7 @@
 		if result.Requests == 1 {
 			sending.Go(func() {
 				result.Sent = s.send(conn, request, stop)
-				if exhausted = result.Sent >= maxEndlessBytes; exhausted {
+				if exhausted = result.Sent >= s.answer.maxBytes(); exhausted {
 					_ = conn.Close()
 				}
 			})
@@ -165,13 +174,13 @@
 }
 
 // send sends the answer until the connection fails, stop is closed, or
-// maxEndlessBytes are sent. It returns the number of bytes sent.
+// the answer's MaxBytes are sent. It returns the number of bytes sent.
 func (s *EndlessServer) send(conn net.Conn, request *http.Request, stop <-chan struct{}) int64 {
 	sent := int64(0)
 	write := func(data string) bool {
 		n, err := io.WriteString(conn, data)
 		sent += int64(n)
-		return err == nil && sent < maxEndlessBytes
+		return err == nil && sent < s.answer.maxBytes()
 	}
 	if s.answer.Opening != nil && !write(s.answer.Opening(request)) {
 		return sent
--- a/operator/endless_test.go
+++ b/operator/endless_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/internal/fakes"
+	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/problem"
 )
@@ -24,10 +27,17 @@
 	// bytes act first.
 	slowTimeout = time.Second
 	fastTimeout = 20 * time.Second
+	// clientBytes is what the client may read of a body: its bound of 16 MiB, and a buffer.
+	clientBytes = 16<<20 + 64<<10
+	// serverBytes lets the client's bound act first: the kernel takes up to 36 MiB beside
+	// what the client reads.
+	serverBytes = 96 << 20
 	// sharedTimeout leaves a server behind a slow one half a minute.
 	sharedTimeout = time.Minute
 )
 
+var endlessTransport = httpcall.NewTransport()
+
 var endlessSpeeds = map[string]struct{ pause, timeout time.Duration }{
 	"fast": {0, fastTimeout},
 	"slow": {slowPause, slowTimeout},
@@ -61,28 +71,64 @@
 // Guards against a response without end that counts as one, such as a document with
 // bytes behind it, or that holds a command.
 func TestEndlessResponseIsNoResponse(t *testing.T) {
+	bodies := fakes.EndlessBodies("HTTP/1.1 200 OK", "", "{}", "                ")
 	answers := fakes.EndlessHeads()
-	maps.Copy(answers, fakes.EndlessBodies("HTTP/1.1 200 OK", "", "{}", "                "))
+	maps.Copy(answers, bodies)
 	for answerName, answer := range answers {
 		for callName, call := range endlessCalls {
 			for speedName, speed := range endlessSpeeds {
 				t.Run(answerName+"/"+callName+"/"+speedName, func(t *testing.T) {
 					t.Parallel()
-					server := startEndless(t, answer.WithPause(speed.pause))
+					answer := answer.WithPause(speed.pause)
+					read := new(countingTransport)
+					var httpClient *http.Client // The default one, which limits heads.
+					if _, isBody := bodies[answerName]; isBody {
+						answer.MaxBytes = serverBytes
+						httpClient = &http.Client{Transport: read}
+					}
+					server := startEndless(t, answer)
 					ctx, cancel := context.WithTimeout(t.Context(), speed.timeout)
 					defer cancel()
-					err := call(ctx, endlessClient(server))
+					client := operator.NewClient([]string{"http://" + server.Address()}, "t", httpClient)
+					err := call(ctx, client)
 					assert.Assert(t, err != nil)
 					assert.Assert(t, !isProblem(err), "got %v", err)
 					ended := <-server.Ended()
 					assert.Assert(t, ended.PeerClosed)
 					assert.Equal(t, ended.Requests, 1)
+					assert.Assert(t, read.bytes.Load() <= clientBytes, "the client read %d bytes", read.bytes.Load())
 				})
 			}
 		}
 	}
 }
 
+// countingTransport counts the bytes of response bodies that the client reads.
+type countingTransport struct {
+	bytes atomic.Int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *countingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := endlessTransport.RoundTrip(r)
+	if err == nil {
+		response.Body = &countingBody{response.Body, &c.bytes}
+	}
+	return response, err
+}
+
+type countingBody struct {
+	io.ReadCloser
+	bytes *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (b *countingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.bytes.Add(int64(n))
+	return n, err
+}
+
 func isProblem(err error) bool {
 	var target *problem.Error
 	return errors.As(err, &target)
