--- a/agent/calllimit_test.go
+++ b/agent/calllimit_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/endpoint"
@@ -43,13 +42,8 @@
 			service := &limitingService{perSecond: perSecond, until: start.Add(limitedTime)}
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			sched := newScheduler(routing.QueueConfig{Slots: 4, MaxWaiting: 4}, time.Now)
-			go sched.run(ctx)
-			sched.post(openEvent{})
-			runner := &plainRunner{service: "s", client: service, state: newEndpointState("a", 1), sched: sched, counters: &counters{}}
-			server := &callServer{
-				sched: sched, runner: runner, tracer: noop.NewTracerProvider().Tracer(""), counters: &counters{}, now: time.Now, bootNow: time.Now,
-			}
+			server := startPlainServer(ctx, service)
+			sched := server.sched
 			sawNoCredits := false
 			for time.Since(start) < limitedTime {
 				go server.runJob(ctx, nil, server.newJob(&wire.CallRequest{Service: "s", DeadlineMs: 1000}))
--- a/agent/rest_test.go
+++ b/agent/rest_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"go.opentelemetry.io/otel/trace/noop"
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/endpoint"
@@ -42,13 +41,8 @@
 		service := &restingService{until: start.Add(time.Second), pause: pause}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		sched := newScheduler(routing.QueueConfig{Slots: 4, MaxWaiting: 4}, time.Now)
-		go sched.run(ctx)
-		sched.post(openEvent{})
-		runner := &plainRunner{service: "s", client: service, state: newEndpointState("a", 1), sched: sched, counters: &counters{}}
-		server := &callServer{
-			sched: sched, runner: runner, tracer: noop.NewTracerProvider().Tracer(""), counters: &counters{}, now: time.Now, bootNow: time.Now,
-		}
+		server := startPlainServer(ctx, service)
+		sched := server.sched
 		var last *wire.CallEvent
 		for time.Since(start) < 8*time.Second {
 			j := server.newJob(&wire.CallRequest{Service: "s", DeadlineMs: 1000})
