Send chunks from the region that fetched them straight to all others

What callers saw: versions that arrive late, so that the whole fleet refuses requests from the moment at which the old version is no longer allowed (SHORT). Cause: a chunk crossed the five regions one after the other, four hops of up to a second each. At 108 agents a version of 2.8 s of the origin's link took 6.5 s to 8.6 s to reach all of them, without any trouble. Ruled out, in the new model of the fleet: the upload limits (surplus, copies, concurrency) and the number of requests to other regions gain half a second at most by themselves. Now each other region fetches from the first one, where the first ones rotate. With one origin region the chain stays. The test failed before: 40 to 99 of 110 agents lacked chunks after 8 s.

--- a/weights/fetchplan.go
+++ b/weights/fetchplan.go
@@ -76,6 +76,18 @@
 	return p.chains[chunk%len(p.chains)]
 }
 
+// upstreamPosition returns the position in a chain of the region from which the one at a
+// position fetches. Where the chains start in all regions in turn, each is only as long as one
+// link: the start sends a copy to each other region, which costs its links and instances no
+// more than chains would, and each hop would add up to a second. A single origin region would
+// have to send all copies, so that the regions pass chunks on there.
+func (p *FetchPlan) upstreamPosition(position int) int {
+	if len(p.fetchers[p.originRegion]) > 0 {
+		return position - 1
+	}
+	return 0
+}
+
 // computeChains fills chains with one period of the rotation.
 func (p *FetchPlan) computeChains() {
 	period := len(p.regions) * max(1, len(p.regions)-1)
--- a/weights/pickerupstream.go
+++ b/weights/pickerupstream.go
@@ -78,10 +78,11 @@
 	if position == 0 {
 		return p.originOrStore(now)
 	}
-	if p.regions[chain[position-1]].inFlight >= p.regionRequestLimit() {
+	upstream := p.plan.upstreamPosition(position)
+	if p.regions[chain[upstream]].inFlight >= p.regionRequestLimit() {
 		return Source{}, false
 	}
-	fetchers := p.remoteFetchers(i, chain, position)
+	fetchers := p.remoteFetchers(i, chain, position, upstream)
 	id := p.chooseRemoteFetcher(now, i, fetchers)
 	if p.mayFallBackToOrigin(now, i, len(fetchers), id) {
 		p.originFallbackUntil = now.Add(p.cfg.SuspectTime)
@@ -93,12 +94,15 @@
 	return Source{Kind: SourceRegionPeer, Peer: id}, true
 }
 
-// remoteFetchers lists the fetchers of a chunk in the other regions: those
-// before position in the chain, nearest first, then the later ones.
-func (p *Picker) remoteFetchers(i int, chain []string, position int) []core.InstanceID {
-	var ids []core.InstanceID
-	for _, region := range slices.Backward(chain[:position]) {
-		ids = append(ids, p.plan.Fetchers(region, i)...)
+// remoteFetchers lists the fetchers of a chunk in the other regions: those of the
+// upstream region, then the others before position in the chain, nearest first, then the
+// later ones.
+func (p *Picker) remoteFetchers(i int, chain []string, position, upstream int) []core.InstanceID {
+	ids := p.plan.Fetchers(chain[upstream], i)
+	for index, region := range slices.Backward(chain[:position]) {
+		if index != upstream {
+			ids = append(ids, p.plan.Fetchers(region, i)...)
+		}
 	}
 	for _, region := range chain[position+1:] {
 		ids = append(ids, p.plan.Fetchers(region, i)...)
