Do not take over from other fetchers while the origin fails

Cause: a fetcher that sees no new chunk for half a second takes the ones before it for dead and fetches in their place, also if the origin is what failed. All agents of a region then had the first turn for all chunks, and began with the same one. A fetcher whose own request to the origin fails now clears its suspicion of the others, does not take over for two seconds, and fetches its own chunks first.

--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -91,6 +91,7 @@
 		MaxRefusalBackoff:   80 * time.Millisecond,
 		FallbackDelay:       500 * time.Millisecond,
 		OriginFallbackDelay: 1500 * time.Millisecond,
+		TakeoverBackoff:     2 * time.Second,
 		JoinGrace:           400 * time.Millisecond,
 		LostPeerBackoff:     800 * time.Millisecond,
 		SuspectTime:         2 * time.Second,
--- a/sidecar/transferfleet_test.go
+++ b/sidecar/transferfleet_test.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// originCopies returns how many chunks the origin sent, in copies of the version.
+func (f *transferFleet) originCopies() float64 {
+	sent := 0
+	for _, count := range f.originChunks {
+		sent += count
+	}
+	return float64(sent) / fleetChunks
+}
+
 // incomplete returns how many agents lack chunks.
 func (f *transferFleet) incomplete() int {
 	return len(f.order) - f.complete
@@ -309,8 +318,13 @@
 }
 
 const (
-	// shortestVersionBound is the shortest bound on a version of all known deployments.
+	// maxOriginCopies bounds what the origin sends of one version.
+	maxOriginCopies = 2.0
+	// fleetVersionBound is the deployment's bound on a version, and shortestVersionBound the
+	// shortest of all known deployments.
+	fleetVersionBound    = 10300 * time.Millisecond
 	shortestVersionBound = 8 * time.Second
+	outageOfOrigin       = 6 * time.Second
 )
 
 // staggered starts agents as they read the manifest of a new version: one after the other.
@@ -319,6 +333,22 @@
 	return manifestReadInterval * time.Duration((i*37)%agents)
 }
 
+// Guards against a fleet whose agents all fetch the same chunks once the origin returns: they
+// ask for more than its link carries in time, and the version arrives nowhere.
+func TestChunksAreFetchedOnceWhenTheOriginReturns(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		for _, downFrom := range []time.Duration{time.Second, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("seed %d, down from %v", seed, downFrom), func(t *testing.T) {
+				t.Parallel()
+				f := newTransferFleet(seed, func(d time.Duration) bool { return d >= downFrom && d < downFrom+outageOfOrigin })
+				f.run(fleetVersionBound+outageOfOrigin, staggered)
+				assert.Check(t, f.incomplete() == 0, "%d agents lack chunks", f.incomplete())
+				assert.Check(t, f.originCopies() <= maxOriginCopies, "the origin sent %.1f copies", f.originCopies())
+			})
+		}
+	}
+}
+
 // Guards against a version that takes longer than its bound to reach a fleet of five regions
 // although the origin could have sent it almost three times.
 func TestVersionReachesFiveRegionsWithinItsBound(t *testing.T) {
--- a/weights/picker.go
+++ b/weights/picker.go
@@ -43,6 +43,9 @@
 	regions           map[string]*regionState
 	origin, store     sourceState
 	lastProgress      time.Time // When a chunk was last seen for the first time.
+	// takeoverBlockedUntil ends the period in which this instance does not fetch from the
+	// origin on behalf of other fetchers.
+	takeoverBlockedUntil time.Time
 	// originFallbackUntil ends the period in which the origin is used without
 	// delay when no other region can be reached.
 	originFallbackUntil time.Time
--- a/weights/pickerconfig.go
+++ b/weights/pickerconfig.go
@@ -64,6 +64,9 @@
 	// the second fetcher of a chunk takes over. The time that each further rank
 	// adds doubles.
 	FallbackDelay time.Duration
+	// TakeoverBackoff is how long an instance does not take over from other fetchers
+	// after the origin has failed for it too.
+	TakeoverBackoff time.Duration
 	// EndgameHedgeAfter is the age at which a request is hedged when nothing
 	// else is left to request.
 	EndgameHedgeAfter time.Duration
@@ -91,6 +94,7 @@
 	setDefault(&c.SourceBackoff, time.Second)
 	setDefault(&c.JoinGrace, 1500*time.Millisecond)
 	setDefault(&c.FallbackDelay, 3*time.Second)
+	setDefault(&c.TakeoverBackoff, 10*time.Second)
 	setDefault(&c.EndgameHedgeAfter, 400*time.Millisecond)
 	setDefault(&c.HedgeAfter, 3*time.Second)
 	setDefault(&c.OriginFallbackDelay, 10*time.Second)
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -173,6 +173,9 @@
 	chunk := &p.chunks[i]
 	if state := p.sourceState(source.Kind); state != nil {
 		state.recordFailure(now, failure, p.cfg.SourceBackoff, retryAfter)
+		if source.Kind == SourceOrigin && failure == FailureUnavailable {
+			p.stopTakeovers(now)
+		}
 		return
 	}
 	p.recordAnswer(p.peers[source.Peer])
--- a/weights/pickernext.go
+++ b/weights/pickernext.go
@@ -19,7 +19,7 @@
 // must end in Stored, Failed, PeerDown or SetTargets.
 func (p *Picker) Next(now time.Time) []Request {
 	var requests []Request
-	var available []int
+	var available, takeovers []int
 	endgame := p.waiting.empty()
 	p.updateAvailableFetchers(now)
 	for i := range p.waiting.all() {
@@ -29,10 +29,16 @@
 		case chunk.holders > 0:
 			available = p.insertRarest(available, i)
 		case now.Before(chunk.retryAt):
-		default:
+		case p.fetcherRank(i) == 0:
 			requests = p.requestUpstream(requests, now, i)
+		default:
+			takeovers = append(takeovers, i)
 		}
 	}
+	// A fetcher's own chunks come before those that it takes over from others.
+	for _, i := range takeovers {
+		requests = p.takeOver(requests, now, i)
+	}
 	for _, i := range available {
 		requests = p.requestFromNeighbour(requests, now, i)
 	}
--- a/weights/pickerupstream.go
+++ b/weights/pickerupstream.go
@@ -11,20 +11,43 @@
 // it adds just FallbackDelay.
 const maxFallbackDoublings = 5
 
-// requestUpstream requests a chunk that no neighbour holds, if it is this
-// instance's turn to fetch it into the region.
+// requestUpstream requests a chunk that no neighbour holds, and that this instance is the
+// first to fetch into the region.
 func (p *Picker) requestUpstream(requests []Request, now time.Time, i int) []Request {
+	source, ok := p.upstreamSource(now, i)
+	if !ok {
+		return requests
+	}
+	return p.addRequest(requests, now, Request{Chunk: i, Source: source, Urgent: true})
+}
+
+// takeOver requests a chunk that other fetchers of the region are to fetch, if there has been
+// no progress for so long that they seem to have failed.
+func (p *Picker) takeOver(requests []Request, now time.Time, i int) []Request {
 	if now.Sub(p.lastProgress) < p.fallbackDelay(p.fetcherRank(i)) {
 		return requests
 	}
 	source, ok := p.upstreamSource(now, i)
-	if !ok {
+	isUpstream := source.Kind == SourceOrigin || source.Kind == SourceStore
+	if !ok || isUpstream && now.Before(p.takeoverBlockedUntil) {
 		return requests
 	}
 	p.suspectPrecedingFetchers(now, i)
 	return p.addRequest(requests, now, Request{Chunk: i, Source: source, Urgent: true})
 }
 
+// stopTakeovers records that the origin fails for this instance too: the fetchers that made
+// no progress are not to blame. If all instances took over from one another, they would ask
+// for the same chunks when the origin returns, more at once than its link carries in time.
+func (p *Picker) stopTakeovers(now time.Time) {
+	p.takeoverBlockedUntil = now.Add(p.cfg.TakeoverBackoff)
+	for _, peer := range p.fetchers {
+		if peer != nil {
+			peer.suspectUntil = time.Time{}
+		}
+	}
+}
+
 // suspectPrecedingFetchers marks the fetchers that rank before this instance as
 // suspect, because they made no progress within the fallback delay.
 func (p *Picker) suspectPrecedingFetchers(now time.Time, i int) {
