Let a stalled copy go on without a restart

A manifest is read again only if no chunk arrived at all or chunks did not match; the copy is restarted if it was replaced.

--- a/sidecar/fetch.go
+++ b/sidecar/fetch.go
@@ -20,8 +20,8 @@
 	progressPollInterval = 100 * time.Millisecond
 	// progressLogInterval is the interval at which a download's progress is logged.
 	progressLogInterval = time.Second
-	// stallTimeout is how long a download may make no progress before its manifest
-	// is read again: no chunk would ever match a corrupt one.
+	// stallTimeout is how long a download may make no progress before it counts as
+	// stalled.
 	stallTimeout = 1500 * time.Millisecond
 	// stagedSetTimeout bounds the reading of a staged set of a few megabytes from the
 	// engine on the same instance. Without the set, its chunks are downloaded.
@@ -77,14 +77,17 @@
 	return set
 }
 
-// monitorDownload records the progress of a download. It cancels a stalled one once
-// the origin answers again: the manifest may be corrupt, and after an outage the
-// agents that fetch from the origin have all marked one another as lost. The download
-// then restarts with the chunks that it has.
+// monitorDownload records the progress of a download. If one stalls that got no chunk at all, or
+// chunks that did not match, its manifest is read again, and it is cancelled if that was
+// corrupt: no other agent shares it. Otherwise there is no reason to suspect the manifest.
+// All agents would read it from an origin that has just returned, and a restart closes
+// connections that other agents fetch over.
 func (r *Reconciler) monitorDownload(ctx context.Context, cancel context.CancelFunc, manifest *weights.Manifest) {
 	version, _ := strconv.ParseUint(manifest.Version, 10, 64)
-	maxHave, lastProgress := -1, time.Now()
+	initialHave, _ := r.node.Progress(manifest.Digest())
+	maxHave, lastProgress := initialHave, time.Now()
 	loggedAt := time.Now()
+	corruptBefore := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -97,20 +100,33 @@
 		}
 		stalled := time.Since(lastProgress) >= stallTimeout
 		r.recordProgress(version, have, total, stalled)
+		corrupt := r.node.CorruptChunks(manifest.Digest())
 		if time.Since(loggedAt) >= progressLogInterval {
 			loggedAt = time.Now()
-			r.deps.Logger.Info("copy goes on", "version", version, "have", have, "total", total)
+			r.deps.Logger.Info("copy goes on", "version", version, "have", have, "total", total, "stalled", stalled, "corrupt", corrupt)
 		}
-		if !stalled {
+		if !stalled || (corrupt == corruptBefore && maxHave > initialHave) {
 			continue
 		}
-		r.deps.Logger.Warn("copy stands still, waiting for the origin", "version", version, "have", have, "total", total)
-		if reread := r.awaitManifest(ctx, manifest.Model, version); reread != nil {
-			r.deps.Logger.Info("origin answers, restarting the stalled download", "version", version, "same", reread.Digest() == manifest.Digest())
+		if r.isManifestReplaced(ctx, manifest, version) {
+			cancel()
+			return
 		}
-		cancel()
-		return
+		corruptBefore, lastProgress = corrupt, time.Now()
+	}
+}
+
+// isManifestReplaced reads the manifest of a stalled download again, and reports whether it
+// differs.
+func (r *Reconciler) isManifestReplaced(ctx context.Context, manifest *weights.Manifest, version uint64) bool {
+	r.deps.Logger.Warn("copy stalled, reading the manifest again", "version", version)
+	reread := r.awaitManifest(ctx, manifest.Model, version)
+	if reread == nil {
+		return false
 	}
+	replaced := reread.Digest() != manifest.Digest()
+	r.deps.Logger.Info("manifest of the stalled copy read again", "version", version, "replaced", replaced)
+	return replaced
 }
 
 // recordProgress records the progress of a version's download. A download that was
--- a/weights/swarm/node.go
+++ b/weights/swarm/node.go
@@ -147,6 +147,17 @@
 	return set.Count(), set.Len()
 }
 
+// CorruptChunks returns how many chunks that the running transfer of a manifest received did
+// not match it, 0 without a transfer.
+func (n *Node) CorruptChunks(d core.Digest) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t := n.transfers[d]; t != nil {
+		return int(t.corrupt.Load())
+	}
+	return 0
+}
+
 func (n *Node) countReceived(from Peer, bytes int) {
 	n.metrics.chunksReceived.Inc(1)
 	n.metrics.bytesReceived.Inc(int64(bytes))
--- a/weights/swarm/transfer.go
+++ b/weights/swarm/transfer.go
@@ -28,6 +28,8 @@
 	callers int // Fetch calls that share the transfer; guarded by the node's mutex.
 	// dropped reports that the node dropped the manifest.
 	dropped atomic.Bool
+	// corrupt counts the received chunks that did not match the manifest.
+	corrupt atomic.Int64
 
 	events  chan event
 	workers sync.WaitGroup // Connections and fetches from sources.
@@ -118,6 +120,7 @@
 	if err := t.set.Put(index, data); err != nil {
 		var corrupt *weights.CorruptChunkError
 		if errors.As(err, &corrupt) {
+			t.corrupt.Add(1)
 			t.node.metrics.corrupt.Inc(1)
 		}
 		return err
