Let agents learn the endpoint list and their configuration from entries

Cause: each agent read the whole endpoint list eight times a second after its start, and 32 kB of a document before it gave it up as too large. It is a cost that grows with the square of the fleet, and that a start brings all at once. Entries, which watch the list, now send the engines of a service to the agents of their region on request, if the digest of the agent's list differs. Agents leave entries half a second before they read the store, and read the list at 10 kB/s on average, the target for control traffic. TestListReadsStayWithinTheBudgetOfControlTraffic failed before: 4.8 MB in 20 s, budget 0.2 MB.

--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,7 @@
 	go test ./weights -run '^$$' -fuzz '^FuzzDecodeManifest$$' -fuzztime $(FUZZ_TIME)
 	go test ./loadreport -run '^$$' -fuzz '^FuzzDecodeStrikes$$' -fuzztime $(FUZZ_TIME)
 	go test ./loadreport -run '^$$' -fuzz '^FuzzDecodeRateLimits$$' -fuzztime $(FUZZ_TIME)
+	go test ./loadreport -run '^$$' -fuzz '^FuzzDecodeEngineListPart$$' -fuzztime $(FUZZ_TIME)
 	go test ./wire -run '^$$' -fuzz '^FuzzDatagram$$' -fuzztime $(FUZZ_TIME)
 
 bench:
--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -97,13 +97,12 @@
 	}
 	follower := newFollower(store, deployment, s.Regions, t.Logger)
 	follower.InitialVersionAge = max(s.VersionBound-staleVersionGrace, 0)
-	go follower.Run(ctx)
 	go watchSettings(ctx, path, s, store, t.Logger)
 	go reportDroppedLines(ctx, t.Scope, out)
 	if role == "entry" {
-		err = runEntry(ctx, s, deployment, t)
+		err = runEntry(ctx, s, deployment, follower, t)
 	} else {
-		err = runAgent(ctx, s, deployment, t)
+		err = runAgent(ctx, s, deployment, follower, t)
 	}
 	t.Logger.Info("ended", "error", err)
 	return err
--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -26,7 +26,8 @@
 	maxIdleConnsPerEndpoint = 16
 )
 
-func runEntry(ctx context.Context, s *settings.Direct, deployment *directory.Directory, t *telemetry.Telemetry) error {
+func runEntry(ctx context.Context, s *settings.Direct, deployment *directory.Directory, follower *platform.Follower, t *telemetry.Telemetry) error {
+	go follower.Run(ctx)
 	g := gateway.New(gateway.Config{
 		Name:         s.InstanceID,
 		Region:       s.Location.Region,
@@ -63,7 +64,7 @@
 
 const bytesPerMegabit = 1e6 / 8
 
-func runAgent(ctx context.Context, s *settings.Direct, deployment *directory.Directory, t *telemetry.Telemetry) error {
+func runAgent(ctx context.Context, s *settings.Direct, deployment *directory.Directory, follower *platform.Follower, t *telemetry.Telemetry) error {
 	reconciler, err := sidecar.New(sidecar.Config{
 		Name:               s.InstanceID,
 		Service:            s.Service,
@@ -71,6 +72,7 @@
 		DatagramAddr:       portAddr(s, datagramPortOffset),
 		ChunkAddr:          portAddr(s, chunkPortOffset),
 		Location:           s.Location,
+		Regions:            s.Regions,
 		LinkBytesPerSecond: s.LinkMbps * bytesPerMegabit,
 		FleetKey:           s.FleetKey,
 		VersionBound:       s.VersionBound,
@@ -86,6 +88,8 @@
 	if err != nil {
 		return err
 	}
+	follower.EnginesProvided = reconciler.EnginesProvided
+	go follower.Run(ctx)
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return reconciler.Run(groupCtx) })
 	group.Go(func() error { return serveMetrics(groupCtx, s, t, alwaysReady) })
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -171,20 +171,35 @@
 
 // PutEndpoint adds or replaces an endpoint. An incarnation that was draining stays so.
 func (d *Directory) PutEndpoint(e *Endpoint) {
+	d.PutEndpoints([]*Endpoint{e})
+}
+
+// PutEndpoints adds or replaces endpoints, and publishes them with one view: each view costs
+// its subscribers as much as the whole list.
+func (d *Directory) PutEndpoints(endpoints []*Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.missing, e.ID)
-	e = d.drained.apply(e)
-	old := d.current.Load().Endpoints[e.ID]
-	if old != nil && *old == *e {
-		return
+	var changed []*Endpoint
+	for _, e := range endpoints {
+		delete(d.missing, e.ID)
+		e = d.drained.apply(e)
+		old := d.current.Load().Endpoints[e.ID]
+		if old != nil && *old == *e {
+			continue
+		}
+		if old == nil || old.Draining != e.Draining || old.LoadedVersion != e.LoadedVersion {
+			d.logger.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "draining", e.Draining, "held", e.LoadedVersion)
+		}
+		changed = append(changed, e)
 	}
-	if old == nil || old.Draining != e.Draining || old.LoadedVersion != e.LoadedVersion {
-		d.logger.Info("endpoint listed", "endpoint", e.ID, "service", e.Service, "address", e.Address, "draining", e.Draining, "held", e.LoadedVersion)
+	if len(changed) == 0 {
+		return
 	}
 	d.update(func(v *View) {
 		v.Endpoints = maps.Clone(v.Endpoints)
-		v.Endpoints[e.ID] = e
+		for _, e := range changed {
+			v.Endpoints[e.ID] = e
+		}
 	})
 }
 
--- a/gateway/declaredversions_test.go
+++ b/gateway/declaredversions_test.go
@@ -74,17 +74,17 @@
 	}})
 	for _, d := range []*directory.Directory{p.entryDirectory, p.agentDirectory} {
 		d.SetDocument(document)
-		d.PutEndpoint(&directory.Endpoint{ID: "i", Service: pairService, Address: engineListener.Addr().String(), Region: "r", Slots: 4, LoadedVersion: 1})
+		d.PutEndpoint(&directory.Endpoint{ID: "i", Service: pairService, Address: engineListener.Addr().String(), FailureDomain: "d", Region: "r", Slots: 4, LoadedVersion: 1})
 	}
 
 	datagramPort := freePort(t)
 	entry := gateway.New(gateway.Config{
-		Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: pairVersionBound, DatagramAddr: fmt.Sprint("127.0.0.1:", datagramPort),
+		Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: pairVersionBound, DatagramAddr: fmt.Sprint("127.0.0.1:", datagramPort), FleetKey: make([]byte, 16),
 	}, gateway.Deps{Directory: p.entryDirectory, HeaderCodec: pairCodec{}, Transport: &http.Transport{}, Now: bootclock.Now, Logger: logger, Scope: tally.NoopScope})
 	agent, err := sidecar.New(sidecar.Config{
 		Service: pairService, EngineAddr: engineListener.Addr().String(), VersionBound: pairVersionBound, LinkBytesPerSecond: 1e6,
 		DatagramAddr: fmt.Sprint("127.0.0.2:", datagramPort), ChunkAddr: fmt.Sprint("127.0.0.2:", freePort(t)),
-		FleetKey: make([]byte, 16), Location: core.Location{Region: "r"},
+		FleetKey: make([]byte, 16), Location: core.Location{Region: "r"}, Regions: map[string]string{"d": "r"},
 	}, sidecar.Deps{Directory: p.agentDirectory, Engine: versionOneEngine{}, Origin: unavailableOrigin{}, Now: bootclock.Now, Logger: logger, Scope: tally.NoopScope})
 	assert.NilError(t, err)
 	entryServer := httptest.NewServer(entry)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,10 @@
 	// endpointByAgent maps the IP address of an agent to its endpoint.
 	endpointByAgent atomic.Pointer[map[netip.Addr]*directory.Endpoint]
 
+	// engineLists holds the encoded engine lists by service. Only the loop that receives
+	// datagrams uses it.
+	engineLists map[string]encodedEngineList
+
 	// startedAt is the time to which the timestamps in subscriptions are relative.
 	startedAt time.Time
 	// startedAtBoot is the same time by deps.Now.
@@ -63,7 +67,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -51,6 +51,9 @@
 		if report.NeedsConfig {
 			g.sendAgentConfig(ctx, conn, from)
 		}
+		if report.WantsEngines {
+			g.sendEngineList(ctx, conn, from, report.EngineListDigest)
+		}
 		g.applyReport(time.Now(), from.Addr(), report)
 	}
 }
@@ -67,9 +70,12 @@
 			g.sendVersionAges(ctx, conn, agents)
 		}
 		demand := g.queuedDemand()
-		datagram := loadreport.Subscription{Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt))}.Encode()
+		subscription := loadreport.Subscription{
+			Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt)), OffersEngines: g.deps.Directory.View().StoreUp,
+		}
 		for _, agent := range agents {
-			if _, err := conn.WriteToUDPAddrPort(datagram, agent); err != nil && ctx.Err() == nil {
+			subscription.SameRegion = g.isInOwnRegion(agent.Addr())
+			if _, err := conn.WriteToUDPAddrPort(subscription.Encode(), agent); err != nil && ctx.Err() == nil {
 				g.deps.Logger.Warn("subscribing to load reports failed", "agent", agent, "error", err)
 			}
 		}
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -40,6 +40,7 @@
 	kindStrikes     = 5
 	kindVersionAges = 6
 	kindRateLimits  = 7
+	kindEngineList  = 8
 )
 
 // The flags of a report.
@@ -47,6 +48,7 @@
 	closedFlag = 1 << iota
 	needsConfigFlag
 	echoFlag
+	wantsEnginesFlag
 )
 
 // slowdownUnit is the resolution of an encoded slowdown.
@@ -54,11 +56,11 @@
 
 // reportBytes is the length of a report: kind, flags, running, waiting,
 // slowdown, entries, loaded version, declared version, declared age, closes in,
-// demand, timestamp, agent delay.
-const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2 + 2 + 2
+// demand, timestamp, agent delay, engine list.
+const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2 + 2 + 2 + 8
 
-// subscriptionBytes is the length of a subscription: kind, demand, timestamp.
-const subscriptionBytes = 1 + 2 + 2
+// subscriptionBytes is the length of a subscription: kind, flags, demand, timestamp.
+const subscriptionBytes = 2 + 2 + 2
 
 // Durations are encoded in one byte as multiples of durationUnit;
 // unknownDurationByte encodes UnknownDuration.
@@ -96,6 +98,10 @@
 	Demand int
 	// Echo belongs to the last subscription of the entry that gets the report.
 	Echo Echo
+	// WantsEngines asks the entry for its EngineList if that is not the one with the digest
+	// EngineListDigest, which the agent has.
+	WantsEngines     bool
+	EngineListDigest uint64
 }
 
 // UnknownDuration is the value of an unknown duration in a Report.
@@ -123,6 +129,9 @@
 	if r.Echo.Known {
 		flags |= echoFlag
 	}
+	if r.WantsEngines {
+		flags |= wantsEnginesFlag
+	}
 	b := append(make([]byte, 0, reportBytes), kindReport, flags)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Waiting, 1<<16-1)))
@@ -133,7 +142,7 @@
 	b = binary.BigEndian.AppendUint32(b, uint32(r.DeclaredVersion))
 	b = append(b, encodeDuration(r.DeclaredAge), encodeDuration(r.ClosesIn))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Demand, 1<<16-1)))
-	return r.Echo.append(b)
+	return binary.BigEndian.AppendUint64(r.Echo.append(b), r.EngineListDigest)
 }
 
 // encodeDuration encodes a duration beyond the range as unknown: a shorter one would
@@ -158,17 +167,19 @@
 		return Report{}, &FormatError{Bytes: len(b)}
 	}
 	return Report{
-		DeclaredVersion: uint64(binary.BigEndian.Uint32(b[12:])),
-		DeclaredAge:     decodeDuration(b[16]),
-		ClosesIn:        decodeDuration(b[17]),
-		Demand:          int(binary.BigEndian.Uint16(b[18:])),
-		Closed:          b[1]&closedFlag != 0,
-		NeedsConfig:     b[1]&needsConfigFlag != 0,
-		Running:         int(binary.BigEndian.Uint16(b[2:])),
-		Waiting:         int(binary.BigEndian.Uint16(b[4:])),
-		Slowdown:        float64(b[6]) * slowdownUnit,
-		Entries:         int(b[7]),
-		LoadedVersion:   uint64(binary.BigEndian.Uint32(b[8:])),
-		Echo:            decodeEcho(b[1]&echoFlag != 0, b[20:]),
+		DeclaredVersion:  uint64(binary.BigEndian.Uint32(b[12:])),
+		DeclaredAge:      decodeDuration(b[16]),
+		ClosesIn:         decodeDuration(b[17]),
+		Demand:           int(binary.BigEndian.Uint16(b[18:])),
+		Closed:           b[1]&closedFlag != 0,
+		NeedsConfig:      b[1]&needsConfigFlag != 0,
+		WantsEngines:     b[1]&wantsEnginesFlag != 0,
+		Running:          int(binary.BigEndian.Uint16(b[2:])),
+		Waiting:          int(binary.BigEndian.Uint16(b[4:])),
+		Slowdown:         float64(b[6]) * slowdownUnit,
+		Entries:          int(b[7]),
+		LoadedVersion:    uint64(binary.BigEndian.Uint32(b[8:])),
+		Echo:             decodeEcho(b[1]&echoFlag != 0, b[20:]),
+		EngineListDigest: binary.BigEndian.Uint64(b[24:]),
 	}, nil
 }
--- a/sidecar/config.go
+++ b/sidecar/config.go
@@ -23,6 +23,8 @@
 	DatagramAddr string
 	ChunkAddr    string
 	Location     core.Location
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// LinkBytesPerSecond is the capacity of the instance's network link.
 	LinkBytesPerSecond float64
 	// FleetKey verifies agent configurations and authenticates peers.
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -33,6 +33,7 @@
 	clocks *loadreport.ClockExchange
 	// lastDeclarations are those of the last VersionAges.
 	lastDeclarations []directory.Declaration
+	engines          engineListReceiver
 	// membership is used by the reconcile loop only, which derives downloadAllowed
 	// from it.
 	membership      membershipDebounce
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -146,6 +146,10 @@
 			r.applyAgentConfig(buffer[:n])
 			continue
 		}
+		if loadreport.IsEngineList(buffer[:n]) {
+			r.applyEngineListPart(buffer[:n])
+			continue
+		}
 		if loadreport.IsVersionAges(buffer[:n]) {
 			r.applyVersionAges(r.deps.Now(), from, buffer[:n], entries)
 			continue
@@ -203,6 +207,9 @@
 	recipients := entries.active(now)
 	report := loadreport.Report{Closed: true, Entries: len(recipients), Demand: entries.totalDemand(now)}
 	report.NeedsConfig = r.deps.Directory.View().Document == nil
+	provider, provided := chooseProvider(r.config.Name, recipients)
+	r.engines.setProvided(provided)
+	report.EngineListDigest = r.engines.digest.Load()
 	if state := r.engineState.Load(); state != nil {
 		report.Running = state.Running
 		report.Waiting = state.Waiting
@@ -224,6 +231,7 @@
 	r.lastReportAt = now
 	for addr, entry := range recipients {
 		report.Echo = entry.echo(now)
+		report.WantsEngines = provided && addr == provider && r.engines.ask(now)
 		if _, err := conn.WriteToUDPAddrPort(report.Encode(), addr); err != nil && ctx.Err() == nil {
 			r.deps.Logger.Warn("sending a load report failed", "entry", addr, "error", err)
 		}
