--- a/entry/assembly.go
+++ b/entry/assembly.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
@@ -56,6 +58,7 @@
 		now:         e.deps.Now,
 		retryBudget: routing.NewRetryBudget(routing.RetryBudgetConfig{Ratio: retryBudgetRatio, Burst: retryBudgetBurst}),
 	}
+	e.calls.ended, e.calls.end = context.WithCancel(context.Background())
 }
 
 // assembleOperations creates the components that carry out operators' intents.
--- a/entry/callservice.go
+++ b/entry/callservice.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,9 @@
 	tracer     trace.Tracer
 	scope      tally.Scope
 	now        func() time.Time
+	// ended is done when the calls that still run have to end, which end does.
+	ended context.Context
+	end   context.CancelFunc
 
 	attemptCount atomic.Uint64
 	callCount    atomic.Uint64
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -216,7 +216,7 @@
 	e.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), e.cfg.ShutdownGrace)
 	defer cancel()
-	_ = e.server.Shutdown(ctx)
+	shutDown(e.server, e.cfg.ShutdownGrace, e.calls.end)
 	e.claims.awaitReports(ctx)
 	e.heartbeats.leaving.Store(true)
 	for range leavingBroadcasts {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -57,6 +57,8 @@
 		defer span.End()
 		ctx, cancel := context.WithTimeout(ctx, h.svc.cfg.CallTimeout)
 		defer cancel()
+		unlink := context.AfterFunc(h.svc.ended, cancel)
+		defer unlink()
 		next(w, r.WithContext(ctx))
 	}
 }
