--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -46,7 +46,14 @@
 	if mayHaveRun && (!req.route.Retryable() || req.runs >= req.route.MaxRuns) {
 		return false
 	}
-	return req.endpointsReached == 0 || req.service.retryBudget.allowRetry()
+	if req.endpointsReached == 0 {
+		return true
+	}
+	if req.sparedRetry {
+		req.sparedRetry = false
+		return true
+	}
+	return req.service.retryBudget.allowRetry()
 }
 
 // maxFailedEndpoints is the number of failed endpoints after which a request is
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -164,9 +164,19 @@
 		return
 	}
 	time.AfterFunc(migrationDelay, func() {
-		migrated := g.migratable.cancelIfClosed(endpointID, func(*request) bool { return s.retryBudget.allowRetry() })
+		migrated := g.migratable.cancelIfClosed(endpointID, func(req *request) bool { return reserveMove(req, s.retryBudget) })
 		if migrated > 0 {
 			g.deps.Logger.Info("streams moved off a closing endpoint", "endpoint", endpointID, "streams", migrated)
 		}
 	})
 }
+
+// reserveMove takes the retries for moving a request's stream from the budget. The request reads
+// sparedRetry only after its attempt was cancelled.
+func reserveMove(req *request, budget *retryBudget) bool {
+	if req.sparedRetry {
+		return budget.allowRetry()
+	}
+	req.sparedRetry = budget.reserveMove()
+	return req.sparedRetry
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,7 +38,9 @@
 	endpointsReached int
 	// failedEndpointIDs lists the IDs of the endpoints at which an attempt failed.
 	failedEndpointIDs []string
-	queueWait         time.Duration
+	// sparedRetry says that a retry is reserved for a stream that was moved.
+	sparedRetry bool
+	queueWait   time.Duration
 	// lastEndpointID is the ID of the endpoint that was chosen last.
 	lastEndpointID string
 	// loadAtChoice is the load estimate on which that choice was based. Without a
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -61,3 +61,19 @@
 	defer b.mu.Unlock()
 	return b.share.TakeRetry()
 }
+
+// reserveMove takes two retries from the budget: one for the endpoint to which a stream moves,
+// and one for the case that this one does not take it. Without the second, a stream that was
+// moved for the sake of others would be broken off.
+func (b *retryBudget) reserveMove() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.share.TakeRetries(2)
+}
+
+// giveBack returns a reserved retry that was not needed.
+func (b *retryBudget) giveBack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.share.GiveBack()
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -75,6 +75,7 @@
 // end resumes at another endpoint if the route allows.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) {
 	s := &stream{gateway: g, w: w, controller: http.NewResponseController(w), req: req, lastEventID: req.metadata.LastEventID}
+	defer s.giveBackSparedRetry()
 	for {
 		grant, err := g.acquireSlot(ctx, req, s.headerSent)
 		if err != nil {
@@ -98,6 +99,14 @@
 	}
 }
 
+// giveBackSparedRetry returns the retry that was reserved when the stream moved.
+func (s *stream) giveBackSparedRetry() {
+	if s.req.sparedRetry {
+		s.req.sparedRetry = false
+		s.req.service.retryBudget.giveBack()
+	}
+}
+
 // tryEndpoint runs the stream at one endpoint. It returns nil once the response
 // was forwarded completely.
 func (s *stream) tryEndpoint(ctx context.Context, r *http.Request, grant *admission.Grant) (mayHaveRun bool, err error) {
--- a/routing/retrybudget.go
+++ b/routing/retrybudget.go
@@ -27,13 +27,23 @@
 
 // TakeRetry takes one retry from the budget and reports whether it is allowed.
 func (b *RetryBudget) TakeRetry() bool {
-	if b.tokens < 1 {
+	return b.TakeRetries(1)
+}
+
+// TakeRetries takes n retries from the budget, or none, and reports whether it is allowed.
+func (b *RetryBudget) TakeRetries(n int) bool {
+	if b.tokens < float64(n) {
 		return false
 	}
-	b.tokens--
+	b.tokens -= float64(n)
 	return true
 }
 
+// GiveBack returns a retry that was taken and not used.
+func (b *RetryBudget) GiveBack() {
+	b.tokens = min(b.tokens+1, b.config.Burst)
+}
+
 // SetConfig replaces the limits. Saved retries beyond the new burst are lost.
 func (b *RetryBudget) SetConfig(config RetryBudgetConfig) {
 	b.config = config
