--- a/weights/picker_test.go
+++ b/weights/picker_test.go
@@ -245,3 +245,34 @@
 		assert.Equal(t, r.Source.Kind, SourceRegionPeer)
 	}
 }
+
+// Guards against fetchers that go on in the place of others which make progress again: each
+// chunk of a region was then fetched by several of them.
+func TestSuspectedFetcherThatMakesProgressFetchesItsOwnChunksAgain(t *testing.T) {
+	targets := testTargets(4)
+	plan := NewFetchPlan(testManifest, "r0", 0, targets)
+	order := plan.Fetchers("r0", 0)
+	second := testPicker(Target{ID: order[1], Region: "r0"}, targets)
+	var ofPrimary []int // The chunks that the primary fetcher of chunk 0 fetches, and this one after it.
+	for i := range testChunks {
+		if fetchers := plan.Fetchers("r0", i); fetchers[0] == order[0] && fetchers[1] == order[1] {
+			ofPrimary = append(ofPrimary, i)
+		} else {
+			second.Stored(testStart, i, Source{})
+		}
+	}
+	assert.Assert(t, len(ofPrimary) >= 2, "%d chunks", len(ofPrimary))
+	for _, id := range order {
+		second.PeerUp(testStart, id, nil, 0)
+	}
+	afterDelay := testStart.Add(4 * time.Second)
+	second.cfg.OriginRequests = 1
+	taken := second.Next(afterDelay)
+	assert.Equal(t, len(taken), 1, "it takes over after the fallback delay")
+
+	second.PeerHas(afterDelay, order[0], ofPrimary[1:2], 0)
+	second.Stored(afterDelay, taken[0].Chunk, taken[0].Source)
+	for _, r := range second.Next(afterDelay.Add(time.Second)) {
+		assert.Equal(t, r.Source.Kind, SourcePeer, "the primary fetcher makes progress again")
+	}
+}
--- a/weights/pickerevents.go
+++ b/weights/pickerevents.go
@@ -40,8 +40,8 @@
 	}
 	peer.served = served
 	for _, i := range chunks {
-		if i >= 0 && i < len(p.chunks) {
-			p.addHolder(now, peer, i)
+		if i >= 0 && i < len(p.chunks) && p.addHolder(now, peer, i) {
+			peer.suspectUntil = time.Time{} // It makes progress.
 		}
 	}
 }
@@ -53,13 +53,15 @@
 	}
 }
 
-func (p *Picker) addHolder(now time.Time, peer *pickerPeer, i int) {
+// addHolder records that a peer holds a chunk, and reports whether that is new.
+func (p *Picker) addHolder(now time.Time, peer *pickerPeer, i int) bool {
 	if !peer.chunks.Add(i) {
-		return
+		return false
 	}
 	p.chunks[i].holders++
 	p.chunks[i].pausedUntil = time.Time{}
 	p.markSeen(now, i)
+	return true
 }
 
 // markSeen records progress if the chunk was not seen before.
