Sort the latest endpoints once for each view

Every poll of an agent and every renewal of an entry's subscriptions sorted the endpoint list anew, which grows with the fleet. Views are immutable, so that the first call keeps the result.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -61,6 +61,7 @@
 func (d *Directory) update(mutate func(*View)) {
 	next := *d.current.Load()
 	mutate(&next)
+	next.latest = sync.OnceValue(func() []*Endpoint { return latestEndpoints(next.Endpoints) })
 	d.current.Store(&next)
 	for _, notify := range d.subscribers {
 		notify(&next)
--- a/directory/view.go
+++ b/directory/view.go
@@ -14,6 +14,8 @@
 	DeclaredVersions map[string]DeclaredVersion
 	// StoreUp is set if the store answered the last call.
 	StoreUp bool
+	// latest computes LatestEndpoints once for the views of a Directory; nil for others.
+	latest func() []*Endpoint
 }
 
 // DeclaredVersion returns the declared version of a model, FirstVersion if none was
@@ -27,9 +29,17 @@
 
 // LatestEndpoints returns the latest incarnation at each address, sorted by ID: after
 // a power failure the endpoint list holds old and new incarnations for some seconds.
+// The caller must not modify the result.
 func (v *View) LatestEndpoints() []*Endpoint {
-	newest := make(map[string]*Endpoint, len(v.Endpoints))
-	for _, e := range v.Endpoints {
+	if v.latest != nil {
+		return v.latest()
+	}
+	return latestEndpoints(v.Endpoints)
+}
+
+func latestEndpoints(endpoints map[string]*Endpoint) []*Endpoint {
+	newest := make(map[string]*Endpoint, len(endpoints))
+	for _, e := range endpoints {
 		if other := newest[e.Address]; other == nil || e.newerThan(other) {
 			newest[e.Address] = e
 		}
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -129,7 +129,7 @@
 
 // serviceEngines returns the listed engines of the service, including the local one.
 func (r *Reconciler) serviceEngines(view *directory.View) []*directory.Endpoint {
-	return slices.DeleteFunc(view.LatestEndpoints(), func(e *directory.Endpoint) bool { return e.Service != r.config.Service })
+	return slices.DeleteFunc(slices.Clone(view.LatestEndpoints()), func(e *directory.Endpoint) bool { return e.Service != r.config.Service })
 }
 
 func (r *Reconciler) engineService(view *directory.View) *directory.Service {
