Pace reports and subscriptions between regions in large fleets

Cause: each agent sent each change of its load, twenty a second, to each of 36 entries, and each entry renewed its subscription to each of 138 agents ten times a second while requests waited: up to 100,000 and 50,000 datagrams a second, four fifths of them between regions. Reports and subscriptions go to the own region as before. The others get load changes and subscriptions as often as 166 datagrams a second allow, 10 kB/s, the target for control traffic of an instance, and every 0.2 s and 0.5 s at least. What closes, opens or changes an engine, and that requests begin or cease to wait, is told to all at once. Small deployments stay as they were. That subscriptions alone gain anything is not measured.

--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -63,6 +63,7 @@
 func (g *Gateway) subscribeToLoadReports(ctx context.Context, conn *net.UDPConn) {
 	startedAt := time.Now()
 	versionAgesSentAt := time.Time{}
+	pace := new(subscriptionPace)
 	for {
 		agents := g.agentAddrs()
 		if len(agents) > 0 && time.Since(versionAgesSentAt) >= loadreport.VersionAgesInterval {
@@ -70,15 +71,7 @@
 			g.sendVersionAges(ctx, conn, agents)
 		}
 		demand := g.queuedDemand()
-		subscription := loadreport.Subscription{
-			Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt)), OffersEngines: g.deps.Directory.View().StoreUp,
-		}
-		for _, agent := range agents {
-			subscription.SameRegion = g.isInOwnRegion(agent.Addr())
-			if _, err := conn.WriteToUDPAddrPort(subscription.Encode(), agent); err != nil && ctx.Err() == nil {
-				g.deps.Logger.Warn("subscribing to load reports failed", "agent", agent, "error", err)
-			}
-		}
+		g.subscribe(ctx, conn, demand, pace.selectAgents(time.Now(), agents, g.isInOwnRegion, demand))
 		select {
 		case <-ctx.Done():
 			return
@@ -87,6 +80,19 @@
 	}
 }
 
+// subscribe sends subscriptions to agents.
+func (g *Gateway) subscribe(ctx context.Context, conn *net.UDPConn, demand int, agents []netip.AddrPort) {
+	subscription := loadreport.Subscription{
+		Demand: demand, Timestamp: loadreport.TimestampAt(time.Since(g.startedAt)), OffersEngines: g.deps.Directory.View().StoreUp,
+	}
+	for _, agent := range agents {
+		subscription.SameRegion = g.isInOwnRegion(agent.Addr())
+		if _, err := conn.WriteToUDPAddrPort(subscription.Encode(), agent); err != nil && ctx.Err() == nil {
+			g.deps.Logger.Warn("subscribing to load reports failed", "agent", agent, "error", err)
+		}
+	}
+}
+
 const (
 	// startupPeriod is how long after the start subscriptions are renewed every
 	// startupSubscribeInterval: agents start at the same time after a power
--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -19,12 +19,19 @@
 	PollInterval = 50 * time.Millisecond
 	// RefreshInterval is the interval of reports while nothing changes.
 	RefreshInterval = 200 * time.Millisecond
+	// MaxDatagramsPerSecond bounds the reports of an agent, and the subscriptions of an entry,
+	// that are sent because of changes: with headers, they are the 10 kB/s of the target for
+	// control traffic of an instance.
+	MaxDatagramsPerSecond = 166
 	// SubscribeInterval is how often an entry renews its subscriptions.
 	SubscribeInterval = 500 * time.Millisecond
 	// BusySubscribeInterval applies while requests are queued at the entry.
 	BusySubscribeInterval = 100 * time.Millisecond
 	// DemandTTL is how long the demand of a subscription is valid.
 	DemandTTL = 3 * BusySubscribeInterval
+	// RemoteDemandTTL is the same for an entry in another region, which may renew its
+	// subscription only every SubscribeInterval.
+	RemoteDemandTTL = 3 * SubscribeInterval
 	// SubscriptionTTL is how long a subscription is valid; three renewals may be lost.
 	SubscriptionTTL = 4 * SubscribeInterval
 	// MaxDatagramBytes bounds a datagram of this package, so that it fits one packet.
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -26,9 +26,11 @@
 	switches      sync.WaitGroup
 	// engineState is nil until the engine answers, and while it does not.
 	engineState atomic.Pointer[EngineState]
-	// lastReport, lastReportAt and lastDeclarations are used by the reporter only.
-	lastReport   loadreport.Report
-	lastReportAt time.Time
+	// lastReport, lastRefreshAt, pace and lastDeclarations are used by the reporter only.
+	lastReport loadreport.Report
+	// lastRefreshAt is when all entries last got a report.
+	lastRefreshAt time.Time
+	pace          reportPace
 	// clocks bounds when the version ages of entries were sent.
 	clocks *loadreport.ClockExchange
 	// lastDeclarations are those of the last VersionAges.
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -30,6 +30,14 @@
 	versionAgesSentAt time.Time
 }
 
+// demandTTL returns how long the demand of the last subscription is valid.
+func (s subscriber) demandTTL() time.Duration {
+	if s.subscription.SameRegion {
+		return loadreport.DemandTTL
+	}
+	return loadreport.RemoteDemandTTL
+}
+
 // echo returns the echo of the last subscription.
 func (s subscriber) echo(now time.Time) loadreport.Echo {
 	return loadreport.Echo{Known: true, Timestamp: s.subscription.Timestamp, AgentDelay: now.Sub(s.receivedAt)}
@@ -80,7 +88,7 @@
 	defer s.mu.Unlock()
 	total := 0
 	for _, sub := range s.byAddr {
-		if now.Sub(sub.receivedAt) <= loadreport.DemandTTL {
+		if now.Sub(sub.receivedAt) <= sub.demandTTL() {
 			total += sub.subscription.Demand
 		}
 	}
@@ -224,12 +232,20 @@
 	if (normalised.ClosesIn < 0) == (r.lastReport.ClosesIn < 0) {
 		normalised.ClosesIn = r.lastReport.ClosesIn
 	}
-	if normalised == r.lastReport && now.Sub(r.lastReportAt) < loadreport.RefreshInterval {
+	if normalised == r.lastReport && now.Sub(r.lastRefreshAt) < loadreport.RefreshInterval {
 		return
 	}
+	unchangedLoad := normalised
+	unchangedLoad.Running, unchangedLoad.Waiting, unchangedLoad.Slowdown = r.lastReport.Running, r.lastReport.Waiting, r.lastReport.Slowdown
+	unchangedLoad.Demand, unchangedLoad.Entries = r.lastReport.Demand, r.lastReport.Entries
+	tellsMore := unchangedLoad != r.lastReport
+	isRefresh := now.Sub(r.lastRefreshAt) >= loadreport.RefreshInterval
+	selected := r.pace.selectRecipients(now, recipients, tellsMore || isRefresh)
+	if len(selected) == len(recipients) {
+		r.lastRefreshAt = now
+	}
 	r.lastReport = report
-	r.lastReportAt = now
-	for addr, entry := range recipients {
+	for addr, entry := range selected {
 		report.Echo = entry.echo(now)
 		report.WantsEngines = provided && addr == provider && r.engines.ask(now)
 		if _, err := conn.WriteToUDPAddrPort(report.Encode(), addr); err != nil && ctx.Err() == nil {
