--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -235,12 +235,8 @@
 	if normalised == r.lastReport && now.Sub(r.lastRefreshAt) < loadreport.RefreshInterval {
 		return
 	}
-	unchangedLoad := normalised
-	unchangedLoad.Running, unchangedLoad.Waiting, unchangedLoad.Slowdown = r.lastReport.Running, r.lastReport.Waiting, r.lastReport.Slowdown
-	unchangedLoad.Demand, unchangedLoad.Entries = r.lastReport.Demand, r.lastReport.Entries
-	tellsMore := unchangedLoad != r.lastReport
 	isRefresh := now.Sub(r.lastRefreshAt) >= loadreport.RefreshInterval
-	selected := r.pace.selectRecipients(now, recipients, tellsMore || isRefresh)
+	selected := r.pace.selectRecipients(now, recipients, isRefresh || tellsMoreThanLoad(normalised, r.lastReport))
 	if len(selected) == len(recipients) {
 		r.lastRefreshAt = now
 	}
--- a/sidecar/reportpace.go
+++ b/sidecar/reportpace.go
@@ -32,3 +32,10 @@
 	}
 	return near
 }
+
+// tellsMoreThanLoad reports whether a report differs from the last one in more than the load.
+func tellsMoreThanLoad(report, last loadreport.Report) bool {
+	report.Running, report.Waiting, report.Slowdown = last.Running, last.Waiting, last.Slowdown
+	report.Demand, report.Entries = last.Demand, last.Entries
+	return report != last
+}
--- a/sidecar/reportpace_test.go
+++ b/sidecar/reportpace_test.go
@@ -62,3 +62,21 @@
 	assert.Equal(t, entries.totalDemand(at(600)), 4)
 	assert.Equal(t, entries.totalDemand(at(2000)), 0)
 }
+
+func TestOnlyAChangedLoadIsNotUrgent(t *testing.T) {
+	last := loadreport.Report{Running: 1, Waiting: 2, Slowdown: 1, LoadedVersion: 3, Demand: 4, Entries: 5, ClosesIn: loadreport.UnknownDuration}
+	busier := last
+	busier.Running, busier.Waiting, busier.Slowdown, busier.Demand, busier.Entries = 8, 9, 2, 10, 6
+	assert.Assert(t, !tellsMoreThanLoad(busier, last))
+	for name, change := range map[string]func(*loadreport.Report){
+		"closed":  func(r *loadreport.Report) { r.Closed = true },
+		"loaded":  func(r *loadreport.Report) { r.LoadedVersion = 4 },
+		"version": func(r *loadreport.Report) { r.DeclaredVersion = 4 },
+		"closes":  func(r *loadreport.Report) { r.ClosesIn = 0 },
+		"config":  func(r *loadreport.Report) { r.NeedsConfig = true },
+	} {
+		changed := busier
+		change(&changed)
+		assert.Assert(t, tellsMoreThanLoad(changed, last), name)
+	}
+}
