--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory_test
 
 import (
+	"fmt"
 	"log/slog"
 	"testing"
 	"time"
@@ -322,3 +323,24 @@
 	d.PutEndpoint(&restarted)
 	assert.Assert(t, !d.View().Endpoints["e"].Draining, "a new incarnation may keep the ID")
 }
+
+// Guards against a cost that grows with the square of the endpoint list: each endpoint of a
+// list that is read as a whole was published with a view of its own.
+func TestListIsPublishedWithOneView(t *testing.T) {
+	d := newDirectory()
+	views := 0
+	d.Subscribe(func(*directory.View) { views++ })
+	var list []*directory.Endpoint
+	for i := range 100 {
+		list = append(list, &directory.Endpoint{ID: fmt.Sprint("i-", i), Address: fmt.Sprintf("10.0.0.%d:80", i)})
+	}
+	d.PutEndpoints(list)
+	assert.Equal(t, views, 2, "the first view, and that with the list")
+	assert.Equal(t, len(d.View().LatestEndpoints()), len(list))
+	d.PutEndpoints(list)
+	assert.Equal(t, views, 2, "nothing has changed")
+	changed := *list[0]
+	changed.Draining = true
+	d.PutEndpoint(&changed)
+	assert.Assert(t, d.View().LatestEndpoints()[0].Draining, "the sorted list is that of the view")
+}
