--- a/sidecar/transferfleet_test.go
+++ b/sidecar/transferfleet_test.go
@@ -320,9 +320,7 @@
 const (
 	// maxOriginCopies bounds what the origin sends of one version.
 	maxOriginCopies = 2.0
-	// fleetVersionBound is the deployment's bound on a version, and shortestVersionBound the
-	// shortest of all known deployments.
-	fleetVersionBound    = 10300 * time.Millisecond
+	// shortestVersionBound is the shortest bound on a version of all known deployments.
 	shortestVersionBound = 8 * time.Second
 	outageOfOrigin       = 6 * time.Second
 )
@@ -341,7 +339,7 @@
 			t.Run(fmt.Sprintf("seed %d, down from %v", seed, downFrom), func(t *testing.T) {
 				t.Parallel()
 				f := newTransferFleet(seed, func(d time.Duration) bool { return d >= downFrom && d < downFrom+outageOfOrigin })
-				f.run(fleetVersionBound+outageOfOrigin, staggered)
+				f.run(shortestVersionBound+outageOfOrigin, staggered)
 				assert.Check(t, f.incomplete() == 0, "%d agents lack chunks", f.incomplete())
 				assert.Check(t, f.originCopies() <= maxOriginCopies, "the origin sent %.1f copies", f.originCopies())
 			})
