Read everything again when the store comes back from an older copy

Callers saw removed keys served, and requests sent by a moved route to its old service, for good, after the store had come back from a copy some seconds old.

Cause: a watch continued after a revision that the store gave out again to another change, so that it got neither that change nor a 410. No code read the header Store-Era, which tells the two revisions apart.

A position is now an era and a revision. Any answer may show a new era first; it ends the pending watch and causes a full read, and late answers of the old era are errors. Until the copy is complete again, what the process knows goes before it: documents, versions, endpoints that the copy lacks, and records that were removed.

With the reading of the era taken out the tests of platform/storeera_test.go fail or never end.

--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -88,7 +88,7 @@
 	t.Logger.Info("started", "role", role, "region", s.Location.Region, "store", s.StoreAddr)
 	deployment := directory.New(t.Logger)
 	store := platform.NewStore(s.StoreAddr)
-	if err := t.AddLiveGauges(store.AnswerAge()); err != nil {
+	if err := t.AddLiveGauges(store.AnswerAge(), store.Era()); err != nil {
 		return err
 	}
 	newFollower := platform.NewFollower
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -230,21 +230,37 @@
 
 // DropEndpoint removes an endpoint that is no longer listed. During an outage of
 // the store and for missingGrace after it, the endpoint is only marked as missing;
-// ExpireMissing removes it later.
-func (d *Directory) DropEndpoint(now time.Time, id string) {
+// ExpireMissing removes it later. DropEndpoint reports whether it removed the endpoint.
+func (d *Directory) DropEndpoint(now time.Time, id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current.Load().Endpoints[id] == nil {
-		return
+		return false
 	}
 	if !d.current.Load().StoreUp || d.uptime.sinceRecovery(now) < missingGrace {
 		if _, marked := d.missing[id]; !marked {
 			d.missing[id] = d.uptime.beforeLastRecovery
 			d.logger.Info("endpoint missing after an outage of the store", "endpoint", id, "kept", missingGrace)
 		}
-		return
+		return false
 	}
 	d.remove(id)
+	return true
+}
+
+// RestartMissingGrace gives endpoints that are missing from the list, or will be, the full
+// missingGrace from now on: the store came back from an older copy and lacks the records that
+// were written since.
+func (d *Directory) RestartMissingGrace(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current.Load().StoreUp {
+		d.uptime.lost(now)
+		d.uptime.recovered(now)
+	}
+	for id := range d.missing {
+		d.missing[id] = d.uptime.beforeLastRecovery
+	}
 }
 
 func (d *Directory) remove(id string) {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -53,6 +53,7 @@
 	MetricVersionMandatoryIn      = "version_mandatory_in_seconds"
 	MetricLastAttemptAge          = "last_attempt_age_seconds"
 	MetricStoreAnswerAge          = "store_answer_age_seconds"
+	MetricStoreEra                = "store_era"
 	MetricAttemptsByVersion       = "attempts_by_version_total"
 	MetricOutdatedCancellations   = "outdated_cancellations_total"
 	MetricVersionCorrections      = "version_corrections_total"
