Verify staged chunks again when their verification is too old for the order

Callers got tokens made on corrupt weights: an agent was frozen for 4 s between its verification of the staged chunks and its load order, and three chunks turned bad meanwhile.

Cause: each chunk was verified once, and nothing compared the time since then with the 3 s for which corruption is nobody's fault. Timers stand still while an instance is suspended.

The age is now read right before the order, on a clock that counts suspended time, and the chunks are verified again as often as needed. If a suspension hits the order itself and a chunk is corrupt afterwards, the engine stays closed.

Without the change TestChunksAreVerifiedAgainAfterASuspension and TestEngineThatMayHaveLoadedCorruptChunksStaysClosed fail.

--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -19,7 +19,8 @@
 	deps   Deps
 	node   *swarm.Node
 
-	// switching is set while a version switch is announced or in progress.
+	// switching is set while a version switch is announced or in progress, and after one in
+	// which the engine may have loaded corrupt chunks.
 	switching atomic.Bool
 	// switchRunning is set while switchVersion runs, switches waits for it.
 	switchRunning atomic.Bool
--- a/sidecar/switchversion.go
+++ b/sidecar/switchversion.go
@@ -12,8 +12,13 @@
 const (
 	// switchAnnounceDelay is the time between the announcement of a switch to the
 	// entries and the load order: one report interval and the longest network delay.
-	// Staged bytes that are corrupted within it are not the system's fault.
 	switchAnnounceDelay = 70 * time.Millisecond
+	// corruptionGrace is how old the verification of a staged chunk may be when the engine
+	// accepts the load order: corruption within it is not the system's fault.
+	corruptionGrace = 3 * time.Second
+	// maxVerificationAge is the same at the moment of the order, which has the rest of
+	// corruptionGrace to reach the engine.
+	maxVerificationAge = 2500 * time.Millisecond
 	// switchTimeout bounds one switch: the longest stream and the load.
 	switchTimeout = 8 * time.Second
 	// switchPollInterval is the interval at which a running switch is checked.
@@ -24,7 +29,8 @@
 )
 
 // switchVersion makes the engine load a version: it stages the verified chunks,
-// reads them back, announces the switch to the entries, and orders the load.
+// reads them back, announces the switch to the entries, and orders the load. An engine
+// that may have loaded corrupt chunks stays closed until its next switch.
 func (r *Reconciler) switchVersion(ctx context.Context, service *directory.Service, version uint64, state *EngineState) error {
 	set := r.downloadedSet(version)
 	if set == nil {
@@ -33,15 +39,18 @@
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
 	defer cancel()
-	if err := r.stageChunks(ctx, service.Model, set); err != nil {
+	verifiedAt, err := r.stageChunks(ctx, service.Model, set)
+	if err != nil {
 		return err
 	}
 	r.switching.Store(true)
-	defer r.switching.Store(false)
-	if state.LoadedVersion != 0 {
-		time.Sleep(switchAnnounceDelay)
+	err = r.orderVersion(ctx, service.Model, set, version, state, verifiedAt)
+	var corrupt *CorruptLoadError
+	if errors.As(err, &corrupt) {
+		return err
 	}
-	if err := r.deps.Engine.Load(ctx, service.Model, version, state.OrdersStarted); err != nil {
+	defer r.switching.Store(false)
+	if err != nil {
 		return err
 	}
 	orderedAt := time.Now()
@@ -53,12 +62,62 @@
 	return nil
 }
 
-// stageChunks stages the missing and corrupt chunks, and verifies all of them.
-func (r *Reconciler) stageChunks(ctx context.Context, model string, set *weights.Set) error {
+// orderVersion announces the switch to a version whose chunks are staged, and orders the load
+// while their verification, begun at verifiedAt, is recent. The process may be suspended at any
+// moment, for which deps.Now counts. It returns *CorruptLoadError if that happened during the
+// order and the chunks turned bad.
+func (r *Reconciler) orderVersion(ctx context.Context, model string, set *weights.Set, version uint64, state *EngineState, verifiedAt time.Time) error {
+	if state.LoadedVersion != 0 {
+		time.Sleep(switchAnnounceDelay)
+	}
+	for age := r.age(verifiedAt); age > maxVerificationAge; age = r.age(verifiedAt) {
+		r.deps.Logger.Warn("verification of the staged chunks is too old, verifying them again", "version", version, "age_ms", age.Milliseconds())
+		var err error
+		if verifiedAt, err = r.stageChunks(ctx, model, set); err != nil {
+			return err
+		}
+	}
+	orderCtx, cancel := context.WithTimeout(ctx, corruptionGrace-r.age(verifiedAt))
+	defer cancel()
+	orderErr := r.deps.Engine.Load(orderCtx, model, version, state.OrdersStarted)
+	if errors.Is(orderErr, ErrOrderRefused) || r.age(verifiedAt) <= corruptionGrace {
+		return orderErr
+	}
+	// The order may have been accepted after the suspension, also if its answer was lost.
+	if err := r.verifyStaged(ctx, model, set); err != nil {
+		return &CorruptLoadError{Version: version, Cause: err}
+	}
+	return orderErr
+}
+
+// age returns the time since a reading of deps.Now.
+func (r *Reconciler) age(t time.Time) time.Duration {
+	return r.deps.Now().Sub(t)
+}
+
+// stageChunks stages the missing and corrupt chunks, and verifies all of them. It returns when
+// the verification began.
+func (r *Reconciler) stageChunks(ctx context.Context, model string, set *weights.Set) (time.Time, error) {
+	beganAt := r.deps.Now()
 	for i := range set.Len() {
 		if err := r.stageChunk(ctx, model, set, i); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return beganAt, nil
+}
+
+// verifyStaged returns *weights.CorruptChunkError if a staged chunk is not intact, and
+// ErrNotStaged if one is missing.
+func (r *Reconciler) verifyStaged(ctx context.Context, model string, set *weights.Set) error {
+	for i, want := range set.Manifest().Chunks {
+		staged, err := r.deps.Engine.ReadStaged(ctx, model, i)
+		if err != nil {
 			return err
 		}
+		if got := set.Manifest().SumChunk(staged); got != want {
+			return &weights.CorruptChunkError{Chunk: i, Want: want, Got: got}
+		}
 	}
 	return nil
 }
