Share the blame for a crash among equally suspect parts, and contradict it

Callers were refused for half a minute since the first part of their prompts also stood beside a part that crashes endpoints.

Cause: entries at which neither part had begun struck both in full, and the entry at which the first part began all the time followed them. No request with it could begin any more, and only a begin would have cleared it.

A crash has one cause: equally suspect parts share a strike. An entry that has begun one of them lately contradicts the shared strike to all entries, and the last suspect of a crash gets the whole blame. A single suspect keeps its strike.

--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/strikes"
 )
@@ -43,8 +44,9 @@
 // recordPartCrash records strikes against the parts that may be to blame for a crash before
 // the answer began.
 func (g *Gateway) recordPartCrash(req *request, crash uint64) {
-	for _, fingerprint := range req.service.parts.suspects(req) {
-		news, verdict := g.strikes.Parts.Strike(fingerprint, crash, false)
+	suspects := req.service.parts.suspects(req)
+	for _, fingerprint := range suspects {
+		news, verdict := g.strikes.Parts.StrikePart(fingerprint, crash, len(suspects) > 1)
 		if len(news) == 0 {
 			continue
 		}
@@ -53,13 +55,40 @@
 		part := req.metadata.SharedParts[slices.Index(req.partFingerprints, fingerprint)]
 		req.logger.Info("part of a prompt may have crashed an endpoint",
 			"request", req.metadata.ID, "part", part, "fingerprint", fingerprintText(fingerprint),
-			"crash", strikes.CrashText(crash), "strikes", len(verdict.Crashes))
+			"crash", strikes.CrashText(crash), "suspects", len(suspects), "strikes", len(verdict.Crashes))
 		if verdict.Refused {
 			g.startQuarantine(verdict, "own")
 		}
 	}
 }
 
+// contradict turns the strikes of other entries against parts that have begun here lately into
+// absolutions, and reports whether there are any. An entry blames several parts of a prompt if it
+// knows of none that it has begun; one that knows better tells the others. A strike against a
+// single part stands: it may have turned deadly after its last begin here.
+func (g *Gateway) contradict(received loadreport.Strikes) bool {
+	contradicted := false
+	for i := range received {
+		strike := &received[i]
+		if strike.Part && strike.Shared && !strike.Absolved && g.hasBegunLately(strike.Fingerprint) {
+			strike.Absolved = true
+			contradicted = true
+		}
+	}
+	return contradicted
+}
+
+// hasBegunLately reports whether requests with a part have begun here, without an unusual silence
+// since. The fingerprint of a part names its service.
+func (g *Gateway) hasBegunLately(part uint64) bool {
+	for _, service := range *g.services.Load() {
+		if service.parts.hasBegunLately(part) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordBegin absolves the parts of a request that an endpoint has begun to answer.
 func (g *Gateway) recordBegin(req *request) {
 	req.service.parts.recordBegin(req)
--- a/gateway/parttracker.go
+++ b/gateway/parttracker.go
@@ -23,6 +23,13 @@
 	t.history.RecordBegin(req.partFingerprints)
 }
 
+// hasBegunLately reports whether requests with a part have begun lately.
+func (t *partTracker) hasBegunLately(part uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.history.HasBegunLately(part)
+}
+
 // suspects returns the parts of a request that may be to blame for a crash.
 func (t *partTracker) suspects(req *request) []uint64 {
 	t.mu.Lock()
--- a/gateway/strikeexchange.go
+++ b/gateway/strikeexchange.go
@@ -70,7 +70,13 @@
 		g.deps.Logger.Warn("strikes rejected", "from", from, "error", err)
 		return
 	}
-	_, quarantined := g.strikes.Merge(received)
+	contradicted := g.contradict(received)
+	news, quarantined := g.strikes.Merge(received)
+	if contradicted {
+		absolved := slices.DeleteFunc(news, func(s loadreport.Strike) bool { return !s.Absolved })
+		g.strikeNews.add(absolved)
+		g.deps.Logger.Info("strikes against parts of prompts that begin here contradicted", "from", from, "strikes", len(absolved))
+	}
 	for _, verdict := range quarantined {
 		g.startQuarantine(verdict, "other entries")
 	}
--- a/loadreport/strikes.go
+++ b/loadreport/strikes.go
@@ -22,6 +22,8 @@
 	Part bool
 	// Late says that the endpoint had begun to answer.
 	Late bool
+	// Shared says that several parts of the prompt were equally suspect.
+	Shared bool
 	// Absolved says that the request ran to its end since, so that the strike is void.
 	Absolved bool
 }
@@ -43,6 +45,7 @@
 	absolvedFlag = 1 << iota
 	lateFlag
 	partFlag
+	sharedFlag
 )
 
 // strikesPurpose separates the signatures of strikes from those of other datagrams.
@@ -69,6 +72,9 @@
 		if strike.Part {
 			flags |= partFlag
 		}
+		if strike.Shared {
+			flags |= sharedFlag
+		}
 		body = binary.BigEndian.AppendUint64(body, strike.Fingerprint)
 		body = binary.BigEndian.AppendUint64(body, strike.Crash)
 		body = binary.BigEndian.AppendUint16(body, encodeAge(strike.Age))
@@ -96,6 +102,7 @@
 			Age:         time.Duration(binary.BigEndian.Uint16(body[16:])) * durationUnit,
 			Part:        body[18]&partFlag != 0,
 			Late:        body[18]&lateFlag != 0,
+			Shared:      body[18]&sharedFlag != 0,
 			Absolved:    body[18]&absolvedFlag != 0,
 		})
 	}
--- a/loadreport/strikes_test.go
+++ b/loadreport/strikes_test.go
@@ -18,6 +18,7 @@
 		{Fingerprint: 1 << 63, Crash: 1<<64 - 1, Age: time.Hour, Late: true},
 		{Fingerprint: 3, Crash: 4, Absolved: true},
 		{Fingerprint: 5, Crash: 4, Part: true},
+		{Fingerprint: 6, Crash: 4, Part: true, Shared: true},
 	}
 	decoded, err := loadreport.DecodeStrikes(testKey, strikes.Encode(testKey))
 	assert.NilError(t, err)
--- a/routing/parthistory.go
+++ b/routing/parthistory.go
@@ -69,6 +69,12 @@
 	return suspects
 }
 
+// HasBegunLately reports whether requests with a part have begun, without an unusual silence
+// since.
+func (h *PartHistory) HasBegunLately(part uint64) bool {
+	return h.silence(part) < minSilence
+}
+
 // silence returns the number of requests without a part that have begun since the last
 // one with it, the largest number for a part that never began.
 func (h *PartHistory) silence(part uint64) uint64 {
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	strikeWeight     = 2
-	lateStrikeWeight = 1
+	strikeWeight       = 4
+	lateStrikeWeight   = 2
+	sharedStrikeWeight = 2
 
 	defaultQuarantineStrikes = 2
 	defaultStrikeTTL         = 2 * time.Minute
@@ -24,7 +25,7 @@
 	// 10 min by default.
 	QuarantineTTL time.Duration
 	// QuarantineStrikes is the number of strikes that quarantine a request, 2 by default;
-	// two late ones count as one.
+	// two late or shared ones count as one.
 	QuarantineStrikes int
 	// TrialAfter is how long after the last strike a request with fewer than ProvenStrikes
 	// may run again; QuarantineTTL by default. It stays a suspect. ProvenStrikes, one more
@@ -207,9 +208,29 @@
 		return false
 	}
 	q.cleared[s.Fingerprint] = append(q.cleared[s.Fingerprint], s)
+	q.blameLastSuspect(s.Crash)
 	return true
 }
 
+// blameLastSuspect gives the whole blame for a crash to the only fingerprint that is left of
+// those that shared it.
+func (q *Quarantine) blameLastSuspect(crash string) {
+	var last *Strike
+	for _, strikes := range q.strikes {
+		i := slices.IndexFunc(strikes, func(s Strike) bool { return s.Crash == crash && s.Shared })
+		if i < 0 {
+			continue
+		}
+		if last != nil {
+			return
+		}
+		last = &strikes[i]
+	}
+	if last != nil {
+		last.Shared = false
+	}
+}
+
 func (q *Quarantine) dropExpiredCleared(now time.Time) {
 	maps.DeleteFunc(q.cleared, func(_ uint64, strikes []Strike) bool {
 		return !now.Before(lastStrikeAt(strikes).Add(q.config.QuarantineTTL))
@@ -269,9 +290,12 @@
 func totalWeight(strikes []Strike) int {
 	weight := 0
 	for _, s := range strikes {
-		if s.Late {
+		switch {
+		case s.Late:
 			weight += lateStrikeWeight
-		} else {
+		case s.Shared:
+			weight += sharedStrikeWeight
+		default:
 			weight += strikeWeight
 		}
 	}
--- a/routing/quarantine_test.go
+++ b/routing/quarantine_test.go
@@ -117,3 +117,27 @@
 	assert.Assert(t, !q.RecordStrike(epoch, strikeAt("crash-3", epoch)))
 	assert.Assert(t, q.RecordStrike(epoch, strikeAt("crash-4", epoch)))
 }
+
+// Guards against a deadly part that crashes twice as many endpoints since a sound one, absolved
+// meanwhile, had shared the blame.
+func TestLastSuspectOfACrashGetsTheWholeBlame(t *testing.T) {
+	q := NewQuarantine(QuarantineConfig{QuarantineStrikes: 3})
+	now := time.Unix(1000, 0)
+	const sound, deadly, other = 1, 2, 3
+	for _, crash := range []string{"a", "b", "c"} {
+		for _, part := range []uint64{sound, deadly} {
+			q.RecordStrike(now, Strike{Fingerprint: part, Crash: crash, At: now, Shared: true})
+		}
+	}
+	_, refused := q.Refused(now, deadly)
+	assert.Assert(t, !refused)
+	q.Absolve(now, sound)
+	_, refused = q.Refused(now, deadly)
+	assert.Assert(t, refused)
+
+	for _, part := range []uint64{sound, other, 4} {
+		q.RecordStrike(now, Strike{Fingerprint: part, Crash: "d", At: now, Shared: true})
+	}
+	q.Absolve(now, sound)
+	assert.Assert(t, q.Strikes(now, other)[0].Shared, "two suspects are left")
+}
--- a/routing/strike.go
+++ b/routing/strike.go
@@ -11,4 +11,7 @@
 	// Late says that the endpoint had begun to answer the request. Such a strike counts
 	// half: requests that crash endpoints mostly do so as they begin to run.
 	Late bool
+	// Shared says that the strike is against one of several parts of a prompt that were
+	// equally suspect. Such a strike counts half: the crash has one cause.
+	Shared bool
 }
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -86,16 +86,28 @@
 // Strike records that a request was running at a crash; late says that its answer had
 // begun. It returns the strike to pass on if it was new, and the verdict.
 func (r *Register) Strike(fingerprint, crash uint64, late bool) (loadreport.Strikes, Verdict) {
+	return r.record(routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), Late: late})
+}
+
+// StrikePart is Strike for a part of prompts; shared says that other parts of the prompt were
+// equally suspect.
+func (r *Register) StrikePart(fingerprint, crash uint64, shared bool) (loadreport.Strikes, Verdict) {
+	return r.record(routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), Shared: shared})
+}
+
+// record records a strike that is seen now.
+func (r *Register) record(s routing.Strike) (loadreport.Strikes, Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.updateCount()
 	now := r.now()
-	isNew := r.quarantine.RecordStrike(now, routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), At: now, Late: late})
-	verdict := r.verdict(now, fingerprint)
+	s.At = now
+	isNew := r.quarantine.RecordStrike(now, s)
+	verdict := r.verdict(now, s.Fingerprint)
 	if !isNew {
 		return nil, verdict
 	}
-	return loadreport.Strikes{{Fingerprint: fingerprint, Part: r.parts, Crash: crash, Late: late}}, verdict
+	return loadreport.Strikes{r.outgoing(now, s)}, verdict
 }
 
 // Absolve clears the strikes of a request that ran to its end, and returns them to pass
@@ -130,7 +142,7 @@
 		if strike.Part != r.parts {
 			continue
 		}
-		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late}
+		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late, Shared: strike.Shared}
 		if strike.Absolved {
 			if r.quarantine.AbsolveStrike(now, s) {
 				news = append(news, strike)
@@ -202,5 +214,5 @@
 func (r *Register) outgoing(now time.Time, s routing.Strike) loadreport.Strike {
 	// Only CrashText makes these texts, so that they parse.
 	crash, _ := strconv.ParseUint(s.Crash, 16, 64)
-	return loadreport.Strike{Fingerprint: s.Fingerprint, Part: r.parts, Crash: crash, Age: now.Sub(s.At), Late: s.Late}
+	return loadreport.Strike{Fingerprint: s.Fingerprint, Part: r.parts, Crash: crash, Age: now.Sub(s.At), Late: s.Late, Shared: s.Shared}
 }
