Take a slot elsewhere before a running stream is cancelled for its move

Callers lost answers that had begun, in the middle, though the endpoint was sound: it closed for new weights, or was silent for a second or two.

Cause: the attempt was cancelled first, as far as the retry budget went, and a slot was looked for afterwards, for 1.8 s. With all other slots taken the answer was cut.

A stream that is to move now runs on until it has a slot elsewhere: a free one, or by the queue, before all other requests. The slot is handed to the next attempt, and given back if the stream ends, its endpoint recovers or the retry budget does not allow the move.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -19,6 +19,11 @@
 		req.recordRefusal(err)
 		return nil, err
 	}
+	return g.admit(req, grant)
+}
+
+// admit records the slot that a request got, or gives it back if the request may no longer run.
+func (g *Gateway) admit(req *request, grant *admission.Grant) (*admission.Grant, error) {
 	// Requests that end free slots, which others get that are about to end too.
 	if err := context.Cause(g.stopped); err != nil {
 		grant.Done(admission.Cancelled)
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -29,10 +29,13 @@
 	// chosenVersion is the version of the weights that was loaded at the endpoint when it
 	// was chosen, 0 for a service without weights.
 	chosenVersion uint64
+	// move moves the attempt to another endpoint, nil if it may not.
+	move *streamMove
 }
 
 // attemptRegistry holds attempts by endpoint ID. It is safe for concurrent use.
 type attemptRegistry struct {
+	// mu may be held while the lock of a streamMove is taken.
 	mu       sync.Mutex
 	attempts map[string]map[*request]registeredAttempt
 	closed   map[string]bool // By endpoint ID.
@@ -43,14 +46,14 @@
 }
 
 // add registers the attempt of a grant; remove unregisters it.
-func (r *attemptRegistry) add(grant *admission.Grant, req *request, cancel context.CancelCauseFunc) (remove func()) {
+func (r *attemptRegistry) add(grant *admission.Grant, req *request, cancel context.CancelCauseFunc, move *streamMove) (remove func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	endpointID := grant.EndpointID
 	if r.attempts[endpointID] == nil {
 		r.attempts[endpointID] = make(map[*request]registeredAttempt)
 	}
-	r.attempts[endpointID][req] = registeredAttempt{cancel: cancel, chosenVersion: grant.Estimate.LoadedVersion}
+	r.attempts[endpointID][req] = registeredAttempt{cancel: cancel, chosenVersion: grant.Estimate.LoadedVersion, move: move}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -62,34 +65,40 @@
 }
 
 // setClosed records whether an endpoint accepts no new requests at present, and
-// reports whether it is closed now and was not before.
+// reports whether it is closed now and was not before. Streams stay at one that opens.
 func (r *attemptRegistry) setClosed(endpointID string, closed bool) (newlyClosed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	wasClosed := r.closed[endpointID]
 	if !closed {
 		delete(r.closed, endpointID)
+		if wasClosed {
+			for _, attempt := range r.attempts[endpointID] {
+				attempt.move.stop(errMigrated)
+			}
+		}
 		return false
 	}
 	r.closed[endpointID] = true
 	return !wasClosed
 }
 
-// cancelIfClosed cancels the attempts of an endpoint that allowed permits, if the
-// endpoint is still closed.
-func (r *attemptRegistry) cancelIfClosed(endpointID string, allowed func(*request) bool) (cancelled int) {
+// moveIfClosed moves the attempts of an endpoint, if it is still closed. It returns how many
+// were moved at once and how many stay as long as there is no slot for them.
+func (r *attemptRegistry) moveIfClosed(endpointID string) (moved, staying int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.closed[endpointID] {
-		return 0
+		return 0, 0
 	}
-	for req, attempt := range r.attempts[endpointID] {
-		if allowed(req) {
-			attempt.cancel(errMigrated)
-			cancelled++
+	for _, attempt := range r.attempts[endpointID] {
+		if attempt.move.start(errMigrated) {
+			moved++
+		} else {
+			staying++
 		}
 	}
-	return cancelled
+	return moved, staying
 }
 
 // endpointsOf returns the endpoints with attempts of a service.
@@ -158,25 +167,16 @@
 
 // handleClosed records whether an endpoint is closed. Streams that are still open
 // there after migrationDelay migrate, so that the endpoint can load other weights
-// and accept requests again.
-func (g *Gateway) handleClosed(endpointID string, s *service, closed bool) {
+// and accept requests again. It loads after its requests have ended, so that a stream
+// for which there is no slot elsewhere ends there.
+func (g *Gateway) handleClosed(endpointID string, closed bool) {
 	if !g.migratable.setClosed(endpointID, closed) {
 		return
 	}
 	time.AfterFunc(migrationDelay, func() {
-		migrated := g.migratable.cancelIfClosed(endpointID, func(req *request) bool { return reserveMove(req, s.retryBudget) })
-		if migrated > 0 {
-			g.deps.Logger.Info("streams moved off a closing endpoint", "endpoint", endpointID, "streams", migrated)
+		moved, staying := g.migratable.moveIfClosed(endpointID)
+		if moved+staying > 0 {
+			g.deps.Logger.Info("streams move off a closing endpoint", "endpoint", endpointID, "moved", moved, "staying", staying)
 		}
 	})
 }
-
-// reserveMove takes the retries for moving a request's stream from the budget. The request reads
-// sparedRetry only after its attempt was cancelled.
-func reserveMove(req *request, budget *retryBudget) bool {
-	if req.sparedRetry {
-		return budget.allowRetry()
-	}
-	req.sparedRetry = budget.reserveMove()
-	return req.sparedRetry
-}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/internal/connguard"
+	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/internal/versiontest"
 )
 
@@ -385,7 +386,8 @@
 		for moved := 0; moved == 0; {
 			for _, id := range []string{"i-0", "i-1"} {
 				f.gateway.migratable.setClosed(id, true)
-				moved += f.gateway.migratable.cancelIfClosed(id, func(*request) bool { return true })
+				n, _ := f.gateway.migratable.moveIfClosed(id)
+				moved += n
 			}
 		}
 	}()
@@ -395,14 +397,19 @@
 }
 
 func TestEventTimeoutCancelsOnlyMigratableStreams(t *testing.T) {
-	f := newFixture(t)
+	f := newFixture(t, respondWith("response"))
 	service := (*f.gateway.services.Load())["s"]
 	resumable := &directory.Route{Kind: directory.Streaming, Resumable: true, MaxRuns: 2}
 	nonResumable := &directory.Route{Kind: directory.Streaming, MaxRuns: 2}
 	cause := func(req *request) error {
 		ctx, cancel := context.WithCancelCause(t.Context())
 		defer cancel(nil)
-		timeOutAttempt(cancel, (&stream{req: req}).canMigrate(), service.retryBudget)
+		req.service = service
+		s := &stream{gateway: f.gateway, req: req}
+		move := s.newStreamMove(ctx, cancel, &admission.Grant{EndpointID: "other"})
+		s.onSilence(move)()
+		s.endMove(move)
+		s.releasePlaced()
 		return context.Cause(ctx)
 	}
 	assert.Equal(t, cause(&request{route: resumable}), ErrEventTimeout)
--- a/gateway/livegauges_test.go
+++ b/gateway/livegauges_test.go
@@ -149,7 +149,7 @@
 	f.listEndpoint(t, 1, respondWith("response"))
 	var cause error
 	cancel := context.CancelCauseFunc(func(err error) { cause = err })
-	f.gateway.unstarted.add(&admission.Grant{EndpointID: "i-0"}, &request{service: (*f.gateway.services.Load())["lm"]}, cancel)
+	f.gateway.unstarted.add(&admission.Grant{EndpointID: "i-0"}, &request{service: (*f.gateway.services.Load())["lm"]}, cancel, nil)
 	f.gateway.cancelOutdated(f.directory.View(), "lm", (*f.gateway.services.Load())["lm"], 2)
 	assert.ErrorIs(t, cause, errVersionTooOld)
 	assert.Equal(t, f.counter(telemetry.MetricOutdatedCancellations, map[string]string{telemetry.TagService: "lm"}), int64(1))
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -173,7 +173,7 @@
 	if report.Entries > 0 && int64(report.Entries) != g.entryCount.Load() {
 		g.setEntryCount(report.Entries)
 	}
-	g.handleClosed(endpoint.ID, s, report.Closed)
+	g.handleClosed(endpoint.ID, report.Closed)
 }
 
 // reportOrder orders the reports of an agent by the time at which it sent them, 0 if
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -50,7 +50,8 @@
 		moved := 0
 		for _, id := range []string{"i-0", "i-1", "i-2"} {
 			f.gateway.migratable.setClosed(id, true)
-			moved += f.gateway.migratable.cancelIfClosed(id, func(req *request) bool { return reserveMove(req, service.retryBudget) })
+			n, _ := f.gateway.migratable.moveIfClosed(id)
+			moved += n
 			f.gateway.migratable.setClosed(id, false)
 		}
 		if moved == 0 {
@@ -89,7 +90,9 @@
 func TestReserveThatWasNotNeededIsGivenBack(t *testing.T) {
 	budget := budgetOf(2)
 	req := &request{service: &service{retryBudget: budget}}
-	assert.Assert(t, reserveMove(req, budget))
+	move := &streamMove{req: req}
+	assert.Assert(t, move.takeRetries(errMigrated))
+	(&stream{req: req}).endMove(move)
 	(&stream{req: req}).giveBackSparedRetry()
 	(&stream{req: req}).giveBackSparedRetry()
 	assert.Equal(t, drainRetries(budget), 1)
--- a/gateway/queuedversion_test.go
+++ b/gateway/queuedversion_test.go
@@ -84,7 +84,7 @@
 	service := (*f.gateway.services.Load())["lm"]
 	grant := &admission.Grant{EndpointID: "engine", Estimate: admission.LoadEstimate{LoadedVersion: 1}}
 	cancelled := false
-	f.gateway.unstarted.add(grant, &request{service: service}, func(error) { cancelled = true })
+	f.gateway.unstarted.add(grant, &request{service: service}, func(error) { cancelled = true }, nil)
 	f.gateway.applyReport(time.Now(), address.Addr(), loadreport.Report{LoadedVersion: 2, ClosesIn: loadreport.UnknownDuration})
 	f.gateway.cancelOutdated(f.directory.View(), "lm", service, 2)
 	assert.Assert(t, !cancelled, "the engine has loaded the required version")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -155,6 +155,14 @@
 	return req
 }
 
+// resumeDeadline returns until when a stream that runs may wait for a slot elsewhere.
+func (r *request) resumeDeadline(now time.Time) time.Time {
+	if r.deadline.IsZero() {
+		return now.Add(resumeQueueTime)
+	}
+	return r.deadline.Add(-minServiceTime)
+}
+
 // minQueueTimeShare is the fraction of the latency target within which a queued
 // request counts as on time regardless of the mean response time: under load that
 // mean rises, and the most urgent requests, with the shortest targets, would be
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,6 +69,8 @@
 	eventCount  int
 	// sentBytes is the size of the events that the caller received.
 	sentBytes int
+	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
+	placed *admission.Grant
 }
 
 // serveStream serves a request event by event. A stream that breaks before its
@@ -76,8 +78,9 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) {
 	s := &stream{gateway: g, w: w, controller: http.NewResponseController(w), req: req, lastEventID: req.metadata.LastEventID}
 	defer s.giveBackSparedRetry()
+	defer s.releasePlaced()
 	for {
-		grant, err := g.acquireSlot(ctx, req, s.headerSent)
+		grant, err := s.nextSlot(ctx)
 		if err != nil {
 			s.abort(r, err)
 			return
@@ -99,6 +102,24 @@
 	}
 }
 
+// nextSlot returns the slot for the next attempt, the one to which the stream moves if there is one.
+func (s *stream) nextSlot(ctx context.Context) (*admission.Grant, error) {
+	if s.placed == nil {
+		return s.gateway.acquireSlot(ctx, s.req, s.headerSent)
+	}
+	placed := s.placed
+	s.placed = nil
+	return s.gateway.admit(s.req, placed)
+}
+
+// releasePlaced frees a slot that no attempt used.
+func (s *stream) releasePlaced() {
+	if s.placed != nil {
+		s.placed.Done(admission.Cancelled)
+		s.placed = nil
+	}
+}
+
 // giveBackSparedRetry returns the retry that was reserved when the stream moved.
 func (s *stream) giveBackSparedRetry() {
 	if s.req.sparedRetry {
@@ -113,18 +134,20 @@
 	g, req := s.gateway, s.req
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	move := s.newStreamMove(attemptCtx, cancel, grant)
+	defer s.endMove(move)
 	canMigrate := s.canMigrate()
-	silenceTimer := time.AfterFunc(s.firstEventTimeout(), func() { timeOutAttempt(cancel, canMigrate, req.service.retryBudget) })
+	silenceTimer := time.AfterFunc(s.firstEventTimeout(), s.onSilence(move))
 	defer silenceTimer.Stop()
-	unregisterUnstarted := g.unstarted.add(grant, req, cancel)
+	unregisterUnstarted := g.unstarted.add(grant, req, cancel, nil)
 	defer unregisterUnstarted()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, s.lastEventID)
 	if err == nil {
 		unregisterMigratable := func() {}
 		if canMigrate {
-			unregisterMigratable = g.migratable.add(grant, req, cancel)
+			unregisterMigratable = g.migratable.add(grant, req, cancel, move)
 		}
-		err = s.forwardEvents(attempt, silenceTimer, unregisterUnstarted)
+		err = s.forwardEvents(attempt, silenceTimer, move, unregisterUnstarted)
 		unregisterMigratable()
 	}
 	if err == nil {
@@ -148,12 +171,20 @@
 	return errors.Is(err, errMigrated) || errors.Is(err, errVersionTooOld) || errors.As(err, &quarantined)
 }
 
-// timeOutAttempt cancels an attempt at a silent endpoint if the stream can
-// migrate: silence alone is no reason to abandon a response.
-func timeOutAttempt(cancel context.CancelCauseFunc, canMigrate bool, budget *retryBudget) {
-	if canMigrate && budget.allowRetry() {
-		cancel(ErrEventTimeout)
+// onSilence returns what happens when the endpoint has sent no event in time. Silence alone is no
+// reason to abandon a response.
+func (s *stream) onSilence(move *streamMove) func() {
+	if !s.canMigrate() {
+		return func() {}
 	}
+	return func() { move.start(ErrEventTimeout) }
+}
+
+// endMove keeps the slot that was taken for the next attempt, and the retry in reserve for it.
+func (s *stream) endMove(move *streamMove) {
+	placed, reserved := move.end()
+	s.placed = placed
+	s.req.sparedRetry = s.req.sparedRetry || reserved
 }
 
 // migrates reports whether the attempt was cancelled so that the stream migrates.
@@ -179,8 +210,9 @@
 	return max(eventGapTimeoutFactor*s.req.route.GapTarget, minEventGapTimeout)
 }
 
-// forwardEvents forwards a response. It calls onFirstEvent at its first event.
-func (s *stream) forwardEvents(attempt *endpointAttempt, silenceTimer *time.Timer, onFirstEvent func()) error {
+// forwardEvents forwards a response. It calls onFirstEvent at its first event. Each event ends a
+// move that the endpoint's silence had caused.
+func (s *stream) forwardEvents(attempt *endpointAttempt, silenceTimer *time.Timer, move *streamMove, onFirstEvent func()) error {
 	if attempt.metadata.Encoded {
 		return ErrEncodedResponse
 	}
@@ -202,6 +234,7 @@
 			return err
 		}
 		silenceTimer.Reset(s.eventGapTimeout())
+		move.stop(ErrEventTimeout)
 		attempt.grant.RecordProgress()
 		if first {
 			first = false
@@ -213,6 +246,7 @@
 		if err := s.writeEvent(attempt, e); err != nil {
 			return err
 		}
+		move.begun.Store(true)
 	}
 }
 
--- /dev/null
+++ b/gateway/streammove.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/snipestep/snipestep/internal/delay"
+	"github.com/snipestep/snipestep/routing/admission"
+)
+
+// moveRetryInterval is the pause between two attempts to find a slot for a stream that has not
+// begun, which does not queue a second time.
+const moveRetryInterval = 250 * time.Millisecond
+
+// streamMove moves one attempt of a stream to another endpoint. It takes a slot there before it
+// cancels the attempt: a stream for which there is none goes on where it runs. It is safe for
+// concurrent use.
+type streamMove struct {
+	gateway *Gateway
+	req     *request
+	// attempt ends with the attempt, which cancel ends early.
+	attempt context.Context
+	cancel  context.CancelCauseFunc
+	// template is the request for a slot at another endpoint.
+	template admission.Request
+	// hasSpare says that a retry is reserved for the request from an earlier move.
+	hasSpare bool
+	// begun says that the caller has a part of the response.
+	begun atomic.Bool
+
+	// mu guards the fields below. It may be held while the gate's lock is taken.
+	mu    sync.Mutex
+	ended bool
+	// cause is why a slot is searched for, nil while none is.
+	cause      error
+	stopSearch context.CancelFunc
+	// placed is the slot that was taken, nil for none.
+	placed *admission.Grant
+	// reserved says that a spare retry was reserved with it.
+	reserved bool
+}
+
+// newStreamMove returns the move of an attempt at the endpoint of a grant.
+func (s *stream) newStreamMove(ctx context.Context, cancel context.CancelCauseFunc, grant *admission.Grant) *streamMove {
+	m := &streamMove{gateway: s.gateway, req: s.req, attempt: ctx, cancel: cancel, hasSpare: s.req.sparedRetry}
+	m.template = s.req.admissionRequest(time.Now(), false)
+	m.template.ExcludedEndpoints = append([]string{grant.EndpointID}, s.req.failedEndpointIDs...)
+	m.begun.Store(s.headerSent)
+	return m
+}
+
+// start moves the attempt at once if there is a slot elsewhere, else as soon as there is one. It
+// reports whether the attempt was cancelled.
+func (m *streamMove) start(cause error) (moved bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ended || m.placed != nil || m.cause != nil {
+		return false
+	}
+	if grant := m.req.service.gate.TryAcquire(m.request()); grant != nil {
+		return m.place(grant, cause)
+	}
+	ctx, stop := context.WithCancel(m.attempt)
+	m.cause, m.stopSearch = cause, stop
+	go m.search(ctx, cause)
+	return false
+}
+
+// stop ends the search for a slot if it has the given cause.
+func (m *streamMove) stop(cause error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.cause != nil && errors.Is(m.cause, cause) {
+		m.endSearch()
+	}
+}
+
+// end is called when the attempt is over. It returns the slot that was taken for the next one, nil
+// for none, and whether a retry was reserved with it.
+func (m *streamMove) end() (placed *admission.Grant, reserved bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended = true
+	m.endSearch()
+	return m.placed, m.reserved
+}
+
+// endSearch is called with mu held.
+func (m *streamMove) endSearch() {
+	if m.stopSearch != nil {
+		m.stopSearch()
+	}
+	m.cause, m.stopSearch = nil, nil
+}
+
+// search waits for a slot, and moves the attempt to it, until ctx ends.
+func (m *streamMove) search(ctx context.Context, cause error) {
+	for ctx.Err() == nil && m.gateway.stopped.Err() == nil {
+		grant := m.awaitSlot(ctx)
+		if grant == nil {
+			delay.For(ctx, moveRetryInterval)
+			continue
+		}
+		m.mu.Lock()
+		if ctx.Err() != nil {
+			grant.Done(admission.Cancelled)
+		} else {
+			m.endSearch()
+			m.place(grant, cause)
+		}
+		m.mu.Unlock()
+		return
+	}
+}
+
+// awaitSlot returns a slot, nil if there is none now. A stream that has begun queues for one
+// before all other requests.
+func (m *streamMove) awaitSlot(ctx context.Context) *admission.Grant {
+	req := m.request()
+	if !req.Resumed {
+		return m.req.service.gate.TryAcquire(req)
+	}
+	grant, err := m.req.service.gate.Acquire(ctx, req)
+	if err != nil {
+		return nil
+	}
+	return grant
+}
+
+// request returns the request for a slot as of now.
+func (m *streamMove) request() admission.Request {
+	req := m.template
+	req.Resumed = m.begun.Load()
+	if req.Resumed {
+		req.HardDeadline = m.req.resumeDeadline(time.Now())
+	}
+	return req
+}
+
+// place hands a slot over to the next attempt and cancels the present one, if the retry budget
+// allows it. It is called with mu held.
+func (m *streamMove) place(grant *admission.Grant, cause error) bool {
+	if !m.takeRetries(cause) {
+		grant.Done(admission.Cancelled)
+		return false
+	}
+	m.placed = grant
+	m.cancel(cause)
+	return true
+}
+
+// takeRetries takes the retry for a move. A stream that moves for the sake of others needs a second
+// one in reserve, for the case that the next endpoint does not take it.
+func (m *streamMove) takeRetries(cause error) bool {
+	budget := m.req.service.retryBudget
+	if !errors.Is(cause, errMigrated) || m.hasSpare {
+		return budget.allowRetry()
+	}
+	m.reserved = budget.reserveMove()
+	return m.reserved
+}
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -120,6 +120,20 @@
 	return g.wait(ctx, &req, enqueuedAt, assigned)
 }
 
+// TryAcquire returns a slot that is free now, or nil. The request does not count as an arrival: it
+// runs elsewhere already.
+func (g *Gate) TryAcquire(req Request) *Grant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	req.ID = g.nextID
+	decision, ok := g.pool.TryStart(g.now(), &req)
+	if !ok {
+		return nil
+	}
+	return &Grant{EndpointID: decision.EndpointID, Estimate: decision.Estimate, gate: g, requestID: req.ID}
+}
+
 // wait blocks until a waiting request has a slot or stops waiting. After the soft
 // deadline it keeps waiting only if a slot is expected before the hard deadline.
 func (g *Gate) wait(ctx context.Context, req *Request, enqueuedAt time.Time, assigned chan Assignment) (*Grant, error) {
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -119,13 +119,8 @@
 // Dispatch or Remove.
 func (p *Pool) Submit(now time.Time, req *Request) Decision {
 	p.recordArrival(now, req)
-	if !p.blockedByWaiting(now, req) {
-		freeSlots := p.freeSlots(now)
-		if endpoint := p.chooseEndpoint(now, req, freeSlots); endpoint != nil {
-			estimate := p.loadEstimate(now, endpoint, freeSlots)
-			p.start(now, endpoint, req)
-			return Decision{Verdict: Start, EndpointID: endpoint.ID, Estimate: estimate}
-		}
+	if decision, ok := p.TryStart(now, req); ok {
+		return decision
 	}
 	releaseRate := p.slotReleaseRate(now)
 	if releaseRate == 0 && len(p.endpoints) == 0 {
@@ -139,6 +134,21 @@
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
 }
 
+// TryStart starts a request if a slot is free for it now.
+func (p *Pool) TryStart(now time.Time, req *Request) (Decision, bool) {
+	if p.blockedByWaiting(now, req) {
+		return Decision{}, false
+	}
+	freeSlots := p.freeSlots(now)
+	endpoint := p.chooseEndpoint(now, req, freeSlots)
+	if endpoint == nil {
+		return Decision{}, false
+	}
+	estimate := p.loadEstimate(now, endpoint, freeSlots)
+	p.start(now, endpoint, req)
+	return Decision{Verdict: Start, EndpointID: endpoint.ID, Estimate: estimate}, true
+}
+
 // refusalReason returns why no slot is expected in time.
 func (p *Pool) refusalReason(now time.Time, releaseRate float64) Reason {
 	if releaseRate > 0 {
