Await a slow idempotent answer while no other endpoint has a slot

Callers got 502 or 503 from an endpoint that was silent for a second and would have answered in time: after 0.45 of the time left the attempt was cancelled, and a slot for the second one was looked for afterwards. With MaxRuns 1 there was no second one at all.

The attempt now moves as streams do: it is cancelled once there is a slot for the next one, and if the retry budget allows it.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -22,6 +22,17 @@
 	return g.admit(req, grant)
 }
 
+// nextSlot returns the slot for the next attempt: the one to which the request moves, if there is
+// one, else as acquireSlot.
+func (g *Gateway) nextSlot(ctx context.Context, req *request, resumed bool) (*admission.Grant, error) {
+	if req.placed == nil {
+		return g.acquireSlot(ctx, req, resumed)
+	}
+	placed := req.placed
+	req.placed = nil
+	return g.admit(req, placed)
+}
+
 // admit records the slot that a request got, or gives it back if the request may no longer run.
 func (g *Gateway) admit(req *request, grant *admission.Grant) (*admission.Grant, error) {
 	// Requests that end free slots, which others get that are about to end too.
--- a/gateway/streammove.go
+++ b/gateway/attemptmove.go
@@ -11,14 +11,14 @@
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
-// moveRetryInterval is the pause between two attempts to find a slot for a stream that has not
-// begun, which does not queue a second time.
+// moveRetryInterval is the pause between two attempts to find a slot for a request whose answer
+// has not begun, which does not queue a second time.
 const moveRetryInterval = 250 * time.Millisecond
 
-// streamMove moves one attempt of a stream to another endpoint. It takes a slot there before it
-// cancels the attempt: a stream for which there is none goes on where it runs. It is safe for
+// attemptMove moves one attempt of a request to another endpoint. It takes a slot there before it
+// cancels the attempt: a request for which there is none goes on where it runs. It is safe for
 // concurrent use.
-type streamMove struct {
+type attemptMove struct {
 	gateway *Gateway
 	req     *request
 	// attempt ends with the attempt, which cancel ends early.
@@ -43,18 +43,19 @@
 	reserved bool
 }
 
-// newStreamMove returns the move of an attempt at the endpoint of a grant.
-func (s *stream) newStreamMove(ctx context.Context, cancel context.CancelCauseFunc, grant *admission.Grant) *streamMove {
-	m := &streamMove{gateway: s.gateway, req: s.req, attempt: ctx, cancel: cancel, hasSpare: s.req.sparedRetry}
-	m.template = s.req.admissionRequest(time.Now(), false)
-	m.template.ExcludedEndpoints = append([]string{grant.EndpointID}, s.req.failedEndpointIDs...)
-	m.begun.Store(s.headerSent)
+// newMove returns the move of an attempt at the endpoint of a grant. begun says that the caller
+// has a part of the response.
+func newMove(ctx context.Context, cancel context.CancelCauseFunc, g *Gateway, req *request, grant *admission.Grant, begun bool) *attemptMove {
+	m := &attemptMove{gateway: g, req: req, attempt: ctx, cancel: cancel, hasSpare: req.sparedRetry}
+	m.template = req.admissionRequest(time.Now(), false)
+	m.template.ExcludedEndpoints = append([]string{grant.EndpointID}, req.failedEndpointIDs...)
+	m.begun.Store(begun)
 	return m
 }
 
 // start moves the attempt at once if there is a slot elsewhere, else as soon as there is one. It
 // reports whether the attempt was cancelled.
-func (m *streamMove) start(cause error) (moved bool) {
+func (m *attemptMove) start(cause error) (moved bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ended || m.placed != nil || m.cause != nil {
@@ -70,7 +71,7 @@
 }
 
 // stop ends the search for a slot if it has the given cause.
-func (m *streamMove) stop(cause error) {
+func (m *attemptMove) stop(cause error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.cause != nil && errors.Is(m.cause, cause) {
@@ -80,7 +81,7 @@
 
 // end is called when the attempt is over. It returns the slot that was taken for the next one, nil
 // for none, and whether a retry was reserved with it.
-func (m *streamMove) end() (placed *admission.Grant, reserved bool) {
+func (m *attemptMove) end() (placed *admission.Grant, reserved bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.ended = true
@@ -89,7 +90,7 @@
 }
 
 // endSearch is called with mu held.
-func (m *streamMove) endSearch() {
+func (m *attemptMove) endSearch() {
 	if m.stopSearch != nil {
 		m.stopSearch()
 	}
@@ -97,7 +98,7 @@
 }
 
 // search waits for a slot, and moves the attempt to it, until ctx ends.
-func (m *streamMove) search(ctx context.Context, cause error) {
+func (m *attemptMove) search(ctx context.Context, cause error) {
 	for ctx.Err() == nil && m.gateway.stopped.Err() == nil {
 		grant := m.awaitSlot(ctx)
 		if grant == nil {
@@ -118,7 +119,7 @@
 
 // awaitSlot returns a slot, nil if there is none now. A stream that has begun queues for one
 // before all other requests.
-func (m *streamMove) awaitSlot(ctx context.Context) *admission.Grant {
+func (m *attemptMove) awaitSlot(ctx context.Context) *admission.Grant {
 	req := m.request()
 	if !req.Resumed {
 		return m.req.service.gate.TryAcquire(req)
@@ -131,7 +132,7 @@
 }
 
 // request returns the request for a slot as of now.
-func (m *streamMove) request() admission.Request {
+func (m *attemptMove) request() admission.Request {
 	req := m.template
 	req.Resumed = m.begun.Load()
 	if req.Resumed {
@@ -142,7 +143,7 @@
 
 // place hands a slot over to the next attempt and cancels the present one, if the retry budget
 // allows it. It is called with mu held.
-func (m *streamMove) place(grant *admission.Grant, cause error) bool {
+func (m *attemptMove) place(grant *admission.Grant, cause error) bool {
 	if !m.takeRetries(cause) {
 		grant.Done(admission.Cancelled)
 		return false
@@ -154,7 +155,7 @@
 
 // takeRetries takes the retry for a move. A stream that moves for the sake of others needs a second
 // one in reserve, for the case that the next endpoint does not take it.
-func (m *streamMove) takeRetries(cause error) bool {
+func (m *attemptMove) takeRetries(cause error) bool {
 	budget := m.req.service.retryBudget
 	if !errors.Is(cause, errMigrated) || m.hasSpare {
 		return budget.allowRetry()
--- a/gateway/streammove_test.go
+++ b/gateway/attemptmove_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-func (h *heldStream) move() *streamMove {
+func (h *heldStream) move() *attemptMove {
 	h.gateway.migratable.mu.Lock()
 	defer h.gateway.migratable.mu.Unlock()
 	for _, attempt := range h.gateway.migratable.attempts[h.first] {
@@ -178,12 +178,11 @@
 	service := (*f.gateway.services.Load())["s"]
 	free := countFree(service)
 	req := &request{service: service, route: &directory.Route{Kind: directory.Streaming, Resumable: true, MaxRuns: 2}}
-	s := &stream{gateway: f.gateway, req: req}
-	move := s.newStreamMove(t.Context(), func(error) {}, &admission.Grant{EndpointID: "other"})
+	move := newMove(t.Context(), func(error) {}, f.gateway, req, &admission.Grant{EndpointID: "other"}, false)
 	assert.Assert(t, move.start(errMigrated))
-	s.endMove(move)
+	req.endMove(move)
 	assert.Equal(t, countFree(service), free-1)
-	s.releasePlaced()
+	req.releasePlaced()
 	assert.Equal(t, countFree(service), free)
 	assert.Assert(t, !move.start(errMigrated), "the attempt is over")
 }
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -30,12 +30,12 @@
 	// was chosen, 0 for a service without weights.
 	chosenVersion uint64
 	// move moves the attempt to another endpoint, nil if it may not.
-	move *streamMove
+	move *attemptMove
 }
 
 // attemptRegistry holds attempts by endpoint ID. It is safe for concurrent use.
 type attemptRegistry struct {
-	// mu may be held while the lock of a streamMove is taken.
+	// mu may be held while the lock of a attemptMove is taken.
 	mu       sync.Mutex
 	attempts map[string]map[*request]registeredAttempt
 	closed   map[string]bool // By endpoint ID.
@@ -46,7 +46,7 @@
 }
 
 // add registers the attempt of a grant; remove unregisters it.
-func (r *attemptRegistry) add(grant *admission.Grant, req *request, cancel context.CancelCauseFunc, move *streamMove) (remove func()) {
+func (r *attemptRegistry) add(grant *admission.Grant, req *request, cancel context.CancelCauseFunc, move *attemptMove) (remove func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	endpointID := grant.EndpointID
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -24,8 +24,8 @@
 const (
 	// maxBufferedBytes bounds a response that is buffered before it is forwarded.
 	maxBufferedBytes = 4 << 20
-	// firstAttemptShare is the fraction of the remaining time that the first
-	// attempt of an idempotent request may take, so that a second one still fits.
+	// firstAttemptShare is the fraction of the remaining time after which an
+	// idempotent request moves to another endpoint, so that a second attempt still fits.
 	firstAttemptShare = 0.45
 )
 
@@ -40,8 +40,9 @@
 // complete.
 func (g *Gateway) serveBuffered(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) {
 	var lastResponse *bufferedResponse
+	defer req.releasePlaced()
 	for {
-		grant, err := g.acquireSlot(ctx, req, false)
+		grant, err := g.nextSlot(ctx, req, false)
 		if err != nil {
 			g.finishBuffered(w, r, req, lastResponse, err)
 			return
@@ -54,6 +55,10 @@
 			g.writeResponse(w, req, response)
 			return
 		}
+		if req.placed != nil && ctx.Err() == nil {
+			g.metrics.recordRetry("moved")
+			continue
+		}
 		if !g.mayRetry(ctx, req, mayHaveRun) {
 			g.finishBuffered(w, r, req, lastResponse, err)
 			return
@@ -72,19 +77,24 @@
 // tryBuffered sends the request to one endpoint and buffers its response. It also
 // reports whether the endpoint may have run the request.
 func (g *Gateway) tryBuffered(ctx context.Context, r *http.Request, req *request, grant *admission.Grant) (*bufferedResponse, bool, error) {
-	attemptCtx, cancel := ctx, context.CancelFunc(func() {})
-	if req.route.Kind == directory.Idempotent && req.runs == 0 && !req.deadline.IsZero() {
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if req.route.Kind == directory.Idempotent && req.runs == 0 && req.route.MaxRuns > 1 && !req.deadline.IsZero() {
+		move := newMove(attemptCtx, cancel, g, req, grant, false)
+		defer req.endMove(move)
 		limit := time.Duration(firstAttemptShare * float64(req.timeLeft(time.Now())))
-		attemptCtx, cancel = context.WithTimeout(ctx, limit)
+		timer := time.AfterFunc(limit, func() { move.start(context.DeadlineExceeded) })
+		defer timer.Stop()
 	}
-	defer cancel()
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, "")
 	if err != nil {
+		err = moveCause(attemptCtx, err)
 		g.recordFailedAttempt(ctx, req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
 		return nil, mayHaveRun, err
 	}
 	response, err := bufferResponse(attempt)
 	if err != nil {
+		err = moveCause(attemptCtx, err)
 		outcome := attemptOutcome(ctx, err)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			// The endpoint was quick enough to begin its response, but not to end it.
@@ -108,6 +118,14 @@
 	return response, true, nil
 }
 
+// moveCause returns why an attempt was cancelled for its move, else err.
+func moveCause(attemptCtx context.Context, err error) error {
+	if cause := context.Cause(attemptCtx); errors.Is(cause, context.DeadlineExceeded) {
+		return cause
+	}
+	return err
+}
+
 // bufferResponse reads a response completely.
 func bufferResponse(attempt *endpointAttempt) (*bufferedResponse, error) {
 	if attempt.metadata.Encoded {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,8 +20,8 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/internal/connguard"
-	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/internal/versiontest"
+	"github.com/snipestep/snipestep/routing/admission"
 )
 
 // testHeaderCodec uses its own header names, so that the tests need none of the
@@ -77,6 +77,20 @@
 // the given endpoints.
 func newFixture(t *testing.T, endpoints ...http.HandlerFunc) *fixture {
 	t.Helper()
+	f := newOfflineFixture()
+	for _, handler := range endpoints {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		f.addEndpoint(strings.TrimPrefix(server.URL, "http://"))
+	}
+	gatewayServer := httptest.NewServer(f.gateway)
+	t.Cleanup(gatewayServer.Close)
+	f.url = gatewayServer.URL
+	return f
+}
+
+// newOfflineFixture is newFixture without endpoints and without a server.
+func newOfflineFixture() *fixture {
 	logger := slog.New(slog.DiscardHandler)
 	d := directory.New(logger)
 	g := New(Config{Name: "e", Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: 8 * time.Second, Seed: 1}, Deps{
@@ -96,14 +110,6 @@
 		route("/once/", directory.NonIdempotent), route("/again/", directory.Idempotent), route("/stream/", directory.Streaming),
 	})
 	d.SetDocument(document)
-	for _, handler := range endpoints {
-		server := httptest.NewServer(handler)
-		t.Cleanup(server.Close)
-		f.addEndpoint(strings.TrimPrefix(server.URL, "http://"))
-	}
-	gatewayServer := httptest.NewServer(g)
-	t.Cleanup(gatewayServer.Close)
-	f.url = gatewayServer.URL
 	return f
 }
 
@@ -406,10 +412,10 @@
 		defer cancel(nil)
 		req.service = service
 		s := &stream{gateway: f.gateway, req: req}
-		move := s.newStreamMove(ctx, cancel, &admission.Grant{EndpointID: "other"})
+		move := newMove(ctx, cancel, f.gateway, req, &admission.Grant{EndpointID: "other"}, false)
 		s.onSilence(move)()
-		s.endMove(move)
-		s.releasePlaced()
+		req.endMove(move)
+		req.releasePlaced()
 		return context.Cause(ctx)
 	}
 	assert.Equal(t, cause(&request{route: resumable}), ErrEventTimeout)
--- a/gateway/movedstream_test.go
+++ b/gateway/movedstream_test.go
@@ -90,9 +90,9 @@
 func TestReserveThatWasNotNeededIsGivenBack(t *testing.T) {
 	budget := budgetOf(2)
 	req := &request{service: &service{retryBudget: budget}}
-	move := &streamMove{req: req}
+	move := &attemptMove{req: req}
 	assert.Assert(t, move.takeRetries(errMigrated))
-	(&stream{req: req}).endMove(move)
+	req.endMove(move)
 	(&stream{req: req}).giveBackSparedRetry()
 	(&stream{req: req}).giveBackSparedRetry()
 	assert.Equal(t, drainRetries(budget), 1)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -40,7 +40,9 @@
 	failedEndpointIDs []string
 	// sparedRetry says that a retry is reserved for a stream that was moved.
 	sparedRetry bool
-	queueWait   time.Duration
+	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
+	placed    *admission.Grant
+	queueWait time.Duration
 	// lastEndpointID is the ID of the endpoint that was chosen last.
 	lastEndpointID string
 	// loadAtChoice is the load estimate on which that choice was based. Without a
@@ -163,6 +165,21 @@
 	return r.deadline.Add(-minServiceTime)
 }
 
+// endMove keeps the slot that was taken for the next attempt, and the retry in reserve for it.
+func (r *request) endMove(move *attemptMove) {
+	placed, reserved := move.end()
+	r.placed = placed
+	r.sparedRetry = r.sparedRetry || reserved
+}
+
+// releasePlaced frees a slot that no attempt used.
+func (r *request) releasePlaced() {
+	if r.placed != nil {
+		r.placed.Done(admission.Cancelled)
+		r.placed = nil
+	}
+}
+
 // minQueueTimeShare is the fraction of the latency target within which a queued
 // request counts as on time regardless of the mean response time: under load that
 // mean rises, and the most urgent requests, with the shortest targets, would be
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -69,8 +69,6 @@
 	eventCount  int
 	// sentBytes is the size of the events that the caller received.
 	sentBytes int
-	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
-	placed *admission.Grant
 }
 
 // serveStream serves a request event by event. A stream that breaks before its
@@ -78,9 +76,9 @@
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, req *request) {
 	s := &stream{gateway: g, w: w, controller: http.NewResponseController(w), req: req, lastEventID: req.metadata.LastEventID}
 	defer s.giveBackSparedRetry()
-	defer s.releasePlaced()
+	defer req.releasePlaced()
 	for {
-		grant, err := s.nextSlot(ctx)
+		grant, err := g.nextSlot(ctx, req, s.headerSent)
 		if err != nil {
 			s.abort(r, err)
 			return
@@ -102,24 +100,6 @@
 	}
 }
 
-// nextSlot returns the slot for the next attempt, the one to which the stream moves if there is one.
-func (s *stream) nextSlot(ctx context.Context) (*admission.Grant, error) {
-	if s.placed == nil {
-		return s.gateway.acquireSlot(ctx, s.req, s.headerSent)
-	}
-	placed := s.placed
-	s.placed = nil
-	return s.gateway.admit(s.req, placed)
-}
-
-// releasePlaced frees a slot that no attempt used.
-func (s *stream) releasePlaced() {
-	if s.placed != nil {
-		s.placed.Done(admission.Cancelled)
-		s.placed = nil
-	}
-}
-
 // giveBackSparedRetry returns the retry that was reserved when the stream moved.
 func (s *stream) giveBackSparedRetry() {
 	if s.req.sparedRetry {
@@ -134,8 +114,8 @@
 	g, req := s.gateway, s.req
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	move := s.newStreamMove(attemptCtx, cancel, grant)
-	defer s.endMove(move)
+	move := newMove(attemptCtx, cancel, g, req, grant, s.headerSent)
+	defer req.endMove(move)
 	canMigrate := s.canMigrate()
 	silenceTimer := time.AfterFunc(s.firstEventTimeout(), s.onSilence(move))
 	defer silenceTimer.Stop()
@@ -173,20 +153,13 @@
 
 // onSilence returns what happens when the endpoint has sent no event in time. Silence alone is no
 // reason to abandon a response.
-func (s *stream) onSilence(move *streamMove) func() {
+func (s *stream) onSilence(move *attemptMove) func() {
 	if !s.canMigrate() {
 		return func() {}
 	}
 	return func() { move.start(ErrEventTimeout) }
 }
 
-// endMove keeps the slot that was taken for the next attempt, and the retry in reserve for it.
-func (s *stream) endMove(move *streamMove) {
-	placed, reserved := move.end()
-	s.placed = placed
-	s.req.sparedRetry = s.req.sparedRetry || reserved
-}
-
 // migrates reports whether the attempt was cancelled so that the stream migrates.
 // The retry was taken from the budget at that time.
 func (s *stream) migrates(ctx context.Context, err error) bool {
@@ -212,7 +185,7 @@
 
 // forwardEvents forwards a response. It calls onFirstEvent at its first event. Each event ends a
 // move that the endpoint's silence had caused.
-func (s *stream) forwardEvents(attempt *endpointAttempt, silenceTimer *time.Timer, move *streamMove, onFirstEvent func()) error {
+func (s *stream) forwardEvents(attempt *endpointAttempt, silenceTimer *time.Timer, move *attemptMove, onFirstEvent func()) error {
 	if attempt.metadata.Encoded {
 		return ErrEncodedResponse
 	}
