Do not close callers' connections by limits that they do not know yet

Beside a change of the idle limit an entry closed connections at once that its callers went on using by the longer limit before, and a request that was read at that moment could be forwarded, and end without an answer.

Cause: the limits of the newest document were applied to waits that had begun under another one, and the check and the close were two steps. The longer of both limits holds now, and a request on a connection that is about to be closed is not forwarded.

Each way in which a connection ends without an answer has a line in the log now, a panic of the handler too.

Evidence: TestIdleConnKeepsTheLimitsOfItsStart, TestRequestOnAClosingConnIsNot- Forwarded and TestPanicOfTheHandlerIsLogged; each needs the change to pass.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -149,7 +149,7 @@
 // it forwards the last response, if any, else refuses the request.
 func (g *Gateway) finishBuffered(w http.ResponseWriter, r *http.Request, req *request, response *bufferedResponse, err error) {
 	if r.Context().Err() != nil {
-		g.finish(req, "left", 0, "runs", req.runs)
+		g.finish(req, "left", 0, "runs", req.runs, "body_bytes", len(req.body))
 		return
 	}
 	if response != nil {
--- a/gateway/conntracker_test.go
+++ b/gateway/conntracker_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -16,13 +19,17 @@
 	tracker *connTracker
 	conn    net.Conn
 	start   time.Time
+	// limits are those of the current document.
+	limits directory.Limits
 }
 
 func newConnTrackerFixture(t *testing.T) *connTrackerFixture {
 	t.Helper()
 	conn, peer := net.Pipe()
 	t.Cleanup(func() { _, _ = conn.Close(), peer.Close() })
-	return &connTrackerFixture{tracker: newConnTracker(), conn: conn, start: time.Unix(1000, 0)}
+	f := &connTrackerFixture{conn: conn, start: time.Unix(1000, 0)}
+	f.tracker = newConnTracker(func() directory.Limits { return f.limits })
+	return f
 }
 
 func (f *connTrackerFixture) setState(state http.ConnState, after time.Duration) {
@@ -30,7 +37,8 @@
 }
 
 func (f *connTrackerFixture) overdueCount(after time.Duration, limits directory.Limits) int {
-	return len(f.tracker.takeOverdue(f.start.Add(after), limits))
+	f.limits = limits
+	return len(f.tracker.takeOverdue(f.start.Add(after)))
 }
 
 func TestConnWithoutRequestHeaderBecomesOverdue(t *testing.T) {
@@ -67,3 +75,49 @@
 	assert.Equal(t, f.overdueCount(defaultHeaderTimeout+callerTimeoutSlack, directory.Limits{}), 0)
 	assert.Equal(t, f.overdueCount(defaultHeaderTimeout+callerTimeoutSlack+1, directory.Limits{}), 1)
 }
+
+// Guards against a connection that is closed beside a change of the limits while its caller, who
+// goes by the longer ones, sends the next request on it.
+func TestIdleConnKeepsTheLimitsOfItsStart(t *testing.T) {
+	f := newConnTrackerFixture(t)
+	f.limits = directory.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+	f.setState(http.StateIdle, 0)
+	shorter := directory.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: time.Second}
+	longest := 3*time.Second + callerTimeoutSlack + 15*time.Second
+	assert.Equal(t, f.overdueCount(longest, shorter), 0)
+	f.setState(http.StateActive, longest)
+	f.setState(http.StateIdle, longest)
+	assert.Equal(t, f.overdueCount(2*longest, shorter), 1)
+}
+
+// Guards against a request that is read on a connection just as that is closed for its idle time,
+// and forwarded although no answer can reach the caller.
+func TestRequestOnAClosingConnIsNotForwarded(t *testing.T) {
+	f := newFixture(t, respondWith("response"))
+	tracker := newConnTracker(f.gateway.limits)
+	server := &Server{Gateway: f.gateway, Logger: slog.New(slog.DiscardHandler)}
+	conn, peer := net.Pipe()
+	t.Cleanup(func() { _, _ = conn.Close(), peer.Close() })
+	send := func() (answer *httptest.ResponseRecorder, aborted any) {
+		r := httptest.NewRequestWithContext(context.WithValue(t.Context(), connKey{}, conn), http.MethodPost, "http://h.example/once/", http.NoBody)
+		r.Header.Set("Id", "1")
+		r.Header.Set("Key", "k")
+		answer = httptest.NewRecorder()
+		defer func() { aborted = recover() }()
+		server.rejectClosing(tracker).ServeHTTP(answer, r)
+		return answer, nil
+	}
+	tracker.stateChanged(conn, http.StateIdle, time.Unix(1000, 0))
+	answer, aborted := send()
+	assert.Equal(t, answer.Code, http.StatusOK)
+	assert.Assert(t, aborted == nil)
+
+	assert.Equal(t, len(tracker.takeOverdue(time.Unix(2000, 0))), 1)
+	tracker.stateChanged(conn, http.StateActive, time.Unix(2000, 0))
+	answer, aborted = send()
+	assert.Equal(t, aborted, http.ErrAbortHandler)
+	assert.Equal(t, answer.Body.Len(), 0)
+
+	tracker.stateChanged(conn, http.StateClosed, time.Unix(2000, 0))
+	assert.Equal(t, len(tracker.closing), 0)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
@@ -21,6 +22,7 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	req := &request{arrivedAt: time.Now(), logger: g.deps.Logger, loadAtChoice: admission.LoadEstimate{ReportAge: -1}}
+	defer g.logPanic(req)
 	// This deadline also covers the body of a refused request, which the server
 	// discards.
 	setBodyDeadline(w, r, req.arrivedAt.Add(durationOrDefault(g.limits().IdleTimeout, defaultIdleTimeout)))
@@ -47,6 +49,19 @@
 	g.serveBuffered(ctx, w, r, req)
 }
 
+// logPanic logs a panic of the handler, which costs the caller its answer, and ends the connection.
+func (g *Gateway) logPanic(req *request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler { //nolint:errorlint // It is a panic value, which is never wrapped.
+		g.deps.Logger.Error("handler panicked", "request", req.metadata.ID, "body_bytes", len(req.body), "panic", cause, "stack", string(debug.Stack()))
+		g.finish(req, "panicked", 0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // prepareRequest finds the route, organisation, service and deadline of a request and
 // reads its body. It returns nil if the request may be forwarded.
 func (g *Gateway) prepareRequest(req *request, w http.ResponseWriter, r *http.Request) *refusal {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -51,11 +51,14 @@
 		return eris.Wrapf(err, "listen for the balancer on %s", s.ReadyAddr)
 	}
 	errorLog := log.New(&debugWriter{logger: s.Logger}, "", 0)
-	tracker := newConnTracker()
+	tracker := newConnTracker(s.Gateway.limits)
 	// No timeouts here: closeOverdue enforces those of the current document.
 	callerServer := &http.Server{
-		Handler: s.Gateway, MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+		Handler: s.rejectClosing(tracker), MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		ConnState: func(conn net.Conn, state http.ConnState) { tracker.stateChanged(conn, state, time.Now()) },
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
 	}
 	readyServer := &http.Server{
 		Handler: http.HandlerFunc(s.Gateway.ServeReady), ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: errorLog,
@@ -69,6 +72,22 @@
 	return nil
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// rejectClosing returns the handler of callers. A request that is read on a connection just as that
+// is closed ends with it and is not forwarded.
+func (s *Server) rejectClosing(tracker *connTracker) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _ := r.Context().Value(connKey{}).(net.Conn)
+		if tracker.isClosing(conn) {
+			s.Logger.Info("request crossed the end of its connection", "path", r.URL.Path, "content_length", r.ContentLength)
+			panic(http.ErrAbortHandler)
+		}
+		s.Gateway.ServeHTTP(w, r)
+	})
+}
+
 // closeOverdue closes connections that exceed the limits until ctx ends.
 func (s *Server) closeOverdue(ctx context.Context, tracker *connTracker) {
 	ticker := time.NewTicker(connCheckInterval)
@@ -78,12 +97,12 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			overdue := tracker.takeOverdue(now, s.Gateway.limits())
+			overdue := tracker.takeOverdue(now)
 			for _, conn := range overdue {
 				_ = conn.Close()
 			}
 			if len(overdue) > 0 {
-				s.Logger.Debug("closed overdue connections", "count", len(overdue))
+				s.Logger.Info("closed overdue connections", "count", len(overdue))
 			}
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -305,7 +305,7 @@
 func (s *stream) abort(r *http.Request, err error) {
 	g, req := s.gateway, s.req
 	if r.Context().Err() != nil || errors.Is(err, errCallerGone) {
-		g.finish(req, "left", 0, "events", s.eventCount)
+		g.finish(req, "left", 0, "events", s.eventCount, "body_bytes", len(req.body))
 		return
 	}
 	if !s.headerSent {
