Bound the answers that an entry holds in memory together

An entry ran out of memory, and with it the requests of all its callers, when several endpoints sent large answers without an end: each was bounded, their sum was not, and a body was copied as it grew.

Bodies are held in pieces.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,7 +55,9 @@
 	sentAt   time.Time
 	// answering says that an event of the response has arrived.
 	answering bool
-	cancel    context.CancelFunc
+	// held counts the bytes of the response that are in memory.
+	held   *heldAnswer
+	cancel context.CancelFunc
 }
 
 // end frees the slot and the connection. It reports whether the outcome opened the
@@ -72,8 +74,12 @@
 // header has arrived. mayHaveRun says whether the endpoint may have started to
 // run the request. The caller ends the attempt, also after an error.
 func (g *Gateway) send(ctx context.Context, r *http.Request, req *request, grant *admission.Grant, lastEventID string) (attempt *endpointAttempt, mayHaveRun bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	attempt = &endpointAttempt{grant: grant, cancel: cancel, sentAt: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	attempt = &endpointAttempt{
+		grant: grant, cancel: func() { cancel(nil) }, sentAt: time.Now(),
+		held: g.answers.hold(grant.EndpointID, cancel),
+	}
+	req.held = append(req.held, attempt.held)
 	view := g.deps.Directory.View()
 	attempt.endpoint = view.Endpoints[grant.EndpointID]
 	if attempt.endpoint == nil {
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -27,13 +27,18 @@
 	// firstAttemptShare is the fraction of the remaining time after which an
 	// idempotent request moves to another endpoint, so that a second attempt still fits.
 	firstAttemptShare = 0.45
+	// firstPieceBytes and pieceBytes are the sizes of the first piece of a body whose length
+	// is not known, and of the others.
+	firstPieceBytes = 2 << 10
+	pieceBytes      = 64 << 10
 )
 
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is in pieces, so that a large one is not copied as it grows.
+	body [][]byte
 }
 
 // serveBuffered serves a request whose response is buffered and forwarded when it is
@@ -135,16 +140,51 @@
 	if attempt.response.Body != http.NoBody && attempt.response.ContentLength > maxBufferedBytes {
 		return nil, ErrResponseTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(attempt.response.Body, maxBufferedBytes+1))
+	body, err := readPieces(attempt)
 	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxBufferedBytes {
-		return nil, ErrResponseTooLarge
+		attempt.held.release()
+		return nil, attempt.held.cause(err)
 	}
+	attempt.held.finish()
 	return &bufferedResponse{status: attempt.response.StatusCode, header: attempt.response.Header, body: body}, nil
 }
 
+// readPieces reads a body to its end. It returns ErrResponseTooLarge or ErrHeldTooMuch for one that
+// would take too much memory.
+func readPieces(attempt *endpointAttempt) ([][]byte, error) {
+	var pieces [][]byte
+	for size, pieceSize := 0, firstPieceBytes; ; pieceSize = pieceBytes {
+		if err := attempt.held.setBytes(size + pieceSize); err != nil {
+			return nil, err
+		}
+		piece := make([]byte, pieceSize)
+		n, err := readPiece(attempt.response.Body, piece)
+		size += n
+		if n > 0 {
+			pieces = append(pieces, piece[:n])
+		}
+		switch {
+		case size > maxBufferedBytes:
+			return nil, ErrResponseTooLarge
+		case errors.Is(err, io.EOF):
+			return pieces, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// readPiece fills a piece. Unlike io.ReadFull it returns io.EOF at the end of a body only, whose
+// reader returns io.ErrUnexpectedEOF if it was cut.
+func readPiece(body io.Reader, piece []byte) (n int, err error) {
+	for n < len(piece) && err == nil {
+		var read int
+		read, err = body.Read(piece[n:])
+		n += read
+	}
+	return n, err
+}
+
 // finishBuffered ends a request for which no endpoint gave a successful response:
 // it forwards the last response, if any, else refuses the request.
 func (g *Gateway) finishBuffered(w http.ResponseWriter, r *http.Request, req *request, response *bufferedResponse, err error) {
@@ -177,7 +217,12 @@
 	copyHeader(w.Header(), response.header)
 	g.closeAfterResponse(w.Header())
 	w.WriteHeader(response.status)
-	_, err := w.Write(response.body)
+	var err error
+	for _, piece := range response.body {
+		if _, err = w.Write(piece); err != nil {
+			break
+		}
+	}
 	g.finish(req, "answered", response.status, "runs", req.runs+1, "error", errorText(err))
 }
 
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -26,10 +26,12 @@
 	lines *bufio.Reader
 	// partial holds the incomplete event at the end of the stream.
 	partial []byte
+	// hold records the size of the event that is being read, or returns why it is given up on.
+	hold func(bytes int) error
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes)}
+func newEventReader(r io.Reader, hold func(bytes int) error) *eventReader {
+	return &eventReader{lines: bufio.NewReaderSize(r, eventBufferBytes), hold: hold}
 }
 
 const (
@@ -80,12 +82,29 @@
 func (r *eventReader) appendLine(data []byte) ([]byte, error) {
 	for {
 		part, err := r.lines.ReadSlice('\n')
-		data = append(data, part...)
-		if len(data) > maxEventBytes {
+		if len(data)+len(part) > maxEventBytes {
 			return data, ErrEventTooLarge
 		}
+		grown, holdErr := r.grow(data, len(part))
+		if holdErr != nil {
+			return data, holdErr
+		}
+		data = append(grown, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return data, err
 		}
 	}
 }
+
+// grow returns the data with room for n bytes more. While it is copied both copies are held.
+func (r *eventReader) grow(data []byte, n int) ([]byte, error) {
+	if len(data)+n <= cap(data) {
+		return data, nil
+	}
+	size := max(2*cap(data), len(data)+n)
+	if err := r.hold(cap(data) + size); err != nil {
+		return data, err
+	}
+	grown := append(make([]byte, 0, size), data...)
+	return grown, r.hold(size)
+}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestEventsAreSplitAtBlankLinesUnchanged(t *testing.T) {
-	r := newEventReader(strings.NewReader("version: 2\nid: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\n"))
+	r := newEventReader(strings.NewReader("version: 2\nid: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\n"), uncounted)
 	first, err := r.next()
 	assert.NilError(t, err)
 	assert.Equal(t, first.id, "7")
@@ -23,7 +23,7 @@
 }
 
 func TestEndInsideEventIsUnexpectedEOF(t *testing.T) {
-	r := newEventReader(strings.NewReader("id: 1\ndata: a"))
+	r := newEventReader(strings.NewReader("id: 1\ndata: a"), uncounted)
 	_, err := r.next()
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
 }
@@ -40,7 +40,7 @@
 func FuzzEventReader(f *testing.F) {
 	f.Add("id: 1\ndata: x\n\nid: 2\n")
 	f.Fuzz(func(t *testing.T, stream string) {
-		r := newEventReader(strings.NewReader(stream))
+		r := newEventReader(strings.NewReader(stream), uncounted)
 		returned := 0
 		for {
 			e, err := r.next()
@@ -58,7 +58,7 @@
 // Guards against comments and blank lines without end that count as events, and so
 // reset the timer of a silent stream.
 func TestCommentsAndBlankLinesAreNoEvents(t *testing.T) {
-	r := newEventReader(strings.NewReader("\n: ping\n\nid: 1\n\n\n: ping\n\nid: 2\n\n: bye\n\n\n"))
+	r := newEventReader(strings.NewReader("\n: ping\n\nid: 1\n\n\n: ping\n\nid: 2\n\n: bye\n\n\n"), uncounted)
 	for _, want := range []event{
 		{id: "1", data: []byte("\n: ping\n\nid: 1\n\n")},
 		{id: "2", data: []byte("\n: ping\n\nid: 2\n\n")},
@@ -75,7 +75,7 @@
 }
 
 func TestEndInsideCommentsIsUnexpectedEOF(t *testing.T) {
-	r := newEventReader(strings.NewReader("\n: pi"))
+	r := newEventReader(strings.NewReader("\n: pi"), uncounted)
 	_, err := r.next()
 	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF))
 }
@@ -83,7 +83,7 @@
 // Guards against an event that never ends filling the memory.
 func TestEventLargerThanTheBoundIsAnError(t *testing.T) {
 	for name, line := range map[string]string{"one line": "x", "many lines": "data: x\n"} {
-		r := newEventReader(strings.NewReader("id: 1\n\n" + strings.Repeat(line, 2*maxEventBytes)))
+		r := newEventReader(strings.NewReader("id: 1\n\n"+strings.Repeat(line, 2*maxEventBytes)), uncounted)
 		_, err := r.next()
 		assert.NilError(t, err, name)
 		_, err = r.next()
@@ -94,8 +94,13 @@
 
 func TestLargestEventIsReadWhole(t *testing.T) {
 	largest := "data: " + strings.Repeat("x", maxEventBytes-len("data: \n\n")) + "\n\n"
-	r := newEventReader(strings.NewReader(largest))
+	r := newEventReader(strings.NewReader(largest), uncounted)
 	e, err := r.next()
 	assert.NilError(t, err)
 	assert.Assert(t, string(e.data) == largest)
 }
+
+// uncounted lets events have any size.
+func uncounted(int) error {
+	return nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,7 +31,9 @@
 	unstarted  *attemptRegistry
 	// strikes holds the strikes against requests and parts of prompts, strikeNews those
 	// to pass on.
-	strikes    *strikes.Ledger
+	strikes *strikes.Ledger
+	// answers bounds the memory for answers.
+	answers    *answerBudget
 	strikeNews *strikeNews
 	trials     *trialGate
 	// rateLimitNews has a value when a rate limit has changed.
@@ -71,7 +73,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = &strikes.Ledger{
 		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
 		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,6 +41,7 @@
 		defer cancelDeadline()
 	}
 	defer g.trials.end(req)
+	defer req.releaseHeld()
 	req.service.retryBudget.recordRequest()
 	if req.route.Kind == directory.Streaming {
 		g.serveStream(ctx, w, r, req)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -41,7 +41,9 @@
 	// sparedRetry says that a retry is reserved for a stream that was moved.
 	sparedRetry bool
 	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
-	placed    *admission.Grant
+	placed *admission.Grant
+	// held counts the bytes of the answers to all attempts.
+	held      []*heldAnswer
 	queueWait time.Duration
 	// lastEndpointID is the ID of the endpoint that was chosen last.
 	lastEndpointID string
@@ -172,6 +174,13 @@
 	r.sparedRetry = r.sparedRetry || reserved
 }
 
+// releaseHeld frees the bytes of all answers.
+func (r *request) releaseHeld() {
+	for _, answer := range r.held {
+		answer.release()
+	}
+}
+
 // releasePlaced frees a slot that no attempt used.
 func (r *request) releasePlaced() {
 	if r.placed != nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -192,7 +192,7 @@
 	if attempt.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(attempt)
 	}
-	reader := newEventReader(attempt.response.Body)
+	reader := newEventReader(attempt.response.Body, attempt.held.setBytes)
 	first, resuming := true, s.headerSent
 	for {
 		e, err := reader.next()
@@ -204,7 +204,8 @@
 			return s.complete(attempt)
 		}
 		if err != nil {
-			return err
+			attempt.held.release()
+			return attempt.held.cause(err)
 		}
 		silenceTimer.Reset(s.eventGapTimeout())
 		move.stop(ErrEventTimeout)
