Suspect a part that has turned deadly while other requests go on

Endpoints crashed for half a minute, and over a hundred streams were cut, by a part of prompts that was sound on the weights before.

Cause: a part that had begun was suspected only after 200 requests without it had begun at one entry, so that a crash of all endpoints blames no popular part.

Ten such requests are enough for a weak strike if few of them crash. Four weak strikes quarantine the part, provided that it was struck at half or more of all crashes that the entries know of around them.

With the suspicion after 200 requests TestPartThatTurnsDeadlyIsQuarantinedByTheFifthCrash sends 48 requests, and without the share of all crashes TestCrashOfAllEndpointsQuarantinesFewParts- OfSeveralEntries finds nine sound parts where four are allowed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,10 +74,7 @@
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
 	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
-	g.strikes = &strikes.Ledger{
-		Requests: strikes.NewRegister(quarantineConfig(g.random), time.Now),
-		Parts:    strikes.NewPartRegister(partQuarantineConfig(g.random), time.Now),
-	}
+	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	g.stopped, g.endRequests = context.WithCancelCause(context.Background())
--- a/gateway/partblame_test.go
+++ b/gateway/partblame_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -22,7 +24,7 @@
 	t.Helper()
 	f := &blamingFleet{t: t}
 	for range entries {
-		f.entries = append(f.entries, newFixture(t).gateway)
+		f.entries = append(f.entries, newOfflineFixture().gateway)
 	}
 	return f
 }
@@ -62,6 +64,23 @@
 	return true
 }
 
+// crashAll crashes endpoints at once for another reason, with the given requests at each, each of
+// another entry.
+func (f *blamingFleet) crashAll(endpoints, waiting int, draw func() string) {
+	for range endpoints {
+		f.crashes++
+		for i := range waiting {
+			entry := (int(f.crashes) + i) % len(f.entries)
+			req := f.request(entry, draw())
+			g := f.entries[entry]
+			g.recordPartCrash(req, f.crashes)
+			news, _ := g.strikes.Requests.Strike(f.crashes*100+uint64(i), f.crashes, false)
+			g.strikeNews.add(news)
+		}
+	}
+	f.exchange()
+}
+
 // exchange passes on all new strikes until there are none.
 func (f *blamingFleet) exchange() {
 	f.t.Helper()
@@ -142,3 +161,60 @@
 	var quarantined *QuarantinedError
 	assert.Assert(t, errors.As(f.entries[1].checkParts(f.request(1, deadlyPart)), &quarantined))
 }
+
+// Guards against a part that turns deadly with new weights and crashes endpoints for half a minute,
+// as each entry waits for hundreds of other requests before it suspects it.
+func TestPartThatTurnsDeadlyIsQuarantinedByTheFifthCrash(t *testing.T) {
+	f := newBlamingFleet(t, 5)
+	others := func() {
+		for entry := range f.entries {
+			for range 4 {
+				assert.Assert(t, f.begin(entry, "other"))
+			}
+		}
+	}
+	for range 10 {
+		for entry := range f.entries {
+			assert.Assert(t, f.begin(entry, "turning"))
+			others()
+		}
+	}
+	reached := 0
+	for range 10 {
+		for entry := range f.entries {
+			if f.crash(entry, "turning") {
+				reached++
+			}
+			others()
+		}
+	}
+	assert.Assert(t, reached <= maxCrashesBeforePartQuarantine, "%d requests were sent", reached)
+}
+
+// Guards against the quarantine of sound parts when all endpoints crash at once for another reason:
+// at each some requests wait, of which weak strikes are recorded at several entries.
+func TestCrashOfAllEndpointsQuarantinesFewPartsOfSeveralEntries(t *testing.T) {
+	const (
+		rounds    = 40
+		parts     = 100
+		endpoints = 11
+		waiting   = 5
+	)
+	random := rand.New(rand.NewPCG(1, 2))
+	draw := func() string { return strconv.Itoa(int(random.ExpFloat64() * parts / 5)) }
+	quarantined := 0
+	for range rounds {
+		f := newBlamingFleet(t, 5)
+		for range 20 * parts {
+			entry := random.IntN(len(f.entries))
+			f.entries[entry].recordBegin(f.request(entry, draw()))
+		}
+		f.crashAll(endpoints, waiting, draw)
+		for part := range parts {
+			if f.entries[0].strikes.Parts.Verdict(routing.PartFingerprint("s", strconv.Itoa(part))).Refused {
+				quarantined++
+			}
+		}
+	}
+	assert.Assert(t, quarantined <= rounds/10, "%d parts in %d crashes of all endpoints", quarantined, rounds)
+}
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -44,9 +44,9 @@
 // recordPartCrash records strikes against the parts that may be to blame for a crash before
 // the answer began.
 func (g *Gateway) recordPartCrash(req *request, crash uint64) {
-	suspects := req.service.parts.suspects(req)
+	suspects, weak := req.service.parts.recordCrash(req)
 	for _, fingerprint := range suspects {
-		news, verdict := g.strikes.Parts.StrikePart(fingerprint, crash, len(suspects) > 1)
+		news, verdict := g.strikes.Parts.StrikePart(fingerprint, crash, len(suspects) > 1, weak)
 		if len(news) == 0 {
 			continue
 		}
@@ -55,7 +55,7 @@
 		part := req.metadata.SharedParts[slices.Index(req.partFingerprints, fingerprint)]
 		req.logger.Info("part of a prompt may have crashed an endpoint",
 			"request", req.metadata.ID, "part", part, "fingerprint", fingerprintText(fingerprint),
-			"crash", strikes.CrashText(crash), "suspects", len(suspects), "strikes", len(verdict.Crashes))
+			"crash", strikes.CrashText(crash), "suspects", len(suspects), "weak", weak, "strikes", len(verdict.Crashes))
 		if verdict.Refused {
 			g.startQuarantine(verdict, "own")
 		}
--- a/gateway/parttracker.go
+++ b/gateway/parttracker.go
@@ -30,9 +30,12 @@
 	return t.history.HasBegunLately(part)
 }
 
-// suspects returns the parts of a request that may be to blame for a crash.
-func (t *partTracker) suspects(req *request) []uint64 {
+// recordCrash records a crash before the answer to a request began. It returns the parts that may be
+// to blame, and whether that suspicion is weak.
+func (t *partTracker) recordCrash(req *request) (suspects []uint64, weak bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.history.Suspects(req.partFingerprints)
+	suspects, weak = t.history.Suspects(req.partFingerprints)
+	t.history.RecordCrash(req.partFingerprints)
+	return suspects, weak
 }
--- a/loadreport/strikes.go
+++ b/loadreport/strikes.go
@@ -24,6 +24,8 @@
 	Late bool
 	// Shared says that several parts of the prompt were equally suspect.
 	Shared bool
+	// Weak says that the part had begun not long before.
+	Weak bool
 	// Absolved says that the request ran to its end since, so that the strike is void.
 	Absolved bool
 }
@@ -46,6 +48,7 @@
 	lateFlag
 	partFlag
 	sharedFlag
+	weakFlag
 )
 
 // strikesPurpose separates the signatures of strikes from those of other datagrams.
@@ -75,6 +78,9 @@
 		if strike.Shared {
 			flags |= sharedFlag
 		}
+		if strike.Weak {
+			flags |= weakFlag
+		}
 		body = binary.BigEndian.AppendUint64(body, strike.Fingerprint)
 		body = binary.BigEndian.AppendUint64(body, strike.Crash)
 		body = binary.BigEndian.AppendUint16(body, encodeAge(strike.Age))
@@ -103,6 +109,7 @@
 			Part:        body[18]&partFlag != 0,
 			Late:        body[18]&lateFlag != 0,
 			Shared:      body[18]&sharedFlag != 0,
+			Weak:        body[18]&weakFlag != 0,
 			Absolved:    body[18]&absolvedFlag != 0,
 		})
 	}
--- a/loadreport/strikes_test.go
+++ b/loadreport/strikes_test.go
@@ -19,6 +19,7 @@
 		{Fingerprint: 3, Crash: 4, Absolved: true},
 		{Fingerprint: 5, Crash: 4, Part: true},
 		{Fingerprint: 6, Crash: 4, Part: true, Shared: true},
+		{Fingerprint: 7, Crash: 4, Part: true, Weak: true},
 	}
 	decoded, err := loadreport.DecodeStrikes(testKey, strikes.Encode(testKey))
 	assert.NilError(t, err)
--- a/routing/parthistory_test.go
+++ b/routing/parthistory_test.go
@@ -7,6 +7,15 @@
 	"gotest.tools/v3/assert"
 )
 
+// strongSuspects returns the suspects of a crash, none for a weak suspicion.
+func strongSuspects(h *PartHistory, parts []uint64) []uint64 {
+	suspects, weak := h.Suspects(parts)
+	if weak {
+		return nil
+	}
+	return suspects
+}
+
 // beginOthers records begins of requests with other parts.
 func beginOthers(h *PartHistory, count int) {
 	for range count {
@@ -18,13 +27,13 @@
 func TestPartThatNeverBeganIsSuspected(t *testing.T) {
 	h := NewPartHistory()
 	const common, deadly = 1, 2
-	assert.Equal(t, len(h.Suspects([]uint64{common, deadly})), 0, "the entry has just started")
+	assert.Equal(t, len(strongSuspects(h, []uint64{common, deadly})), 0, "the entry has just started")
 	h.RecordBegin([]uint64{common})
-	assert.DeepEqual(t, h.Suspects([]uint64{common, deadly}), []uint64{deadly})
-	assert.DeepEqual(t, h.Suspects([]uint64{deadly, common}), []uint64{deadly})
+	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
+	assert.DeepEqual(t, strongSuspects(h, []uint64{deadly, common}), []uint64{deadly})
 	beginOthers(h, minBegun)
-	assert.DeepEqual(t, h.Suspects([]uint64{common, deadly}), []uint64{deadly})
-	assert.DeepEqual(t, h.Suspects([]uint64{3, 4}), []uint64{3, 4})
+	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
+	assert.DeepEqual(t, strongSuspects(h, []uint64{3, 4}), []uint64{3, 4})
 }
 
 // Guards against a part that was sound before and turns deadly with new weights.
@@ -33,9 +42,34 @@
 	const common, deadly = 1, 2
 	h.RecordBegin([]uint64{common, deadly})
 	beginOthers(h, minSilence-1)
-	assert.Equal(t, len(h.Suspects([]uint64{common, deadly})), 0)
+	assert.Equal(t, len(strongSuspects(h, []uint64{common, deadly})), 0)
 	h.RecordBegin([]uint64{common})
-	assert.DeepEqual(t, h.Suspects([]uint64{common, deadly}), []uint64{deadly})
+	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
+}
+
+// Guards against a part that turns deadly and crashes endpoint after endpoint until hundreds of
+// other requests have begun at an entry that gets a few a second.
+func TestPartThatStoppedBeginningAWhileAgoIsSuspectedWeakly(t *testing.T) {
+	h := NewPartHistory()
+	const common, deadly = 1, 2
+	h.RecordBegin([]uint64{common, deadly})
+	beginOthers(h, weakSilence-1)
+	suspects, _ := h.Suspects([]uint64{common, deadly})
+	assert.Equal(t, len(suspects), 0)
+	h.RecordBegin([]uint64{common})
+	suspects, weak := h.Suspects([]uint64{common, deadly})
+	assert.Assert(t, weak)
+	assert.DeepEqual(t, suspects, []uint64{deadly})
+
+	h.RecordCrash([]uint64{common, deadly})
+	h.RecordCrash([]uint64{deadly})
+	suspects, _ = h.Suspects([]uint64{deadly})
+	assert.Equal(t, len(suspects), 1, "its own crashes speak for nothing else")
+	for range weakSilence/minBegunPerCrash + 1 {
+		h.RecordCrash([]uint64{999})
+	}
+	suspects, _ = h.Suspects([]uint64{deadly})
+	assert.Equal(t, len(suspects), 0, "other requests crash endpoints too")
 }
 
 // Guards against the quarantine of a part that most prompts share when all endpoints stand
@@ -45,7 +79,8 @@
 	for range 10 * minSilence {
 		h.RecordBegin([]uint64{1})
 	}
-	assert.Equal(t, len(h.Suspects([]uint64{1})), 0)
+	suspects, _ := h.Suspects([]uint64{1})
+	assert.Equal(t, len(suspects), 0)
 }
 
 // Guards against the quarantine of popular sound parts by endpoints that all crash at once
@@ -71,7 +106,7 @@
 		for range endpoints {
 			struck := map[uint64]bool{}
 			for range waitingThere {
-				for _, part := range h.Suspects([]uint64{draw()}) {
+				for _, part := range strongSuspects(h, []uint64{draw()}) {
 					struck[part] = true
 				}
 			}
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -10,6 +10,7 @@
 	strikeWeight       = 4
 	lateStrikeWeight   = 2
 	sharedStrikeWeight = 2
+	weakStrikeWeight   = 3
 
 	defaultQuarantineStrikes = 2
 	defaultStrikeTTL         = 2 * time.Minute
@@ -287,6 +288,14 @@
 	return totalWeight(strikes) >= q.config.QuarantineStrikes*strikeWeight
 }
 
+// RestsOnWeakStrikes reports whether the strikes of a fingerprint quarantine it only together with
+// weak ones.
+func (q *Quarantine) RestsOnWeakStrikes(now time.Time, fingerprint uint64) bool {
+	strikes := q.activeStrikes(now, fingerprint)
+	others := slices.DeleteFunc(slices.Clone(strikes), func(s Strike) bool { return s.Weak })
+	return q.isEnough(strikes) && !q.isEnough(others)
+}
+
 func totalWeight(strikes []Strike) int {
 	weight := 0
 	for _, s := range strikes {
@@ -295,6 +304,8 @@
 			weight += lateStrikeWeight
 		case s.Shared:
 			weight += sharedStrikeWeight
+		case s.Weak:
+			weight += weakStrikeWeight
 		default:
 			weight += strikeWeight
 		}
--- a/sidecar/strikerelay.go
+++ b/sidecar/strikerelay.go
@@ -19,10 +19,7 @@
 }
 
 func newStrikeRelay(entries *subscribers) *strikeRelay {
-	ledger := &strikes.Ledger{
-		Requests: strikes.NewRegister(routing.QuarantineConfig{}, time.Now),
-		Parts:    strikes.NewPartRegister(routing.QuarantineConfig{}, time.Now),
-	}
+	ledger := strikes.NewLedger(routing.QuarantineConfig{}, routing.QuarantineConfig{}, time.Now)
 	return &strikeRelay{ledger: ledger, entries: entries}
 }
 
--- a/strikes/ledger.go
+++ b/strikes/ledger.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/snipestep/snipestep/loadreport"
+	"github.com/snipestep/snipestep/routing"
 )
 
 // Ledger holds the strikes against requests and those against parts of prompts.
@@ -11,9 +13,22 @@
 	Requests, Parts *Register
 }
 
+// NewLedger returns an empty ledger.
+func NewLedger(requests, parts routing.QuarantineConfig, now func() time.Time) *Ledger {
+	l := &Ledger{Requests: NewRegister(requests, now), Parts: NewPartRegister(parts, now)}
+	crashes := newCrashLog()
+	l.Requests.crashes, l.Parts.crashes = crashes, crashes
+	return l
+}
+
 // Merge records the strikes of another process. It returns those that were new, and the
 // verdicts on the requests and parts that they put into quarantine.
 func (l *Ledger) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
+	for _, strike := range received {
+		if !strike.Absolved {
+			l.Parts.crashes.add(CrashText(strike.Crash), l.Parts.now().Add(-strike.Age))
+		}
+	}
 	for _, register := range []*Register{l.Parts, l.Requests} {
 		n, q := register.Merge(received)
 		news = append(news, n...)
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -22,6 +22,9 @@
 	// serialised by mu while there are none.
 	count atomic.Int64
 
+	// crashes holds all crashes that are known, nil for none. Its lock is taken while mu is held.
+	crashes *crashLog
+
 	mu         sync.Mutex
 	quarantine *routing.Quarantine
 }
@@ -80,9 +83,35 @@
 	}
 	v.Remaining, v.Refused = r.quarantine.Refused(now, fingerprint)
 	v.OnTrial = r.quarantine.OnTrial(now, fingerprint)
+	if r.quarantine.RestsOnWeakStrikes(now, fingerprint) && !r.isInMostCrashes(now, fingerprint) {
+		v.Refused, v.OnTrial, v.Remaining = false, false, 0
+	}
 	return v
 }
 
+// crashSpan is how far around the strikes of a part other crashes count: endpoints that crash
+// together for another reason do so within it.
+const crashSpan = time.Second
+
+// isInMostCrashes reports whether a part was struck at half or more of the crashes around its
+// strikes. Weak strikes prove nothing when endpoints crash for another reason.
+func (r *Register) isInMostCrashes(now time.Time, fingerprint uint64) bool {
+	strikes := r.quarantine.Strikes(now, fingerprint)
+	if r.crashes == nil || len(strikes) == 0 {
+		return true
+	}
+	first, last := strikes[0].At, strikes[0].At
+	for _, s := range strikes {
+		if s.At.Before(first) {
+			first = s.At
+		}
+		if s.At.After(last) {
+			last = s.At
+		}
+	}
+	return 2*len(strikes) >= r.crashes.count(first.Add(-crashSpan), last.Add(crashSpan))
+}
+
 // Strike records that a request was running at a crash; late says that its answer had
 // begun. It returns the strike to pass on if it was new, and the verdict.
 func (r *Register) Strike(fingerprint, crash uint64, late bool) (loadreport.Strikes, Verdict) {
@@ -90,9 +119,9 @@
 }
 
 // StrikePart is Strike for a part of prompts; shared says that other parts of the prompt were
-// equally suspect.
-func (r *Register) StrikePart(fingerprint, crash uint64, shared bool) (loadreport.Strikes, Verdict) {
-	return r.record(routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), Shared: shared})
+// equally suspect, weak that it had begun not long before.
+func (r *Register) StrikePart(fingerprint, crash uint64, shared, weak bool) (loadreport.Strikes, Verdict) {
+	return r.record(routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), Shared: shared, Weak: weak})
 }
 
 // record records a strike that is seen now.
@@ -102,6 +131,7 @@
 	defer r.updateCount()
 	now := r.now()
 	s.At = now
+	r.crashes.add(s.Crash, now)
 	isNew := r.quarantine.RecordStrike(now, s)
 	verdict := r.verdict(now, s.Fingerprint)
 	if !isNew {
@@ -142,7 +172,8 @@
 		if strike.Part != r.parts {
 			continue
 		}
-		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late, Shared: strike.Shared}
+		s := routing.Strike{Fingerprint: strike.Fingerprint, Crash: CrashText(strike.Crash), At: now.Add(-strike.Age), Late: strike.Late, Shared: strike.Shared, Weak: strike.Weak}
+		r.crashes.add(s.Crash, s.At)
 		if strike.Absolved {
 			if r.quarantine.AbsolveStrike(now, s) {
 				news = append(news, strike)
@@ -214,5 +245,5 @@
 func (r *Register) outgoing(now time.Time, s routing.Strike) loadreport.Strike {
 	// Only CrashText makes these texts, so that they parse.
 	crash, _ := strconv.ParseUint(s.Crash, 16, 64)
-	return loadreport.Strike{Fingerprint: s.Fingerprint, Part: r.parts, Crash: crash, Age: now.Sub(s.At), Late: s.Late, Shared: s.Shared}
+	return loadreport.Strike{Fingerprint: s.Fingerprint, Part: r.parts, Crash: crash, Age: now.Sub(s.At), Late: s.Late, Shared: s.Shared, Weak: s.Weak}
 }
