--- a/gateway/events.go
+++ b/gateway/events.go
@@ -85,11 +85,11 @@
 		if len(data)+len(part) > maxEventBytes {
 			return data, ErrEventTooLarge
 		}
-		grown, holdErr := r.grow(data, len(part))
-		if holdErr != nil {
+		var holdErr error
+		if data, holdErr = r.grow(data, len(part)); holdErr != nil {
 			return data, holdErr
 		}
-		data = append(grown, part...)
+		data = append(data, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return data, err
 		}
