Move streams to no endpoint that is about to change its weights too

Streams were still cut on the large site: they had left an endpoint that closed for new weights, found a slot at one that closed a moment later, and used up their retries.

Late in the bound of a version endpoints load it as soon as they have it, without the announcement of seconds before. A stream that moves for such a change now needs an endpoint with the version that is about to become mandatory, and else ends where it runs.

TestStreamMovesToNoEndpointThatIsAboutToChangeItsWeights and TestRequestGetsNoSlotBelowItsVersion need the change.

--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -61,7 +61,7 @@
 	if m.ended || m.placed != nil || m.cause != nil {
 		return false
 	}
-	if grant := m.req.service.gate.TryAcquire(m.request()); grant != nil {
+	if grant := m.req.service.gate.TryAcquire(m.request(cause)); grant != nil {
 		return m.place(grant, cause)
 	}
 	ctx, stop := context.WithCancel(m.attempt)
@@ -100,7 +100,7 @@
 // search waits for a slot, and moves the attempt to it, until ctx ends.
 func (m *attemptMove) search(ctx context.Context, cause error) {
 	for ctx.Err() == nil && m.gateway.stopped.Err() == nil {
-		grant := m.awaitSlot(ctx)
+		grant := m.awaitSlot(ctx, cause)
 		if grant == nil {
 			delay.For(ctx, moveRetryInterval)
 			continue
@@ -119,8 +119,8 @@
 
 // awaitSlot returns a slot, nil if there is none now. A stream that has begun queues for one
 // before all other requests.
-func (m *attemptMove) awaitSlot(ctx context.Context) *admission.Grant {
-	req := m.request()
+func (m *attemptMove) awaitSlot(ctx context.Context, cause error) *admission.Grant {
+	req := m.request(cause)
 	if !req.Resumed {
 		return m.req.service.gate.TryAcquire(req)
 	}
@@ -131,9 +131,13 @@
 	return grant
 }
 
-// request returns the request for a slot as of now.
-func (m *attemptMove) request() admission.Request {
+// request returns the request for a slot as of now. An attempt that leaves an endpoint for its
+// change of weights goes to none that is about to change them too.
+func (m *attemptMove) request(cause error) admission.Request {
 	req := m.template
+	if errors.Is(cause, errMigrated) {
+		req.MinVersion = m.gateway.imminentVersion(m.req.service.name)
+	}
 	req.Resumed = m.begun.Load()
 	if req.Resumed {
 		req.HardDeadline = m.req.resumeDeadline(time.Now())
--- a/gateway/attemptmove_test.go
+++ b/gateway/attemptmove_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/versiontest"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -215,3 +216,21 @@
 	}
 	return len(grants)
 }
+
+// Guards against streams that move from one endpoint that changes its weights to the next one that
+// is about to, and are cut there: late in the bound of a version all endpoints change at once.
+func TestStreamMovesToNoEndpointThatIsAboutToChangeItsWeights(t *testing.T) {
+	const bound = 10 * time.Second
+	for age, want := range map[time.Duration]uint64{
+		bound * 7 / 10: 1, // The changes are spread, and announced.
+		bound * 9 / 10: 2,
+	} {
+		f := newVersionFixture(t, bound)
+		service := (*f.gateway.services.Load())["lm"]
+		f.directory.SetDeclaration("m", versiontest.Declared(2, f.gateway.deps.Now().Add(-age)))
+		req := &request{service: service, route: &directory.Route{Kind: directory.Streaming, Resumable: true, MaxRuns: 2}}
+		move := newMove(t.Context(), func(error) {}, f.gateway, req, &admission.Grant{EndpointID: "closing"}, true)
+		assert.Equal(t, move.request(errMigrated).MinVersion, want)
+		assert.Equal(t, move.request(ErrEventTimeout).MinVersion, uint64(0), "a silent endpoint may be left for any other")
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -207,6 +207,18 @@
 	return declared.Required(now, g.config.VersionBound-safetyMargin)
 }
 
+// imminentSwitchShare is the last part of VersionBound, in which endpoints without a version
+// change their weights as soon as they have received it. Until then the changes are spread, and
+// announced seconds before.
+const imminentSwitchShare = 0.2
+
+// imminentVersion returns the oldest version of a service whose endpoints are not about to load
+// another one, 0 for a service without weights.
+func (g *Gateway) imminentVersion(serviceName string) uint64 {
+	margin := time.Duration(imminentSwitchShare * float64(g.config.VersionBound))
+	return g.minVersion(g.deps.Now(), g.deps.Directory.View(), serviceName, margin)
+}
+
 // versionCheckInterval is how often VersionBound is enforced.
 const versionCheckInterval = 100 * time.Millisecond
 
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -68,7 +68,7 @@
 	}
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
-		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) {
+		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
 			continue
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
@@ -101,6 +101,11 @@
 	return best
 }
 
+// isOlderThan reports whether an endpoint has weights of an older version.
+func (p *Pool) isOlderThan(now time.Time, endpoint *endpointState, version uint64) bool {
+	return version > 0 && p.config.AgentReports && endpoint.loadedVersionAt(now, &p.config) < version
+}
+
 // partitionScore steers latency-critical requests to the latency partition and
 // others away from it while other endpoints have free slots.
 func (p *Pool) partitionScore(endpointID string, req *Request) float64 {
--- a/routing/admission/pool_test.go
+++ b/routing/admission/pool_test.go
@@ -363,3 +363,25 @@
 	assert.Equal(t, len(p.Dispatch(at(600))), 0)
 	assert.Equal(t, len(p.Dispatch(at(800))), 1)
 }
+
+// Guards against a moved request that reaches an endpoint with older weights than it may.
+func TestRequestGetsNoSlotBelowItsVersion(t *testing.T) {
+	p := enginePool(1, "a", "b")
+	p.Report("a", Report{ReceivedAt: at(0), LoadedVersion: 1})
+	p.Report("b", Report{ReceivedAt: at(0), LoadedVersion: 2})
+	for range 20 {
+		req := newRequest(at(1), 0)
+		req.MinVersion = 2
+		decision, ok := p.TryStart(at(1), req)
+		if !ok {
+			break
+		}
+		assert.Equal(t, decision.EndpointID, "b")
+	}
+	req := newRequest(at(1), 0)
+	req.MinVersion = 3
+	_, ok := p.TryStart(at(1), req)
+	assert.Assert(t, !ok)
+	decision, ok := p.TryStart(at(1), newRequest(at(1), 0))
+	assert.Assert(t, ok && decision.EndpointID == "a")
+}
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -33,6 +33,9 @@
 	LatencyCritical bool
 	// ExpectedServiceTime is how long the request is expected to occupy its slot.
 	ExpectedServiceTime time.Duration
+	// MinVersion is the oldest version of the weights at the endpoint that is chosen, beside
+	// that of the pool; 0 for none.
+	MinVersion uint64
 	// ExcludedEndpoints lists the IDs of endpoints that must not run the request.
 	ExcludedEndpoints []string
 }
