Let requests pass a moved one that waits for newer weights

A stream that waits for an endpoint with newer weights stood before new requests for which slots were free at others. It blocks them now only if it can use a slot itself, and it waits only while the retry budget has the retries for its move.

Evidence: without the change TestRequestThatWaitsForNewerWeightsBlocksNoOthers finds the new request enqueued.

--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -64,6 +64,9 @@
 	if grant := m.req.service.gate.TryAcquire(m.request(cause)); grant != nil {
 		return m.place(grant, cause)
 	}
+	if !m.req.service.retryBudget.has(m.retriesFor(cause)) {
+		return false
+	}
 	ctx, stop := context.WithCancel(m.attempt)
 	m.cause, m.stopSearch = cause, stop
 	go m.search(ctx, cause)
@@ -157,13 +160,19 @@
 	return true
 }
 
-// takeRetries takes the retry for a move. A stream that moves for the sake of others needs a second
-// one in reserve, for the case that the next endpoint does not take it.
-func (m *attemptMove) takeRetries(cause error) bool {
-	budget := m.req.service.retryBudget
-	if !errors.Is(cause, errMigrated) || m.hasSpare {
-		return budget.allowRetry()
+// retriesFor returns the number of retries that a move takes. A stream that moves for the sake of
+// others needs a second one in reserve, for the case that the next endpoint does not take it.
+func (m *attemptMove) retriesFor(cause error) int {
+	if errors.Is(cause, errMigrated) && !m.hasSpare {
+		return 2
 	}
-	m.reserved = budget.reserveMove()
-	return m.reserved
+	return 1
+}
+
+// takeRetries takes the retries for a move.
+func (m *attemptMove) takeRetries(cause error) bool {
+	retries := m.retriesFor(cause)
+	taken := m.req.service.retryBudget.take(retries)
+	m.reserved = taken && retries > 1
+	return taken
 }
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -35,7 +35,7 @@
 
 // attemptRegistry holds attempts by endpoint ID. It is safe for concurrent use.
 type attemptRegistry struct {
-	// mu may be held while the lock of a attemptMove is taken.
+	// mu may be held while the lock of an attemptMove is taken.
 	mu       sync.Mutex
 	attempts map[string]map[*request]registeredAttempt
 	closed   map[string]bool // By endpoint ID.
--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -57,18 +57,21 @@
 
 // allowRetry takes one retry from the budget if any is left.
 func (b *retryBudget) allowRetry() bool {
+	return b.take(1)
+}
+
+// take takes n retries from the budget, or none, and reports whether it is allowed.
+func (b *retryBudget) take(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.share.TakeRetry()
+	return b.share.TakeRetries(n)
 }
 
-// reserveMove takes two retries from the budget: one for the endpoint to which a stream moves,
-// and one for the case that this one does not take it. Without the second, a stream that was
-// moved for the sake of others would be broken off.
-func (b *retryBudget) reserveMove() bool {
+// has reports whether n retries are left.
+func (b *retryBudget) has(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.share.TakeRetries(2)
+	return b.share.Has(n)
 }
 
 // giveBack returns a reserved retry that was not needed.
--- a/routing/admission/pool_test.go
+++ b/routing/admission/pool_test.go
@@ -385,3 +385,17 @@
 	decision, ok := p.TryStart(at(1), newRequest(at(1), 0))
 	assert.Assert(t, ok && decision.EndpointID == "a")
 }
+
+// Guards against new requests that wait behind a moved one, while the free slots are at endpoints
+// whose weights are too old for that one only.
+func TestRequestThatWaitsForNewerWeightsBlocksNoOthers(t *testing.T) {
+	p := enginePool(1, "a")
+	moved := newRequest(at(1), 0)
+	moved.Resumed = true
+	moved.MinVersion = 2
+	assert.Equal(t, p.Submit(at(1), moved).Verdict, Enqueue)
+	assert.Equal(t, p.Submit(at(1), newRequest(at(1), 0)).Verdict, Start)
+	p.Report("a", Report{ReceivedAt: at(2), LoadedVersion: 2})
+	assert.Equal(t, p.Submit(at(2), newRequest(at(2), 0)).Verdict, Enqueue, "the moved request can use the slot")
+	assert.Equal(t, p.Dispatch(at(2))[0].Request, moved)
+}
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -10,10 +10,11 @@
 // last a few seconds.
 const maxExpectedWait = 5 * time.Second
 
-// blockedByWaiting reports whether a request that precedes this one is waiting.
+// blockedByWaiting reports whether a request that precedes this one is waiting for the same slots.
+// One that waits for newer weights leaves the slots to others that it can't use.
 func (p *Pool) blockedByWaiting(now time.Time, req *Request) bool {
 	for _, other := range p.waiting {
-		if p.before(now, other, req) {
+		if p.before(now, other, req) && (other.MinVersion <= p.minVersion || p.chooseEndpoint(now, other, p.freeSlots(now)) != nil) {
 			return true
 		}
 	}
--- a/routing/retrybudget.go
+++ b/routing/retrybudget.go
@@ -32,13 +32,18 @@
 
 // TakeRetries takes n retries from the budget, or none, and reports whether it is allowed.
 func (b *RetryBudget) TakeRetries(n int) bool {
-	if b.tokens < float64(n) {
+	if !b.Has(n) {
 		return false
 	}
 	b.tokens -= float64(n)
 	return true
 }
 
+// Has reports whether n retries are left.
+func (b *RetryBudget) Has(n int) bool {
+	return b.tokens >= float64(n)
+}
+
 // GiveBack returns a retry that was taken and not used.
 func (b *RetryBudget) GiveBack() {
 	b.tokens = min(b.tokens+1, b.config.Burst)
