Log the connection and the ID of a failed attempt's response

A second refusal of a request and the copy of its first one carry the same ID; only the connection on which they arrive tells them apart. "attempt failed" now has the attempt, the address, a number of the connection, its use, the time to the first byte and the ID.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -88,9 +88,32 @@
 		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
 	}
+	fields = append(fields, attempt.exchangeFields(req)...)
 	req.logger.Info("attempt failed", append(fields, estimateFields(attempt.grant.Estimate)...)...)
 }
 
+// exchangeFields returns the log fields that tell the responses on one connection apart: which
+// attempt of the request this is, the connection and how many requests it has carried, when the
+// response began, and the ID in it.
+func (a *endpointAttempt) exchangeFields(req *request) []any {
+	fields := []any{"attempt", req.attempts}
+	if a.endpoint != nil {
+		fields = append(fields, "address", a.endpoint.Address)
+	}
+	if a.progress == nil {
+		return fields
+	}
+	connection, use := a.progress.Connection()
+	fields = append(fields, "connection", connection, "use", use)
+	if at := a.progress.FirstByteAt(); !at.IsZero() {
+		fields = append(fields, "first_byte_ms", at.Sub(a.sentAt).Milliseconds())
+	}
+	if a.response != nil {
+		fields = append(fields, "response_id", boundedText(a.metadata.ID))
+	}
+	return fields
+}
+
 // estimateFields returns the log fields of the estimate behind a choice. An age of -1
 // says that there was no report. The source of the version is left out if no endpoint
 // with weights was chosen.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -52,6 +52,8 @@
 	endpoint *directory.Endpoint
 	response *http.Response
 	metadata ResponseMetadata
+	// progress is that of the last connection that the attempt got, nil before.
+	progress *connguard.Progress
 	sentAt   time.Time
 	// answering says that an event of the response has arrived.
 	answering bool
@@ -80,6 +82,7 @@
 		held: g.answers.hold(grant.EndpointID, cancel),
 	}
 	req.held = append(req.held, attempt.held)
+	req.attempts++
 	view := g.deps.Directory.View()
 	attempt.endpoint = view.Endpoints[grant.EndpointID]
 	if attempt.endpoint == nil {
@@ -93,6 +96,7 @@
 	minVersion := g.minVersion(g.deps.Now(), view, req.service.name, versionSafetyMargin)
 	g.metrics.recordAttemptVersion(attempt.sentAt, req.service.name, grant.Estimate, minVersion)
 	response, progress, err := g.roundTrip(ctx, r, req, attempt.endpoint, lastEventID) //nolint:bodyclose // attempt.end closes it.
+	attempt.progress = progress
 	if progress.Sent() {
 		req.endpointsReached++
 	}
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -94,7 +94,11 @@
 	if err == nil {
 		return ""
 	}
-	text := err.Error()
+	return boundedText(err.Error())
+}
+
+// boundedText returns a text of another process for the log.
+func boundedText(text string) string {
 	if len(text) > maxErrorTextBytes {
 		text = strings.ToValidUTF8(text[:maxErrorTextBytes], "") + "..."
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,6 +34,8 @@
 	deadline  time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
+	// attempts counts the attempts that were begun.
+	attempts int
 	// endpointsReached counts the endpoints to which a connection was made.
 	endpointsReached int
 	// failedEndpointIDs lists the IDs of the endpoints at which an attempt failed.
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/rotisserie/eris"
 )
@@ -16,6 +17,8 @@
 // written.
 type Conn struct {
 	net.Conn
+	// number tells the connections of the process apart, from 1.
+	number uint64
 
 	mu      sync.Mutex // Guards the fields below.
 	changed *sync.Cond // Signals changes of reading and closed.
@@ -24,8 +27,12 @@
 	// claimant is the request that got the connection and wrote nothing yet.
 	claimant *Progress
 	notIdle  bool // The connection carries no more requests.
+	requests int  // Requests that were written, the current one included.
 }
 
+// lastNumber is the number of the newest connection of the process.
+var lastNumber atomic.Uint64
+
 // DialFunc opens a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -41,7 +48,7 @@
 }
 
 func newConn(conn net.Conn) *Conn {
-	c := &Conn{Conn: conn}
+	c := &Conn{Conn: conn, number: lastNumber.Add(1)}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -95,6 +102,8 @@
 		return ErrNotIdle
 	}
 	if c.claimant != nil {
+		c.requests++
+		c.claimant.use.Store(int64(c.requests))
 		c.claimant.sent.Store(true)
 		c.claimant = nil
 	}
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 )
 
 // Progress records whether the transport requested a connection for a request, which one it
@@ -12,6 +13,8 @@
 	connReused    atomic.Bool
 	sent          atomic.Bool
 	conn          atomic.Pointer[Conn] // Nil for a connection that is not guarded.
+	use           atomic.Int64
+	firstByteAt   atomic.Pointer[time.Time]
 }
 
 // Trace returns the hooks with which the transport reports to the progress.
@@ -30,6 +33,10 @@
 			}
 			p.sent.Store(true)
 		},
+		GotFirstResponseByte: func() {
+			now := time.Now()
+			p.firstByteAt.Store(&now)
+		},
 	}
 }
 
@@ -50,6 +57,24 @@
 	return p.connReused.Load() && !p.MaybeSent()
 }
 
+// Connection returns the number of the guarded connection that the request got last, which no
+// other connection of the process has, and how many requests it has carried with this one. Both
+// are 0 if there is none; use is 0 if the request was not written.
+func (p *Progress) Connection() (number uint64, use int64) {
+	if conn := p.conn.Load(); conn != nil {
+		number = conn.number
+	}
+	return number, p.use.Load()
+}
+
+// FirstByteAt returns when the response began to arrive, the zero time if it did not.
+func (p *Progress) FirstByteAt() time.Time {
+	if at := p.firstByteAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Retire keeps the request's connection from carrying another request, also if net/http has
 // put it back already: it does so before it returns a response without a body.
 func (p *Progress) Retire() {
