Refuse requests without an ID before they are forwarded

Any response without an ID counted as that of a request without one, so a refusal of an earlier request sent it to a second endpoint. Endpoints refuse such requests themselves; the entry now answers 400 and sends nothing.

TestRequestWithoutIDIsNotForwarded: 503 after two runs before, 400 and no run after.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -103,6 +103,10 @@
 	if refusal := readBody(req, w, r, document.Limits); refusal != nil {
 		return refusal
 	}
+	if metadata.ID == "" {
+		// Nothing would tell to which request an endpoint's response belongs.
+		return &refusal{status: http.StatusBadRequest, reason: "no request ID"}
+	}
 	req.setFingerprints(r)
 	return nil
 }
