Write a request at most once on a connection

Callers saw a request that must run once run twice, or "not run" for one that ran. An endpoint that starts anew is listed under another ID at its address, so that the request it has refused comes back on the connection of the refusal. If the endpoint writes that refusal once more while the request runs, the ID in the copy is right and tells nothing.

Requests are kept from an endpoint by ID, but connections are pooled by address; that a request met a connection only once held by chance. Now it holds by construction: a request knows the connections on which it was written, a connection the IDs of its last 16 requests. A request that meets either opens another connection.

TestTransportNeverSendsARequestTwice rules out that net/http repeats requests; it fails if bodies can be rewound.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -131,17 +131,26 @@
 }
 
 // maxLostIdleConns bounds the kept-alive connections that one attempt may find unusable. They
-// become so together when an endpoint restarts.
+// become so together when an endpoint restarts. It also bounds those that carried the request before.
 const maxLostIdleConns = 16
 
 // roundTrip sends a request and returns when the response header has arrived. A request that
 // could not be written to a kept-alive connection is sent on another one.
 func (g *Gateway) roundTrip(ctx context.Context, r *http.Request, req *request, endpoint *directory.Endpoint, lastEventID string) (*http.Response, *connguard.Progress, error) {
-	for lost := 0; ; lost++ {
-		progress := new(connguard.Progress)
+	for lost, metAgain := 0, 0; ; {
+		progress := connguard.NewProgress(req.metadata.ID, &req.exchanges)
 		endpointRequest := g.newEndpointRequest(httptrace.WithClientTrace(ctx, progress.Trace()), r, req, endpoint, lastEventID)
 		response, err := g.deps.Transport.RoundTrip(endpointRequest)
-		if err == nil || !progress.LostIdleConn() || lost >= maxLostIdleConns || ctx.Err() != nil {
+		if err == nil || !progress.LostIdleConn() || ctx.Err() != nil {
+			return response, progress, err
+		}
+		if progress.MetAgain() {
+			g.metrics.recordConnectionMetAgain()
+			metAgain++
+		} else {
+			lost++
+		}
+		if max(lost, metAgain) > maxLostIdleConns {
 			return response, progress, err
 		}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -46,6 +46,10 @@
 	m.scope.Tagged(map[string]string{telemetry.TagCode: reason}).Counter(telemetry.MetricDirectRetries).Inc(1)
 }
 
+func (m *metrics) recordConnectionMetAgain() {
+	m.scope.Counter(telemetry.MetricConnectionsMetAgain).Inc(1)
+}
+
 func (m *metrics) recordStrike() {
 	m.scope.Counter(telemetry.MetricStrikes).Inc(1)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/strikes"
@@ -34,6 +35,8 @@
 	deadline  time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
 	runs int
+	// exchanges knows the connections on which the request was written.
+	exchanges connguard.Exchanges
 	// attempts counts the attempts that were begun.
 	attempts int
 	// endpointsReached counts the endpoints to which a connection was made.
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -28,6 +28,7 @@
 	claimant *Progress
 	notIdle  bool // The connection carries no more requests.
 	requests int  // Requests that were written, the current one included.
+	recent   recentIDs
 }
 
 // lastNumber is the number of the newest connection of the process.
@@ -55,7 +56,8 @@
 
 // claim registers the request that is about to be written. It blocks until the
 // transport has used up all that it read before: it then waits for more, or
-// closes the connection because of bytes that belong to no request.
+// closes the connection because of bytes that belong to no request. A request that was
+// written on the connection before, or that has the ID of a recent one, is not written.
 func (c *Conn) claim(claimant *Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,6 +65,10 @@
 		c.changed.Wait()
 	}
 	c.claimant = claimant
+	if claimant.wasWrittenOn(c) {
+		claimant.metAgain.Store(true)
+		c.notIdle = true
+	}
 }
 
 // Read implements net.Conn.
@@ -103,6 +109,7 @@
 	}
 	if c.claimant != nil {
 		c.requests++
+		c.claimant.recordWrite(c)
 		c.claimant.use.Store(int64(c.requests))
 		c.claimant.sent.Store(true)
 		c.claimant = nil
--- a/internal/connguard/doc.go
+++ b/internal/connguard/doc.go
@@ -6,4 +6,8 @@
 // tells whether a request that failed may have been sent. A response that belongs to another
 // request shows that the two sides disagree on which request comes next: Progress.Retire
 // then keeps the connection from carrying any further request.
+//
+// An ID in a response tells to which request it belongs, unless the server wrote the response to
+// an earlier attempt of the same request once more. So a connection carries a request at most
+// once: see Exchanges.
 package connguard
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -7,16 +7,42 @@
 )
 
 // Progress records whether the transport requested a connection for a request, which one it
-// got, and whether it wrote to it. It serves one request.
+// got, and whether it wrote to it. It serves one attempt of a request; the zero value serves a
+// request whose responses are not told apart by an ID.
 type Progress struct {
+	// id and exchanges are those of the request, empty and nil for none.
+	id        string
+	exchanges *Exchanges
+
 	connRequested atomic.Bool
 	connReused    atomic.Bool
 	sent          atomic.Bool
 	conn          atomic.Pointer[Conn] // Nil for a connection that is not guarded.
+	metAgain      atomic.Bool
 	use           atomic.Int64
 	firstByteAt   atomic.Pointer[time.Time]
 }
 
+// NewProgress returns the progress of an attempt of a request whose responses carry id. exchanges
+// is shared by all attempts of the request.
+func NewProgress(id string, exchanges *Exchanges) *Progress {
+	return &Progress{id: id, exchanges: exchanges}
+}
+
+// wasWrittenOn is called with the connection's mutex held, as is recordWrite.
+func (p *Progress) wasWrittenOn(c *Conn) bool {
+	return (p.exchanges != nil && p.exchanges.contains(c)) || (p.id != "" && c.recent.contains(p.id))
+}
+
+func (p *Progress) recordWrite(c *Conn) {
+	if p.exchanges != nil {
+		p.exchanges.add(c)
+	}
+	if p.id != "" {
+		c.recent.add(p.id)
+	}
+}
+
 // Trace returns the hooks with which the transport reports to the progress.
 func (p *Progress) Trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
@@ -75,6 +101,12 @@
 	return time.Time{}
 }
 
+// MetAgain reports whether the request got a connection that had carried it, or another request
+// with its ID, before. It was not written there.
+func (p *Progress) MetAgain() bool {
+	return p.metAgain.Load()
+}
+
 // Retire keeps the request's connection from carrying another request, also if net/http has
 // put it back already: it does so before it returns a response without a body.
 func (p *Progress) Retire() {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -45,6 +45,7 @@
 	MetricFirstResponseTime       = "first_answer_seconds"
 	MetricQueueWait               = "held_seconds"
 	MetricDirectRetries           = "repeats_total"
+	MetricConnectionsMetAgain     = "connections_met_again_total"
 	MetricDroppedLogLines         = "log_lines_dropped"
 	MetricMinVersion              = "minimum_version"
 	MetricDeclaredVersion         = "declared_version"
