--- a/cmd/snipestepctl/cli.go
+++ b/cmd/snipestepctl/cli.go
@@ -28,6 +28,7 @@
 	Status  statusCommand  `cmd:"" help:"Show the state of the fleet."`
 	Watch   watchCommand   `cmd:"" help:"Show the state of the fleet after each change."`
 	Explain explainCommand `cmd:"" help:"Tell from log files what became of a request; needs no server."`
+	Check   checkCommand   `cmd:"" help:"Check a document of the platform before it is written to the store; needs no server."`
 }
 
 type intentCommands struct {
--- a/cmd/snipestepctl/main.go
+++ b/cmd/snipestepctl/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -16,8 +17,8 @@
 	"github.com/snipestep/snipestep/problem"
 )
 
-// explainCommandName is the name of the only command that needs no server.
-const explainCommandName = "explain"
+// serverlessCommands are the commands that need no server.
+var serverlessCommands = []string{"explain", "check"}
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -44,7 +45,7 @@
 		return exitUsage
 	}
 	settings, err := cli.settings()
-	if strings.HasPrefix(command.Command(), explainCommandName) {
+	if name, _, _ := strings.Cut(command.Command(), " "); slices.Contains(serverlessCommands, name) {
 		err = nil // It calls no server, so the client settings may be missing.
 	}
 	if err == nil {
