Keep callers with repeated IDs from harming endpoints

A caller that uses one ID for all its requests meets its own ID on most kept connections; an attempt that got only such connections counted as a failure of the endpoint, and two open its circuit breaker for all callers. It counts as cancelled now.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -139,7 +139,7 @@
 		return admission.Cancelled
 	}
 	var unavailable *UnavailableError
-	if errors.As(err, &unavailable) {
+	if errors.As(err, &unavailable) || errors.Is(err, ErrConnectionsMetAgain) {
 		return admission.Cancelled
 	}
 	if errors.Is(err, ErrEventTimeout) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,6 +26,10 @@
 // request asks for. The bytes that follow are no response and have no end.
 var ErrProtocolSwitched = eris.New("endpoint switched to another protocol")
 
+// ErrConnectionsMetAgain reports an attempt that got only connections which had carried the
+// request, or one with its ID, before. That is no fault of the endpoint.
+var ErrConnectionsMetAgain = eris.New("all connections carried the request before")
+
 // MismatchedResponseError reports a response that belongs to another request.
 type MismatchedResponseError struct {
 	Want, Got string
@@ -150,9 +154,12 @@
 		} else {
 			lost++
 		}
-		if max(lost, metAgain) > maxLostIdleConns {
+		if lost > maxLostIdleConns {
 			return response, progress, err
 		}
+		if metAgain > maxLostIdleConns {
+			return response, progress, ErrConnectionsMetAgain
+		}
 	}
 }
 
--- a/gateway/refusalcopy_test.go
+++ b/gateway/refusalcopy_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/routing/admission"
 )
 
 // restartedID is the ID under which an endpoint is listed again at its old address.
@@ -168,3 +170,27 @@
 	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
 	assert.Equal(t, endpoints[0].runs.Load()+endpoints[1].runs.Load(), int64(0))
 }
+
+// Guards against the same where the connection no longer knows the ID, as many other requests have
+// passed over it: all attempts of a request know the connections of the earlier ones.
+func TestAttemptsOfARequestShareItsConnections(t *testing.T) {
+	endpoint := startRawEndpoint(t, func(_ *rawEndpoint, w io.Writer, r *http.Request, _ int) {
+		_, _ = io.WriteString(w, refusalText(r.Header.Get("Id"), http.StatusServiceUnavailable, ""))
+	})
+	f := newRawFixture(t, 1, endpoint)
+	r := httptest.NewRequest(http.MethodPost, "/once/", http.NoBody)
+	req := &request{} // Without an ID, so that only the connections are compared.
+	for i := range 3 {
+		response, progress, err := f.gateway.roundTrip(t.Context(), r, req, f.directory.View().Endpoints["i-0"], "")
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		_, use := progress.Connection()
+		assert.Equal(t, use, int64(1), "attempt %d", i+1)
+	}
+}
+
+// Guards against a sound endpoint that gets no more requests because callers use one ID again and
+// again, so that no kept connection may carry theirs.
+func TestConnectionsMetAgainAreNoFailureOfTheEndpoint(t *testing.T) {
+	assert.Equal(t, attemptOutcome(t.Context(), ErrConnectionsMetAgain), admission.Cancelled)
+}
