Send nothing to failure domains that the operator evacuates

An operator could take a failure domain out of use only by draining each endpoint, and one that starts would slip through.

The reason "evacuated" is checked at the choice and just before sending; no connection is opened there to probe for a crash. Streams go on. Without such a key nothing changes.

--- a/directory/view.go
+++ b/directory/view.go
@@ -12,6 +12,8 @@
 	Document         *Document
 	Endpoints        map[string]*Endpoint
 	DeclaredVersions map[string]DeclaredVersion
+	// Evacuated holds the evacuated failure domains.
+	Evacuated map[string]Evacuation
 	// StoreUp is set if the store answered the last call.
 	StoreUp bool
 	// latest computes LatestEndpoints once for the views of a Directory; nil for others.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,8 +88,9 @@
 	if attempt.endpoint == nil {
 		return attempt, false, ErrEndpointRemoved
 	}
-	if err := checkAvailable(req.service, attempt.endpoint); err != nil {
-		return attempt, false, err
+	if reason := withdrawal(req.service, view, attempt.endpoint); reason != "" {
+		g.metrics.recordWithdrawnAttempt(reason)
+		return attempt, false, &UnavailableError{EndpointID: attempt.endpoint.ID, Reason: reason}
 	}
 	// The process may have been paused since the choice, so that the minimum version of
 	// the choice is out of date.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,7 @@
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
 			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
+			Evacuated: view.IsEvacuated(e.FailureDomain),
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -33,6 +33,11 @@
 			Tags: []string{telemetry.TagService, telemetry.TagReason},
 			Read: g.readUnavailable,
 		},
+		{
+			Name: telemetry.MetricEvacuatedDomains,
+			Tags: []string{telemetry.TagDomain},
+			Read: g.readEvacuated,
+		},
 	}
 }
 
@@ -97,3 +102,10 @@
 		}
 	}
 }
+
+// readEvacuated reports the evacuated failure domains.
+func (g *Gateway) readEvacuated(report func(value float64, tagValues ...string)) {
+	for domain := range g.deps.Directory.View().Evacuated {
+		report(1, domain)
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,6 +50,10 @@
 	m.scope.Counter(telemetry.MetricConnectionsMetAgain).Inc(1)
 }
 
+func (m *metrics) recordWithdrawnAttempt(reason admission.Unavailability) {
+	m.scope.Tagged(map[string]string{telemetry.TagReason: string(reason)}).Counter(telemetry.MetricWithdrawnAttempts).Inc(1)
+}
+
 func (m *metrics) recordStrike() {
 	m.scope.Counter(telemetry.MetricStrikes).Inc(1)
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -65,9 +65,10 @@
 }
 
 // recordCrash records strikes against a request that an endpoint broke off and against the
-// parts of its prompt, if the endpoint has crashed.
+// parts of its prompt, if the endpoint has crashed. An endpoint of an evacuated failure domain gets
+// no connection to find that out.
 func (g *Gateway) recordCrash(ctx context.Context, req *request, attempt *endpointAttempt, err error) {
-	if attempt.endpoint == nil || !isConnectionLost(err) || g.isLeaving(attempt.endpoint) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
+	if attempt.endpoint == nil || !isConnectionLost(err) || g.isLeaving(attempt.endpoint) || g.deps.Directory.View().IsEvacuated(attempt.endpoint.FailureDomain) || !g.crashes.isCrashed(ctx, attempt.endpoint) {
 		return
 	}
 	crash := strikes.CrashOf(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
--- a/gateway/unavailableerror.go
+++ b/gateway/unavailableerror.go
@@ -20,19 +20,21 @@
 	return fmt.Sprintf("endpoint %s is unavailable since it was chosen: %s", e.EndpointID, e.Reason)
 }
 
-// checkAvailable returns *UnavailableError for an endpoint that wants no requests: the process
-// may have stood still since it was chosen.
-func checkAvailable(service *service, endpoint *directory.Endpoint) error {
+// withdrawal returns why an endpoint may get no requests since it was chosen, empty if it may: the
+// view may have changed, or the process have stood still.
+func withdrawal(service *service, view *directory.View, endpoint *directory.Endpoint) admission.Unavailability {
 	switch {
 	case endpoint.Leaving:
-		return &UnavailableError{EndpointID: endpoint.ID, Reason: admission.UnavailableLeaving}
+		return admission.UnavailableLeaving
 	case endpoint.Draining:
-		return &UnavailableError{EndpointID: endpoint.ID, Reason: admission.UnavailableDraining}
+		return admission.UnavailableDraining
+	case view.IsEvacuated(endpoint.FailureDomain):
+		return admission.UnavailableEvacuated
 	}
 	resting := false
 	service.gate.Inspect(func(p *admission.Pool) { resting = p.Resting(time.Now(), endpoint.ID) })
 	if resting {
-		return &UnavailableError{EndpointID: endpoint.ID, Reason: admission.UnavailableResting}
+		return admission.UnavailableResting
 	}
-	return nil
+	return ""
 }
--- a/gateway/unavailableerror_test.go
+++ b/gateway/unavailableerror_test.go
@@ -31,6 +31,9 @@
 			draining.Draining = true
 			f.directory.PutEndpoint(&draining)
 		},
+		admission.UnavailableEvacuated: func(f *fixture) {
+			f.directory.SetEvacuated(map[string]directory.Evacuation{"": {Revision: 1}})
+		},
 	} {
 		t.Run(string(reason), func(t *testing.T) {
 			var arrivals atomic.Int64
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -13,6 +13,8 @@
 	// Draining says that the endpoint gets no new requests, Leaving that it has said so
 	// itself.
 	Draining, Leaving bool
+	// Evacuated says that the operator has taken the endpoint's failure domain out of use.
+	Evacuated bool
 	// StartedUnixMS tells the incarnations under one ID apart, 0 if unknown.
 	StartedUnixMS int64
 }
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -16,6 +16,8 @@
 	UnavailableLeaving Unavailability = "leaving"
 	// UnavailableDraining: the endpoint list says that the endpoint leaves.
 	UnavailableDraining Unavailability = "draining"
+	// UnavailableEvacuated: the operator has taken its failure domain out of use.
+	UnavailableEvacuated Unavailability = "evacuated"
 	// UnavailableResting: it has asked this entry for a pause, or a probe after one is on
 	// its way.
 	UnavailableResting Unavailability = "resting"
@@ -41,6 +43,8 @@
 		return UnavailableLeaving
 	case endpoint.Draining:
 		return UnavailableDraining
+	case endpoint.Evacuated:
+		return UnavailableEvacuated
 	case !p.restAllows(now, endpoint):
 		return UnavailableResting
 	case !endpoint.breaker.allows(now, len(endpoint.inFlight)):
--- a/routing/admission/unavailability_test.go
+++ b/routing/admission/unavailability_test.go
@@ -14,12 +14,13 @@
 		{ID: "draining", Slots: 4, LoadedVersion: 1, Draining: true},
 		{ID: "outdated", Slots: 4, LoadedVersion: 1},
 		{ID: "unreported", Slots: 4},
+		{ID: "evacuated", Slots: 4, LoadedVersion: 1, Evacuated: true},
 	})
 	p.Report("closed", Report{ReceivedAt: at(0), LoadedVersion: 1, Closed: true})
 	p.Report("outdated", Report{ReceivedAt: at(0)})
 	decision := p.Submit(at(10), newRequest(at(10), 0))
 	assert.Equal(t, decision.Verdict, Refuse)
-	assert.Equal(t, decision.Unavailable.String(), "closed 1, draining 1, outdated 1, unreported 1")
+	assert.Equal(t, decision.Unavailable.String(), "closed 1, draining 1, evacuated 1, outdated 1, unreported 1")
 }
 
 func TestEndpointWithAnExhaustedRateLimitIsUnavailable(t *testing.T) {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -60,6 +60,8 @@
 	MetricVersionCorrections      = "version_corrections_total"
 	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
 	MetricUnavailableEndpoints    = "unavailable_endpoints"
+	MetricEvacuatedDomains        = "evacuated_failure_domains"
+	MetricWithdrawnAttempts       = "withdrawn_attempts_total"
 )
 
 // The tags of metrics.
@@ -74,6 +76,7 @@
 	TagFault   = "fault"
 	TagService = "service"
 	TagReason  = "reason"
+	TagDomain  = "failure_domain"
 	// TagVersion is a version of weights, TagBasis what the time is from which its bound
 	// counts, TagRelation how it compares with the minimum version.
 	TagVersion  = "version"
