Refuse requests at once if all endpoints are evacuated

A request waited for its last useful moment for endpoints that an operator had taken out of use. While an endpoint of the service is evacuated, a request for which none is eligible and none only rests is refused at once, also one that waits already, with the shortest Retry-After; a resumed stream waits on. Without an evacuation nothing is refused earlier.

The property test of the pool evacuates engines, too.

--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -75,7 +75,7 @@
 
 // The reasons.
 const (
-	// ReasonNoEndpoint: the service has no listed endpoints.
+	// ReasonNoEndpoint: the service has no listed endpoints, or none that the request may use.
 	ReasonNoEndpoint Reason = "no endpoint can serve"
 	// ReasonFull: no slot is expected before the hard deadline.
 	ReasonFull Reason = "no place in time"
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -88,12 +88,16 @@
 	f(g.pool)
 }
 
-// dispatchWaiting starts waiting requests. The caller holds g.mu.
+// dispatchWaiting starts waiting requests, and refuses those that no endpoint can serve. The caller holds g.mu.
 func (g *Gate) dispatchWaiting() {
 	for _, assignment := range g.pool.Dispatch(g.now()) {
 		g.waiters[assignment.Request.ID] <- assignment
 		delete(g.waiters, assignment.Request.ID)
 	}
+	for _, refused := range g.pool.RefuseUnservable(g.now()) {
+		g.waiters[refused.ID] <- Assignment{Request: refused, Refused: true}
+		delete(g.waiters, refused.ID)
+	}
 }
 
 // Acquire returns a slot. It blocks while the request waits, until its hard
@@ -146,7 +150,7 @@
 		select {
 		case assignment := <-assigned:
 			timer.Stop()
-			return g.newGrant(enqueuedAt, assignment), nil
+			return g.settle(enqueuedAt, assignment)
 		case <-ctx.Done():
 			timer.Stop()
 		case <-timer.C:
@@ -172,7 +176,7 @@
 // meantime.
 func (g *Gate) stopWaiting(ctx context.Context, req *Request, enqueuedAt time.Time, assigned chan Assignment) (*Grant, error) {
 	if !g.dequeue(req.ID) {
-		return g.newGrant(enqueuedAt, <-assigned), nil
+		return g.settle(enqueuedAt, <-assigned)
 	}
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
@@ -187,8 +191,15 @@
 	}
 }
 
-func (g *Gate) newGrant(enqueuedAt time.Time, assignment Assignment) *Grant {
-	return &Grant{EndpointID: assignment.EndpointID, Estimate: assignment.Estimate, Waited: g.now().Sub(enqueuedAt), gate: g, requestID: assignment.Request.ID}
+// settle returns the slot that a waiting request got, or *RefusedError.
+func (g *Gate) settle(enqueuedAt time.Time, assignment Assignment) (*Grant, error) {
+	waited := g.now().Sub(enqueuedAt)
+	if !assignment.Refused {
+		return &Grant{EndpointID: assignment.EndpointID, Estimate: assignment.Estimate, Waited: waited, gate: g, requestID: assignment.Request.ID}, nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: unservableWait, Waited: waited, MinVersion: g.pool.minVersion, Unavailable: g.pool.Unavailable(g.now())}
 }
 
 // dequeue removes a waiting request. It reports false if the request has got a
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -35,6 +35,8 @@
 	rests map[string]*rest
 	// suspended is how long the machine has been suspended since the process started.
 	suspended time.Duration
+	// evacuating says that an endpoint is evacuated.
+	evacuating bool
 }
 
 // NewPool returns a pool without endpoints.
@@ -56,8 +58,10 @@
 // listed is kept.
 func (p *Pool) SetEndpoints(now time.Time, endpoints []Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
+	p.evacuating = false
 	for _, e := range endpoints {
 		listed[e.ID] = true
+		p.evacuating = p.evacuating || e.Evacuated
 		if known := p.endpoints[e.ID]; known != nil {
 			known.Endpoint = e
 			continue
@@ -126,6 +130,9 @@
 	if releaseRate == 0 && len(p.endpoints) == 0 {
 		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: maxExpectedWait}
 	}
+	if p.unservable(now, req) {
+		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: unservableWait, Unavailable: p.Unavailable(now)}
+	}
 	wait := p.expectedWait(now, req, releaseRate)
 	if !req.Resumed && now.Add(wait).After(req.HardDeadline) {
 		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, releaseRate), ExpectedWait: wait, Unavailable: p.Unavailable(now)}
--- a/routing/admission/stateful_test.go
+++ b/routing/admission/stateful_test.go
@@ -69,6 +69,8 @@
 		t.Fatalf("request %d starts at %q, which is not listed", req.ID, endpoint)
 	case e.Draining:
 		t.Fatalf("request %d starts at %q, which is draining", req.ID, endpoint)
+	case e.Evacuated:
+		t.Fatalf("request %d starts at %q, which is evacuated", req.ID, endpoint)
 	case e.closed:
 		t.Fatalf("request %d starts at %q, which reported that it is closed", req.ID, endpoint)
 	case e.loadedVersion == 0 || e.loadedVersion < m.minVersion:
@@ -90,6 +92,25 @@
 		delete(m.waiting, assignment.Request.ID)
 		m.start(t, assignment.Request, assignment.EndpointID)
 	}
+	for _, refused := range m.pool.RefuseUnservable(m.now) {
+		if m.waiting[refused.ID] == nil {
+			t.Fatalf("request %d is refused and did not wait", refused.ID)
+		}
+		delete(m.waiting, refused.ID)
+		m.checkRefused(t, refused)
+	}
+}
+
+// checkRefused checks that no endpoint is sure to take a request that is refused without a forecast.
+func (m *poolModel) checkRefused(t *rapid.T, req *Request) {
+	evacuating, usable := false, false
+	for id, e := range m.engines {
+		evacuating = evacuating || e.Evacuated
+		usable = usable || m.pool.eligible(m.now, m.pool.endpoints[id])
+	}
+	if !evacuating || usable || req.Resumed {
+		t.Fatalf("request %d is refused, evacuating %v, usable %v, resumed %v", req.ID, evacuating, usable, req.Resumed)
+	}
 }
 
 func (m *poolModel) submit(t *rapid.T) {
@@ -148,7 +169,7 @@
 	if e == nil {
 		return
 	}
-	switch rapid.IntRange(0, 4).Draw(t, "change") {
+	switch rapid.IntRange(0, 5).Draw(t, "change") {
 	case 0:
 		e.closed = !e.closed
 	case 1:
@@ -160,6 +181,8 @@
 	case 4:
 		m.minVersion = uint64(rapid.IntRange(0, 3).Draw(t, "minimum version"))
 		m.pool.SetMinVersion(m.minVersion)
+	case 5:
+		e.Evacuated = !e.Evacuated
 	}
 	m.listEndpoints()
 	m.reportAll()
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -120,11 +120,13 @@
 	return a.ArrivedAt.Before(b.ArrivedAt)
 }
 
-// Assignment is a waiting request that was given a slot.
+// Assignment is a waiting request that was given a slot, or is refused.
 type Assignment struct {
 	Request    *Request
 	EndpointID string
 	Estimate   LoadEstimate
+	// Refused says that no endpoint can serve the request. Dispatch refuses none.
+	Refused bool
 }
 
 // Dispatch starts waiting requests while slots are free.
