Send requests to the regions that their route and tenant allow

The document may now limit a route or a tenant to regions (regions_allowed); where both have a list, both bind, and an empty one sets no limit. Data of such requests could reach any region before. A request carries its set of regions into the pool, which chooses endpoints there only, for first attempts, retries, moves and resumed streams, and refuses at once if none is eligible. A waiting request blocks slots in its own regions only, and forecasts count the slots and the traffic of the request's regions. Just before sending, the region is checked again, also by the limits of the present document; a limit that held at the arrival binds until the end.

Without lists, choices and forecasts are the same code with the same random numbers.

--- a/directory/organisation.go
+++ b/directory/organisation.go
@@ -8,4 +8,6 @@
 	// Priority is valid only if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Regions are the regions in which requests of the organisation may be served, nil for all.
+	Regions *core.RegionSet
 }
--- a/directory/route.go
+++ b/directory/route.go
@@ -1,6 +1,10 @@
 package directory
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
 
 // RouteKind says whether requests of a route may run more than once and how they
 // are answered.
@@ -45,6 +49,8 @@
 	// MaxRuns is the number of endpoints that may run one request.
 	MaxRuns  int
 	Backends []Backend
+	// Regions are the regions in which requests of the route may be served, nil for all.
+	Regions *core.RegionSet
 }
 
 // Retryable reports whether a request may be sent again although it may
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -14,6 +14,7 @@
 	if err := g.checkQuarantine(req); err != nil {
 		return nil, err
 	}
+	req.residency.update(g.deps.Directory.View().Document)
 	grant, err := req.service.gate.Acquire(ctx, req.admissionRequest(time.Now(), resumed))
 	if err != nil {
 		req.recordRefusal(err)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -88,7 +88,8 @@
 	if attempt.endpoint == nil {
 		return attempt, false, ErrEndpointRemoved
 	}
-	if reason := withdrawal(req.service, view, attempt.endpoint); reason != "" {
+	req.residency.update(view.Document)
+	if reason := withdrawal(req, view, attempt.endpoint); reason != "" {
 		g.metrics.recordWithdrawnAttempt(reason)
 		return attempt, false, &UnavailableError{EndpointID: attempt.endpoint.ID, Reason: reason}
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -89,6 +89,7 @@
 	if refusal := g.authenticate(req, document); refusal != nil {
 		return refusal
 	}
+	req.residency = newResidency(document, req.route, r.Host, r.URL.Path, metadata.Key)
 	req.service = (*g.services.Load())[req.route.Pick(g.random.uniform())]
 	if req.service == nil {
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no such service", retryAfter: time.Second}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -31,6 +31,7 @@
 	partFingerprints []uint64
 	// trials are the fingerprints for which the request holds the trial.
 	trials    []uint64
+	residency residency
 	arrivedAt time.Time
 	deadline  time.Time // Zero for none.
 	// runs counts the failed attempts whose endpoint may have run the request.
@@ -149,6 +150,7 @@
 		LatencyCritical:     r.latencyCritical(),
 		ExpectedServiceTime: r.service.expectedDuration(r.metadata.LengthHint),
 		ExcludedEndpoints:   r.failedEndpointIDs,
+		Regions:             r.residency.allowed,
 	}
 	req.HardDeadline = r.arrivedAt.Add(r.route.LatencyTarget + lateQueueTime)
 	if resumed {
--- a/gateway/unavailableerror.go
+++ b/gateway/unavailableerror.go
@@ -22,7 +22,7 @@
 
 // withdrawal returns why an endpoint may get no requests since it was chosen, empty if it may: the
 // view may have changed, or the process have stood still.
-func withdrawal(service *service, view *directory.View, endpoint *directory.Endpoint) admission.Unavailability {
+func withdrawal(req *request, view *directory.View, endpoint *directory.Endpoint) admission.Unavailability {
 	switch {
 	case endpoint.Leaving:
 		return admission.UnavailableLeaving
@@ -30,9 +30,11 @@
 		return admission.UnavailableDraining
 	case view.IsEvacuated(endpoint.FailureDomain):
 		return admission.UnavailableEvacuated
+	case !req.residency.allowed.Contains(endpoint.Region):
+		return admission.UnavailableRegion
 	}
 	resting := false
-	service.gate.Inspect(func(p *admission.Pool) { resting = p.Resting(time.Now(), endpoint.ID) })
+	req.service.gate.Inspect(func(p *admission.Pool) { resting = p.Resting(time.Now(), endpoint.ID) })
 	if resting {
 		return admission.UnavailableResting
 	}
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -68,6 +68,9 @@
 	}
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
+		if !p.regionAllows(endpoint.Region, req) {
+			continue
+		}
 		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
 			continue
 		}
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -169,7 +169,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	return now.Add(g.pool.expectedWait(now, req, g.pool.slotReleaseRate(now))).After(req.HardDeadline)
+	return now.Add(g.pool.expectedWait(now, req, g.pool.slotReleaseRate(now, req.Regions))).After(req.HardDeadline)
 }
 
 // stopWaiting ends the wait of a request unless it has got a slot in the
@@ -184,10 +184,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	wait := g.pool.expectedWait(now, req, g.pool.slotReleaseRate(now))
+	wait := g.pool.expectedWait(now, req, g.pool.slotReleaseRate(now, req.Regions))
 	return nil, &RefusedError{
 		Reason: ReasonExpired, RetryAfter: wait, Waited: now.Sub(enqueuedAt), MinVersion: g.pool.minVersion,
-		Unavailable: g.pool.Unavailable(now),
+		Unavailable: g.pool.unavailableTo(now, req.Regions),
 	}
 }
 
@@ -199,7 +199,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: unservableWait, Waited: waited, MinVersion: g.pool.minVersion, Unavailable: g.pool.Unavailable(g.now())}
+	return nil, &RefusedError{Reason: ReasonNoEndpoint, RetryAfter: unservableWait, Waited: waited, MinVersion: g.pool.minVersion, Unavailable: g.pool.unavailableTo(g.now(), assignment.Request.Regions)}
 }
 
 // dequeue removes a waiting request. It reports false if the request has got a
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -35,6 +35,10 @@
 	rests map[string]*rest
 	// suspended is how long the machine has been suspended since the process started.
 	suspended time.Duration
+	// restrictedArrivals measures the arrival rates of requests that may use some regions only.
+	restrictedArrivals map[restrictedClass]*restrictedArrivals
+	// reserved lists the sets of regions that the request that is being placed may not use.
+	reserved []*core.RegionSet
 	// evacuating says that an endpoint is evacuated.
 	evacuating bool
 }
@@ -49,8 +53,10 @@
 		meanServiceTime: config.InitialServiceTime,
 		usage:           make(map[core.OrganisationID]float64),
 		arrivalsByRank:  make(map[int]*arrivalRate),
-		rateLimits:      make(map[string]*rateLimit),
-		rests:           make(map[string]*rest),
+
+		restrictedArrivals: make(map[restrictedClass]*restrictedArrivals),
+		rateLimits:         make(map[string]*rateLimit),
+		rests:              make(map[string]*rest),
 	}
 }
 
@@ -126,16 +132,16 @@
 	if decision, ok := p.TryStart(now, req); ok {
 		return decision
 	}
-	releaseRate := p.slotReleaseRate(now)
+	releaseRate := p.slotReleaseRate(now, req.Regions)
 	if releaseRate == 0 && len(p.endpoints) == 0 {
 		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: maxExpectedWait}
 	}
 	if p.unservable(now, req) {
-		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: unservableWait, Unavailable: p.Unavailable(now)}
+		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: unservableWait, Unavailable: p.unavailableTo(now, req.Regions)}
 	}
 	wait := p.expectedWait(now, req, releaseRate)
 	if !req.Resumed && now.Add(wait).After(req.HardDeadline) {
-		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, releaseRate), ExpectedWait: wait, Unavailable: p.Unavailable(now)}
+		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, req, releaseRate), ExpectedWait: wait, Unavailable: p.unavailableTo(now, req.Regions)}
 	}
 	p.waiting = append(p.waiting, req)
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
@@ -146,8 +152,10 @@
 	if p.blockedByWaiting(now, req) {
 		return Decision{}, false
 	}
-	freeSlots := p.freeSlots(now)
+	freeSlots := p.freeSlots(now, req.Regions)
+	p.reserveRegions(now, req)
 	endpoint := p.chooseEndpoint(now, req, freeSlots)
+	p.releaseRegions()
 	if endpoint == nil {
 		return Decision{}, false
 	}
@@ -157,11 +165,11 @@
 }
 
 // refusalReason returns why no slot is expected in time.
-func (p *Pool) refusalReason(now time.Time, releaseRate float64) Reason {
+func (p *Pool) refusalReason(now time.Time, req *Request, releaseRate float64) Reason {
 	if releaseRate > 0 {
 		return ReasonFull
 	}
-	if _, resting := p.earliestRestEnd(now); resting {
+	if _, resting := p.earliestRestEnd(now, req.Regions); resting {
 		return ReasonResting
 	}
 	return ReasonFull
@@ -213,12 +221,12 @@
 	return len(p.waiting)
 }
 
-// freeSlots returns the number of free slots at all eligible endpoints, by their
-// estimated load.
-func (p *Pool) freeSlots(now time.Time) int {
+// freeSlots returns the number of free slots at all eligible endpoints of a set of regions,
+// by their estimated load.
+func (p *Pool) freeSlots(now time.Time, regions *core.RegionSet) int {
 	free := 0
 	for _, endpoint := range p.endpoints {
-		if p.eligible(now, endpoint) {
+		if regions.Contains(endpoint.Region) && p.eligible(now, endpoint) {
 			free += p.freeSlotsAt(now, endpoint)
 		}
 	}
--- a/routing/admission/rateallowance.go
+++ b/routing/admission/rateallowance.go
@@ -120,7 +120,7 @@
 	if arrivals == 0 {
 		return 0
 	}
-	return min(arrivals/p.slotReleaseRate(now), 1)
+	return min(arrivals/p.slotReleaseRate(now, nil), 1)
 }
 
 // takeToken counts a request that is sent to an endpoint.
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -38,6 +38,8 @@
 	MinVersion uint64
 	// ExcludedEndpoints lists the IDs of endpoints that must not run the request.
 	ExcludedEndpoints []string
+	// Regions are the regions to whose endpoints the request may be sent, nil for all.
+	Regions *core.RegionSet
 }
 
 // class orders requests: lower values start first.
--- a/routing/admission/rest.go
+++ b/routing/admission/rest.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
 
 // rest is the pause for which one incarnation of an endpoint has asked this entry. After it
 // the entry sends single requests as probes until one is answered.
@@ -88,11 +92,11 @@
 	}
 }
 
-// earliestRestEnd returns the time until the first endpoint ends its rest; ok is false if
-// none rests.
-func (p *Pool) earliestRestEnd(now time.Time) (wait time.Duration, ok bool) {
+// earliestRestEnd returns the time until the first endpoint of a set of regions ends its rest;
+// ok is false if none rests.
+func (p *Pool) earliestRestEnd(now time.Time, regions *core.RegionSet) (wait time.Duration, ok bool) {
 	for _, endpoint := range p.endpoints {
-		if p.unavailability(now, endpoint) != UnavailableResting {
+		if !regions.Contains(endpoint.Region) || p.unavailability(now, endpoint) != UnavailableResting {
 			continue
 		}
 		left := max(p.restEnd(p.restOf(endpoint)).Sub(now), 0)
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -31,6 +31,9 @@
 	UnavailableUnreported Unavailability = "unreported"
 	// UnavailableOutdated: it has no version of the weights, or one below the minimum.
 	UnavailableOutdated Unavailability = "outdated"
+	// UnavailableRegion: the request may not be sent to its region. This is no state of the
+	// endpoint.
+	UnavailableRegion Unavailability = "region"
 	// UnavailableRateLimited: this entry has used its part of the endpoint's rate limit.
 	UnavailableRateLimited Unavailability = "rate_limited"
 )
@@ -79,17 +82,7 @@
 
 // Unavailable returns the number of endpoints that get no requests now, by the reason.
 func (p *Pool) Unavailable(now time.Time) UnavailableEndpoints {
-	counts := make(UnavailableEndpoints)
-	for _, endpoint := range p.endpoints {
-		reason := p.unavailability(now, endpoint)
-		if reason == "" && !p.rateLimitAllows(now, endpoint) {
-			reason = UnavailableRateLimited
-		}
-		if reason != "" {
-			counts[reason]++
-		}
-	}
-	return counts
+	return p.unavailableTo(now, nil)
 }
 
 // String lists the counts for the log, as "broken 2, closed 1"; empty if there are none.
--- a/routing/admission/unservable.go
+++ b/routing/admission/unservable.go
@@ -8,13 +8,16 @@
 
 // unservable reports whether a request would wait for endpoints none of which is likely to take
 // it: none is eligible, and none only rests, after which it is. Such a request is refused at once
-// while endpoints are evacuated, as nothing tells when they will be in use again. A resumed
-// request waits, since its caller has a part of the response.
+// while endpoints are evacuated, as nothing tells when they will be in use again, and if it may use
+// some regions only. A resumed request waits, since its caller has a part of the response.
 func (p *Pool) unservable(now time.Time, req *Request) bool {
-	if !p.evacuating || req.Resumed {
+	if req.Resumed || (!p.evacuating && req.Regions == nil) {
 		return false
 	}
 	for _, endpoint := range p.endpoints {
+		if !req.Regions.Contains(endpoint.Region) {
+			continue
+		}
 		switch p.unavailability(now, endpoint) {
 		case "", UnavailableResting:
 			return false
@@ -25,9 +28,6 @@
 
 // RefuseUnservable removes the waiting requests that are to be refused at once, and returns them.
 func (p *Pool) RefuseUnservable(now time.Time) []*Request {
-	if !p.evacuating {
-		return nil
-	}
 	var refused []*Request
 	stillWaiting := p.waiting[:0]
 	for _, req := range p.waiting {
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/snipestep/snipestep/core"
 )
 
 // maxExpectedWait bounds the expected wait that callers are given, whose requests
@@ -11,21 +13,23 @@
 const maxExpectedWait = 5 * time.Second
 
 // blockedByWaiting reports whether a request that precedes this one is waiting for the same slots.
-// One that waits for newer weights leaves the slots to others that it can't use.
+// One that waits for newer weights leaves the slots to others that it can't use, and one that
+// may use some regions only blocks just these (reserveRegions).
 func (p *Pool) blockedByWaiting(now time.Time, req *Request) bool {
 	for _, other := range p.waiting {
-		if p.before(now, other, req) && (other.MinVersion <= p.minVersion || p.chooseEndpoint(now, other, p.freeSlots(now)) != nil) {
+		if other.Regions == nil && p.before(now, other, req) && (other.MinVersion <= p.minVersion || p.chooseEndpoint(now, other, p.freeSlots(now, nil)) != nil) {
 			return true
 		}
 	}
 	return false
 }
 
-// slotReleaseRate estimates how many slots per second become free for this entry.
-func (p *Pool) slotReleaseRate(now time.Time) float64 {
+// slotReleaseRate estimates how many slots per second become free for this entry in a set of
+// regions.
+func (p *Pool) slotReleaseRate(now time.Time, regions *core.RegionSet) float64 {
 	total := 0.0
 	for _, endpoint := range p.endpoints {
-		if !p.eligible(now, endpoint) {
+		if !regions.Contains(endpoint.Region) || !p.eligible(now, endpoint) {
 			continue
 		}
 		rate := float64(endpoint.Slots) / p.meanServiceTime.Seconds() / float64(p.entryCount)
@@ -41,24 +45,24 @@
 // precede it and the rate in slots per second at which slots become free.
 func (p *Pool) expectedWait(now time.Time, req *Request, releaseRate float64) time.Duration {
 	if releaseRate == 0 {
-		if wait, resting := p.earliestRestEnd(now); resting {
+		if wait, resting := p.earliestRestEnd(now, req.Regions); resting {
 			return wait
 		}
 		return maxExpectedWait
 	}
 	ahead := 1
 	for _, other := range p.waiting {
-		if p.before(now, other, req) {
+		if other.Regions.Overlaps(req.Regions) && p.before(now, other, req) {
 			ahead++
 		}
 	}
-	wait := queueWait(ahead, p.spareRate(now, releaseRate, req.Rank))
+	wait := queueWait(ahead, p.spareRate(now, releaseRate, req.Rank, req.Regions))
 	if !now.Add(wait).After(req.SoftDeadline) || req.Resumed {
 		return wait
 	}
 	// The request will be late, and then follows all requests that are on time,
 	// including those that have not arrived yet.
-	return queueWait(len(p.waiting)+1, p.spareRate(now, releaseRate, maxRank))
+	return queueWait(p.waitingFor(req.Regions)+1, p.spareRate(now, releaseRate, maxRank, req.Regions))
 }
 
 // maxRank is greater than every rank.
@@ -68,14 +72,10 @@
 // ranks must leave; below it less urgent ranks are assumed to get none.
 const minSpareShare = 0.05
 
-// spareRate returns how many slots per second the more urgent ranks leave free.
-func (p *Pool) spareRate(now time.Time, releaseRate float64, rank int) float64 {
-	spare := releaseRate
-	for other, arrivals := range p.arrivalsByRank {
-		if other < rank {
-			spare -= arrivals.perSecond(now)
-		}
-	}
+// spareRate returns how many slots per second the more urgent ranks leave free in a set of
+// regions.
+func (p *Pool) spareRate(now time.Time, releaseRate float64, rank int, regions *core.RegionSet) float64 {
+	spare := releaseRate - p.competingArrivals(now, rank, regions)
 	if spare <= minSpareShare*releaseRate {
 		return 0
 	}
@@ -98,6 +98,9 @@
 		p.arrivalsByRank[req.Rank] = rate
 	}
 	rate.add(now)
+	if req.Regions != nil {
+		p.recordRestrictedArrival(now, req)
+	}
 }
 
 // before reports whether a precedes b in the queue. The criteria in order are class,
@@ -145,17 +148,21 @@
 			return 0
 		}
 	})
-	freeSlots := p.freeSlots(now)
+	freeSlots := p.freeSlots(now, nil)
 	stillWaiting := p.waiting[:0]
 	for _, req := range p.waiting {
-		endpoint := p.chooseEndpoint(now, req, freeSlots)
+		freeForRequest := freeSlots
+		if req.Regions != nil {
+			freeForRequest = p.freeSlots(now, req.Regions)
+		}
+		endpoint := p.chooseEndpoint(now, req, freeForRequest)
 		if endpoint == nil {
 			stillWaiting = append(stillWaiting, req)
 			continue
 		}
-		assignments = append(assignments, Assignment{Request: req, EndpointID: endpoint.ID, Estimate: p.loadEstimate(now, endpoint, freeSlots)})
+		assignments = append(assignments, Assignment{Request: req, EndpointID: endpoint.ID, Estimate: p.loadEstimate(now, endpoint, freeForRequest)})
 		p.start(now, endpoint, req)
-		freeSlots = p.freeSlots(now)
+		freeSlots = p.freeSlots(now, nil)
 	}
 	p.waiting = stillWaiting
 	return assignments
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -75,7 +75,7 @@
 	{MetricRateLimitedEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that announce a limit on their requests per second; absent while none did."},
 	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: leaving (by its responses), draining (by the list), evacuated (its failure domain), resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights) or rate_limited; absent without any. Read when the page is served."},
 	{MetricEvacuatedDomains, Gauge, "0 or 1", []string{TagDomain}, directOnly, "At entries: 1 for each failure domain to whose endpoints nothing is sent by order of the operator; absent for others. Read when the page is served."},
-	{MetricWithdrawnAttempts, Counter, "attempts", []string{TagReason}, directOnly, "At entries: attempts that were not sent since the endpoint had become unavailable after it was chosen, by the reason: leaving, draining, evacuated or resting."},
+	{MetricWithdrawnAttempts, Counter, "attempts", []string{TagReason}, directOnly, "At entries: attempts that were not sent since the endpoint had become unavailable after it was chosen, by the reason: leaving, draining, evacuated, region (the document no longer allows it) or resting."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
