Release a stream's answer when its attempt ends

An event that is out of order, a stream without an event of the rest, or a failure that is tried elsewhere ended the attempt, but its bytes stayed counted until the request ended. If such an answer was evicted, nobody released it before that, and all other answers waited for its room.

An attempt of a stream that fails now releases its answer, whatever ended it: nothing of it is kept.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -133,6 +133,9 @@
 	if err == nil {
 		return true, nil
 	}
+	// Nothing of the answer is kept. If it stayed counted, it could be evicted, and nobody would
+	// release it before the request ends.
+	attempt.held.release()
 	if cause := context.Cause(attemptCtx); errors.Is(cause, ErrEventTimeout) || isWithdrawal(cause) {
 		err = cause
 	}
@@ -204,7 +207,6 @@
 			return s.complete(attempt)
 		}
 		if err != nil {
-			attempt.held.release()
 			return attempt.held.cause(err)
 		}
 		silenceTimer.Reset(s.eventGapTimeout())
