--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -15,6 +15,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/internal/connguard"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -58,7 +59,7 @@
 	// answering says that an event of the response has arrived.
 	answering bool
 	// held counts the bytes of the response that are in memory.
-	held   *heldAnswer
+	held   *heldbytes.Held
 	cancel context.CancelFunc
 }
 
@@ -79,7 +80,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	attempt = &endpointAttempt{
 		grant: grant, cancel: func() { cancel(nil) }, sentAt: time.Now(),
-		held: g.answers.hold(grant.EndpointID, cancel),
+		held: g.answers.Hold(grant.EndpointID, cancel),
 	}
 	req.held = append(req.held, attempt.held)
 	req.attempts++
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -142,19 +142,19 @@
 	}
 	body, err := readPieces(attempt)
 	if err != nil {
-		attempt.held.release()
-		return nil, attempt.held.cause(err)
+		attempt.held.Release()
+		return nil, attempt.held.Cause(err)
 	}
-	attempt.held.finish()
+	attempt.held.Finish()
 	return &bufferedResponse{status: attempt.response.StatusCode, header: attempt.response.Header, body: body}, nil
 }
 
-// readPieces reads a body to its end. It returns ErrResponseTooLarge or ErrHeldTooMuch for one that
+// readPieces reads a body to its end. It returns ErrResponseTooLarge or heldbytes.ErrNoRoom for one that
 // would take too much memory.
 func readPieces(attempt *endpointAttempt) ([][]byte, error) {
 	var pieces [][]byte
 	for size, pieceSize := 0, firstPieceBytes; ; pieceSize = pieceBytes {
-		if err := attempt.held.setBytes(size + pieceSize); err != nil {
+		if err := attempt.held.SetBytes(size + pieceSize); err != nil {
 			return nil, err
 		}
 		piece := make([]byte, pieceSize)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/strikes"
@@ -33,7 +34,7 @@
 	// to pass on.
 	strikes *strikes.Ledger
 	// answers bounds the memory for answers.
-	answers    *answerBudget
+	answers    *heldbytes.Budget
 	strikeNews *strikeNews
 	trials     *trialGate
 	// rateLimitNews has a value when a rate limit has changed.
@@ -73,7 +74,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
--- a/gateway/answerbudget_test.go
+++ b/gateway/largeanswers_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"runtime"
@@ -13,94 +12,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
-// counted is the size of an answer that counts as n bytes.
-func counted(n int) int {
-	return n + uncountedBytes
-}
-
-// newHeld returns the count of an answer, and whether it was evicted.
-func newHeld(b *answerBudget, endpoint string) (*heldAnswer, *bool) {
-	evicted := new(bool)
-	answer := b.hold(endpoint, nil)
-	answer.evict = func(error) {
-		*evicted = true
-		go answer.release()
-	}
-	return answer, evicted
-}
-
-// Guards against answers that end since another endpoint fills the memory.
-func TestEndpointThatSentMostLosesItsLargestAnswer(t *testing.T) {
-	b := newAnswerBudget(100)
-	small, smallEvicted := newHeld(b, "faulty")
-	large, largeEvicted := newHeld(b, "faulty")
-	sound, soundEvicted := newHeld(b, "sound")
-	assert.NilError(t, small.setBytes(counted(20)))
-	assert.NilError(t, large.setBytes(counted(35)))
-	assert.NilError(t, sound.setBytes(counted(45)))
-	assert.NilError(t, sound.setBytes(counted(50)), "it has fewer bytes than the other endpoint")
-	assert.Assert(t, *largeEvicted && !*smallEvicted && !*soundEvicted)
-	assert.Assert(t, errors.Is(large.setBytes(counted(36)), ErrHeldTooMuch))
-	assert.Assert(t, errors.Is(large.cause(io.EOF), ErrHeldTooMuch))
-}
-
-// Guards against a neighbour that loses its answer for being the largest one, while another endpoint
-// holds more in several.
-func TestEndpointWithManyAnswersLosesBeforeOneWithTheLargest(t *testing.T) {
-	b := newAnswerBudget(100)
-	var faulty []*bool
-	for range 3 {
-		answer, evicted := newHeld(b, "faulty")
-		assert.NilError(t, answer.setBytes(counted(24)))
-		faulty = append(faulty, evicted)
-	}
-	sound, soundEvicted := newHeld(b, "sound")
-	assert.NilError(t, sound.setBytes(counted(28)))
-	assert.NilError(t, sound.setBytes(counted(30)))
-	lost := 0
-	for _, evicted := range faulty {
-		if *evicted {
-			lost++
-		}
-	}
-	assert.Equal(t, lost, 1)
-	assert.Assert(t, !*soundEvicted)
-}
-
-// Guards against memory that is lost with each answer, and answers that wait for it without end.
-func TestReleasedAnswersMakeRoom(t *testing.T) {
-	b := newAnswerBudget(100)
-	for range 1000 {
-		answer, evicted := newHeld(b, "a")
-		assert.NilError(t, answer.setBytes(counted(100)))
-		assert.NilError(t, answer.setBytes(counted(0)))
-		assert.NilError(t, answer.setBytes(counted(90)))
-		answer.finish()
-		answer.release()
-		answer.release()
-		assert.Assert(t, !*evicted)
-	}
-	assert.Equal(t, b.total, 0)
-	assert.Equal(t, len(b.answers), 0)
-}
-
-// An answer that was read completely is not lost to one that is still being read.
-func TestCompleteAnswerIsKept(t *testing.T) {
-	b := newAnswerBudget(100)
-	complete, evicted := newHeld(b, "a")
-	assert.NilError(t, complete.setBytes(counted(90)))
-	complete.finish()
-	later, _ := newHeld(b, "a")
-	assert.Assert(t, errors.Is(later.setBytes(counted(20)), ErrHeldTooMuch))
-	assert.Assert(t, !*evicted)
-}
-
-// maxHeapGrowth bounds the live heap with all answers held: maxHeldBytes, the uncounted part of
+// maxHeapGrowth bounds the live heap with all answers held: heldbytes.DefaultLimit, the uncounted part of
 // each of some hundred answers, and buffers of connections.
-const maxHeapGrowth = maxHeldBytes * 3 / 2
+const maxHeapGrowth = heldbytes.DefaultLimit * 3 / 2
 
 // largeAnswers are endpoints that send large answers and no end, until end is closed. They answer
 // sound requests at once.
@@ -182,26 +100,19 @@
 
 // held returns the counted bytes of the answers in memory.
 func (f *fixture) held() int {
-	f.gateway.answers.mu.Lock()
-	defer f.gateway.answers.mu.Unlock()
-	return f.gateway.answers.total
+	return f.gateway.answers.Total()
 }
 
 // heldAreRead reports whether a number of answers are in memory, of which that many bytes were read
 // each.
 func (f *fixture) heldAreRead(count, bytes int) bool {
-	b := f.gateway.answers
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, answers := range b.answers {
-		for answer := range answers {
-			if counted(answer.bytes) < bytes {
-				return false
-			}
-			count--
+	counted := f.gateway.answers.Counted()
+	for _, answerBytes := range counted {
+		if answerBytes+heldbytes.UncountedBytes < bytes {
+			return false
 		}
 	}
-	return count == 0
+	return len(counted) == count
 }
 
 // liveHeap returns the bytes that are reachable.
--- a/gateway/releasedanswer_test.go
+++ b/gateway/releasedanswer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 // Guards against an answer that stays counted after its attempt has ended: once it is evicted,
@@ -48,7 +50,7 @@
 			}
 			f := newFixture(t, endpoint, endpoint, endpoint)
 			f.directory.View().Document.Match("h.example", "/stream/").MaxRuns = len(test.answers) + 1
-			f.gateway.answers.limit = 350 << 10 // Two of the large answers do not fit.
+			f.gateway.answers = heldbytes.NewBudget(350 << 10) // Two of the large answers do not fit.
 			ended := make(chan error, 1)
 			go func() {
 				_, _, err := f.send(t, "/stream/", func(r *http.Request) { r.Header.Set("Last", test.lastEventID) })
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/internal/connguard"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/strikes"
@@ -48,7 +49,7 @@
 	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
 	placed *admission.Grant
 	// held counts the bytes of the answers to all attempts.
-	held      []*heldAnswer
+	held      []*heldbytes.Held
 	queueWait time.Duration
 	// lastEndpointID is the ID of the endpoint that was chosen last.
 	lastEndpointID string
@@ -182,7 +183,7 @@
 // releaseHeld frees the bytes of all answers.
 func (r *request) releaseHeld() {
 	for _, answer := range r.held {
-		answer.release()
+		answer.Release()
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -135,7 +135,7 @@
 	}
 	// Nothing of the answer is kept. If it stayed counted, it could be evicted, and nobody would
 	// release it before the request ends.
-	attempt.held.release()
+	attempt.held.Release()
 	if cause := context.Cause(attemptCtx); errors.Is(cause, ErrEventTimeout) || isWithdrawal(cause) {
 		err = cause
 	}
@@ -195,7 +195,7 @@
 	if attempt.response.StatusCode != http.StatusOK {
 		return s.forwardFailure(attempt)
 	}
-	reader := newEventReader(attempt.response.Body, attempt.held.setBytes)
+	reader := newEventReader(attempt.response.Body, attempt.held.SetBytes)
 	first, resuming := true, s.headerSent
 	for {
 		e, err := reader.next()
@@ -207,7 +207,7 @@
 			return s.complete(attempt)
 		}
 		if err != nil {
-			return attempt.held.cause(err)
+			return attempt.held.Cause(err)
 		}
 		silenceTimer.Reset(s.eventGapTimeout())
 		move.stop(ErrEventTimeout)
--- /dev/null
+++ b/internal/heldbytes/budget.go
@@ -0,0 +1,186 @@
+package heldbytes
+
+import (
+	"context"
+	"sync"
+
+	"github.com/rotisserie/eris"
+)
+
+// ErrNoRoom reports an answer that was given up on since the answers of its endpoint filled
+// the memory for answers.
+var ErrNoRoom = eris.New("answers of the endpoint fill the memory")
+
+const (
+	// DefaultLimit bounds the answers, or events, that a process holds in memory: a sixth of
+	// the memory of the smallest known entry, 184 MB, as the collector lets the heap double.
+	DefaultLimit = 32 << 20
+	// UncountedBytes is the part of each answer that is not counted, so that the answers of
+	// sound endpoints, of some kilobytes, never fail for want of memory.
+	UncountedBytes = 64 << 10
+)
+
+// Budget bounds the memory for answers of all owners together, which are endpoints. When it is
+// used up, the owner with the most bytes loses its largest answer. It is safe for concurrent use.
+type Budget struct {
+	limit int
+
+	mu sync.Mutex
+	// freed is signalled when answers are released.
+	freed *sync.Cond
+	total int
+	// answers holds the counted answers by owner.
+	answers map[string]map[*Held]bool
+}
+
+// NewBudget returns a budget of a number of bytes.
+func NewBudget(limit int) *Budget {
+	b := &Budget{limit: limit, answers: make(map[string]map[*Held]bool)}
+	b.freed = sync.NewCond(&b.mu)
+	return b
+}
+
+// Held counts the bytes of one answer. It belongs to one goroutine.
+type Held struct {
+	budget *Budget
+	owner  string
+	// evict ends the reading of the answer.
+	evict context.CancelCauseFunc
+	// counted says that the budget knows the answer. Only its goroutine uses it.
+	counted bool
+
+	// The mutex of the budget guards the fields below.
+	bytes    int
+	evicted  bool
+	complete bool
+}
+
+// Hold returns the count of an answer that begins to arrive.
+func (b *Budget) Hold(owner string, evict context.CancelCauseFunc) *Held {
+	return &Held{budget: b, owner: owner, evict: evict}
+}
+
+// SetBytes records how many bytes of the answer are held. It blocks while larger answers make room,
+// and returns ErrNoRoom if this one has to.
+func (a *Held) SetBytes(n int) error {
+	n = max(n-UncountedBytes, 0)
+	if n == 0 && !a.counted {
+		return nil
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		if a.evicted {
+			return ErrNoRoom
+		}
+		b.register(a)
+		if grown := n - a.bytes; grown <= 0 || b.total+grown <= b.limit {
+			b.total += grown
+			a.bytes = n
+			b.freed.Broadcast()
+			return nil
+		}
+		if !b.evictLargest(a) {
+			a.evicted = true
+			return ErrNoRoom
+		}
+		b.freed.Wait()
+	}
+}
+
+// register is called with mu held.
+func (b *Budget) register(a *Held) {
+	if a.counted {
+		return
+	}
+	a.counted = true
+	if b.answers[a.owner] == nil {
+		b.answers[a.owner] = make(map[*Held]bool)
+	}
+	b.answers[a.owner][a] = true
+}
+
+// evictLargest evicts the largest incomplete answer of the owner with the most bytes, unless
+// one is about to be released. It reports false if that is the answer that asks for room, or if
+// there is none. The caller holds mu.
+func (b *Budget) evictLargest(asking *Held) bool {
+	var largest *Held
+	mostBytes := 0
+	for _, answers := range b.answers {
+		ownerBytes, candidate := 0, (*Held)(nil)
+		for a := range answers {
+			if a.evicted && a != asking {
+				return true // It is being released.
+			}
+			ownerBytes += a.bytes
+			if !a.complete && (candidate == nil || a.bytes > candidate.bytes) {
+				candidate = a
+			}
+		}
+		if candidate != nil && ownerBytes > mostBytes {
+			largest, mostBytes = candidate, ownerBytes
+		}
+	}
+	if largest == nil || largest == asking {
+		return false
+	}
+	largest.evicted = true
+	largest.evict(ErrNoRoom)
+	return true
+}
+
+// Finish records that the answer was read completely, and is held until it is written.
+func (a *Held) Finish() {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.complete = true
+}
+
+// Release frees the bytes. It may be called again.
+func (a *Held) Release() {
+	if !a.counted {
+		return
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.total -= a.bytes
+	a.bytes = 0
+	a.counted = false
+	delete(b.answers[a.owner], a)
+	if len(b.answers[a.owner]) == 0 {
+		delete(b.answers, a.owner)
+	}
+	b.freed.Broadcast()
+}
+
+// Cause returns ErrNoRoom for an answer that was evicted, else err.
+func (a *Held) Cause(err error) error {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.evicted {
+		return ErrNoRoom
+	}
+	return err
+}
+
+// Total returns the counted bytes of all answers.
+func (b *Budget) Total() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
+// Counted returns the counted bytes of each answer.
+func (b *Budget) Counted() []int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var counted []int
+	for _, answers := range b.answers {
+		for answer := range answers {
+			counted = append(counted, answer.bytes)
+		}
+	}
+	return counted
+}
