End waits for room with the context of the call

A wait for room in the budget of answers ended with the next release only, also when the call had ended. An answer that was complete at the moment at which it was evicted was kept while others waited for its room. A failure that was kept for the caller and replaced by a later one stayed counted. An attempt whose answer had to make room counted against its endpoint in the circuit breaker, although that endpoint may be sound.

Held gets the context of the attempt, which ends its waits; Finish fails for an evicted answer; a replaced failure is released; ErrNoRoom counts as cancelled. Reading in pieces moves from gateway to heldbytes, with ReadAll for bodies that are needed in one piece, which count twice while they are joined. AddBytes is for answers that several parts count.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -142,6 +143,10 @@
 	if errors.As(err, &unavailable) {
 		return admission.Cancelled
 	}
+	if errors.Is(err, heldbytes.ErrNoRoom) {
+		// The endpoint that sent most may be sound.
+		return admission.Cancelled
+	}
 	if errors.Is(err, ErrEventTimeout) {
 		return admission.TimedOut
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	attempt = &endpointAttempt{
 		grant: grant, cancel: func() { cancel(nil) }, sentAt: time.Now(),
-		held: g.answers.Hold(grant.EndpointID, cancel),
+		held: g.answers.Hold(ctx, grant.EndpointID, cancel),
 	}
 	req.held = append(req.held, attempt.held)
 	req.attempts++
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -27,10 +28,6 @@
 	// firstAttemptShare is the fraction of the remaining time after which an
 	// idempotent request moves to another endpoint, so that a second attempt still fits.
 	firstAttemptShare = 0.45
-	// firstPieceBytes and pieceBytes are the sizes of the first piece of a body whose length
-	// is not known, and of the others.
-	firstPieceBytes = 2 << 10
-	pieceBytes      = 64 << 10
 )
 
 // bufferedResponse is a response that was read completely.
@@ -39,6 +36,8 @@
 	header http.Header
 	// body is in pieces, so that a large one is not copied as it grows.
 	body [][]byte
+	// held counts the bytes of the body.
+	held *heldbytes.Held
 }
 
 // serveBuffered serves a request whose response is buffered and forwarded when it is
@@ -54,6 +53,9 @@
 		}
 		response, mayHaveRun, err := g.tryBuffered(ctx, r, req, grant)
 		if response != nil {
+			if lastResponse != nil {
+				lastResponse.held.Release()
+			}
 			lastResponse = response
 		}
 		if err == nil && (response.status < http.StatusInternalServerError || req.route.Kind != directory.Idempotent) {
@@ -141,48 +143,31 @@
 		return nil, ErrResponseTooLarge
 	}
 	body, err := readPieces(attempt)
+	if err == nil {
+		err = attempt.held.Finish()
+	}
 	if err != nil {
 		attempt.held.Release()
 		return nil, attempt.held.Cause(err)
 	}
-	attempt.held.Finish()
-	return &bufferedResponse{status: attempt.response.StatusCode, header: attempt.response.Header, body: body}, nil
+	return &bufferedResponse{status: attempt.response.StatusCode, header: attempt.response.Header, body: body, held: attempt.held}, nil
 }
 
-// readPieces reads a body to its end. It returns ErrResponseTooLarge or heldbytes.ErrNoRoom for one that
-// would take too much memory.
+// readPieces reads a body to its end. It returns ErrResponseTooLarge or heldbytes.ErrNoRoom for one
+// that would take too much memory.
 func readPieces(attempt *endpointAttempt) ([][]byte, error) {
-	var pieces [][]byte
-	for size, pieceSize := 0, firstPieceBytes; ; pieceSize = pieceBytes {
-		if err := attempt.held.SetBytes(size + pieceSize); err != nil {
-			return nil, err
-		}
-		piece := make([]byte, pieceSize)
-		n, err := readPiece(attempt.response.Body, piece)
-		size += n
-		if n > 0 {
-			pieces = append(pieces, piece[:n])
-		}
-		switch {
-		case size > maxBufferedBytes:
-			return nil, ErrResponseTooLarge
-		case errors.Is(err, io.EOF):
-			return pieces, nil
-		case err != nil:
-			return nil, err
-		}
+	pieces, err := heldbytes.ReadPieces(io.LimitReader(attempt.response.Body, maxBufferedBytes+1), attempt.held)
+	if err != nil {
+		return nil, err
 	}
-}
-
-// readPiece fills a piece. Unlike io.ReadFull it returns io.EOF at the end of a body only, whose
-// reader returns io.ErrUnexpectedEOF if it was cut.
-func readPiece(body io.Reader, piece []byte) (n int, err error) {
-	for n < len(piece) && err == nil {
-		var read int
-		read, err = body.Read(piece[n:])
-		n += read
+	size := 0
+	for _, piece := range pieces {
+		size += len(piece)
+	}
+	if size > maxBufferedBytes {
+		return nil, ErrResponseTooLarge
 	}
-	return n, err
+	return pieces, nil
 }
 
 // finishBuffered ends a request for which no endpoint gave a successful response:
--- a/gateway/releasedanswer_test.go
+++ b/gateway/releasedanswer_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/internal/heldbytes"
+	"github.com/snipestep/snipestep/routing/admission"
 )
 
 // Guards against an answer that stays counted after its attempt has ended: once it is evicted,
@@ -68,3 +69,40 @@
 		})
 	}
 }
+
+// Guards against a failure that was kept for the caller and replaced by that of a later attempt, but
+// stays counted.
+func TestReplacedFailureIsReleased(t *testing.T) {
+	large := strings.Repeat("x", 200<<10)
+	third, release := make(chan struct{}), make(chan struct{})
+	attempts := make(chan int, 1)
+	attempts <- 0
+	endpoint := func(w http.ResponseWriter, r *http.Request) {
+		attempt := <-attempts
+		attempts <- attempt + 1
+		if attempt == 2 {
+			close(third)
+			<-release
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, large)
+	}
+	f := newFixture(t, endpoint, endpoint, endpoint)
+	f.directory.View().Document.Match("h.example", "/again/").MaxRuns = 3
+	ended := make(chan string, 1)
+	go func() {
+		_, body, _ := f.send(t, "/again/", nil)
+		ended <- body
+	}()
+	<-third
+	assert.Check(t, len(f.gateway.answers.Counted()) == 1, "held: %v", f.gateway.answers.Counted())
+	close(release)
+	assert.Assert(t, <-ended == large)
+}
+
+// Guards against an endpoint that is set aside because its answer had to make room, although it may
+// be sound.
+func TestAnswerThatMakesRoomSaysNothingOfItsEndpoint(t *testing.T) {
+	assert.Equal(t, attemptOutcome(t.Context(), heldbytes.ErrNoRoom), admission.Cancelled)
+}
--- a/internal/heldbytes/budget.go
+++ b/internal/heldbytes/budget.go
@@ -40,14 +40,18 @@
 	return b
 }
 
-// Held counts the bytes of one answer. It belongs to one goroutine.
+// Held counts the bytes of one answer. It belongs to one goroutine. A nil Held counts nothing.
 type Held struct {
 	budget *Budget
 	owner  string
+	// ctx ends the waits for room.
+	ctx context.Context
 	// evict ends the reading of the answer.
 	evict context.CancelCauseFunc
 	// counted says that the budget knows the answer. Only its goroutine uses it.
 	counted bool
+	// size includes the bytes that do not count. Only its goroutine uses it.
+	size int
 
 	// The mutex of the budget guards the fields below.
 	bytes    int
@@ -55,22 +59,42 @@
 	complete bool
 }
 
-// Hold returns the count of an answer that begins to arrive.
-func (b *Budget) Hold(owner string, evict context.CancelCauseFunc) *Held {
-	return &Held{budget: b, owner: owner, evict: evict}
+// Hold returns the count of an answer that begins to arrive. Waits for room end with ctx, which
+// evict ends.
+func (b *Budget) Hold(ctx context.Context, owner string, evict context.CancelCauseFunc) *Held {
+	return &Held{budget: b, owner: owner, ctx: ctx, evict: evict}
+}
+
+// AddBytes adds to the bytes of the answer that are held, as SetBytes does.
+func (a *Held) AddBytes(n int) error {
+	if a == nil {
+		return nil
+	}
+	return a.SetBytes(a.size + n)
 }
 
 // SetBytes records how many bytes of the answer are held. It blocks while larger answers make room,
-// and returns ErrNoRoom if this one has to.
-func (a *Held) SetBytes(n int) error {
-	n = max(n-UncountedBytes, 0)
+// and returns ErrNoRoom if this one has to. If the context of the answer ends before, it returns the
+// cause.
+func (a *Held) SetBytes(size int) error {
+	if a == nil {
+		return nil
+	}
+	if err := a.setCounted(max(size-UncountedBytes, 0)); err != nil {
+		return err
+	}
+	a.size = size
+	return nil
+}
+
+func (a *Held) setCounted(n int) error {
 	if n == 0 && !a.counted {
 		return nil
 	}
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for {
+	for waiting := false; ; waiting = true {
 		if a.evicted {
 			return ErrNoRoom
 		}
@@ -85,10 +109,24 @@
 			a.evicted = true
 			return ErrNoRoom
 		}
+		if !waiting {
+			stop := context.AfterFunc(a.ctx, b.wake)
+			defer stop()
+		}
+		if a.ctx.Err() != nil {
+			return context.Cause(a.ctx)
+		}
 		b.freed.Wait()
 	}
 }
 
+// wake makes those who wait for room look again.
+func (b *Budget) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.freed.Broadcast()
+}
+
 // register is called with mu held.
 func (b *Budget) register(a *Held) {
 	if a.counted {
@@ -130,18 +168,28 @@
 	return true
 }
 
-// Finish records that the answer was read completely, and is held until it is written.
-func (a *Held) Finish() {
+// Finish records that the answer was read completely, and is held until it is written. From now on
+// it is not evicted. It returns ErrNoRoom if the answer was evicted before: others wait for its room,
+// and it must be released at once.
+func (a *Held) Finish() error {
+	if a == nil {
+		return nil
+	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
+	if a.evicted {
+		return ErrNoRoom
+	}
 	a.complete = true
+	return nil
 }
 
 // Release frees the bytes. It may be called again.
 func (a *Held) Release() {
-	if !a.counted {
+	if a == nil || !a.counted {
 		return
 	}
+	a.size = 0
 	b := a.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,6 +205,9 @@
 
 // Cause returns ErrNoRoom for an answer that was evicted, else err.
 func (a *Held) Cause(err error) error {
+	if a == nil {
+		return err
+	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	if a.evicted {
--- a/internal/heldbytes/budget_test.go
+++ b/internal/heldbytes/budget_test.go
@@ -1,9 +1,12 @@
 package heldbytes
 
 import (
+	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 )
@@ -16,7 +19,7 @@
 // newHeld returns the count of an answer, and whether it was evicted.
 func newHeld(b *Budget, owner string) (*Held, *bool) {
 	evicted := new(bool)
-	answer := b.Hold(owner, nil)
+	answer := b.Hold(context.Background(), owner, nil)
 	answer.evict = func(error) {
 		*evicted = true
 		go answer.Release()
@@ -70,7 +73,7 @@
 		assert.NilError(t, answer.SetBytes(counted(100)))
 		assert.NilError(t, answer.SetBytes(counted(0)))
 		assert.NilError(t, answer.SetBytes(counted(90)))
-		answer.Finish()
+		assert.NilError(t, answer.Finish())
 		answer.Release()
 		answer.Release()
 		assert.Assert(t, !*evicted)
@@ -84,8 +87,70 @@
 	b := NewBudget(100)
 	complete, evicted := newHeld(b, "a")
 	assert.NilError(t, complete.SetBytes(counted(90)))
-	complete.Finish()
+	assert.NilError(t, complete.Finish())
 	later, _ := newHeld(b, "a")
 	assert.Assert(t, errors.Is(later.SetBytes(counted(20)), ErrNoRoom))
 	assert.Assert(t, !*evicted)
 }
+
+// Guards against a call that ends and still waits for the room of an answer that nobody releases.
+func TestWaitForRoomEndsWithTheContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(100)
+		largest := b.Hold(t.Context(), "a", func(error) {}) // It is evicted and not released.
+		assert.NilError(t, largest.SetBytes(counted(90)))
+		ctx, cancel := context.WithCancelCause(t.Context())
+		asking := b.Hold(ctx, "b", cancel)
+		ended := make(chan error, 1)
+		go func() { ended <- asking.SetBytes(counted(20)) }()
+		synctest.Wait()
+		assert.Equal(t, len(ended), 0)
+		cancel(io.EOF)
+		assert.Assert(t, errors.Is(<-ended, io.EOF))
+	})
+}
+
+// Guards against an answer that is complete at the moment at which it is evicted, and is then held
+// as long as its caller likes while others wait for its room.
+func TestAnswerThatIsCompleteTooLateIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(100)
+		answer := b.Hold(t.Context(), "a", func(error) {})
+		assert.NilError(t, answer.SetBytes(counted(90)))
+		asking := b.Hold(t.Context(), "b", func(error) {})
+		ended := make(chan error, 1)
+		go func() { ended <- asking.SetBytes(counted(20)) }()
+		synctest.Wait()
+		assert.Assert(t, errors.Is(answer.Finish(), ErrNoRoom))
+		answer.Release()
+		assert.NilError(t, <-ended)
+	})
+}
+
+// Guards against a body whose copies are not counted while both exist, and against bytes that stay
+// counted afterwards.
+func TestJoinedBodyCountsTwiceWhileItIsJoined(t *testing.T) {
+	body := strings.Repeat("x", 10*pieceBytes)
+	for limit, want := range map[int]error{2*len(body) + pieceBytes: nil, 2*len(body) - 2*pieceBytes: ErrNoRoom} {
+		b := NewBudget(limit)
+		held := b.Hold(t.Context(), "a", func(error) {})
+		whole, err := ReadAll(strings.NewReader(body), held)
+		assert.Assert(t, errors.Is(err, want))
+		if want == nil {
+			assert.Equal(t, string(whole), body)
+			assert.Equal(t, counted(b.Total()), len(body))
+		}
+		held.Release()
+		assert.Equal(t, b.Total(), 0)
+	}
+}
+
+// A body is read without a budget, too.
+func TestBodyIsReadWithoutABudget(t *testing.T) {
+	for _, size := range []int{0, 1, firstPieceBytes, pieceBytes, 3 * pieceBytes} {
+		body := strings.Repeat("x", size)
+		whole, err := ReadAll(strings.NewReader(body), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, string(whole), body)
+	}
+}
