Bound the answers that an agent holds for all calls together

An endpoint that sent large answers, or streams, to several calls at once, each below the bound of a single one, filled the memory of its agent.

If they are used up, the largest answer that is still being read ends its call with the new code no_room, which records no strike, does not mark the endpoint as down, does not ask whether it is available and is never "not run". An exported cache without room is dropped, and its call moves without it. The question whether a service is available no longer reads the body of the answer. A final event that the entry does not read is dropped once the entry closes the stream. The gauge held_answer_bytes shows the use, endpoint_errors_total counts no_room.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -36,6 +37,7 @@
 	callServer    *callServer
 	tasks         *tasks
 	counters      counters
+	answers       *heldbytes.Budget
 
 	faults    wire.ProtocolFaults
 	listener  *wire.Listener
@@ -60,6 +62,7 @@
 		entries:    newEntryTable(),
 		fenceGuard: &fenceGuard{},
 		tasks:      newTasks(),
+		answers:    heldbytes.NewBudget(cfg.AnswerBytes),
 		ready:      make(chan struct{}),
 		killed:     make(chan struct{}),
 	}
--- a/agent/callevents.go
+++ b/agent/callevents.go
@@ -1,6 +1,9 @@
 package agent
 
-import "github.com/snipestep/snipestep/wire"
+import (
+	"github.com/snipestep/snipestep/internal/heldbytes"
+	"github.com/snipestep/snipestep/wire"
+)
 
 // callRefusedEvent returns the final event of a job that is not run. A job that
 // may have started gets a broken event instead, so that the entry resumes it
@@ -31,6 +34,13 @@
 	}
 }
 
+// callNoRoomEvent returns the final event of a call whose answer found no room in memory. The
+// endpoint may have run it.
+func callNoRoomEvent(j *job) *wire.CallEvent {
+	j.mayHaveStarted = true
+	return callBrokenEvent(j, CodeNoRoom, "", heldbytes.ErrNoRoom.Error())
+}
+
 func callTokenEvent(j *job, index int, text string) *wire.CallEvent {
 	return &wire.CallEvent{
 		Attempt: j.req.GetAttempt(),
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -26,6 +27,7 @@
 	bootNow     clock // Counts suspensions of the machine.
 	policy      string
 	counters    *counters
+	answers     *heldbytes.Budget
 	activeCalls activeCalls
 	lastJobID   atomic.Uint64
 }
@@ -45,12 +47,48 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go cancelOnClose(stream, cancel)
-	finalEvent := c.runJob(ctx, stream, c.newJob(req))
-	if finalEvent != nil && stream.Send(finalEvent) == nil {
+	j := c.newJob(req)
+	j.held = c.answers.Hold(ctx, answerOwner, cancel)
+	defer j.release()
+	finalEvent := c.runJob(ctx, stream, j)
+	if finalEvent != nil && sendFinal(ctx, stream, j, finalEvent) == nil {
 		waitForClose(ctx)
 	}
 }
 
+// answerOwner is the owner of all answers: an agent has one endpoint.
+const answerOwner = "endpoint"
+
+// sendFinal sends the final event and ends the count of the answer. It ends once the entry closes the
+// stream, also while the entry reads nothing.
+func sendFinal(ctx context.Context, stream *wire.Stream, j *job, finalEvent *wire.CallEvent) error {
+	defer j.release()
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), errCallStreamClosed) {
+			_ = stream.SetDeadline(time.Unix(1, 0))
+		}
+	})
+	defer stop()
+	return stream.Send(withRoom(j, finalEvent))
+}
+
+// withRoom takes room for the encoded copy of a final event. Without room, the event is replaced by
+// one that says that the answer is lost, or that the call moves without its KV cache.
+func withRoom(j *job, finalEvent *wire.CallEvent) *wire.CallEvent {
+	if body := finalEvent.GetDone().GetBody(); len(body) > 0 {
+		if j.held.Finish() != nil || j.held.AddBytes(len(body)) != nil {
+			return callNoRoomEvent(j)
+		}
+		return finalEvent
+	}
+	j.held.Release()
+	handle := finalEvent.GetBroken().GetKvHandle()
+	if j.exported.AddBytes(len(handle)) != nil {
+		finalEvent.GetBroken().KvHandle = ""
+	}
+	return finalEvent
+}
+
 // newJob returns the job of an attempt that has just arrived.
 func (c *callServer) newJob(req *wire.CallRequest) *job {
 	j := newJob(c.lastJobID.Add(1), c.policy, req, c.now())
@@ -94,7 +132,7 @@
 		finalEvent, err := c.runAtEndpoint(ctx, stream, j)
 		if errors.Is(err, errPreempted) {
 			c.counters.preemptions.Add(1)
-			c.sched.post(requeueEvent{job: j})
+			c.sched.post(requeueEvent{job: j, generated: len(j.generated)})
 			continue
 		}
 		c.sched.post(doneEvent{id: j.call.ID})
@@ -115,6 +153,9 @@
 		return callRefusedEvent(j, r), true
 	case <-ctx.Done():
 		c.sched.post(withdrawEvent{id: j.call.ID})
+		if errors.Is(context.Cause(ctx), heldbytes.ErrNoRoom) {
+			return callNoRoomEvent(j), true
+		}
 		return nil, true
 	case <-c.sched.done:
 		return callRefusedEvent(j, refusal{code: CodeDraining}), true
@@ -131,6 +172,9 @@
 	ctx, span := c.tracer.Start(ctx, "endpoint.call")
 	defer span.End()
 	finalEvent := c.runner.run(ctx, j, stream.Send)
+	if finalEvent.GetDone() == nil && errors.Is(context.Cause(ctx), heldbytes.ErrNoRoom) {
+		finalEvent = callNoRoomEvent(j)
+	}
 	c.counters.recordEnd(finalEvent)
 	if finalEvent.GetDone() != nil {
 		return finalEvent, nil
--- a/agent/config.go
+++ b/agent/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 // Config configures an agent. Zero durations and counts mean the defaults.
@@ -29,6 +30,8 @@
 	// BusyFetchBytesPerSecond limits the rate while every slot is in use; 0 means
 	// the default share of IdleFetchBytesPerSecond, see swarm.Config.MinRateShare.
 	BusyFetchBytesPerSecond float64
+	// AnswerBytes limits the memory for the answers of all calls together.
+	AnswerBytes int
 	// Seed seeds the random choices of weight transfers.
 	Seed uint64
 }
@@ -52,6 +55,9 @@
 	if c.ShutdownGrace == 0 {
 		c.ShutdownGrace = defaultShutdownGrace
 	}
+	if c.AnswerBytes == 0 {
+		c.AnswerBytes = heldbytes.DefaultLimit
+	}
 	if c.Policy == "" {
 		c.Policy = core.PolicySnipestep
 	}
--- a/agent/counters.go
+++ b/agent/counters.go
@@ -13,6 +13,7 @@
 	notStarted      atomic.Int64
 	crashes         atomic.Int64
 	unknownOutcomes atomic.Int64
+	noRoom          atomic.Int64 // Answers that were given up on.
 	staleDatagrams  atomic.Int64
 }
 
@@ -25,5 +26,7 @@
 		c.crashes.Add(1)
 	case finalEvent.GetBroken().GetCode() == CodeOutcomeUnknown:
 		c.unknownOutcomes.Add(1)
+	case finalEvent.GetBroken().GetCode() == CodeNoRoom:
+		c.noRoom.Add(1)
 	}
 }
--- a/agent/events.go
+++ b/agent/events.go
@@ -44,11 +44,13 @@
 // requeueEvent returns a preempted job to the queue.
 type requeueEvent struct {
 	job *job
+	// generated is the number of tokens that the job has.
+	generated int
 }
 
 func (e requeueEvent) apply(s *scheduler) {
 	e.job.continuation = true
-	remaining := max(1, e.job.call.ExpectedTokens-len(e.job.generated))
+	remaining := max(1, e.job.call.ExpectedTokens-e.generated)
 	if !s.queue.Requeue(s.now(), e.job.call.ID, remaining) {
 		s.refuse(e.job.call.ID, refusal{code: CodeBusy})
 	}
--- a/agent/job.go
+++ b/agent/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -35,6 +36,34 @@
 	mayHaveStarted bool
 	// generated are the tokens that this endpoint generated so far.
 	generated []string
+	// held counts the answer: generatedBytes between two runs, while the call runs also what
+	// its client of the endpoint holds, and from its end the final event.
+	held           *heldbytes.Held
+	generatedBytes int
+	// exported counts the exported KV cache, nil for none.
+	exported *heldbytes.Held
+}
+
+// tokenOverheadBytes is the memory that a token takes beside its text, at most: its place in a slice
+// that grows, and the rounding of its allocation.
+const tokenOverheadBytes = 64
+
+// keepToken adds a generated token. It returns heldbytes.ErrNoRoom if there is no room for it.
+func (j *job) keepToken(text string) error {
+	size := len(text) + tokenOverheadBytes
+	if err := j.held.AddBytes(size); err != nil {
+		return err
+	}
+	j.generatedBytes += size
+	j.generated = append(j.generated, text)
+	return nil
+}
+
+// release ends the count of the answer and drops the tokens.
+func (j *job) release() {
+	j.generated, j.generatedBytes = nil, 0
+	j.held.Release()
+	j.exported.Release()
 }
 
 func newJob(id uint64, policy string, req *wire.CallRequest, now time.Time) *job {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -36,10 +36,12 @@
 	}
 	s.Counter(telemetry.MetricDroppedAnswers, nil, a.counters.misdelivered.Load)
 	s.Counter(telemetry.MetricPreemptions, nil, a.counters.preemptions.Load)
+	s.Gauge(telemetry.MetricHeldAnswerBytes, nil, func() float64 { return float64(a.answers.Total()) })
 	for code, read := range map[string]func() int64{
 		CodeNotStarted:     a.counters.notStarted.Load,
 		CodeCrash:          a.counters.crashes.Load,
 		CodeOutcomeUnknown: a.counters.unknownOutcomes.Load,
+		CodeNoRoom:         a.counters.noRoom.Load,
 	} {
 		s.Counter(telemetry.MetricEndpointErrors, map[string]string{telemetry.TagCode: code}, read)
 	}
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -9,6 +9,7 @@
 
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -20,6 +21,7 @@
 	state    *endpointState
 	sched    *scheduler
 	counters *counters
+	answers  *heldbytes.Budget
 }
 
 // run implements runner.
@@ -30,8 +32,14 @@
 	}
 	run := newEngineRun(ctx, m, j)
 	defer run.finish()
+	// The request has a copy of the tokens so far.
+	if err := j.held.AddBytes(j.generatedBytes); err != nil {
+		return callNoRoomEvent(j)
+	}
+	defer func() { _ = j.held.SetBytes(j.generatedBytes) }()
 	request := generateRequest(j, serving)
 	request.OnNotice = m.sched.noticeHandler()
+	request.Held = j.held
 	stream, err := m.engine.Generate(run.streamCtx, request)
 	if err != nil {
 		return m.failureEvent(ctx, j, err)
@@ -50,14 +58,22 @@
 }
 
 // exportCache exports the call's KV cache for the endpoint where the call
-// continues. The handle is empty if the export fails.
+// continues. The handle is empty if the export fails or finds no room in memory.
 func (m *modelRunner) exportCache(j *job) string {
 	ctx, cancel := context.WithTimeout(context.Background(), engineCancelTimeout)
 	defer cancel()
-	handle, err := m.engine.ExportCache(ctx, j.req.GetAttempt())
+	ctx, evict := context.WithCancelCause(ctx)
+	defer evict(nil)
+	held := m.answers.Hold(ctx, answerOwner, evict)
+	handle, err := m.engine.ExportCache(ctx, j.req.GetAttempt(), held)
+	if err == nil {
+		err = held.Finish()
+	}
 	if err != nil {
+		held.Release()
 		return ""
 	}
+	j.exported = held
 	return handle
 }
 
@@ -114,7 +130,9 @@
 		if err := send(callTokenEvent(j, nextIndex, token.Text)); err != nil {
 			return callBrokenEvent(j, CodeOutcomeUnknown, "", err.Error())
 		}
-		j.generated = append(j.generated, token.Text)
+		if err := j.keepToken(token.Text); err != nil {
+			return callNoRoomEvent(j)
+		}
 		nextIndex++
 		m.sched.post(tokensEvent{id: j.call.ID, tokens: 1})
 	}
@@ -137,6 +155,9 @@
 		}
 		return callRefusedEvent(j, refusal{code: CodeNotStarted, detail: err.Error()})
 	}
+	if errors.Is(err, heldbytes.ErrNoRoom) {
+		return callNoRoomEvent(j)
+	}
 	j.mayHaveStarted = true
 	if ctx.Err() != nil {
 		return callBrokenEvent(j, CodeMoved, "", context.Cause(ctx).Error())
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/wire"
 )
 
@@ -33,6 +34,7 @@
 		IdempotencyKey: j.req.GetIdempotencyKey(),
 		Body:           j.req.GetBody(),
 		OnNotice:       p.sched.noticeHandler(),
+		Held:           j.held,
 	})
 	if err != nil {
 		return p.failureEvent(ctx, j, err)
@@ -46,6 +48,9 @@
 		restAfter(p.sched, err)
 		return callRefusedEvent(j, refusal{code: CodeNotStarted, detail: err.Error()})
 	}
+	if errors.Is(err, heldbytes.ErrNoRoom) {
+		return callNoRoomEvent(j)
+	}
 	j.mayHaveStarted = true
 	if ctx.Err() != nil {
 		return callBrokenEvent(j, CodeOutcomeUnknown, "", err.Error())
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 // Engine is the client of one model engine. All calls block until the engine
@@ -21,8 +22,9 @@
 	// Status returns what the engine serves, and its load, which lags.
 	Status(ctx context.Context) (EngineStatus, error)
 	// ExportCache exports the KV cache of an attempt and returns its handle.
-	// Another engine imports it through GenerateRequest.CacheHandle.
-	ExportCache(ctx context.Context, attempt string) (string, error)
+	// Another engine imports it through GenerateRequest.CacheHandle. held counts
+	// the answer while it is read, and the handle afterwards; nil counts nothing.
+	ExportCache(ctx context.Context, attempt string, held *heldbytes.Held) (string, error)
 	// Cancel stops an attempt. Cancelling an unknown attempt is not an error.
 	Cancel(ctx context.Context, attempt string) error
 }
--- a/endpoint/generaterequest.go
+++ b/endpoint/generaterequest.go
@@ -1,6 +1,9 @@
 package endpoint
 
-import "github.com/snipestep/snipestep/core"
+import (
+	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
+)
 
 // GenerateRequest asks an engine to run one attempt of a model call.
 type GenerateRequest struct {
@@ -20,4 +23,7 @@
 	// OnNotice gets what the header of an answer says of the engine, also of an answer to
 	// another request; nil ignores it.
 	OnNotice func(Notice)
+	// Held counts what is read of a line of the stream; nil counts nothing. It is used by Next
+	// only.
+	Held *heldbytes.Held
 }
--- a/endpoint/httpengine.go
+++ b/endpoint/httpengine.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, &NotStartedError{Attempt: request.Attempt, Cause: err}
 	}
-	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true, Belongs: noticing(repeatsUnlessStarted(request.Attempt), request.OnNotice)}
+	httpRequest := httpcall.Request{Method: http.MethodPost, Path: "/v1/completions", Header: attemptHeader(request.Attempt), Body: body, NoReplay: true, Belongs: noticing(repeatsUnlessStarted(request.Attempt), request.OnNotice), Held: request.Held}
 	return openStream(ctx, e.client, request.Attempt, httpRequest, streamLimit(request.MaxTokens))
 }
 
@@ -72,16 +73,32 @@
 // Status implements Engine.
 func (e *HTTPEngine) Status(ctx context.Context) (EngineStatus, error) {
 	var status EngineStatus
-	err := e.callForJSON(ctx, "", httpcall.Request{Method: http.MethodGet, Path: "/v1/status"}, maxStatusBytes, &status)
-	return status, err
+	response, err := e.client.Call(ctx, httpcall.Request{Method: http.MethodGet, Path: "/v1/status"}, maxStatusBytes)
+	if err != nil {
+		return status, attemptError("", err)
+	}
+	if err := response.Decode(&status); err != nil {
+		return status, &BrokenError{Cause: err}
+	}
+	return status, nil
 }
 
 // ExportCache implements Engine.
-func (e *HTTPEngine) ExportCache(ctx context.Context, attempt string) (string, error) {
+func (e *HTTPEngine) ExportCache(ctx context.Context, attempt string, held *heldbytes.Held) (string, error) {
+	request := httpcall.Request{Method: http.MethodPost, Path: attemptPath(attempt) + "/export", Held: held}
+	response, err := e.client.Call(ctx, request, maxExportBytes)
+	if err != nil {
+		return "", attemptError(attempt, err)
+	}
+	// The handle is a copy.
+	if err := held.AddBytes(len(response.Body)); err != nil {
+		return "", &BrokenError{Attempt: attempt, Cause: err}
+	}
 	var document ExportDocument
-	request := httpcall.Request{Method: http.MethodPost, Path: attemptPath(attempt) + "/export"}
-	err := e.callForJSON(ctx, attempt, request, maxExportBytes, &document)
-	return document.Handle, err
+	if err := response.Decode(&document); err != nil {
+		return "", &BrokenError{Attempt: attempt, Cause: err}
+	}
+	return document.Handle, held.SetBytes(len(document.Handle))
 }
 
 // Cancel implements Engine.
@@ -97,17 +114,6 @@
 	return nil
 }
 
-func (e *HTTPEngine) callForJSON(ctx context.Context, attempt string, request httpcall.Request, maxBytes int64, result any) error {
-	response, err := e.client.Call(ctx, request, maxBytes)
-	if err != nil {
-		return attemptError(attempt, err)
-	}
-	if err := response.Decode(result); err != nil {
-		return &BrokenError{Attempt: attempt, Cause: err}
-	}
-	return nil
-}
-
 func orderError(id string, order Order, err error) error {
 	var statusErr *httpcall.StatusError
 	if errors.As(err, &statusErr) && statusErr.Document.Code == CodeFenced {
--- a/endpoint/httpplainservice.go
+++ b/endpoint/httpplainservice.go
@@ -35,10 +35,11 @@
 }
 
 // Available implements PlainService. Any status but 503 counts as available,
-// including that of a path unknown to the service.
+// including that of a path unknown to the service. The body is not read: it may be large, or have no
+// end.
 func (p *HTTPPlainService) Available(ctx context.Context) bool {
-	response, err := p.client.Do(ctx, httpcall.Request{Method: http.MethodGet, Path: "/"}, MaxPlainResponseBytes)
-	return err == nil && response.Status != http.StatusServiceUnavailable
+	status, err := p.client.Status(ctx, httpcall.Request{Method: http.MethodGet, Path: "/"})
+	return err == nil && status != http.StatusServiceUnavailable
 }
 
 func plainHTTPRequest(request PlainRequest) httpcall.Request {
@@ -54,6 +55,7 @@
 		Body:     request.Body,
 		NoReplay: true,
 		Belongs:  noticing(repeats(request.Attempt), request.OnNotice),
+		Held:     request.Held,
 	}
 }
 
--- a/endpoint/httpstream.go
+++ b/endpoint/httpstream.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
@@ -43,6 +44,9 @@
 	eventTimer *time.Timer
 	timedOut   *atomic.Bool
 	done       bool
+	// held counts lineBytes, the memory for the longest line so far.
+	held      *heldbytes.Held
+	lineBytes int
 }
 
 // streamLimit returns the bytes that a stream of at most maxTokens tokens may have.
@@ -54,7 +58,7 @@
 // stream breaks off after maxBytes.
 func openStream(ctx context.Context, client *httpcall.Client, attempt string, request httpcall.Request, maxBytes int64) (TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	stream := &httpStream{attempt: attempt, cancel: cancel, timeout: client.Timeout(), timedOut: new(atomic.Bool)}
+	stream := &httpStream{attempt: attempt, cancel: cancel, timeout: client.Timeout(), timedOut: new(atomic.Bool), held: request.Held}
 	stream.startEventTimer()
 	response, err := client.Open(ctx, request)
 	if err != nil {
@@ -69,6 +73,7 @@
 	stream.body = response.Body
 	stream.lines = bufio.NewScanner(httpcall.LimitReader(response.Body, maxBytes))
 	stream.lines.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
+	stream.lines.Split(stream.splitLine)
 	return stream, nil
 }
 
@@ -81,6 +86,21 @@
 	return attemptError(attempt, refusal)
 }
 
+// splitLine is bufio.ScanLines, and counts the memory for an incomplete line: the scanner doubles its
+// buffer for it, holds both copies meanwhile, and keeps the larger one.
+func (s *httpStream) splitLine(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	advance, line, err = bufio.ScanLines(data, atEOF)
+	needed := 3 * len(data)
+	if advance > 0 || err != nil || needed <= s.lineBytes {
+		return advance, line, err
+	}
+	if err := s.held.AddBytes(needed - s.lineBytes); err != nil {
+		return 0, nil, err
+	}
+	s.lineBytes = needed
+	return 0, nil, nil
+}
+
 // Next implements TokenStream.
 func (s *httpStream) Next() (Token, error) {
 	if s.done {
--- a/endpoint/plainrequest.go
+++ b/endpoint/plainrequest.go
@@ -1,5 +1,7 @@
 package endpoint
 
+import "github.com/snipestep/snipestep/internal/heldbytes"
+
 // PlainRequest asks a plain service to run one attempt of an operation.
 type PlainRequest struct {
 	// Attempt identifies the attempt; the answer carries it.
@@ -11,6 +13,8 @@
 	// OnNotice gets what the header of an answer says of the service, also of an answer to
 	// another call; nil ignores it.
 	OnNotice func(Notice)
+	// Held counts the answer while it is read, and its body afterwards; nil counts nothing.
+	Held *heldbytes.Held
 }
 
 // PlainResponse is the service's answer. Status is an HTTP status, which may be
--- a/internal/fakes/engine_test.go
+++ b/internal/fakes/engine_test.go
@@ -236,7 +236,7 @@
 	assert.NilError(t, err)
 	first, _, err := readStream(stream)
 	assert.NilError(t, err)
-	handle, err := exporter.ExportCache(t.Context(), "1")
+	handle, err := exporter.ExportCache(t.Context(), "1", nil)
 	assert.NilError(t, err)
 	stream, err = importer.Generate(t.Context(), endpoint.GenerateRequest{Attempt: "2", Prompt: "p", PrefixTokens: first, CacheHandle: handle})
 	assert.NilError(t, err)
--- a/internal/heldbytes/budget.go
+++ b/internal/heldbytes/budget.go
@@ -21,7 +21,8 @@
 )
 
 // Budget bounds the memory for answers of all owners together, which are endpoints. When it is
-// used up, the owner with the most bytes loses its largest answer. It is safe for concurrent use.
+// used up, the owner with the most bytes loses its largest answer. It is safe for concurrent use. A nil
+// Budget counts nothing.
 type Budget struct {
 	limit int
 
@@ -62,6 +63,9 @@
 // Hold returns the count of an answer that begins to arrive. Waits for room end with ctx, which
 // evict ends.
 func (b *Budget) Hold(ctx context.Context, owner string, evict context.CancelCauseFunc) *Held {
+	if b == nil {
+		return nil
+	}
 	return &Held{budget: b, owner: owner, ctx: ctx, evict: evict}
 }
 
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/snipestep/snipestep/internal/connguard"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 const maxErrorBytes = 64 << 10
@@ -35,7 +36,8 @@
 
 // Do sends the request and reads the response, whatever its status. It blocks
 // until the response is complete, the timeout passes or ctx ends. Errors are
-// *TransportError, and *TooLargeError if the body exceeds maxBytes.
+// *TransportError, which wraps heldbytes.ErrNoRoom if the body finds no room in memory, and
+// *TooLargeError if the body exceeds maxBytes.
 func (c *Client) Do(ctx context.Context, request Request, maxBytes int64) (*Response, error) {
 	ctx, cancel := c.withTimeout(ctx)
 	defer cancel()
@@ -44,7 +46,20 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	return readResponse(response, maxBytes)
+	return readResponse(response, maxBytes, request.Held)
+}
+
+// Status sends the request and returns the status of the response, whose body is not read. It blocks
+// until the response header has arrived, the timeout passes or ctx ends. Errors are *TransportError.
+func (c *Client) Status(ctx context.Context, request Request) (int, error) {
+	ctx, cancel := c.withTimeout(ctx)
+	defer cancel()
+	response, err := c.Open(ctx, request)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, nil
 }
 
 // Call is Do, but returns a response that is not a success as *StatusError.
@@ -101,7 +116,7 @@
 
 // ReadStatusError reads the body of a response of Open that is not a success.
 func ReadStatusError(response *http.Response) (*StatusError, error) {
-	complete, err := readResponse(response, maxErrorBytes)
+	complete, err := readResponse(response, maxErrorBytes, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -139,14 +154,14 @@
 	return io.MultiReader(bytes.NewReader(request.Body))
 }
 
-func readResponse(response *http.Response, maxBytes int64) (*Response, error) {
-	data, err := io.ReadAll(LimitReader(response.Body, maxBytes))
+func readResponse(response *http.Response, maxBytes int64, held *heldbytes.Held) (*Response, error) {
+	data, err := heldbytes.ReadAll(LimitReader(response.Body, maxBytes), held)
 	var tooLarge *TooLargeError
 	if errors.As(err, &tooLarge) {
 		return nil, tooLarge
 	}
 	if err != nil {
-		return nil, &TransportError{MaybeSent: true, Cause: err}
+		return nil, &TransportError{MaybeSent: true, Cause: held.Cause(err)}
 	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: data}, nil
 }
--- a/internal/httpcall/request.go
+++ b/internal/httpcall/request.go
@@ -1,6 +1,10 @@
 package httpcall
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/snipestep/snipestep/internal/heldbytes"
+)
 
 // Request is one HTTP request.
 type Request struct {
@@ -15,4 +19,7 @@
 	// Belongs reports whether a response is to this request; nil takes any. It gets the
 	// status and the header.
 	Belongs func(int, http.Header) bool
+	// Held counts the body of the response that Do reads; nil counts nothing. The caller
+	// releases it.
+	Held *heldbytes.Held
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -43,6 +43,7 @@
 	{MetricQueuedCalls, Gauge, "calls", []string{TagRank}, agentOnly, "Calls that wait in the agent's queue."},
 	{MetricPreemptions, Counter, "streams", nil, agentOnly, "Streams cancelled for more urgent calls."},
 	{MetricEndpointErrors, Counter, "calls", []string{TagCode}, agentOnly, "Attempts that the endpoint did not start or broke off, by code."},
+	{MetricHeldAnswerBytes, Gauge, "bytes", nil, entryAndAgent, "Memory that answers take, of the limit for all together; the first 64 KiB of each do not count."},
 	{MetricChunkBytesFetched, Counter, "bytes", []string{TagSource}, agentOnly, "Chunk bytes fetched, from origin, store or peer."},
 	{MetricChunkBytesServed, Counter, "bytes", nil, agentOnly, "Chunk bytes served to peers."},
 	{MetricChunksFetched, Counter, "chunks", nil, agentOnly, "Chunks fetched from peers."},
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -27,6 +27,7 @@
 	MetricRunningCalls            = "running_calls"
 	MetricQueuedCalls             = "queued_calls"
 	MetricPreemptions             = "preemptions_total"
+	MetricHeldAnswerBytes         = "held_answer_bytes"
 	MetricEndpointErrors          = "endpoint_errors_total"
 	MetricChunkBytesFetched       = "chunk_bytes_fetched_total"
 	MetricChunkBytesServed        = "chunk_bytes_served_total"
