Bound the answers that an entry holds for all calls together

Agents pass on answers of up to 8 MiB each. An entry kept as many of them as calls had, for callers that do not read, for retries of streams, and for reports of keyed calls.

A message takes room as its bytes arrive instead of by its declared length; without room its stream ends, not the session, and the attempt is broken with no_room: unknown, without a strike. A model call whose answer so far has to make room ends with 502, or as a cut stream; a write to its caller that blocks ends then. The JSON copy of an answer counts. A report of a keyed call keeps no more of a long body than shows that it is too long to record.

--- a/entry/assembly.go
+++ b/entry/assembly.go
@@ -6,6 +6,7 @@
 	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -53,6 +54,7 @@
 		dispatcher:  e.dispatcher,
 		quarantine:  e.quarantine,
 		claims:      e.claims,
+		answers:     heldbytes.NewBudget(e.cfg.AnswerBytes),
 		tracer:      e.deps.Tracer,
 		scope:       e.deps.Scope,
 		now:         e.deps.Now,
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -5,7 +5,9 @@
 	"errors"
 	"sync/atomic"
 
+	"github.com/snipestep/snipestep/agent"
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -27,12 +29,16 @@
 	codeNoSession          = "no_session"
 	codeSessionLost        = "session_lost"
 	codeResponseNotWritten = "answer_not_taken" // Writing to the caller failed.
+	// codeNoRoom ends an attempt whose answer found no room in the memory of this entry, as the
+	// agent's code does for its own memory.
+	codeNoRoom = agent.CodeNoRoom
 )
 
 // runAttempt sends one attempt to an agent and reads its events, calling
 // onToken for each token in order. It blocks until the attempt or ctx ends; at
-// the end of ctx it closes the stream, which cancels the attempt at the agent.
-func runAttempt(ctx context.Context, pool *sessionPool, droppedEvents *atomic.Int64, instance core.InstanceID, req *wire.CallRequest, onToken func(*wire.CallToken) error) attemptResult {
+// the end of ctx it closes the stream, which cancels the attempt at the agent. held counts the
+// answer.
+func runAttempt(ctx context.Context, pool *sessionPool, droppedEvents *atomic.Int64, instance core.InstanceID, req *wire.CallRequest, held *heldbytes.Held, onToken func(*wire.CallToken) error) attemptResult {
 	session := pool.lookup(instance)
 	if session == nil {
 		return noSessionResult()
@@ -50,19 +56,23 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { stream.Close() })
 	defer stop()
-	return readEvents(stream, req.GetAttempt(), droppedEvents, onToken)
+	return readEvents(stream, req.GetAttempt(), droppedEvents, held, onToken)
 }
 
 // readEvents reads until the final event. Events of other attempts are counted
 // in droppedEvents.
-func readEvents(stream *wire.Stream, attempt string, droppedEvents *atomic.Int64, onToken func(*wire.CallToken) error) attemptResult {
+func readEvents(stream *wire.Stream, attempt string, droppedEvents *atomic.Int64, held *heldbytes.Held, onToken func(*wire.CallToken) error) attemptResult {
 	for {
 		var e wire.CallEvent
-		if err := stream.Recv(&e); err != nil {
-			return sessionLostResult(err)
+		before := held.Size()
+		if err := stream.RecvHeld(&e, held); err != nil {
+			return lostResult(err)
 		}
 		if e.GetAttempt() != attempt {
 			droppedEvents.Add(1)
+			if err := held.SetBytes(before); err != nil {
+				return lostResult(err)
+			}
 			continue
 		}
 		switch event := e.GetEvent().(type) {
@@ -80,6 +90,19 @@
 	}
 }
 
+// lostResult returns the result of an attempt whose stream ended early. An answer without room says
+// nothing of the session.
+func lostResult(err error) attemptResult {
+	if errors.Is(err, heldbytes.ErrNoRoom) {
+		return noRoomResult()
+	}
+	return sessionLostResult(err)
+}
+
+func noRoomResult() attemptResult {
+	return attemptResult{broken: &wire.CallBroken{Code: codeNoRoom, Detail: heldbytes.ErrNoRoom.Error()}}
+}
+
 func noSessionResult() attemptResult {
 	return attemptResult{refused: &wire.CallRefused{Code: codeNoSession, Run: wire.Run_RUN_NOT_RUN}}
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 )
 
@@ -17,6 +18,35 @@
 	fingerprint  uint64
 	arrivedAt    time.Time
 	deadline     time.Time
+	// held counts the answers that the call keeps until releaseHeld.
+	held []*heldbytes.Held
+}
+
+// releaseHeld ends the count of the answers.
+func (c *call) releaseHeld() {
+	for _, held := range c.held {
+		held.Release()
+	}
+	c.held = nil
+}
+
+// addHeld counts a copy of the answers. It returns heldbytes.ErrNoRoom if there is no room for it.
+func (c *call) addHeld(n int) error {
+	if len(c.held) == 0 {
+		return nil
+	}
+	return c.held[len(c.held)-1].AddBytes(n)
+}
+
+// finishHeld records that the answers are complete and about to be written. It returns
+// heldbytes.ErrNoRoom if one of them has to make room.
+func (c *call) finishHeld() error {
+	for _, held := range c.held {
+		if err := held.Finish(); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // routingCall converts the call for the overflow queues.
--- a/entry/callservice.go
+++ b/entry/callservice.go
@@ -13,6 +13,7 @@
 	"github.com/snipestep/snipestep/agent"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
@@ -32,6 +33,7 @@
 	dispatcher *dispatcher
 	quarantine *quarantine
 	claims     *claimService
+	answers    *heldbytes.Budget
 	tracer     trace.Tracer
 	scope      tally.Scope
 	now        func() time.Time
--- a/entry/config.go
+++ b/entry/config.go
@@ -6,6 +6,7 @@
 	"github.com/snipestep/snipestep/claim"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 // Config is the configuration of an entry. Zero values select the defaults.
@@ -35,6 +36,8 @@
 	MaxBody int64
 	// CallTimeout bounds a call, counted from its arrival.
 	CallTimeout time.Duration
+	// AnswerBytes bounds the memory for the answers of all calls together.
+	AnswerBytes int
 	// ClaimShards is the number of claim logs; it must be equal at every entry.
 	ClaimShards int
 	// HeaderTimeout bounds the time to read a request's header.
@@ -63,6 +66,7 @@
 	c.MaxWaiting = orDefault(c.MaxWaiting, defaultMaxWaiting)
 	c.MaxBody = orDefault(c.MaxBody, defaultMaxBody)
 	c.CallTimeout = orDefault(c.CallTimeout, defaultCallTimeout)
+	c.AnswerBytes = orDefault(c.AnswerBytes, heldbytes.DefaultLimit)
 	c.ClaimShards = orDefault(c.ClaimShards, claim.DefaultShards)
 	c.HeaderTimeout = orDefault(c.HeaderTimeout, defaultHeaderTimeout)
 	c.ShutdownGrace = orDefault(c.ShutdownGrace, defaultShutdownGrace)
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -71,6 +71,7 @@
 	engineConfig func(*fakes.EngineConfig)
 	plainConfig  func(*fakes.PlainServiceConfig)
 	callTimeout  time.Duration // Of the entries; 0 selects the default.
+	answerBytes  int           // Of the entries; 0 selects the default.
 	// wrapEngine and wrapPlain wrap the agents' clients of the endpoints; may be nil.
 	wrapEngine func(endpoint.Engine) endpoint.Engine
 	wrapPlain  func(endpoint.PlainService) endpoint.PlainService
@@ -81,6 +82,12 @@
 	if test, ok := t.(*testing.T); ok {
 		test.Parallel()
 	}
+	return newSerialTestFleet(t, models, plains, entries, options...)
+}
+
+// newSerialTestFleet is newTestFleet for a test that runs alone.
+func newSerialTestFleet(t testing.TB, models, plains, entries int, options ...func(*testFleet)) *testFleet {
+	t.Helper()
 	// Cleanup kills the programs before it cancels ctx, which would make them
 	// shut down gracefully.
 	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
@@ -234,7 +241,7 @@
 	e, err := New(Config{
 		Instance: instance, HTTPAddr: f.freeAddr(), FleetKey: testFleetKey, OriginRegion: "r0",
 		OperatorTokenDigests: []string{fleet.TokenDigest(operatorToken).String()},
-		InitialDocument:      testDocument(), ClaimShards: 2, CallTimeout: f.callTimeout,
+		InitialDocument:      testDocument(), ClaimShards: 2, CallTimeout: f.callTimeout, AnswerBytes: f.answerBytes,
 	}, Deps{
 		KeyValue:     backing.NewHTTPKeyValue(backing.HTTPConfig{BaseURL: f.urls["kv"], Timeout: time.Second}),
 		InstanceList: backing.NewHTTPInstanceList(backing.HTTPConfig{BaseURL: f.urls["list"]}),
--- a/entry/keyclaim.go
+++ b/entry/keyclaim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/snipestep/snipestep/claim"
 )
@@ -57,6 +58,11 @@
 
 // reportResponse records the response for later sends of the same call.
 func (k *keyClaim) reportResponse(response plainResponse) {
+	if len(response.body) > claim.MaxBodySize {
+		// Reports may last long after the call, and no more than this is kept: a body that is
+		// longer than MaxBodySize counts as omitted.
+		response.body = slices.Clone(response.body[:claim.MaxBodySize+1])
+	}
 	k.svc.reportInBackground(claim.Outcome{
 		Key:     k.request.Key,
 		ClaimID: k.request.ClaimID,
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -49,6 +49,7 @@
 			return float64(e.dispatcher.waitingByRank[rank].Load())
 		})
 	}
+	s.Gauge(telemetry.MetricHeldAnswerBytes, nil, func() float64 { return float64(e.calls.answers.Total()) })
 	s.Gauge(telemetry.MetricQuarantinedFingerprints, nil, func() float64 { return float64(e.quarantine.count()) })
 	s.Gauge(telemetry.MetricConfigGeneration, nil, func() float64 { return float64(e.documents.Generation()) })
 	s.Gauge(telemetry.MetricKnownInstances, nil, func() float64 { return float64(e.countAliveInstances()) })
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -13,6 +13,7 @@
 	"github.com/snipestep/snipestep/agent"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/internal/delay"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -32,6 +33,11 @@
 	finish(version string, tokens int) error
 	// restart discards the tokens of a response that is generated again.
 	restart()
+	// encodedBytes returns the memory that finish takes for copies of the response.
+	encodedBytes() int
+	// interrupt ends a write to the caller that blocks. It may be called while another
+	// method runs.
+	interrupt()
 	// hasDelivered reports whether any part of the response was sent to the
 	// caller.
 	hasDelivered() bool
@@ -63,6 +69,44 @@
 // run blocks until the response is complete, or returns *RefusedError.
 func (m *modelCall) run(ctx context.Context) error {
 	m.svc.recordCall()
+	defer m.releaseHeld()
+	ctx, evict := context.WithCancelCause(ctx)
+	defer evict(nil)
+	// A caller that reads nothing must not keep an answer that makes room for others.
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(interrupted)
+		if errors.Is(context.Cause(ctx), heldbytes.ErrNoRoom) {
+			m.sink.interrupt()
+		}
+	})
+	defer func() {
+		if !stop() {
+			<-interrupted // It uses the connection.
+		}
+	}()
+	err := m.runAttempts(ctx, evict)
+	if err != nil && errors.Is(context.Cause(ctx), heldbytes.ErrNoRoom) {
+		return noRoomRefusal()
+	}
+	return err
+}
+
+// noRoomRefusal ends a call whose answer so far had to make room for others. A part of it cannot be
+// dropped, as the next endpoint needs all of it to continue.
+func noRoomRefusal() *RefusedError {
+	return &RefusedError{
+		Status:           http.StatusBadGateway,
+		Code:             CodeBroken,
+		Detail:           heldbytes.ErrNoRoom.Error(),
+		RetryAfter:       time.Second,
+		ExecutionUnknown: true,
+	}
+}
+
+// runAttempts makes attempts until one completes the response. evict ends the call, whose answer has
+// to make room.
+func (m *modelCall) runAttempts(ctx context.Context, evict context.CancelCauseFunc) error {
 	for {
 		m.suspect = m.svc.quarantine.isSuspect(m.fingerprint)
 		reserved, err := m.svc.dispatcher.acquire(ctx, m.queuedCall(), m.routingRequest())
@@ -72,7 +116,7 @@
 			}
 			return m.refusal(m.explainRefusal(err))
 		}
-		result := m.attempt(ctx, reserved)
+		result := m.attempt(ctx, reserved, evict)
 		if result.refused == nil {
 			reserved.release()
 		}
@@ -129,6 +173,7 @@
 	m.tokens = nil
 	m.resuming = false
 	m.kvCacheHandle = ""
+	m.releaseHeld()
 	m.sink.restart()
 }
 
@@ -181,7 +226,7 @@
 }
 
 // attempt runs one attempt, and records and forwards its tokens.
-func (m *modelCall) attempt(ctx context.Context, reserved *reservation) attemptResult {
+func (m *modelCall) attempt(ctx context.Context, reserved *reservation, evict context.CancelCauseFunc) attemptResult {
 	ctx, span := m.svc.tracer.Start(ctx, "entry.attempt", trace.WithAttributes(
 		attribute.String("instance", string(reserved.ID)),
 	))
@@ -191,7 +236,9 @@
 		m.svc.resumedResponses.Add(1)
 	}
 	req := m.wireRequest(reserved)
-	return runAttempt(ctx, m.svc.pool, &m.svc.droppedEvents, reserved.ID, req, func(t *wire.CallToken) error {
+	held := m.svc.answers.Hold(ctx, string(reserved.ID), evict)
+	m.held = append(m.held, held)
+	result := runAttempt(ctx, m.svc.pool, &m.svc.droppedEvents, reserved.ID, req, held, func(t *wire.CallToken) error {
 		if int(t.GetIndex()) != len(m.tokens) {
 			return &RefusedError{Code: CodeBroken, Detail: "token out of order"}
 		}
@@ -202,6 +249,10 @@
 		m.tokens = append(m.tokens, t.GetText())
 		return m.sink.writeToken(reserved.Model.Version, t.GetText())
 	})
+	if held.Cause(nil) != nil {
+		evict(heldbytes.ErrNoRoom)
+	}
+	return result
 }
 
 func (m *modelCall) wireRequest(reserved *reservation) *wire.CallRequest {
@@ -232,6 +283,9 @@
 	if m.suspect {
 		m.svc.quarantine.clearStrike(m.fingerprint)
 	}
+	if m.finishHeld() != nil || m.addHeld(m.sink.encodedBytes()) != nil {
+		return noRoomRefusal()
+	}
 	return m.sink.finish(done.GetModelVersion(), len(m.tokens))
 }
 
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -20,6 +20,7 @@
 		h.writeRefusal(w, err)
 		return
 	}
+	defer p.releaseHeld()
 	response, err := p.run(r.Context())
 	h.countOutcome(c, err)
 	if err != nil {
--- a/entry/plaincall.go
+++ b/entry/plaincall.go
@@ -103,7 +103,10 @@
 func (p *plainCall) attempt(ctx context.Context, reserved *reservation, suspect bool) attemptResult {
 	ctx, span := p.svc.tracer.Start(ctx, "entry.attempt")
 	defer span.End()
-	return runAttempt(ctx, p.svc.pool, &p.svc.droppedEvents, reserved.ID, &wire.CallRequest{
+	ctx, evict := context.WithCancelCause(ctx)
+	defer evict(nil)
+	held := p.svc.answers.Hold(ctx, string(reserved.ID), evict)
+	result := runAttempt(ctx, p.svc.pool, &p.svc.droppedEvents, reserved.ID, &wire.CallRequest{
 		Attempt:        p.svc.newAttemptID(p.id),
 		Call:           p.id,
 		Rank:           uint32(p.rank),
@@ -119,7 +122,16 @@
 		Fingerprint:    p.fingerprint,
 		Suspect:        suspect,
 		WaitedMs:       uint32(reserved.waited.Milliseconds()),
-	}, func(*wire.CallToken) error { return nil })
+	}, held, func(*wire.CallToken) error { return nil })
+	if result.done != nil && held.Finish() != nil {
+		result = noRoomResult()
+	}
+	if result.done == nil {
+		held.Release()
+		return result
+	}
+	p.held = append(p.held, held)
+	return result
 }
 
 // checkRetry returns nil if another attempt should follow, or the refusal.
--- a/entry/streamsink.go
+++ b/entry/streamsink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/snipestep/snipestep/problem"
 )
@@ -54,6 +55,16 @@
 // restart implements tokenSink. Nothing has been sent when it is called.
 func (s *streamSink) restart() {}
 
+// encodedBytes implements tokenSink. The tokens were sent one by one.
+func (s *streamSink) encodedBytes() int {
+	return 0
+}
+
+// interrupt implements tokenSink. The stream is broken off afterwards, and its connection with it.
+func (s *streamSink) interrupt() {
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Unix(1, 0))
+}
+
 // hasDelivered implements tokenSink.
 func (s *streamSink) hasDelivered() bool {
 	return s.headerWritten
--- a/internal/heldbytes/budget.go
+++ b/internal/heldbytes/budget.go
@@ -172,6 +172,14 @@
 	return true
 }
 
+// Size returns the bytes that SetBytes and AddBytes recorded, with those that do not count.
+func (a *Held) Size() int {
+	if a == nil {
+		return 0
+	}
+	return a.size
+}
+
 // Finish records that the answer was read completely, and is held until it is written. From now on
 // it is not evicted. It returns ErrNoRoom if the answer was evicted before: others wait for its room,
 // and it must be released at once.
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
 	"net"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 // MaxMessageSize limits one message on a stream, in bytes: the largest answer of a plain
@@ -38,6 +43,55 @@
 	return protodelim.UnmarshalOptions{MaxSize: MaxMessageSize}.UnmarshalFrom(s.reader, m)
 }
 
+// RecvHeld is Recv for a message with a part of an answer. Room is taken as its bytes arrive, not by its
+// declared length, and for the decoded copy, whose size stays counted in held. Without room it
+// returns heldbytes.ErrNoRoom, and the stream cannot be read any further.
+func (s *Stream) RecvHeld(m proto.Message, held *heldbytes.Held) error {
+	size, err := binary.ReadUvarint(s.reader)
+	if err != nil {
+		return held.Cause(err)
+	}
+	if size > MaxMessageSize {
+		return &protodelim.SizeTooLargeError{Size: size, MaxSize: MaxMessageSize}
+	}
+	if size <= streamReadBuffer {
+		return s.recvBuffered(m, int(size), held)
+	}
+	data, err := heldbytes.ReadAll(io.LimitReader(s.reader, int64(size)), held)
+	if err == nil && len(data) < int(size) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil {
+		err = held.AddBytes(int(size))
+	}
+	if err != nil {
+		return held.Cause(err)
+	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	return held.AddBytes(-cap(data))
+}
+
+// recvBuffered reads a message that fits into the reader's buffer.
+func (s *Stream) recvBuffered(m proto.Message, size int, held *heldbytes.Held) error {
+	data, err := s.reader.Peek(size)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	if err == nil {
+		err = held.AddBytes(size)
+	}
+	if err != nil {
+		return held.Cause(err)
+	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return err
+	}
+	_, err = s.reader.Discard(size)
+	return err
+}
+
 // SetDeadline sets the deadline of later calls; the zero time means none.
 func (s *Stream) SetDeadline(t time.Time) error {
 	return s.conn.SetDeadline(t)
