Let stalled callers of the own path make room for other answers

An answer that is complete is not evicted, and writes to callers of an entry have no time limit. Four callers that did not read answers of 8 MiB would have kept every other call from an answer of more than 64 KiB.

If no answer that is being read can make room, the one whose caller has taken nothing for longest, and for 1 s at least, is dropped and its connection closed, before the answer that asks is lost.

--- a/entry/call.go
+++ b/entry/call.go
@@ -38,11 +38,28 @@
 	return c.held[len(c.held)-1].AddBytes(n)
 }
 
-// finishHeld records that the answers are complete and about to be written. It returns
-// heldbytes.ErrNoRoom if one of them has to make room.
-func (c *call) finishHeld() error {
+// startWriting records that the answers are complete and about to be written; abort ends the writing.
+// It returns heldbytes.ErrNoRoom if one of them has to make room.
+func (c *call) startWriting(abort func()) error {
 	for _, held := range c.held {
-		if err := held.Finish(); err != nil {
+		if err := held.StartWriting(abort); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// recordProgress records that the caller has taken a part of the answer.
+func (c *call) recordProgress() {
+	for _, held := range c.held {
+		held.RecordProgress()
+	}
+}
+
+// checkRoom returns heldbytes.ErrNoRoom if an answer has to make room.
+func (c *call) checkRoom() error {
+	for _, held := range c.held {
+		if err := held.Cause(nil); err != nil {
 			return err
 		}
 	}
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -58,6 +58,7 @@
 	if err := h.checkQuarantine(c); err != nil {
 		return nil, err
 	}
+	writer := &callerWriter{ResponseWriter: w, call: c}
 	return &modelCall{
 		call:         c,
 		svc:          h.svc,
@@ -65,7 +66,8 @@
 		prompt:       prompt,
 		promptPrefix: endpoint.PromptPrefixHash(prompt),
 		maxTokens:    req.MaxTokens,
-		sink:         sinkFor(w, req, c.id),
+		sink:         sinkFor(writer, req, c.id),
+		abort:        writer.abort,
 	}, nil
 }
 
--- a/entry/memory_test.go
+++ b/entry/memory_test.go
@@ -11,10 +11,12 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/snipestep/snipestep/endpoint"
+	"github.com/snipestep/snipestep/internal/heldbytes"
 )
 
 const (
@@ -117,6 +119,17 @@
 	assert.Check(t, grown < maxHeapGrowth, "%d MiB with answers %v", grown>>20, statuses)
 	assert.Check(t, statuses["HTTP/1.1 200 OK\r\n"] > 0, "%v", statuses)
 	ordinary()
+	// More stalled callers fill the memory, unless the machine is so slow that the first ones make room.
+	for i, whole := 0, true; i < stalledCallers && whole; i++ {
+		conn, status, err := f.stalledCall()
+		assert.NilError(t, err)
+		conns = append(conns, conn)
+		whole = status == "HTTP/1.1 200 OK\r\n"
+	}
+	// Callers that have stalled do not keep others from large answers.
+	time.Sleep(heldbytes.StalledAfter)
+	status, _, answer := f.post(0, "/v1/services/counter/balance", largeRequest)
+	assert.Check(t, status == http.StatusOK && len(answer) == len(service.large), "%d, %d bytes", status, len(answer))
 	for _, conn := range conns {
 		_ = conn.Close()
 	}
--- a/entry/modelcall.go
+++ b/entry/modelcall.go
@@ -53,6 +53,8 @@
 	promptPrefix uint64
 	maxTokens    int
 	sink         tokenSink
+	// abort ends the writing of the response.
+	abort func()
 
 	boundModel      core.ModelRef
 	tokens          []string
@@ -283,10 +285,14 @@
 	if m.suspect {
 		m.svc.quarantine.clearStrike(m.fingerprint)
 	}
-	if m.finishHeld() != nil || m.addHeld(m.sink.encodedBytes()) != nil {
+	if m.startWriting(m.abort) != nil || m.addHeld(m.sink.encodedBytes()) != nil {
 		return noRoomRefusal()
 	}
-	return m.sink.finish(done.GetModelVersion(), len(m.tokens))
+	err := m.sink.finish(done.GetModelVersion(), len(m.tokens))
+	if m.checkRoom() != nil {
+		panic(http.ErrAbortHandler) // The writing was ended, or will be.
+	}
+	return err
 }
 
 // checkRetry returns nil if another attempt should follow, or the refusal.
--- a/entry/operation.go
+++ b/entry/operation.go
@@ -22,6 +22,10 @@
 	}
 	defer p.releaseHeld()
 	response, err := p.run(r.Context())
+	writer := &callerWriter{ResponseWriter: w, call: c}
+	if err == nil && c.startWriting(writer.abort) != nil {
+		err = noRoomRefusal()
+	}
 	h.countOutcome(c, err)
 	if err != nil {
 		h.writeRefusal(w, err)
@@ -29,7 +33,10 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(response.status)
-	_, _ = w.Write(response.body)
+	_, _ = writer.Write(response.body)
+	if c.checkRoom() != nil {
+		panic(http.ErrAbortHandler) // The writing was ended, or will be.
+	}
 }
 
 func (h *callerHandler) parseOperation(w http.ResponseWriter, r *http.Request, c *call) (*plainCall, error) {
--- a/internal/heldbytes/budget.go
+++ b/internal/heldbytes/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -18,6 +19,9 @@
 	// UncountedBytes is the part of each answer that is not counted, so that the answers of
 	// sound endpoints, of some kilobytes, never fail for want of memory.
 	UncountedBytes = 64 << 10
+	// StalledAfter is how long a caller may take nothing of an answer until it may have to make
+	// room.
+	StalledAfter = time.Second
 )
 
 // Budget bounds the memory for answers of all owners together, which are endpoints. When it is
@@ -58,6 +62,10 @@
 	bytes    int
 	evicted  bool
 	complete bool
+	// progressAt is when the caller last took a part of the answer, zero before it is written;
+	// abort then ends the writing.
+	progressAt time.Time
+	abort      func()
 }
 
 // Hold returns the count of an answer that begins to arrive. Waits for room end with ctx, which
@@ -165,13 +173,62 @@
 		}
 	}
 	if largest == nil || largest == asking {
-		return false
+		return b.evictStalled(asking)
 	}
 	largest.evicted = true
 	largest.evict(ErrNoRoom)
 	return true
 }
 
+// evictStalled evicts the answer whose caller has taken nothing for longest, and for StalledAfter at
+// least. It reports false if there is none. The caller holds mu.
+func (b *Budget) evictStalled(asking *Held) bool {
+	var stalled *Held
+	for _, answers := range b.answers {
+		for a := range answers {
+			if a == asking || a.progressAt.IsZero() || time.Since(a.progressAt) < StalledAfter {
+				continue
+			}
+			if stalled == nil || a.progressAt.Before(stalled.progressAt) {
+				stalled = a
+			}
+		}
+	}
+	if stalled == nil {
+		return false
+	}
+	stalled.evicted = true
+	go stalled.abort() // The mutex is not held while a connection is used.
+	return true
+}
+
+// StartWriting is Finish for an answer that is about to be written. From now on it is evicted if its
+// caller stalls and no answer that is being read can make room: abort then has to end the writing.
+func (a *Held) StartWriting(abort func()) error {
+	if a == nil {
+		return nil
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.evicted {
+		return ErrNoRoom
+	}
+	a.complete, a.abort, a.progressAt = true, abort, time.Now()
+	return nil
+}
+
+// RecordProgress records that the caller has taken a part of an answer that is being written.
+func (a *Held) RecordProgress() {
+	if a == nil || !a.counted {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if !a.progressAt.IsZero() {
+		a.progressAt = time.Now()
+	}
+}
+
 // Size returns the bytes that SetBytes and AddBytes recorded, with those that do not count.
 func (a *Held) Size() int {
 	if a == nil {
--- a/internal/heldbytes/budget_test.go
+++ b/internal/heldbytes/budget_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -154,3 +156,56 @@
 		assert.Equal(t, string(whole), body)
 	}
 }
+
+// newWriting returns the count of an answer that is being written, and whether the writing was ended.
+func newWriting(t *testing.T, b *Budget, n int) (*Held, *atomic.Bool) {
+	t.Helper()
+	aborted := new(atomic.Bool)
+	answer := b.Hold(t.Context(), "a", func(error) {})
+	assert.NilError(t, answer.SetBytes(counted(n)))
+	assert.NilError(t, answer.StartWriting(func() {
+		aborted.Store(true)
+		answer.Release()
+	}))
+	return answer, aborted
+}
+
+// Guards against callers that do not read their answers and so keep all others from theirs, and
+// against one that reads slowly and loses its answer.
+func TestAnswerOfStalledCallerMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(100)
+		reads, readsAborted := newWriting(t, b, 40)
+		_, stalledAborted := newWriting(t, b, 30)
+		asking, evicted := newHeld(b, "a")
+		assert.NilError(t, asking.SetBytes(counted(20)))
+		for range 3 {
+			time.Sleep(StalledAfter / 2)
+			reads.RecordProgress()
+		}
+		assert.NilError(t, asking.SetBytes(counted(60)))
+		assert.Assert(t, stalledAborted.Load() && !readsAborted.Load() && !*evicted)
+		assert.Assert(t, errors.Is(asking.SetBytes(counted(61)), ErrNoRoom))
+		assert.Assert(t, !readsAborted.Load())
+	})
+}
+
+// An answer that is being read makes room before one whose caller has stalled; without either, the
+// one that asks loses at once.
+func TestAnswerThatIsReadMakesRoomBeforeAStalledOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(100)
+		_, aborted := newWriting(t, b, 40)
+		read, readEvicted := newHeld(b, "b")
+		assert.NilError(t, read.SetBytes(counted(40)))
+		asking, _ := newHeld(b, "c")
+		time.Sleep(StalledAfter)
+		assert.NilError(t, asking.SetBytes(counted(30)))
+		assert.Assert(t, *readEvicted && !aborted.Load())
+	})
+	b := NewBudget(100)
+	_, aborted := newWriting(t, b, 80)
+	asking, _ := newHeld(b, "c")
+	assert.Assert(t, errors.Is(asking.SetBytes(counted(30)), ErrNoRoom))
+	assert.Assert(t, !aborted.Load())
+}
