Reproduce callers that fill the memory of an entry

Callers that keep no limits ended a process, which ran out of memory. The tests start the entries of both paths as processes and send them one kind of caller each: heads of short or odd lines, over the limit or without end, empty lines, bodies, refusals that nobody reads, idle connections. They check that the process lives, the peak of its resident size, its descriptors, and that an ordinary request is served afterwards. They are behind the build tag crowd, and make test runs them after all other packages, as each needs the machine to itself.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 	./routing/admission \
 	./weights
 
+# The tests of crowdtest bound the memory of processes under load and run alone. They run also if a
+# test before them has failed.
 test:
-	go test ./...
+	go test ./...; others=$$?; \
+	go test -tags crowd -count=1 -timeout 20m ./internal/crowdtest && [ $$others -eq 0 ]
 
 fmt:
 	golangci-lint fmt ./...
