Bound what callers make an entry of the direct path hold

Callers that keep no limits filled the memory of an entry: header sections of up to 260 KiB were read before their size was checked, their lines take many times their bytes, and nothing bounded what all connections held together. Idle callers and callers that do not read their answers took all descriptors.

The listener of callers is wrapped by the new package internal/ingress. It counts the bytes and lines of header sections while they are read, the header of a request while it is served, and bodies, against one budget (callers_mib, 20 MiB). When that is used up, the connection with the largest product of bytes and time loses, among requests that were not passed on; it gets 503, or 431 if its own header section is over the document's limit and 4 KiB. At max_connections the connection that has waited longest for a header section gives way to a new one. A write of an answer that is not taken fails after 10 s for 4 KiB. The listener of readiness checks takes header sections of 8 KiB, 5 s and 64 connections. snipestep_caller_limits_total and a log line every 5 s say which limit was met.

headerBytes counted a space after each colon, so that a legal head of 16 KiB in short lines got 431. It is a lower bound now.

Beside 600 idle connections, or 600 with pipelined refusals, an ordinary request is served now within the test's 20 s, with 512 descriptors. TestHeaderIsMeasuredAsSent fails without the change of headerBytes.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -48,7 +48,10 @@
 	if err := t.AddLiveGauges(g.LiveGauges()...); err != nil {
 		return err
 	}
-	server := &gateway.Server{Gateway: g, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, StopGrace: s.StopGrace, Logger: t.Logger}
+	server := &gateway.Server{
+		Gateway: g, CallerAddr: s.CallerAddr, ReadyAddr: s.ReadyAddr, StopGrace: s.StopGrace,
+		CallerMemory: s.CallersMiB << 20, MaxConns: s.MaxConns, Logger: t.Logger,
+	}
 	// The gateway receives reports until the last request has ended.
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"runtime/debug"
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/ingress"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -66,6 +66,10 @@
 // prepareRequest finds the route, organisation, service and deadline of a request and
 // reads its body. It returns nil if the request may be forwarded.
 func (g *Gateway) prepareRequest(req *request, w http.ResponseWriter, r *http.Request) *refusal {
+	conn := ingress.FromContext(r.Context())
+	if err := conn.BeginRequest(r.Header); err != nil {
+		return memoryRefusal(err)
+	}
 	metadata, err := g.deps.HeaderCodec.ReadRequest(r.Header)
 	req.metadata = metadata
 	if err != nil {
@@ -107,10 +111,18 @@
 		// Nothing would tell to which request an endpoint's response belongs.
 		return &refusal{status: http.StatusBadRequest, reason: "no request ID"}
 	}
+	if err := conn.PassOn(); err != nil {
+		return memoryRefusal(err)
+	}
 	req.setFingerprints(r)
 	return nil
 }
 
+// memoryRefusal refuses a request for which callers hold too much memory. Its connection is closed.
+func memoryRefusal(err error) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: "callers hold too much memory", retryAfter: time.Second, cause: err, closes: true}
+}
+
 // stoppingRefusal refuses a request that cannot end before the entry does.
 func stoppingRefusal() *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: minRetryAfter}
@@ -194,7 +206,7 @@
 	if !req.deadline.IsZero() {
 		setBodyDeadline(w, r, req.deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	body, err := ingress.FromContext(r.Context()).ReadBody(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
 	if err != nil {
 		return bodyRefusal(err)
 	}
@@ -219,6 +231,8 @@
 func bodyRefusal(err error) *refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, ingress.ErrMemory):
+		return memoryRefusal(err)
 	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large", cause: err}
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -228,10 +242,15 @@
 	}
 }
 
-// headerBytes returns the size of the request line and header as sent.
+// headerBytes returns the least size that the request line and header can have had as sent: white
+// space around values and carriage returns are optional. The bytes received are bounded where they
+// are read, see package ingress.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
-	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	const separators = len(":\n")
+	size := len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\n")
+	if r.ProtoAtLeast(1, 1) { // Older requests may have no such line.
+		size += len("Host") + len(r.Host) + separators
+	}
 	for name, values := range r.Header {
 		for _, value := range values {
 			size += len(name) + len(value) + separators
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -24,6 +24,8 @@
 	spread time.Duration
 	// unavailable counts the endpoints that got no requests, if none had a slot.
 	unavailable admission.UnavailableEndpoints
+	// closes says that nothing more is read from the caller's connection.
+	closes bool
 }
 
 // The bounds of Retry-After. A caller that retries sooner than minRetryAfter finds
@@ -75,6 +77,9 @@
 	}
 	w.Header()["Content-Type"] = nil
 	g.closeAfterResponse(w.Header())
+	if r.closes {
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(r.status)
 	g.finish(req, "refused", r.status, "reason", r.reason, "unavailable", r.unavailable.String(), "cause", errorText(r.cause), "document", g.documentVersion())
 }
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/internal/ingress"
 )
 
 const (
@@ -26,6 +28,14 @@
 	// maxHeaderBytes bounds the header that is read before it is checked against
 	// the document's limit, 16 KiB in known deployments.
 	maxHeaderBytes = 256 << 10
+	// headerCopies is how many copies of a request's header are held: that of the caller, and that
+	// of the attempt in progress.
+	headerCopies = 2
+	// maxReadyHeaderBytes, readyReadTimeout and maxReadyConns bound the listener of the readiness
+	// checks, which are short. Idle connections there give way to new ones.
+	maxReadyHeaderBytes = 8 << 10
+	readyReadTimeout    = 5 * time.Second
+	maxReadyConns       = 64
 )
 
 // Server listens for callers and for the balancer's readiness checks.
@@ -35,7 +45,9 @@
 	CallerAddr, ReadyAddr string
 	// StopGrace is the time between the stop signal and the kill signal.
 	StopGrace time.Duration
-	Logger    *slog.Logger
+	// CallerMemory and MaxConns bound what callers hold, see ingress.Config; 0 means the defaults.
+	CallerMemory, MaxConns int
+	Logger                 *slog.Logger
 }
 
 // Run serves until ctx ends, then finishes the open requests. It blocks for up
@@ -52,20 +64,33 @@
 	}
 	errorLog := log.New(&debugWriter{logger: s.Logger}, "", 0)
 	tracker := newConnTracker(s.Gateway.limits)
+	report := ingress.NewReport(s.Logger, s.Gateway.deps.Scope)
+	go report.Run(ctx)
+	callers := ingress.NewListener(callerListener, ingress.Config{
+		Memory: s.CallerMemory, MaxConns: s.MaxConns, Report: report, HeaderCopies: headerCopies,
+		MaxHeadBytes: func() int { return s.Gateway.limits().MaxHeaderBytes },
+	})
 	// No timeouts here: closeOverdue enforces those of the current document.
 	callerServer := &http.Server{
 		Handler: s.rejectClosing(tracker), MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
-		ConnState: func(conn net.Conn, state http.ConnState) { tracker.stateChanged(conn, state, time.Now()) },
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			callers.ConnState(conn, state)
+			tracker.stateChanged(conn, state, time.Now())
+		},
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, conn)
+			return callers.ConnContext(context.WithValue(ctx, connKey{}, conn), conn)
 		},
 	}
+	balancers := ingress.NewListener(readyListener, ingress.Config{
+		MaxConns: maxReadyConns, Report: report, MaxHeadBytes: func() int { return maxReadyHeaderBytes },
+	})
 	readyServer := &http.Server{
-		Handler: http.HandlerFunc(s.Gateway.ServeReady), ReadHeaderTimeout: defaultHeaderTimeout, ErrorLog: errorLog,
+		Handler: http.HandlerFunc(s.Gateway.ServeReady), ErrorLog: errorLog, MaxHeaderBytes: maxReadyHeaderBytes,
+		ReadTimeout: readyReadTimeout, IdleTimeout: defaultIdleTimeout, ConnState: balancers.ConnState, ConnContext: balancers.ConnContext,
 	}
 	go s.closeOverdue(ctx, tracker)
-	go func() { _ = readyServer.Serve(readyListener) }()
-	go func() { _ = callerServer.Serve(callerListener) }()
+	go func() { _ = readyServer.Serve(balancers) }()
+	go func() { _ = callerServer.Serve(callers) }()
 	<-ctx.Done()
 	s.stop(callerServer)
 	_ = readyServer.Close()
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -38,6 +38,10 @@
 	// number allowed beyond that, over all entries and for each service.
 	RetryRatio float64
 	RetryBurst float64
+	// MaxConns bounds the connections of callers, 0 for the default of package ingress, and
+	// CallersMiB what they make an entry hold, in MiB.
+	MaxConns   int
+	CallersMiB int
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
 	Telemetry Telemetry
@@ -54,6 +58,11 @@
 	maxStopGrace    = time.Hour
 	minLinkMbps     = 0.01
 	maxLinkMbps     = 1e6
+	maxCallerConns  = 1 << 20
+	// minCallersMiB holds two bodies of the largest size on known deployments, 4 MiB, each with the
+	// copy that is made while it grows, and one header section.
+	minCallersMiB = 18
+	maxCallersMiB = 1 << 16
 )
 
 // LoadDirect reads the settings of snipestep-direct. It returns *Error.
@@ -95,8 +104,12 @@
 			{Name: "ready_address", Value: OptionalAddress(&direct.ReadyAddr), Doc: "TCP address that answers the balancer's question whether the entry is ready; required for entries."},
 			{Name: "retry_ratio", Default: "0.2", Value: emptyAsDefault{Float(&direct.RetryRatio, 0, 1), "0.2"}, Doc: "Repeats allowed for each request, over all entries and by service."},
 			{Name: "retry_burst", Default: "50", Value: emptyAsDefault{Float(&direct.RetryBurst, 0, maxRetryBurst), "50"}, Doc: "Repeats allowed beyond, over all entries and by service."},
+			{Name: "max_connections", Default: "0", Value: emptyAsDefault{Int(&direct.MaxConns, 0, maxCallerConns), "0"}, Doc: "Most connections of callers; 0 for the process's limit of descriptors less 1,024, and at least half of it."},
 			{Name: "stop_grace", Default: "8s", Value: emptyAsDefault{Duration(&direct.StopGrace, time.Second, maxStopGrace), "8s"}, Doc: "Time from the signal to stop until the process is killed."},
 		}},
+		{Name: "memory", Doc: "For entries: what may be held in memory.", Keys: []Key{
+			{Name: "callers_mib", Default: "20", Value: emptyAsDefault{Int(&direct.CallersMiB, minCallersMiB, maxCallersMiB), "20"}, Doc: "Header sections and bodies of requests that all callers together make the entry hold, in MiB; the first 8 KiB of each connection do not count. At least four times max_body_bytes of the document and 2 MiB."},
+		}},
 		{Name: "store", Doc: "The platform's store.", Keys: []Key{
 			{Name: "address", Required: true, Value: Address(&direct.StoreAddr), Doc: "TCP address of the store."},
 		}},
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -60,6 +60,7 @@
 	{MetricQueueWait, Histogram, "seconds", []string{TagRank}, directOnly, "Time that such a request waited for a place."},
 	{MetricDirectRetries, Counter, "attempts", []string{TagCode}, directOnly, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
 	{MetricConnectionsMetAgain, Counter, "connections", nil, directOnly, "Connections closed because the request that got them, or one with its ID, had been written there before."},
+	{MetricCallerLimits, Counter, "connections", []string{TagLimit}, entryAndDirect, "Connections of callers that were refused or closed at a limit: head_bytes (one header section), memory (what all hold together), connections, or write_time (an answer that is not read)."},
 	{MetricDroppedLogLines, Gauge, "lines", nil, directOnly, "Log lines dropped since the start because their rate or queue was over its bound."},
 	{MetricMinVersion, Gauge, "version", []string{TagService}, directOnly, "At entries: oldest version of the weights on which requests of the service may begin; 0 allows any."},
 	{MetricDeclaredVersion, Gauge, "version", []string{TagService}, directOnly, "Declared version of the weights as the process knows it; 0 while it knows no configuration."},
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -46,6 +46,7 @@
 	MetricQueueWait               = "held_seconds"
 	MetricDirectRetries           = "repeats_total"
 	MetricConnectionsMetAgain     = "connections_met_again_total"
+	MetricCallerLimits            = "caller_limits_total"
 	MetricDroppedLogLines         = "log_lines_dropped"
 	MetricMinVersion              = "minimum_version"
 	MetricDeclaredVersion         = "declared_version"
@@ -74,6 +75,7 @@
 	TagFault   = "fault"
 	TagService = "service"
 	TagReason  = "reason"
+	TagLimit   = "limit"
 	// TagVersion is a version of weights, TagBasis what the time is from which its bound
 	// counts, TagRelation how it compares with the minimum version.
 	TagVersion  = "version"
