Queue a request again if its endpoint was withdrawn before sending

A request whose endpoint had become unavailable between choice and sending counted as failed there: it kept a token of the endpoint's rate limit, took a retry if another endpoint had been reached before, and ended after four such endpoints. An evacuation or a tighter list of regions withdraws all endpoints of a failure domain at once.

Such an attempt now ends with the outcome NotSent, which gives back slot, token, quota and usage and counts nowhere. The request queues again with its arrival time, without a retry and without counting as an arrival; the endpoint stays excluded for it. An endpoint that left the list in between is treated alike.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -84,7 +84,12 @@
 		g.recordCrash(ctx, req, attempt, err)
 	}
 	breakerOpened := attempt.end(outcome)
-	req.failedEndpointIDs = append(req.failedEndpointIDs, attempt.grant.EndpointID)
+	req.requeued = outcome == admission.NotSent
+	if req.requeued {
+		req.withdrawnEndpointIDs = append(req.withdrawnEndpointIDs, attempt.grant.EndpointID)
+	} else {
+		req.failedEndpointIDs = append(req.failedEndpointIDs, attempt.grant.EndpointID)
+	}
 	fields := []any{
 		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
@@ -139,9 +144,8 @@
 	if ctx.Err() != nil {
 		return admission.Cancelled
 	}
-	var unavailable *UnavailableError
-	if errors.As(err, &unavailable) {
-		return admission.Cancelled
+	if isWithdrawn(err) {
+		return admission.NotSent
 	}
 	if errors.Is(err, ErrEventTimeout) {
 		return admission.TimedOut
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -64,6 +64,10 @@
 			g.metrics.recordRetry("moved")
 			continue
 		}
+		if requeues(ctx, err) {
+			g.metrics.recordRetry("withdrawn")
+			continue
+		}
 		if !g.mayRetry(ctx, req, mayHaveRun) {
 			g.finishBuffered(w, r, req, lastResponse, err)
 			return
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,11 @@
 	endpointsReached int
 	// failedEndpointIDs lists the IDs of the endpoints at which an attempt failed.
 	failedEndpointIDs []string
+	// withdrawnEndpointIDs lists those that were withdrawn after they had been chosen, and got
+	// nothing.
+	withdrawnEndpointIDs []string
+	// requeued says that the last attempt was withdrawn.
+	requeued bool
 	// sparedRetry says that a retry is reserved for a stream that was moved.
 	sparedRetry bool
 	// placed is the slot that was taken before the last attempt was cancelled, nil for none.
@@ -149,7 +154,8 @@
 		PromptTokens:        float64(r.metadata.PromptTokens),
 		LatencyCritical:     r.latencyCritical(),
 		ExpectedServiceTime: r.service.expectedDuration(r.metadata.LengthHint),
-		ExcludedEndpoints:   r.failedEndpointIDs,
+		ExcludedEndpoints:   r.excludedEndpoints(),
+		Requeued:            r.requeued,
 		Regions:             r.residency.allowed,
 	}
 	req.HardDeadline = r.arrivedAt.Add(r.route.LatencyTarget + lateQueueTime)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -87,6 +87,10 @@
 		if err == nil {
 			return
 		}
+		if requeues(ctx, err) {
+			g.metrics.recordRetry("withdrawn")
+			continue
+		}
 		if s.migrates(ctx, err) {
 			g.metrics.recordRetry("moved")
 			continue
--- a/gateway/unavailableerror.go
+++ b/gateway/unavailableerror.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/snipestep/snipestep/directory"
@@ -40,3 +43,24 @@
 	}
 	return ""
 }
+
+// isWithdrawn reports whether an attempt ended because its endpoint was withdrawn after the choice.
+// Nothing was sent then.
+func isWithdrawn(err error) bool {
+	var unavailable *UnavailableError
+	return errors.As(err, &unavailable) || errors.Is(err, ErrEndpointRemoved)
+}
+
+// requeues reports whether a request is queued again after an attempt that was withdrawn. It has
+// failed nowhere, so that this takes no retry. Each time excludes one more endpoint.
+func requeues(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && isWithdrawn(err)
+}
+
+// excludedEndpoints returns the IDs of the endpoints that must not get the request.
+func (r *request) excludedEndpoints() []string {
+	if len(r.withdrawnEndpointIDs) == 0 {
+		return r.failedEndpointIDs
+	}
+	return slices.Concat(r.failedEndpointIDs, r.withdrawnEndpointIDs)
+}
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/core"
+)
 
 // Endpoint describes an endpoint as the endpoint list has it.
 type Endpoint struct {
@@ -43,6 +47,9 @@
 	sentAt          time.Time
 	promptTokens    float64
 	responseStarted bool
+	// organisation and tokens are what the request added to the usage.
+	organisation core.OrganisationID
+	tokens       float64
 }
 
 // endpointState is the state of an endpoint in a Pool.
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -25,6 +25,9 @@
 	// Cancelled: the caller or the entry cancelled the request, which says nothing
 	// about the endpoint.
 	Cancelled
+	// NotSent: nothing was sent, since the endpoint was withdrawn after the choice. The request has
+	// failed nowhere.
+	NotSent
 )
 
 // Done frees the slot of a request and reports whether its outcome opened the
@@ -38,6 +41,10 @@
 	if !ok {
 		return false
 	}
+	if outcome == NotSent {
+		p.takeBack(now, endpoint, requestID, req)
+		return false
+	}
 	delete(endpoint.inFlight, requestID)
 	if endpoint.reportCovers(req.sentAt, p.config.ReportLag) {
 		endpoint.endedSinceReport++
@@ -60,7 +67,7 @@
 		return endpoint.breaker.recordFailure(now)
 	case Failed:
 		return endpoint.breaker.recordFailure(now)
-	case Cancelled:
+	case Cancelled, NotSent:
 	}
 	return false
 }
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -128,7 +128,9 @@
 // Submit decides on a new request. An enqueued request leaves the pool by
 // Dispatch or Remove.
 func (p *Pool) Submit(now time.Time, req *Request) Decision {
-	p.recordArrival(now, req)
+	if !req.Requeued {
+		p.recordArrival(now, req)
+	}
 	if decision, ok := p.TryStart(now, req); ok {
 		return decision
 	}
@@ -177,7 +179,7 @@
 
 // start records that a request is sent to an endpoint.
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
-	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
+	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens, organisation: req.Organisation, tokens: req.usage()}
 	endpoint.quota.remaining--
 	p.takeToken(endpoint)
 	p.addUsage(now, req)
@@ -198,7 +200,7 @@
 		}
 		p.usageDecayedAt = now
 	}
-	p.usage[req.Organisation] += max(req.TotalTokens, 1)
+	p.usage[req.Organisation] += req.usage()
 }
 
 // Reports reports whether the agent of an endpoint sends reports.
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -23,6 +23,9 @@
 	// ClientRetry marks a request that was refused before and that the client
 	// sends again.
 	ClientRetry bool
+	// Requeued marks a request that was not sent to the endpoint that was chosen for it. It does not
+	// count as a further arrival.
+	Requeued bool
 	// TotalTokens is the expected number of tokens of prompt and response. It counts
 	// towards the usage of the organisation.
 	TotalTokens float64
@@ -42,6 +45,11 @@
 	Regions *core.RegionSet
 }
 
+// usage returns what the request adds to the usage of its organisation.
+func (r *Request) usage() float64 {
+	return max(r.TotalTokens, 1)
+}
+
 // class orders requests: lower values start first.
 type class uint8
 
--- a/routing/admission/stateful_test.go
+++ b/routing/admission/stateful_test.go
@@ -153,7 +153,7 @@
 	if e := m.engines[endpoint]; e != nil {
 		delete(e.running, id)
 	}
-	outcome := rapid.SampledFrom([]Outcome{Served, NotRun, TimedOut, Failed, Cancelled}).Draw(t, "outcome")
+	outcome := rapid.SampledFrom([]Outcome{Served, NotRun, TimedOut, Failed, Cancelled, NotSent}).Draw(t, "outcome")
 	m.pool.Done(m.now, endpoint, id, outcome)
 	m.dispatch(t)
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -58,7 +58,7 @@
 	{MetricResponseTime, Histogram, "seconds", []string{TagRank, TagOutcome}, directOnly, "Time from such a request to the end of its answer."},
 	{MetricFirstResponseTime, Histogram, "seconds", []string{TagRank}, directOnly, "Time from such a request to its first event or whole answer."},
 	{MetricQueueWait, Histogram, "seconds", []string{TagRank}, directOnly, "Time that such a request waited for a place."},
-	{MetricDirectRetries, Counter, "attempts", []string{TagCode}, directOnly, "Further attempts of such requests: not_run by the last endpoint, or begun there."},
+	{MetricDirectRetries, Counter, "attempts", []string{TagCode}, directOnly, "Further attempts of such requests: not_run by the last endpoint, begun there, moved off it, or withdrawn, as the endpoint became unavailable before it got the request."},
 	{MetricConnectionsMetAgain, Counter, "connections", nil, directOnly, "Connections closed because the request that got them, or one with its ID, had been written there before."},
 	{MetricDroppedLogLines, Gauge, "lines", nil, directOnly, "Log lines dropped since the start because their rate or queue was over its bound."},
 	{MetricMinVersion, Gauge, "version", []string{TagService}, directOnly, "At entries: oldest version of the weights on which requests of the service may begin; 0 allows any."},
