--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	./local/load \
 	./routing \
 	./routing/admission \
+	./routing/sharedrate \
 	./weights
 
 test:
--- /dev/null
+++ b/routing/admission/choose_bench_test.go
@@ -0,0 +1,29 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkChooseEndpoint chooses among 34 engines with 12 slots, as on the deployment with
+// cold endpoints.
+func BenchmarkChooseEndpoint(b *testing.B) {
+	var ids []string
+	for i := range 34 {
+		ids = append(ids, fmt.Sprintf("engine-%02d", i))
+	}
+	benchmarkChoice(b, enginePool(11, ids...))
+}
+
+// benchmarkChoice measures a choice in a pool whose endpoints have just reported.
+func benchmarkChoice(b *testing.B, p *Pool) {
+	now := at(0).Add(time.Millisecond)
+	req := newRequest(now, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		if p.chooseEndpoint(now, req, 400) == nil {
+			b.Fatal("no endpoint")
+		}
+	}
+}
