Carry the figures of cold endpoints to entries

The document names for a service how long its endpoints are cold after a start and how many requests a second they take meanwhile; records of endpoints name the time left; the bounds of a deployment name the excess that is allowed. Nothing read them.

The settings default to an excess of 1 and no extra, which is stricter than any bound and without effect where no service is cold.

--- a/directory/service.go
+++ b/directory/service.go
@@ -12,6 +12,8 @@
 	// Engine holds the published properties of the model engines, nil for
 	// services without a model.
 	Engine *Engine
+	// ColdStart is nil for services whose endpoints bear their full load from the start.
+	ColdStart *ColdStart
 	// OriginAddress (IP:port) is set for an origin of weights, and empty for other
 	// services.
 	OriginAddress string
--- a/directory/view.go
+++ b/directory/view.go
@@ -12,6 +12,8 @@
 	Document         *Document
 	Endpoints        map[string]*Endpoint
 	DeclaredVersions map[string]DeclaredVersion
+	// ColdRecords holds what the records of endpoints say about their coldness, by ID.
+	ColdRecords map[string]ColdRecord
 	// StoreUp is set if the store answered the last call.
 	StoreUp bool
 	// latest computes LatestEndpoints once for the views of a Directory; nil for others.
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -40,7 +40,12 @@
 	RetryBurst float64
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
-	Telemetry Telemetry
+	// ColdExcess and ColdExtra bound the requests to a cold endpoint from all entries
+	// together: within any one second ColdExcess times the rate that its service names,
+	// plus ColdExtra.
+	ColdExcess float64
+	ColdExtra  float64
+	Telemetry  Telemetry
 }
 
 // directPorts is the number of consecutive ports reserved from FirstPort on.
@@ -52,6 +57,8 @@
 	maxVersionBound = time.Hour
 	maxRetryBurst   = 1e6
 	maxStopGrace    = time.Hour
+	maxColdExcess   = 100
+	maxColdExtra    = 1e6
 	minLinkMbps     = 0.01
 	maxLinkMbps     = 1e6
 )
@@ -97,6 +104,10 @@
 			{Name: "retry_burst", Default: "50", Value: emptyAsDefault{Float(&direct.RetryBurst, 0, maxRetryBurst), "50"}, Doc: "Repeats allowed beyond, over all entries and by service."},
 			{Name: "stop_grace", Default: "8s", Value: emptyAsDefault{Duration(&direct.StopGrace, time.Second, maxStopGrace), "8s"}, Doc: "Time from the signal to stop until the process is killed."},
 		}},
+		{Name: "admission", Doc: "For entries: the choice of endpoints.", Keys: []Key{
+			{Name: "cold_excess", Default: "1", Value: emptyAsDefault{Float(&direct.ColdExcess, 0, maxColdExcess), "1"}, Doc: "A cold endpoint gets at most this times the rate that its service names, plus `cold_extra` requests, within any one second from all entries together. Without effect on services that name none."},
+			{Name: "cold_extra", Default: "0", Value: emptyAsDefault{Float(&direct.ColdExtra, 0, maxColdExtra), "0"}, Doc: "See `cold_excess`."},
+		}},
 		{Name: "store", Doc: "The platform's store.", Keys: []Key{
 			{Name: "address", Required: true, Value: Address(&direct.StoreAddr), Doc: "TCP address of the store."},
 		}},
--- a/settings/direct_test.go
+++ b/settings/direct_test.go
@@ -31,7 +31,7 @@
 		"node_name": "edge-a-1", "ip": "10.1.0.40", "port_range.0": "7700", "limits.bandwidth_mbps": "7.6",
 		"region": "a", "zone": "a-1", "zones": "a-1:a,b-1:b", "listen.http": "10.1.0.40:8005", "listen.readiness": "10.1.0.40:8002",
 		"bounds.retry_ratio": "0.2", "bounds.retry_burst": "104", "bounds.grace_s": "8", "platform.address": "10.200.1.7:8007",
-		"bounds.version_ms": "8000",
+		"bounds.version_ms": "8000", "bounds.cold_excess": "1.5", "bounds.cold_extra": "5",
 	}
 }
 
@@ -48,6 +48,8 @@
 	assert.Equal(t, entry.CallerAddr, "10.1.0.40:8005")
 	assert.Equal(t, entry.VersionBound, 8*time.Second)
 	assert.Equal(t, entry.StopGrace, 8*time.Second)
+	assert.Equal(t, entry.ColdExcess, 1.5)
+	assert.Equal(t, entry.ColdExtra, 5.0)
 	assert.DeepEqual(t, entry.Regions, map[string]string{"a-1": "a", "b-1": "b"})
 	values := templateValues()
 	delete(values, "listen.http")
@@ -71,11 +73,13 @@
 	assert.Equal(t, loaded.VersionBound, 8*time.Second)
 	assert.Equal(t, loaded.StopGrace, 8*time.Second)
 	assert.Equal(t, loaded.RetryRatio, 0.2)
+	assert.Equal(t, loaded.ColdExcess, 1.0)
+	assert.Equal(t, loaded.ColdExtra, 0.0)
 }
 
 func TestErrorNamesKeyOfInvalidValue(t *testing.T) {
 	for key, value := range map[string]string{
-		"limits.bandwidth_mbps": "fast", "zones": "a", "platform.address": "store", "bounds.version_ms": "soon", "bounds.retry_ratio": "2", "port_range.0": "0",
+		"limits.bandwidth_mbps": "fast", "zones": "a", "platform.address": "store", "bounds.version_ms": "soon", "bounds.retry_ratio": "2", "bounds.cold_excess": "-1", "bounds.cold_extra": "NaN", "port_range.0": "0",
 	} {
 		values := templateValues()
 		values[key] = value
