Report since when an engine runs and whether its agent is settled

Only records told that an endpoint has started, with their delay of about a second. Agents poll their engine every 50 ms and now report the time since its start, or since their first poll that it answered, in the byte of the age of the declared version, which no production code read. A flag tells the two apart, so that builds of both kinds understand each other; a report keeps its 32 bytes. Two more flags say that the agent saw the start, and that its loop has run for 2 s without a gap of a second, so that the number of entries in its report is complete.

A new start goes to all entries at once; an age that counts up is no news.

The test of an age beyond the encoding now tests the start age instead of the declared age, with the same bound.

--- a/loadreport/report.go
+++ b/loadreport/report.go
@@ -56,13 +56,16 @@
 	needsConfigFlag
 	echoFlag
 	wantsEnginesFlag
+	startKnownFlag
+	startSeenFlag
+	settledFlag
 )
 
 // slowdownUnit is the resolution of an encoded slowdown.
 const slowdownUnit = 0.1
 
 // reportBytes is the length of a report: kind, flags, running, waiting,
-// slowdown, entries, loaded version, declared version, declared age, closes in,
+// slowdown, entries, loaded version, declared version, start age, closes in,
 // demand, timestamp, agent delay, engine list.
 const reportBytes = 2 + 2 + 2 + 1 + 1 + 4 + 4 + 1 + 1 + 2 + 2 + 2 + 8
 
@@ -92,11 +95,14 @@
 	LoadedVersion uint64
 	// Entries is the number of entries with a valid subscription, at most 255.
 	Entries int
-	// DeclaredVersion is the declared version that the agent knows, and DeclaredAge
-	// the time since its declaration in steps of 100 ms. UnknownDuration is an
-	// unknown age or one beyond 25.4 s. Builds that know VersionAges read neither.
+	// Settled says that the agent has run for SubscriptionTTL without a gap, so that Entries
+	// counts all entries that reach it.
+	Settled bool
+	// DeclaredVersion is the declared version that the agent knows. Builds that know
+	// VersionAges do not read it.
 	DeclaredVersion uint64
-	DeclaredAge     time.Duration
+	// Start tells since when the endpoint runs.
+	Start StartAge
 	// ClosesIn is the time until the endpoint closes to change its weights, in
 	// the same steps; UnknownDuration if that is not soon.
 	ClosesIn time.Duration
@@ -139,6 +145,10 @@
 	if r.WantsEngines {
 		flags |= wantsEnginesFlag
 	}
+	if r.Settled {
+		flags |= settledFlag
+	}
+	flags |= r.Start.flags()
 	b := append(make([]byte, 0, reportBytes), kindReport, flags)
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Running, 1<<16-1)))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Waiting, 1<<16-1)))
@@ -147,13 +157,13 @@
 	b = append(b, byte(min(r.Slowdown/slowdownUnit+slowdownUnit, 255)), byte(min(r.Entries, 255)))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.LoadedVersion))
 	b = binary.BigEndian.AppendUint32(b, uint32(r.DeclaredVersion))
-	b = append(b, encodeDuration(r.DeclaredAge), encodeDuration(r.ClosesIn))
+	b = append(b, encodeDuration(r.Start.Age), encodeDuration(r.ClosesIn))
 	b = binary.BigEndian.AppendUint16(b, uint16(min(r.Demand, 1<<16-1)))
 	return binary.BigEndian.AppendUint64(r.Echo.append(b), r.EngineListDigest)
 }
 
 // encodeDuration encodes a duration beyond the range as unknown: a shorter one would
-// make a version appear younger than it is.
+// make an endpoint appear to have started later than it did.
 func encodeDuration(d time.Duration) byte {
 	if d < 0 || d/durationUnit >= unknownDurationByte {
 		return unknownDurationByte
@@ -175,12 +185,13 @@
 	}
 	return Report{
 		DeclaredVersion:  uint64(binary.BigEndian.Uint32(b[12:])),
-		DeclaredAge:      decodeDuration(b[16]),
+		Start:            decodeStartAge(b[1], b[16]),
 		ClosesIn:         decodeDuration(b[17]),
 		Demand:           int(binary.BigEndian.Uint16(b[18:])),
 		Closed:           b[1]&closedFlag != 0,
 		NeedsConfig:      b[1]&needsConfigFlag != 0,
 		WantsEngines:     b[1]&wantsEnginesFlag != 0,
+		Settled:          b[1]&settledFlag != 0,
 		Running:          int(binary.BigEndian.Uint16(b[2:])),
 		Waiting:          int(binary.BigEndian.Uint16(b[4:])),
 		Slowdown:         float64(b[6]) * slowdownUnit,
--- a/loadreport/report_test.go
+++ b/loadreport/report_test.go
@@ -12,10 +12,10 @@
 
 func TestReportRoundTrip(t *testing.T) {
 	for _, r := range []loadreport.Report{
-		{DeclaredAge: loadreport.UnknownDuration, ClosesIn: loadreport.UnknownDuration},
+		{ClosesIn: loadreport.UnknownDuration},
 		{
 			Running: 16, Waiting: 3, Slowdown: 2.5, Closed: true, LoadedVersion: 7, Entries: 5, DeclaredVersion: 8,
-			DeclaredAge: 1200 * time.Millisecond, ClosesIn: 300 * time.Millisecond, Demand: 40,
+			Start: loadreport.StartAge{Known: true, Seen: true, Age: 1200 * time.Millisecond}, Settled: true, ClosesIn: 300 * time.Millisecond, Demand: 40,
 			Echo: loadreport.Echo{Known: true, Timestamp: 65_000, AgentDelay: 150 * time.Millisecond},
 		},
 	} {
@@ -25,13 +25,43 @@
 	}
 }
 
-// With a version bound of a minute, an entry that starts would take a version declared
-// 40 s ago for younger, and allow older ones for longer.
+// Guards against an endpoint that started 40 s ago and is cold again, as its age wraps or is
+// cut to the range.
 func TestAgeBeyondTheEncodingIsNotReportedAsYounger(t *testing.T) {
 	const age = 40 * time.Second
-	decoded, err := loadreport.DecodeReport(loadreport.Report{DeclaredVersion: 2, DeclaredAge: age}.Encode())
+	start := loadreport.StartAge{Known: true, Seen: true, Age: age}
+	decoded, err := loadreport.DecodeReport(loadreport.Report{DeclaredVersion: 2, Start: start}.Encode())
 	assert.NilError(t, err)
-	assert.Assert(t, decoded.DeclaredAge < 0 || decoded.DeclaredAge > age-time.Second, "decoded as %v", decoded.DeclaredAge)
+	assert.Assert(t, decoded.Start.Age < 0 || decoded.Start.Age > age-time.Second, "decoded as %v", decoded.Start.Age)
+}
+
+// Guards against an end of the coldness that is early: an age that is rounded up would make the
+// endpoint appear to have started before it did.
+func TestAgeIsRoundedDown(t *testing.T) {
+	start := loadreport.StartAge{Known: true, Age: 1299 * time.Millisecond}
+	decoded, err := loadreport.DecodeReport(loadreport.Report{Start: start}.Encode())
+	assert.NilError(t, err)
+	assert.Equal(t, decoded.Start, loadreport.StartAge{Known: true, Age: 1200 * time.Millisecond})
+}
+
+// Guards against reports of builds before StartAge, whose byte is the age of the declared
+// version and whose agents are not settled, and against a length that they reject.
+func TestReportsOfOtherBuildsAreUnderstood(t *testing.T) {
+	datagram := loadreport.Report{Running: 3, Entries: 11}.Encode()
+	assert.Equal(t, len(datagram), 32)
+	datagram[16] = 5 // 0.5 s since the declaration.
+	decoded, err := loadreport.DecodeReport(datagram)
+	assert.NilError(t, err)
+	assert.Equal(t, decoded, loadreport.Report{Running: 3, Entries: 11})
+}
+
+func TestOnlyANewStartIsNews(t *testing.T) {
+	last := loadreport.StartAge{Known: true, Seen: true, Age: time.Second}
+	assert.Assert(t, loadreport.StartAge{Known: true, Seen: true, Age: time.Minute}.Follows(last))
+	assert.Assert(t, loadreport.StartAge{}.Follows(loadreport.StartAge{}))
+	assert.Assert(t, !loadreport.StartAge{Known: true, Seen: true, Age: time.Millisecond}.Follows(last))
+	assert.Assert(t, !loadreport.StartAge{Known: true, Age: time.Minute}.Follows(last))
+	assert.Assert(t, !loadreport.StartAge{}.Follows(last))
 }
 
 func TestSubscriptionRoundTrip(t *testing.T) {
--- a/sidecar/reconciler.go
+++ b/sidecar/reconciler.go
@@ -32,6 +32,8 @@
 	// lastRefreshAt is when all entries last got a report.
 	lastRefreshAt time.Time
 	pace          reportPace
+	// engineStart is used by the reporter only.
+	engineStart engineStart
 	// clocks bounds when the version ages of entries were sent.
 	clocks *loadreport.ClockExchange
 	// lastDeclarations are those of the last VersionAges.
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -206,6 +206,7 @@
 		r.deps.Logger.Info("engine state changed", "held", state.LoadedVersion, "busy", state.OrderInProgress, "born", state.StartUnixMS)
 	}
 	r.engineState.Store(&state)
+	r.engineStart.answered(time.Now(), state.StartUnixMS)
 }
 
 // sendReports sends a load report to the subscribed entries if the load has changed or
@@ -226,9 +227,13 @@
 		report.Closed = r.switching.Load() || state.OrderInProgress
 	}
 	r.addDeclaredVersion(r.deps.Now(), &report)
+	report.Start = r.engineStart.age(now)
+	report.Settled = r.engineStart.settled(now)
 	// Reports are equal if they differ only in durations that change all the time.
 	normalised := report
-	normalised.DeclaredAge = r.lastReport.DeclaredAge
+	if normalised.Start.Follows(r.lastReport.Start) {
+		normalised.Start = r.lastReport.Start
+	}
 	if (normalised.ClosesIn < 0) == (r.lastReport.ClosesIn < 0) {
 		normalised.ClosesIn = r.lastReport.ClosesIn
 	}
@@ -250,10 +255,9 @@
 	}
 }
 
-// addDeclaredVersion adds the declared version and its age to a report, for entries of
-// builds that know no loadreport.VersionAges.
+// addDeclaredVersion adds the declared version to a report, for entries of builds that know
+// no loadreport.VersionAges, and the time until the engine closes for it.
 func (r *Reconciler) addDeclaredVersion(now time.Time, report *loadreport.Report) {
-	report.DeclaredAge = loadreport.UnknownDuration
 	view := r.deps.Directory.View()
 	service := r.engineService(view)
 	if service == nil {
@@ -261,9 +265,6 @@
 	}
 	declared := view.DeclaredVersion(service.Model)
 	report.DeclaredVersion = declared.Version
-	if !declared.NotBefore.IsZero() {
-		report.DeclaredAge = now.Sub(declared.NotAfter)
-	}
 	report.ClosesIn = r.timeToSwitch(now, view, declared)
 }
 
--- a/sidecar/reportpace_test.go
+++ b/sidecar/reportpace_test.go
@@ -74,6 +74,8 @@
 		"version": func(r *loadreport.Report) { r.DeclaredVersion = 4 },
 		"closes":  func(r *loadreport.Report) { r.ClosesIn = 0 },
 		"config":  func(r *loadreport.Report) { r.NeedsConfig = true },
+		"start":   func(r *loadreport.Report) { r.Start = loadreport.StartAge{Known: true, Seen: true} },
+		"settled": func(r *loadreport.Report) { r.Settled = true },
 	} {
 		changed := busier
 		change(&changed)
