Limit the rate of requests to cold endpoints

An endpoint that starts during traffic bears few requests a second and crashes well above that; entries sent it what its free slots allow. Each entry now charges a bucket for every request to an endpoint of a service with such a rate, and enforces it while the endpoint is cold: when an endpoint is chosen, in the free slots and the release rate, and once more just before sending. The requests that were sent before the coldness was known count. An endpoint is cold by its record, by its agent's report of the start or of its first poll, or since its agent has sent no report for 0.7 s; a report that waited in the buffer of a process that stood still is none. An entry to which no settled agent has named the number of entries sends cold endpoints nothing and refuses with the time at which that changes. Services whose document names no rate are not affected.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -35,6 +35,8 @@
 		RetryRatio:   s.RetryRatio,
 		RetryBurst:   s.RetryBurst,
 		VersionBound: s.VersionBound,
+		ColdExcess:   s.ColdExcess,
+		ColdExtra:    s.ColdExtra,
 		FleetKey:     s.FleetKey,
 		Seed:         instanceSeed(s),
 	}, gateway.Deps{
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,6 +91,9 @@
 	if err := checkAvailable(req.service, attempt.endpoint); err != nil {
 		return attempt, false, err
 	}
+	if err := g.checkCold(grant); err != nil {
+		return attempt, false, err
+	}
 	// The process may have been paused since the choice, so that the minimum version of
 	// the choice is out of date.
 	minVersion := g.minVersion(g.deps.Now(), view, req.service.name, versionSafetyMargin)
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -25,6 +25,10 @@
 	// VersionBound is how long after a new version was declared an older one
 	// may still start a request.
 	VersionBound time.Duration
+	// ColdExcess and ColdExtra bound the requests to a cold endpoint, see
+	// sharedrate.ColdRule.
+	ColdExcess float64
+	ColdExtra  float64
 	// FleetKey signs the configuration sent to agents.
 	FleetKey []byte
 	Seed     uint64
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
+	"github.com/snipestep/snipestep/routing/sharedrate"
 	"github.com/snipestep/snipestep/strikes"
 )
 
@@ -67,13 +68,18 @@
 	// retired holds the services that the document no longer names but that still know
 	// pauses or rate limits of endpoints, in case it names them again.
 	retired map[string]*service
+	// coldEntries is used by the loop that receives datagrams only, which derives
+	// coldDivisor from it: the number of entries that share the rate of a cold endpoint, 0
+	// until a settled agent names it.
+	coldEntries *sharedrate.EntryCount
+	coldDivisor atomic.Int64
 	// entryCount is the number of live entries, 0 until an agent reports it.
 	entryCount atomic.Int64
 }
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
@@ -98,7 +104,7 @@
 			endpointByAgent[addr.Addr()] = e
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
-			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
+			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS, ColdRecord: coldRecord(view, e.ID),
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
@@ -106,6 +112,7 @@
 	for name, s := range next {
 		minVersion := g.minVersion(now, view, name, versionSafetyMargin)
 		s.gate.Update(func(p *admission.Pool) {
+			g.applyColdStart(time.Now(), view, name, p)
 			p.SetEndpoints(time.Now(), endpointsByService[name])
 			p.SetMinVersion(minVersion)
 			if s.hasRateLimits.Load() {
@@ -261,6 +268,7 @@
 			p.SetMinVersion(minVersion)
 			p.SetSuspended(suspended)
 		})
+		g.logColdChanges(s)
 		g.versions.observe(now, view, name, minVersion)
 		if cancelBelow := g.minVersion(now, view, name, cancelSafetyMargin); cancelBelow > 0 {
 			g.cancelOutdated(view, name, s, cancelBelow)
--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -33,6 +33,11 @@
 			Tags: []string{telemetry.TagService, telemetry.TagReason},
 			Read: g.readUnavailable,
 		},
+		{
+			Name: telemetry.MetricColdEndpoints,
+			Tags: []string{telemetry.TagService},
+			Read: g.readColdEndpoints,
+		},
 	}
 }
 
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -160,6 +160,7 @@
 		believedVersion = p.LoadedVersion(now, endpoint.ID)
 		isNewest = p.Report(endpoint.ID, admission.Report{
 			ReceivedAt: now, Order: g.reportOrder(now, report.Echo), RoundTrip: g.agentRoundTrip(now, report.Echo), ClosesAt: closesAt, Demand: float64(report.Demand), Running: report.Running, Waiting: report.Waiting, Slowdown: report.Slowdown, Closed: report.Closed, LoadedVersion: report.LoadedVersion,
+			Start: startOf(report),
 		})
 	})
 	if !isNewest {
@@ -173,6 +174,7 @@
 	if report.Entries > 0 && int64(report.Entries) != g.entryCount.Load() {
 		g.setEntryCount(report.Entries)
 	}
+	g.observeColdEntries(now, report)
 	g.handleClosed(endpoint.ID, report.Closed)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -50,6 +50,14 @@
 	m.scope.Counter(telemetry.MetricConnectionsMetAgain).Inc(1)
 }
 
+func (m *metrics) recordColdWithdrawal() {
+	m.scope.Counter(telemetry.MetricColdWithdrawals).Inc(1)
+}
+
+func (m *metrics) updateColdDivisor(entries int) {
+	m.scope.Gauge(telemetry.MetricColdDivisor).Update(float64(entries))
+}
+
 func (m *metrics) recordStrike() {
 	m.scope.Counter(telemetry.MetricStrikes).Inc(1)
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -52,7 +52,7 @@
 		r.reason = string(refused.Reason)
 		r.retryAfter = refused.RetryAfter
 		r.unavailable = refused.Unavailable
-		if refused.Reason == admission.ReasonResting {
+		if refused.Reason == admission.ReasonResting || refused.Reason == admission.ReasonCold {
 			r.retryAfterIsExact = true
 			r.spread = restSpread
 		}
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -73,7 +73,7 @@
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
 		closing := endpoint.closing(now, &p.config)
-		if !p.rateLimitAllowsAfter(now, endpoint, claimed) || !endpoint.quota.allows(now, endpoint, &p.config) || load >= p.capacity(endpoint) || (closing && now.Add(req.ExpectedServiceTime).After(endpoint.report.ClosesAt)) {
+		if !p.rateLimitAllowsAfter(now, endpoint, claimed) || !p.coldAllows(now, endpoint) || !endpoint.quota.allows(now, endpoint, &p.config) || load >= p.capacity(endpoint) || (closing && now.Add(req.ExpectedServiceTime).After(endpoint.report.ClosesAt)) {
 			continue
 		}
 		prefill := endpoint.prefillBacklog(&p.config, p.competingEntries(endpoint))
--- a/routing/admission/choose_bench_test.go
+++ b/routing/admission/choose_bench_test.go
@@ -27,3 +27,17 @@
 		}
 	}
 }
+
+// BenchmarkChooseColdEndpoint is the same while all engines are cold.
+func BenchmarkChooseColdEndpoint(b *testing.B) {
+	var ids []string
+	for i := range 34 {
+		ids = append(ids, fmt.Sprintf("engine-%02d", i))
+	}
+	p := coldPool(ids...)
+	for _, id := range ids {
+		reportStart(p, at(0), id, 0)
+		p.cold.states[id].bucket.GiveBack(1)
+	}
+	benchmarkChoice(b, p)
+}
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -81,6 +81,9 @@
 	ReasonFull Reason = "no place in time"
 	// ReasonResting: the endpoints that could serve have asked for a pause.
 	ReasonResting Reason = "endpoints ask for a pause"
+	// ReasonCold: the endpoints that could serve are cold, and this entry may send them
+	// nothing.
+	ReasonCold Reason = "endpoints are cold"
 	// ReasonExpired: the request got no slot before its deadline.
 	ReasonExpired Reason = "waited too long for a slot"
 )
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/routing/sharedrate"
+)
 
 // Endpoint describes an endpoint as the endpoint list has it.
 type Endpoint struct {
@@ -15,6 +19,8 @@
 	Draining, Leaving bool
 	// StartedUnixMS tells the incarnations under one ID apart, 0 if unknown.
 	StartedUnixMS int64
+	// ColdRecord is what the endpoint list says about its coldness.
+	ColdRecord sharedrate.Record
 }
 
 // Incarnation identifies one start of an endpoint.
@@ -41,6 +47,7 @@
 	sentAt          time.Time
 	promptTokens    float64
 	responseStarted bool
+	cold            coldCharge
 }
 
 // endpointState is the state of an endpoint in a Pool.
@@ -55,6 +62,8 @@
 	breaker          circuitBreaker
 	firstResponse    firstResponseDelay
 	quota            quota
+	// cold is nil for services whose endpoints are never cold.
+	cold *coldState
 	// addedAt is when the endpoint was first listed.
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -33,6 +33,7 @@
 	rateLimitShare RateLimitShare
 	// rests holds the pauses that endpoints asked for by endpoint ID.
 	rests map[string]*rest
+	cold  coldEndpoints
 	// suspended is how long the machine has been suspended since the process started.
 	suspended time.Duration
 }
@@ -71,6 +72,7 @@
 	}
 	p.expireRateLimits(now)
 	p.expireRests(now)
+	p.listCold(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
 }
@@ -112,6 +114,7 @@
 	}
 	endpoint.setReport(report)
 	p.setQuota(endpoint, report)
+	p.applyColdStart(endpoint, report)
 	return true
 }
 
@@ -154,8 +157,8 @@
 	if releaseRate > 0 {
 		return ReasonFull
 	}
-	if _, resting := p.earliestRestEnd(now); resting {
-		return ReasonResting
+	if _, reason := p.earliestReturn(now); reason != "" {
+		return reason
 	}
 	return ReasonFull
 }
@@ -165,6 +168,7 @@
 	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
 	endpoint.quota.remaining--
 	p.takeToken(endpoint)
+	p.chargeCold(now, endpoint, req.ID)
 	p.addUsage(now, req)
 	p.partition.add(now, req)
 }
@@ -219,9 +223,12 @@
 }
 
 // freeSlotsAt returns the number of free slots at an endpoint, at most as many as its rate
-// limit lets this entry use now.
+// limit or its coldness lets this entry use now.
 func (p *Pool) freeSlotsAt(now time.Time, endpoint *endpointState) int {
 	free := max(endpoint.Slots-int(endpoint.load(now, &p.config, p.entryCount, 1)), 0)
+	if tokens, limited := p.coldTokens(now, endpoint); limited {
+		free = int(max(min(tokens, float64(free)), 0))
+	}
 	if tokens, limited := p.limitedTokens(now, endpoint); limited {
 		return int(min(tokens, float64(free)))
 	}
--- a/routing/admission/report.go
+++ b/routing/admission/report.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/snipestep/snipestep/routing/sharedrate"
+)
 
 // Report is the load that all entries together put on an endpoint.
 type Report struct {
@@ -24,4 +28,6 @@
 	// LoadedVersion is the version of the weights that is completely loaded, 0 for
 	// none.
 	LoadedVersion uint64
+	// Start tells since when the endpoint runs; its ReceivedAt is not used.
+	Start sharedrate.Start
 }
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -29,12 +29,16 @@
 	UnavailableUnreported Unavailability = "unreported"
 	// UnavailableOutdated: it has no version of the weights, or one below the minimum.
 	UnavailableOutdated Unavailability = "outdated"
+	// UnavailableCold: it is cold, and this entry may send nothing to cold endpoints.
+	UnavailableCold Unavailability = "cold"
+	// UnavailableColdLimited: it is cold, and this entry has used its share of the rate.
+	UnavailableColdLimited Unavailability = "cold_limited"
 	// UnavailableRateLimited: this entry has used its part of the endpoint's rate limit.
 	UnavailableRateLimited Unavailability = "rate_limited"
 )
 
-// unavailability returns why an endpoint may start no requests. It ignores the rate limit,
-// under which an endpoint is available again and again.
+// unavailability returns why an endpoint may start no requests. It ignores the rate limit
+// and the share in the rate of a cold endpoint, under which it is available again and again.
 func (p *Pool) unavailability(now time.Time, endpoint *endpointState) Unavailability {
 	switch {
 	case endpoint.Leaving:
@@ -46,7 +50,7 @@
 	case !endpoint.breaker.allows(now, len(endpoint.inFlight)):
 		return UnavailableBroken
 	case !p.config.AgentReports:
-		return ""
+		return p.coldUnavailability(now, endpoint)
 	case now.Sub(endpoint.notRunAt) <= p.config.MaxReportAge:
 		return UnavailableNotRun
 	case endpoint.report.Closed && now.Sub(endpoint.report.ReceivedAt) <= p.config.MaxReportAge:
@@ -57,7 +61,7 @@
 	if version := endpoint.loadedVersionAt(now, &p.config); version == 0 || version < p.minVersion {
 		return UnavailableOutdated
 	}
-	return ""
+	return p.coldUnavailability(now, endpoint)
 }
 
 // eligible reports whether an endpoint may start requests at all.
@@ -78,6 +82,9 @@
 	counts := make(UnavailableEndpoints)
 	for _, endpoint := range p.endpoints {
 		reason := p.unavailability(now, endpoint)
+		if reason == "" && !p.coldAllows(now, endpoint) {
+			reason = UnavailableColdLimited
+		}
 		if reason == "" && !p.rateLimitAllows(now, endpoint) {
 			reason = UnavailableRateLimited
 		}
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -32,6 +32,9 @@
 		if limited, ok := p.limitedRate(endpoint); ok {
 			rate = min(rate, limited)
 		}
+		if p.isCold(now, endpoint) {
+			rate = min(rate, p.cold.share.PerSecond)
+		}
 		total += rate
 	}
 	return total
@@ -41,7 +44,7 @@
 // precede it and the rate in slots per second at which slots become free.
 func (p *Pool) expectedWait(now time.Time, req *Request, releaseRate float64) time.Duration {
 	if releaseRate == 0 {
-		if wait, resting := p.earliestRestEnd(now); resting {
+		if wait, reason := p.earliestReturn(now); reason != "" {
 			return wait
 		}
 		return maxExpectedWait
--- a/routing/sharedrate/coldness.go
+++ b/routing/sharedrate/coldness.go
@@ -89,17 +89,33 @@
 	}
 }
 
-// End returns when the endpoint is warm, as far as is known. duration is how long an endpoint
-// of its service is cold after a start. The end lies in the past for a warm endpoint.
-func (c *Coldness) End(duration time.Duration) time.Time {
-	end := c.recordEnd
+// Source is what tells that an endpoint is cold.
+type Source string
+
+// The sources.
+const (
+	// SourceRecord: its record in the store.
+	SourceRecord Source = "record"
+	// SourceStart: its agent saw it start.
+	SourceStart Source = "start"
+	// SourceFirstPoll: its agent has run for a short time and saw no start.
+	SourceFirstPoll Source = "first_poll"
+	// SourceSilence: its agent sends no reports.
+	SourceSilence Source = "silence"
+)
+
+// End returns when the endpoint is warm, as far as is known, and what told the end. duration is
+// how long an endpoint of its service is cold after a start. The end lies in the past for a
+// warm endpoint.
+func (c *Coldness) End(duration time.Duration) (end time.Time, source Source) {
+	end, source = c.recordEnd, SourceRecord
 	if start := c.seenStart.Add(duration); !c.seenStart.IsZero() && start.After(end) {
-		end = start
+		end, source = start, SourceStart
 	}
 	if start := c.firstPoll.Add(duration); !c.firstPoll.IsZero() && start.After(end) && !c.recordOverridesFirstPoll() {
-		end = start
+		end, source = start, SourceFirstPoll
 	}
-	return end
+	return end, source
 }
 
 // recordOverridesFirstPoll reports whether the record is known to be newer than the agent's
--- a/routing/sharedrate/coldness_test.go
+++ b/routing/sharedrate/coldness_test.go
@@ -23,19 +23,24 @@
 	return s
 }
 
+func endOf(c *Coldness, duration time.Duration) time.Time {
+	end, _ := c.End(duration)
+	return end
+}
+
 // Guards against an unchanged record that makes its endpoint cold anew each time that it is
 // decoded: with each document and each full read.
 func TestRecordFixesTheEndOnce(t *testing.T) {
 	var c Coldness
 	c.ApplyRecord(record(0, 2000, 1, 7))
 	c.ApplyRecord(record(1500, 2000, 1, 7))
-	assert.Equal(t, c.End(coldFor), at(2000))
+	assert.Equal(t, endOf(&c, coldFor), at(2000))
 	c.ApplyRecord(record(1800, 500, 1, 8))
-	assert.Equal(t, c.End(coldFor), at(2300))
+	assert.Equal(t, endOf(&c, coldFor), at(2300))
 	c.ApplyRecord(record(1900, 0, 1, 9))
-	assert.Equal(t, c.End(coldFor), at(1900), "a newer record ends the coldness")
+	assert.Equal(t, endOf(&c, coldFor), at(1900), "a newer record ends the coldness")
 	c.ApplyRecord(Record{Revision: 10, Era: 1, ReceivedAt: at(1950), Left: time.Hour})
-	assert.Equal(t, c.End(coldFor), at(1900), "a record without the figure says nothing")
+	assert.Equal(t, endOf(&c, coldFor), at(1900), "a record without the figure says nothing")
 }
 
 // Guards against an older copy of the store, or an older record, that ends a coldness.
@@ -43,15 +48,15 @@
 	var c Coldness
 	c.ApplyRecord(record(0, 3000, 1, 20))
 	c.ApplyRecord(record(100, 0, 2, 25))
-	assert.Equal(t, c.End(coldFor), at(3000), "revisions of eras cannot be compared")
+	assert.Equal(t, endOf(&c, coldFor), at(3000), "revisions of eras cannot be compared")
 	c.ApplyRecord(record(200, 0, 2, 24))
-	assert.Equal(t, c.End(coldFor), at(3000))
+	assert.Equal(t, endOf(&c, coldFor), at(3000))
 	c.ApplyRecord(record(300, 0, 2, 26))
-	assert.Equal(t, c.End(coldFor), at(300))
+	assert.Equal(t, endOf(&c, coldFor), at(300))
 	c.ApplyRecord(record(400, 1000, 2, 5))
-	assert.Equal(t, c.End(coldFor), at(1400), "an older record may extend it")
+	assert.Equal(t, endOf(&c, coldFor), at(1400), "an older record may extend it")
 	c.ApplyRecord(record(500, 0, 2, 26))
-	assert.Equal(t, c.End(coldFor), at(1400))
+	assert.Equal(t, endOf(&c, coldFor), at(1400))
 }
 
 // Guards against a record that the incarnation before wrote and that arrives after the agent's
@@ -60,15 +65,15 @@
 	var c Coldness
 	c.ApplyStart(seen(1000, 100))
 	c.ApplyRecord(record(1100, 0, 1, 8))
-	assert.Equal(t, c.End(coldFor), at(3900))
+	assert.Equal(t, endOf(&c, coldFor), at(3900))
 	c.ApplyStart(seen(2000, 1000))
-	assert.Equal(t, c.End(coldFor), at(4000), "the latest start of several reports")
+	assert.Equal(t, endOf(&c, coldFor), at(4000), "the latest start of several reports")
 	c.ApplyStart(seen(2100, 0))
-	assert.Equal(t, c.End(coldFor), at(5100), "the endpoint started again")
+	assert.Equal(t, endOf(&c, coldFor), at(5100), "the endpoint started again")
 	c.ApplyStart(Start{Known: true, Seen: true, Since: -1, ReceivedAt: at(60_000)})
 	c.ApplyStart(Start{Since: 0, ReceivedAt: at(60_000)})
-	assert.Equal(t, c.End(coldFor), at(5100), "a time beyond the range, or of a build without it")
-	assert.Equal(t, c.End(time.Second), at(3100), "a changed document acts at once")
+	assert.Equal(t, endOf(&c, coldFor), at(5100), "a time beyond the range, or of a build without it")
+	assert.Equal(t, endOf(&c, time.Second), at(3100), "a changed document acts at once")
 }
 
 // Guards against a restart of an agent and its endpoint together that no agent saw, also a
@@ -77,13 +82,15 @@
 	var c Coldness
 	c.ApplyRecord(record(0, 0, 1, 7))
 	c.ApplyStart(polled(10_000, 0))
-	assert.Equal(t, c.End(coldFor), at(13_000), "the record is older")
+	assert.Equal(t, endOf(&c, coldFor), at(13_000), "the record is older")
 	c.ApplyStart(polled(11_000, 900))
-	assert.Equal(t, c.End(coldFor), at(13_100))
+	assert.Equal(t, endOf(&c, coldFor), at(13_100))
 	c.ApplyRecord(record(11_500, 0, 1, 8))
-	assert.Equal(t, c.End(coldFor), at(11_500))
+	assert.Equal(t, endOf(&c, coldFor), at(11_500))
 	c.ApplyStart(polled(20_000, 0))
-	assert.Equal(t, c.End(coldFor), at(23_000))
+	end, source := c.End(coldFor)
+	assert.Equal(t, end, at(23_000))
+	assert.Equal(t, source, SourceFirstPoll)
 }
 
 // Guards against two seconds without service after all our own processes were killed: the
@@ -94,9 +101,9 @@
 	initial.Initial = true
 	c.ApplyRecord(initial)
 	c.ApplyStart(polled(500, 100))
-	assert.Equal(t, c.End(coldFor), at(0))
+	assert.Equal(t, endOf(&c, coldFor), at(0))
 	c.ApplyStart(polled(30_000, 100))
-	assert.Equal(t, c.End(coldFor), at(32_900), "a later start of the agent")
+	assert.Equal(t, endOf(&c, coldFor), at(32_900), "a later start of the agent")
 }
 
 // Guards against a silent endpoint that is used in full while it may have restarted, and
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -73,7 +73,10 @@
 	{MetricOutdatedCancellations, Counter, "requests", []string{TagService}, directOnly, "Requests cancelled because they were queued at an endpoint with an outdated version."},
 	{MetricVersionCorrections, Counter, "reports", []string{TagService}, directOnly, "Load reports that named an older version of the weights than the entry took the endpoint to have."},
 	{MetricRateLimitedEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that announce a limit on their requests per second; absent while none did."},
-	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: leaving (by its responses), draining (by the list), resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights) or rate_limited; absent without any. Read when the page is served."},
+	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: leaving (by its responses), draining (by the list), resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights), cold (and this entry may send nothing to cold ones), cold_limited (its share is used) or rate_limited; absent without any. Read when the page is served."},
+	{MetricColdEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that count as cold and get a limited rate; absent for services whose endpoints are never cold. Read when the page is served."},
+	{MetricColdDivisor, Gauge, "entries", nil, directOnly, "At entries: number by which the rate of a cold endpoint is divided, the largest of the last ten minutes; absent until a settled agent names one, and nothing is sent to cold endpoints until then."},
+	{MetricColdWithdrawals, Counter, "requests", nil, directOnly, "Requests that were not sent to the chosen endpoint since it turned out to be cold."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -60,6 +60,9 @@
 	MetricVersionCorrections      = "version_corrections_total"
 	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
 	MetricUnavailableEndpoints    = "unavailable_endpoints"
+	MetricColdEndpoints           = "cold_endpoints"
+	MetricColdDivisor             = "cold_rate_entries"
+	MetricColdWithdrawals         = "cold_withdrawals_total"
 )
 
 // The tags of metrics.
