Use one bucket for announced limits and cold endpoints

Two implementations refilled and charged tokens. The announced limits now use the bucket of routing/sharedrate with their own burst, rate and an unbounded debt; their shares by demand stay where they are.

--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -167,7 +167,7 @@
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
 	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
 	endpoint.quota.remaining--
-	p.takeToken(endpoint)
+	p.takeToken(now, endpoint)
 	p.chargeCold(now, endpoint, req.ID)
 	p.addUsage(now, req)
 	p.partition.add(now, req)
--- a/routing/admission/rateallowance.go
+++ b/routing/admission/rateallowance.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/snipestep/snipestep/routing/sharedrate"
 )
 
 const (
@@ -21,6 +23,12 @@
 	burst float64
 }
 
+// inBucket returns the allowance for a bucket, whose debt has no bound: a limit is announced for
+// as long as it lasts.
+func (a rateAllowance) inBucket() sharedrate.Allowance {
+	return sharedrate.Allowance{PerSecond: a.perSecond, Burst: a.burst, MaxDebt: math.Inf(1)}
+}
+
 // RateLimitShare is the share of an entry in the rate limits of a service's endpoints.
 type RateLimitShare struct {
 	// Lower and Upper bound the entry's interval of [0, 1), by its part of the demand of
@@ -76,11 +84,7 @@
 	if limit == nil || !limit.notice.Limited {
 		return 0, false
 	}
-	allowance := p.rateAllowance(limit)
-	elapsed := max(now.Sub(limit.refilledAt), 0)
-	limit.tokens = min(limit.tokens+elapsed.Seconds()*allowance.perSecond, allowance.burst)
-	limit.refilledAt = now
-	return limit.tokens, true
+	return limit.bucket.Level(now, p.rateAllowance(limit).inBucket()), true
 }
 
 // rateLimitAllows reports whether the rate limit of an endpoint permits a further request.
@@ -124,8 +128,8 @@
 }
 
 // takeToken counts a request that is sent to an endpoint.
-func (p *Pool) takeToken(endpoint *endpointState) {
+func (p *Pool) takeToken(now time.Time, endpoint *endpointState) {
 	if limit := p.rateLimitOf(endpoint); limit != nil {
-		limit.tokens--
+		limit.bucket.Take(now, p.rateAllowance(limit).inBucket())
 	}
 }
--- a/routing/admission/ratelimit.go
+++ b/routing/admission/ratelimit.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/snipestep/snipestep/routing/sharedrate"
 )
 
 // RateLimitNotice says whether an endpoint limits the requests per second that it takes
@@ -61,9 +63,8 @@
 	// offset shifts the permits of this endpoint, from 0 up to 1, so that endpoints with
 	// low limits get their requests from different entries.
 	offset float64
-	// tokens is how many requests this entry may send now, as of refilledAt.
-	tokens     float64
-	refilledAt time.Time
+	// bucket holds the requests that this entry may send.
+	bucket sharedrate.Bucket
 }
 
 // rateLimitRetention is how long a notice is kept that no longer matters: an endpoint may
@@ -112,8 +113,7 @@
 	}
 	if notice.Limited && !previous.Limited {
 		// Entries that learn of a limit at the same time send at different times.
-		limit.tokens = p.config.Rand.Float64()
-		limit.refilledAt = notice.At
+		limit.bucket = sharedrate.NewBucket(notice.At, p.config.Rand.Float64())
 	}
 	limit.notice = notice
 	return previous, !notice.SameLimit(previous)
--- a/routing/sharedrate/coldness_test.go
+++ b/routing/sharedrate/coldness_test.go
@@ -76,6 +76,21 @@
 	assert.Equal(t, endOf(&c, time.Second), at(3100), "a changed document acts at once")
 }
 
+// Load: the report with which an agent tells of a start is lost, as others. Guards against an end
+// that depends on which of its reports arrive.
+func TestAnyReportAfterAStartTellsTheSameEnd(t *testing.T) {
+	var heard, lost Coldness
+	for sent := 100; sent < 3000; sent += 200 {
+		report := seen(sent+10, sent)
+		heard.ApplyStart(report)
+		if sent > 900 {
+			lost.ApplyStart(report)
+			assert.Equal(t, endOf(&lost, coldFor), endOf(&heard, coldFor))
+		}
+	}
+	assert.Equal(t, endOf(&heard, coldFor), at(3010))
+}
+
 // Guards against a restart of an agent and its endpoint together that no agent saw, also a
 // second time, and against one of the agent alone that leaves a warm endpoint cold for good.
 func TestFirstPollOfAnAgentCountsAsStartUnlessARecordSaysOtherwise(t *testing.T) {
