Count the age of a report towards the silence of its agent

A report that waited in the buffer of an entry that stood still for less than 0.7 s counted as fresh when it was read. An engine that was down for 0.85 s and returned meanwhile got 60 requests in a second from ten entries, one above the bound. The silence now counts from the receipt of a report less its round trip, which contains the wait.

A property test found it: random numbers of entries, restarts with and without the agent, lost and late reports, frozen entries and entries that are cut off from the agent, with requests always waiting. Records arrive within a second of a start.

--- a/routing/admission/coldness.go
+++ b/routing/admission/coldness.go
@@ -155,10 +155,10 @@
 	}
 	since := endpoint.addedAt
 	if !endpoint.report.ReceivedAt.IsZero() {
-		since = endpoint.report.ReceivedAt.Add(p.config.MaxReportAge)
-		// A report with a long round trip waited in the buffer of a process that stood still.
-		// It does not tell that the endpoint has not restarted meanwhile.
-		if !now.After(since) && endpoint.report.RoundTrip <= p.config.MaxReportAge {
+		// The round trip contains the time that a report waited in the buffer of a process that
+		// stood still: it does not tell that the endpoint has not restarted meanwhile.
+		since = endpoint.report.ReceivedAt.Add(p.config.MaxReportAge - endpoint.report.RoundTrip)
+		if !now.After(since) {
 			return false
 		}
 	}
