--- a/sidecar/enginestart.go
+++ b/sidecar/enginestart.go
@@ -25,13 +25,15 @@
 	runningSince, lastRunAt time.Time
 }
 
-// answered records the start that the engine names in the answer to a poll.
-func (s *engineStart) answered(now time.Time, startUnixMS int64) {
+// answered records the start that the engine names in the answer to a poll, 0 if it names none.
+// afterFailure says that the poll before failed: an engine that names no start may have started
+// again then.
+func (s *engineStart) answered(now time.Time, startUnixMS int64, afterFailure bool) {
 	if s.since.IsZero() {
 		s.since, s.startUnixMS = now, startUnixMS
 		return
 	}
-	if startUnixMS != s.startUnixMS {
+	if startUnixMS != s.startUnixMS || (startUnixMS == 0 && afterFailure) {
 		s.since, s.startUnixMS, s.seen = now, startUnixMS, true
 	}
 }
--- a/sidecar/reporter.go
+++ b/sidecar/reporter.go
@@ -206,7 +206,7 @@
 		r.deps.Logger.Info("engine state changed", "held", state.LoadedVersion, "busy", state.OrderInProgress, "born", state.StartUnixMS)
 	}
 	r.engineState.Store(&state)
-	r.engineStart.answered(time.Now(), state.StartUnixMS)
+	r.engineStart.answered(time.Now(), state.StartUnixMS, old == nil)
 }
 
 // sendReports sends a load report to the subscribed entries if the load has changed or
