Express the score of an endpoint as a delay in seconds

Cause: the preferences among endpoints were constants in units of utilisation, whose sum has no meaning that an operator could check, and every new part would have added one.

Change: the score is the expected delay to the first part of a response in seconds; each constant is divided by the former delayPenalty of 4.

--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -14,28 +14,6 @@
 	return float64(endpoint.Slots + p.config.Oversubscription)
 }
 
-const (
-	// otherRegionPenalty is the penalty for another region, in the unit of the
-	// score: the utilisation of an endpoint's slots. Slots there are used once
-	// those of the entry's own region are nearly full.
-	otherRegionPenalty = 0.25
-	// scoreJitter bounds the random part of the score, so that entries with the
-	// same reports choose different endpoints.
-	scoreJitter = 0.06
-	// closingBonus favours endpoints that will close soon, for requests that end
-	// before then. Long requests avoid such endpoints, so that few requests are left
-	// when they close.
-	closingBonus = 0.3
-	// partitionWeight is the bonus of the latency partition for latency-critical
-	// requests and its penalty for others.
-	partitionWeight = 0.3
-	// silentAgentPenalty makes endpoints with a silent agent the last choice: either
-	// only the agent has failed, or its whole instance.
-	silentAgentPenalty = 1.0
-	// slowPenalty makes a slow endpoint the last choice.
-	slowPenalty = 2.0
-)
-
 // unreportedWeight returns as how many requests of all entries a request of this
 // entry counts until a report includes it. While many slots are free, entries choose
 // different ones; the fewer are free, the more entries choose the same.
@@ -80,20 +58,7 @@
 		if prefill > maxPrefillBacklog {
 			continue
 		}
-		score := load/float64(endpoint.Slots) + scoreJitter*p.config.Rand.Float64() + delayPenalty*(prefill+max(endpoint.excessRoundTrip(), endpoint.expectedFirstResponseDelay(now))).Seconds()
-		if endpoint.Region != p.config.Region {
-			score += otherRegionPenalty
-		}
-		if endpoint.slow(now, &p.config) {
-			score += slowPenalty
-		}
-		if closing {
-			score -= closingBonus
-		}
-		if endpoint.agentSilent(now, &p.config) {
-			score += silentAgentPenalty
-		}
-		score += p.partitionScore(id, req)
+		score := p.expectedDelay(now, req, endpoint, load, prefill, closing, p.config.Rand.Float64())
 		if best == nil || score < bestScore {
 			best, bestScore = endpoint, score
 		}
@@ -105,16 +70,3 @@
 func (p *Pool) isOlderThan(now time.Time, endpoint *endpointState, version uint64) bool {
 	return version > 0 && p.config.AgentReports && endpoint.loadedVersionAt(now, &p.config) < version
 }
-
-// partitionScore steers latency-critical requests to the latency partition and
-// others away from it while other endpoints have free slots.
-func (p *Pool) partitionScore(endpointID string, req *Request) float64 {
-	switch {
-	case !p.partition.contains(endpointID):
-		return 0
-	case req.LatencyCritical:
-		return -partitionWeight
-	default:
-		return partitionWeight
-	}
-}
--- a/routing/admission/firstresponsedelay.go
+++ b/routing/admission/firstresponsedelay.go
@@ -5,15 +5,10 @@
 	"time"
 )
 
-const (
-	// maxPrefillBacklog bounds the prefill time of the prompts queued at an
-	// endpoint: an engine without requests that starts to accept them would otherwise
-	// get as many prompts at once as it has slots, and respond to none for a second.
-	maxPrefillBacklog = 150 * time.Millisecond
-	// delayPenalty is the penalty for a second of expected delay, in the unit of
-	// the score: the utilisation of an endpoint's slots.
-	delayPenalty = 4.0
-)
+// maxPrefillBacklog bounds the prefill time of the prompts queued at an endpoint: an engine
+// without requests that starts to accept them would otherwise get as many prompts at once as it
+// has slots, and respond to none for a second.
+const maxPrefillBacklog = 150 * time.Millisecond
 
 // prefillBacklog returns the prefill time of this entry's requests without a
 // response, if entryCount entries have as many each.
