Use the slowdown that endpoints state in the choice, behind a switch

Cause: on two deployments 15% of the endpoints are 2.5 times slower, drawn anew every 600 ms. The fourth figure of the load header, which says so, was not read, and the slowdown in agents' reports only made an endpoint the last choice above 1.6, for 0.7 s.

Change: platform decodes the figure, ResponseMetadata carries it, and with [admission] use_slowdown the latest figure counts for 0.5 s: in the expected delay (mean first response x (slowdown - 1)), in the release rate, and in the samples of the service time. A figure from a report is as old as its round trip, and belongs to one start of an endpoint. Bad figures are unknown and logged once for each endpoint and kind. Off by default; then nothing is stored. admissionsim gets changing speeds and delayed reports.

Not run on a deployment. go test of routing/admission, platform, gateway, settings and local/admissionsim passes.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -36,6 +36,7 @@
 		RetryBurst:   s.RetryBurst,
 		VersionBound: s.VersionBound,
 		FleetKey:     s.FleetKey,
+		UseSlowdown:  s.Admission.UseSlowdown,
 		Seed:         instanceSeed(s),
 	}, gateway.Deps{
 		Directory:   deployment,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -115,6 +115,9 @@
 	// response once more.
 	belongs := attempt.metadata.ID == req.metadata.ID
 	g.recordRateLimit(req.service, attempt, belongs)
+	if belongs {
+		g.recordSlowdown(req.service, attempt)
+	}
 	g.recordRest(req.service, attempt)
 	if attempt.metadata.Leaving {
 		g.deps.Directory.SetLeaving(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -27,7 +27,9 @@
 	VersionBound time.Duration
 	// FleetKey signs the configuration sent to agents.
 	FleetKey []byte
-	Seed     uint64
+	// UseSlowdown says that the choice of an endpoint uses how slow endpoints say they are.
+	UseSlowdown bool
+	Seed        uint64
 }
 
 // Deps are the dependencies of a Gateway. All are required.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 	// rateLimitNews has a value when a rate limit has changed.
 	rateLimitNews chan struct{}
 	crashes       *crashDetector
+	// slowdownErrors knows which errors in figures of slowdown were logged.
+	slowdownErrors *slowdownErrors
 	// answerBy is set while the gateway drains: the time by which all requests have ended.
 	answerBy  atomic.Pointer[time.Time]
 	rejecting atomic.Bool
@@ -73,7 +75,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: newAnswerBudget(maxHeldBytes), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
@@ -175,6 +177,7 @@
 	config := admission.Config{
 		Region:       g.config.Region,
 		AgentReports: s.Engine != nil,
+		UseSlowdown:  g.config.UseSlowdown,
 		Rand:         newRand(g.config.Seed, uint64(len(s.Name))),
 	}
 	if s.Engine != nil {
--- a/gateway/headercodec.go
+++ b/gateway/headercodec.go
@@ -53,6 +53,11 @@
 	// Running and Waiting are the endpoint's load, valid if HasLoad is set.
 	HasLoad          bool
 	Running, Waiting int
+	// Slowdown is the factor by which work takes longer than usual at the endpoint now; 0 if
+	// unknown. SlowdownError says what is wrong with a figure that the header has, empty if
+	// nothing.
+	Slowdown      float64
+	SlowdownError SlowdownError
 	// RateLimit is what the response says about the endpoint's rate limit.
 	RateLimit AnnouncedRateLimit
 	// Leaving says that the endpoint leaves and wants no further requests.
@@ -61,6 +66,17 @@
 	Rest time.Duration
 }
 
+// SlowdownError is what is wrong with the figure of an endpoint's slowdown.
+type SlowdownError string
+
+// The errors.
+const (
+	// SlowdownMalformed: the figure is empty or not a number.
+	SlowdownMalformed SlowdownError = "malformed"
+	// SlowdownOutOfRange: the figure is zero, negative or too large.
+	SlowdownOutOfRange SlowdownError = "out of range"
+)
+
 // HeaderCodec translates between headers on the wire and metadata.
 type HeaderCodec interface {
 	// ReadRequest reads a caller's header. It returns an error for a malformed one.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -148,6 +148,7 @@
 		PromptTokens:        float64(r.metadata.PromptTokens),
 		LatencyCritical:     r.latencyCritical(),
 		ExpectedServiceTime: r.service.expectedDuration(r.metadata.LengthHint),
+		MeanFirstResponse:   time.Duration(r.service.firstResponseNanos.Load()),
 		ExcludedEndpoints:   r.failedEndpointIDs,
 	}
 	req.HardDeadline = r.arrivedAt.Add(r.route.LatencyTarget + lateQueueTime)
--- a/local/admissionsim/engine.go
+++ b/local/admissionsim/engine.go
@@ -34,6 +34,8 @@
 	running []*request
 	waiting []*request
 	passEnd time.Time // End of the current pass.
+	// slowdown is how much longer than usual a pass takes.
+	slowdown float64
 }
 
 // load returns the number of running and of waiting requests.
@@ -78,5 +80,5 @@
 		e.running = append(e.running, r)
 		duration += time.Duration(r.promptTokens / e.config.PrefillTokensPerSecond * float64(time.Second))
 	}
-	return duration
+	return time.Duration(float64(duration) * e.slowdown)
 }
--- a/local/admissionsim/pattern.go
+++ b/local/admissionsim/pattern.go
@@ -23,7 +23,10 @@
 	BurstKindIndex            int
 	BurstStart, BurstDuration time.Duration
 	Duration                  time.Duration
-	Kinds                     []Kind
+	Speeds                    Speeds
+	// ReportDelay is how old reports are when they arrive.
+	ReportDelay time.Duration
+	Kinds       []Kind
 }
 
 // typicalKinds are the kinds of the known deployments.
--- a/local/admissionsim/policy.go
+++ b/local/admissionsim/policy.go
@@ -12,9 +12,8 @@
 	submit(now time.Time, r *request)
 	firstEvent(now time.Time, engineID string, r *request)
 	ended(now time.Time, engineID string, r *request)
-	// report passes on the load of an engine, for each engine every
-	// reportInterval.
-	report(now time.Time, engineID string, running, waiting int, demand float64)
+	// report passes on a report that arrives, for each engine every reportInterval.
+	report(now time.Time, r loadReport)
 	// demand returns the weighted number of waiting requests.
 	demand() float64
 }
@@ -51,7 +50,7 @@
 
 func newPoolPolicy(p *Pattern, config EngineConfig, engineIDs []string, start time.Time, seed uint64, deliver deliverFunc) *poolPolicy {
 	pool := admission.NewPool(admission.Config{
-		Region: "r", AgentReports: true, PrefillTokensPerSecond: config.PrefillTokensPerSecond, Rand: rand.New(rand.NewPCG(seed, 1)),
+		Region: "r", AgentReports: true, PrefillTokensPerSecond: config.PrefillTokensPerSecond, UseSlowdown: p.Speeds.Used, Rand: rand.New(rand.NewPCG(seed, 1)),
 	})
 	pool.SetEntryCount(p.Entries)
 	var endpoints []admission.Endpoint
@@ -67,6 +66,7 @@
 	req := &admission.Request{
 		ID: r.id, Rank: r.kindIndex, ArrivedAt: now, PromptTokens: r.promptTokens, TotalTokens: r.promptTokens, LatencyCritical: target < latencyCriticalTarget,
 		SoftDeadline: now.Add(max(target-unloadedFirstEvent, target/2)), HardDeadline: now.Add(target + maxLateWait),
+		MeanFirstResponse:   unloadedFirstEvent,
 		ExpectedServiceTime: unloadedFirstEvent + time.Duration(r.eventsLeft)*eventInterval,
 	}
 	switch d := p.pool.Submit(now, req); d.Verdict {
@@ -97,8 +97,10 @@
 	p.dispatch(now)
 }
 
-func (p *poolPolicy) report(now time.Time, engineID string, running, waiting int, demand float64) {
-	p.pool.Report(engineID, admission.Report{ReceivedAt: now, Running: running, Waiting: waiting, LoadedVersion: loadedVersion, Demand: demand})
+func (p *poolPolicy) report(now time.Time, r loadReport) {
+	p.pool.Report(r.engineID, admission.Report{
+		ReceivedAt: now, Running: r.running, Waiting: r.waiting, LoadedVersion: loadedVersion, Demand: r.demand, Slowdown: r.slowdown, RoundTrip: p.pattern.ReportDelay,
+	})
 	for id, w := range p.waiting {
 		if now.After(w.hardDeadline) && p.pool.Remove(id) {
 			delete(p.waiting, id)
@@ -136,6 +138,6 @@
 
 func (p *fixedLimitPolicy) ended(_ time.Time, engineID string, _ *request) { p.inFlight[engineID]-- }
 
-func (*fixedLimitPolicy) firstEvent(time.Time, string, *request)      {}
-func (*fixedLimitPolicy) report(time.Time, string, int, int, float64) {}
-func (*fixedLimitPolicy) demand() float64                             { return 0 }
+func (*fixedLimitPolicy) firstEvent(time.Time, string, *request) {}
+func (*fixedLimitPolicy) report(time.Time, loadReport)           {}
+func (*fixedLimitPolicy) demand() float64                        { return 0 }
--- a/local/admissionsim/run.go
+++ b/local/admissionsim/run.go
@@ -29,7 +29,10 @@
 	policies        []policy // By index of the entry.
 	results         []Result // By index of the kind.
 	nextID          uint64
-	pendingArrivals float64 // Arrivals that are due; the fraction is carried over.
+	seed            uint64
+	speedRand       *rand.Rand
+	reports         []loadReport // On their way, in the order of arrival.
+	pendingArrivals float64      // Arrivals that are due; the fraction is carried over.
 }
 
 // RunPolicy runs a pattern with the pools of routing/admission.
@@ -53,14 +56,14 @@
 
 func newSimulation(p Pattern, seed uint64) *simulation {
 	s := &simulation{
-		pattern: p, rand: rand.New(rand.NewPCG(seed, 0)), start: time.Unix(0, 0),
+		pattern: p, seed: seed, rand: rand.New(rand.NewPCG(seed, 0)), start: time.Unix(0, 0),
 		engines: make(map[string]*engine), results: make([]Result, len(p.Kinds)),
 	}
 	s.now = s.start
 	for i := range p.Engines {
 		id := fmt.Sprintf("engine-%02d", i)
 		s.engineIDs = append(s.engineIDs, id)
-		s.engines[id] = &engine{config: typicalEngine(), passEnd: s.start}
+		s.engines[id] = &engine{config: typicalEngine(), passEnd: s.start, slowdown: 1}
 	}
 	return s
 }
@@ -68,10 +71,12 @@
 func (s *simulation) run() []Result {
 	end := s.start.Add(s.pattern.Duration)
 	for ; s.now.Before(end.Add(drainTime)); s.now = s.now.Add(timeStep) {
+		s.drawSpeeds()
 		s.advance()
 		if s.now.Sub(s.start)%reportInterval == 0 {
 			s.report()
 		}
+		s.deliverReports()
 		if s.now.Before(end) {
 			s.generateArrivals()
 		}
@@ -104,11 +109,16 @@
 	for _, p := range s.policies {
 		demand += p.demand()
 	}
-	for _, p := range s.policies {
-		for _, id := range s.engineIDs {
-			running, waiting := s.engines[id].load()
-			p.report(s.now, id, running, waiting, demand)
+	if s.pattern.ReportDelay == 0 {
+		for _, p := range s.policies {
+			for _, id := range s.engineIDs {
+				p.report(s.now, s.newReport(id, demand))
+			}
 		}
+		return
+	}
+	for _, id := range s.engineIDs {
+		s.reports = append(s.reports, s.newReport(id, demand))
 	}
 }
 
--- a/routing/admission/config.go
+++ b/routing/admission/config.go
@@ -26,6 +26,9 @@
 	// InitialServiceTime is the assumed mean time that a request occupies a slot
 	// until it has been measured.
 	InitialServiceTime time.Duration
+	// UseSlowdown says that the figures of how slow endpoints are count in the expected delay and
+	// in the release rate. Otherwise an endpoint that its agent reports as slow is the last choice.
+	UseSlowdown bool
 	// Rand adds jitter to the choice, so that entries choose different endpoints.
 	Rand *rand.Rand
 }
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -55,6 +55,7 @@
 	breaker          circuitBreaker
 	firstResponse    firstResponseDelay
 	quota            quota
+	speed            speed
 	// addedAt is when the endpoint was first listed.
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -47,7 +47,9 @@
 	case Served:
 		p.endProbing(endpoint, req.sentAt)
 		endpoint.breaker.recordSuccess()
-		p.meanServiceTime += time.Duration(float64(now.Sub(req.sentAt)-p.meanServiceTime) * serviceTimeWeight)
+		// The mean is that at usual speed: the release rate divides by the slowdown again.
+		took := time.Duration(float64(now.Sub(req.sentAt)) / endpoint.slowdown(now))
+		p.meanServiceTime += time.Duration(float64(took-p.meanServiceTime) * serviceTimeWeight)
 	case NotRun:
 		p.recordNotRun(now, endpoint)
 	case TimedOut:
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -111,6 +111,7 @@
 		return false
 	}
 	endpoint.setReport(report)
+	p.recordReportedSlowdown(endpoint, report)
 	p.setQuota(endpoint, report)
 	return true
 }
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -33,6 +33,9 @@
 	LatencyCritical bool
 	// ExpectedServiceTime is how long the request is expected to occupy its slot.
 	ExpectedServiceTime time.Duration
+	// MeanFirstResponse is the mean time to the first part of a response of the service, 0 if
+	// unknown.
+	MeanFirstResponse time.Duration
 	// MinVersion is the oldest version of the weights at the endpoint that is chosen, beside
 	// that of the pool; 0 for none.
 	MinVersion uint64
--- a/routing/admission/score.go
+++ b/routing/admission/score.go
@@ -26,7 +26,8 @@
 	// silentAgentDelay makes endpoints with a silent agent the last choice: either only the agent
 	// has failed, or its whole instance.
 	silentAgentDelay = 0.25
-	// slowDelay makes a slow endpoint the last choice.
+	// slowDelay makes a slow endpoint the last choice, unless the pool uses the figures of slowdown
+	// themselves.
 	slowDelay = 0.5
 )
 
@@ -38,7 +39,7 @@
 	if endpoint.Region != p.config.Region {
 		delay += otherRegionDelay
 	}
-	delay += numberOrZero(p.slownessDelay(now, endpoint))
+	delay += numberOrZero(p.slownessDelay(now, req, endpoint))
 	if closing {
 		delay -= closingBonus
 	}
@@ -48,14 +49,6 @@
 	return delay + p.partitionDelay(endpoint.ID, req)
 }
 
-// slownessDelay returns the delay of an endpoint that is slower than normal.
-func (p *Pool) slownessDelay(now time.Time, endpoint *endpointState) float64 {
-	if endpoint.slow(now, &p.config) {
-		return slowDelay
-	}
-	return 0
-}
-
 // partitionDelay steers latency-critical requests to the latency partition and others away from
 // it while other endpoints have free slots.
 func (p *Pool) partitionDelay(endpointID string, req *Request) float64 {
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -28,7 +28,7 @@
 		if !p.eligible(now, endpoint) {
 			continue
 		}
-		rate := float64(endpoint.Slots) / p.meanServiceTime.Seconds() / float64(p.entryCount)
+		rate := float64(endpoint.Slots) / endpoint.slowdown(now) / p.meanServiceTime.Seconds() / float64(p.entryCount)
 		if limited, ok := p.limitedRate(endpoint); ok {
 			rate = min(rate, limited)
 		}
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -40,6 +40,7 @@
 	RetryBurst float64
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
+	Admission DirectAdmission
 	Telemetry Telemetry
 }
 
@@ -107,6 +108,7 @@
 		{Name: "weights", Doc: "Versions of models.", Keys: []Key{
 			{Name: "version_bound", Default: "8s", Value: emptyAsDefault{Duration(&direct.VersionBound, time.Second, maxVersionBound), "8s"}, Doc: "Time after the declaration of a version within which no request begins on an older one."},
 		}},
+		admissionSection(&direct.Admission),
 		telemetrySection(&direct.Telemetry),
 	}
 }
