Decide by waits, offers and costs when requests leave the failure domain

Cause: an endpoint of another region is chosen once the own ones are a quarter fuller, and any free slot there while requests wait. That sends requests away while own slots are free, exchanges requests between full failure domains, and knows no bytes.

Change: routing/locality, without I/O or clock, decides for services whose endpoints have agents; the pool asks it in one place, when an endpoint is chosen. A request leaves only if no sound endpoint of its own failure domain can start it, its wait there exceeds round trip, late first responses and price, and another failure domain offers slots of which the entry's part is not used up. Settings [locality] enabled (false) and price_ms_per_kb (0.5), metrics by failure domain and reason, log lines for offers and for requests sent away. With the switch off the choice is as before, by the same seed.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -29,15 +29,18 @@
 func runEntry(ctx context.Context, s *settings.Direct, deployment *directory.Directory, follower *platform.Follower, t *telemetry.Telemetry) error {
 	go follower.Run(ctx)
 	g := gateway.New(gateway.Config{
-		Name:         s.InstanceID,
-		Region:       s.Location.Region,
-		DatagramAddr: portAddr(s, datagramPortOffset),
-		RetryRatio:   s.RetryRatio,
-		RetryBurst:   s.RetryBurst,
-		VersionBound: s.VersionBound,
-		FleetKey:     s.FleetKey,
-		UseSlowdown:  s.Admission.UseSlowdown,
-		Seed:         instanceSeed(s),
+		Name:               s.InstanceID,
+		Region:             s.Location.Region,
+		FailureDomain:      s.Location.FailureDomain,
+		Locality:           s.Locality.Enabled,
+		LocalityPricePerKB: s.Locality.PricePerKB(),
+		DatagramAddr:       portAddr(s, datagramPortOffset),
+		RetryRatio:         s.RetryRatio,
+		RetryBurst:         s.RetryBurst,
+		VersionBound:       s.VersionBound,
+		FleetKey:           s.FleetKey,
+		UseSlowdown:        s.Admission.UseSlowdown,
+		Seed:               instanceSeed(s),
 	}, gateway.Deps{
 		Directory:   deployment,
 		HeaderCodec: platform.HeaderCodec{},
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -129,7 +129,7 @@
 	if e.VersionSource != "" {
 		fields = append(fields, "version_source", string(e.VersionSource))
 	}
-	return fields
+	return append(fields, localityFields(e)...)
 }
 
 // attemptOutcome returns the outcome that a failed attempt counts as in the state of
--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -48,6 +48,7 @@
 func newMove(ctx context.Context, cancel context.CancelCauseFunc, g *Gateway, req *request, grant *admission.Grant, begun bool) *attemptMove {
 	m := &attemptMove{gateway: g, req: req, attempt: ctx, cancel: cancel, hasSpare: req.sparedRetry}
 	m.template = req.admissionRequest(time.Now(), false)
+	m.template.Moved = true
 	m.template.ExcludedEndpoints = append([]string{grant.EndpointID}, req.failedEndpointIDs...)
 	m.begun.Store(begun)
 	return m
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -15,6 +15,8 @@
 type Config struct {
 	Name   string // Name of the entry.
 	Region string
+	// FailureDomain is that of the entry, within its region.
+	FailureDomain string
 	// DatagramAddr (IP:port) receives load reports; agents listen on the same
 	// port of their instances.
 	DatagramAddr string
@@ -29,7 +31,11 @@
 	FleetKey []byte
 	// UseSlowdown says that the choice of an endpoint uses how slow endpoints say they are.
 	UseSlowdown bool
-	Seed        uint64
+	// Locality makes entries decide by waits, offers and costs when requests are sent outside the
+	// failure domain; LocalityPricePerKB is the wait that a kilobyte is worth then.
+	Locality           bool
+	LocalityPricePerKB time.Duration
+	Seed               uint64
 }
 
 // Deps are the dependencies of a Gateway. All are required.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,7 +100,7 @@
 			endpointByAgent[addr.Addr()] = e
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
-			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
+			ID: e.ID, Region: e.Region, FailureDomain: e.FailureDomain, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
 		})
 	}
 	g.endpointByAgent.Store(&endpointByAgent)
@@ -171,6 +171,7 @@
 	}
 	svc.firstResponseNanos.Store(int64(initialFirstResponse))
 	svc.perTokenNanos.Store(int64(initialPerToken))
+	svc.perTokenMilliBytes.Store(initialBytesPerToken * 1000)
 	if entryCount := g.entryCount.Load(); entryCount > 0 {
 		svc.retryBudget.setEntryCount(int(entryCount))
 	}
@@ -178,13 +179,14 @@
 		Region:       g.config.Region,
 		AgentReports: s.Engine != nil,
 		UseSlowdown:  g.config.UseSlowdown,
+		Locality:     g.localityConfig(),
 		Rand:         newRand(g.config.Seed, uint64(len(s.Name))),
 	}
 	if s.Engine != nil {
 		config.PrefillTokensPerSecond = s.Engine.PrefillTokensPerSecond
 	}
 	pool := admission.NewPool(config)
-	pool.SetEntryCount(int(max(g.entryCount.Load(), 1)))
+	pool.SetEntryCount(int(g.entryCount.Load()))
 	pool.SetRateLimitShare(svc.rateLimitShare.get(time.Now(), g.entryCount.Load()))
 	svc.gate = admission.NewGate(pool, time.Now)
 	return svc
--- a/gateway/loadreports.go
+++ b/gateway/loadreports.go
@@ -70,6 +70,7 @@
 			versionAgesSentAt = time.Now()
 			g.sendVersionAges(ctx, conn, agents)
 		}
+		g.reportLocality()
 		demand := g.queuedDemand()
 		g.subscribe(ctx, conn, demand, pace.selectAgents(time.Now(), agents, g.isInOwnRegion, demand))
 		select {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -162,6 +162,7 @@
 	if req.HardDeadline.Before(now) {
 		req.HardDeadline = now
 	}
+	r.describeForLocality(&req)
 	return req
 }
 
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -24,6 +24,9 @@
 	// perTokenNanos is the mean duration of a stream per token that its caller
 	// expected.
 	perTokenNanos atomic.Int64
+	// perTokenMilliBytes is the mean size of a stream's events per token that its caller
+	// expected, in thousandths of a byte.
+	perTokenMilliBytes atomic.Int64
 }
 
 // incarnationOf returns the incarnation of an endpoint in the pools.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -295,6 +295,7 @@
 	attempt.end(admission.Served)
 	if s.req.runs == 0 && !s.req.firstResponseAt.IsZero() {
 		s.req.service.observeStreamDuration(time.Since(s.req.firstResponseAt), s.req.metadata.LengthHint)
+		s.req.service.observeStreamBytes(s.sentBytes, s.req.metadata.LengthHint)
 	}
 	s.gateway.finish(s.req, "answered", attempt.response.StatusCode,
 		"events", s.eventCount, "runs", s.req.runs+1)
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -37,6 +37,14 @@
 // chooseEndpoint returns the endpoint with the lowest score, or nil if none can
 // take the request. freeSlots is the number of free slots at all endpoints.
 func (p *Pool) chooseEndpoint(now time.Time, req *Request, freeSlots int) *endpointState {
+	if p.locality != nil {
+		return p.chooseByLocality(now, req, freeSlots)
+	}
+	return p.chooseWithin(now, req, freeSlots, everywhere)
+}
+
+// chooseWithin is chooseEndpoint among the endpoints of a scope.
+func (p *Pool) chooseWithin(now time.Time, req *Request, freeSlots int, within scope) *endpointState {
 	var best *endpointState
 	bestScore := 0.0
 	unreportedWeight := p.unreportedWeight(freeSlots)
@@ -58,7 +66,10 @@
 		if prefill > maxPrefillBacklog {
 			continue
 		}
-		score := p.expectedDelay(now, req, endpoint, load, prefill, closing, p.config.Rand.Float64())
+		if within != everywhere && !p.inScope(now, req, endpoint, within) {
+			continue
+		}
+		score := p.expectedDelay(now, req, endpoint, load, prefill, closing, within == everywhere, p.config.Rand.Float64())
 		if best == nil || score < bestScore {
 			best, bestScore = endpoint, score
 		}
--- a/routing/admission/config.go
+++ b/routing/admission/config.go
@@ -29,10 +29,23 @@
 	// UseSlowdown says that the figures of how slow endpoints are count in the expected delay and
 	// in the release rate. Otherwise an endpoint that its agent reports as slow is the last choice.
 	UseSlowdown bool
+	// Locality configures when requests are sent outside the failure domain of the entry.
+	Locality LocalityConfig
 	// Rand adds jitter to the choice, so that entries choose different endpoints.
 	Rand *rand.Rand
 }
 
+// LocalityConfig configures when requests are sent outside the failure domain of the entry.
+type LocalityConfig struct {
+	// Enabled makes the pool decide by waits, offers and costs. Otherwise other regions have a fixed
+	// delay. It has an effect only where agents report the load.
+	Enabled bool
+	// FailureDomain is that of the entry.
+	FailureDomain string
+	// PricePerKB is the wait that a kilobyte to another failure domain is worth.
+	PricePerKB time.Duration
+}
+
 const (
 	defaultAgentReportAge    = 700 * time.Millisecond
 	defaultResponseReportAge = time.Second
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -38,6 +38,10 @@
 	// oldest one allowed; both are 0 for services without weights.
 	LoadedVersion uint64
 	MinVersion    uint64
+	// Left says that the endpoint is outside the failure domain of the entry, by a decision of
+	// locality: a request was expected to wait there for OwnWait, and leaving was to cost LeaveCost.
+	Left               bool
+	OwnWait, LeaveCost time.Duration
 	// VersionSource is where LoadedVersion comes from, empty for services without
 	// weights.
 	VersionSource VersionSource
@@ -61,6 +65,9 @@
 		Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots,
 		LoadedVersion: endpoint.loadedVersionAt(now, &p.config), MinVersion: p.minVersion,
 	}
+	if l := p.locality; l != nil && l.left {
+		estimate.Left, estimate.OwnWait, estimate.LeaveCost = true, l.ownWait, l.cost
+	}
 	if p.config.AgentReports {
 		estimate.VersionSource = endpoint.versionSourceAt(now, &p.config)
 	}
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -6,7 +6,9 @@
 type Endpoint struct {
 	ID     string
 	Region string
-	Slots  int
+	// FailureDomain is that of the endpoint, within its region.
+	FailureDomain string
+	Slots         int
 	// LoadedVersion is the version of the weights that is completely loaded, 0 for
 	// none.
 	LoadedVersion uint64
@@ -41,6 +43,7 @@
 	sentAt          time.Time
 	promptTokens    float64
 	responseStarted bool
+	stream          bool
 }
 
 // endpointState is the state of an endpoint in a Pool.
@@ -56,6 +59,7 @@
 	firstResponse    firstResponseDelay
 	quota            quota
 	speed            speed
+	locality         endpointLocality
 	// addedAt is when the endpoint was first listed.
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -39,6 +39,7 @@
 		return false
 	}
 	delete(endpoint.inFlight, requestID)
+	p.recordEndForLocality(now, endpoint, req.sentAt)
 	if endpoint.reportCovers(req.sentAt, p.config.ReportLag) {
 		endpoint.endedSinceReport++
 		endpoint.quota.remaining += p.stochasticRound(min(p.demandShare(endpoint.report.Demand)*quotaOvercommit, 1))
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -17,6 +17,8 @@
 	waiting   []*Request
 	// entryCount is the number of entries that share the endpoints.
 	entryCount int
+	// entryCountKnown says that entryCount was set.
+	entryCountKnown bool
 	// minVersion is the oldest version of the weights on which a request may
 	// start.
 	minVersion      uint64
@@ -35,12 +37,15 @@
 	rests map[string]*rest
 	// suspended is how long the machine has been suspended since the process started.
 	suspended time.Duration
+	// locality is nil if the pool does not decide about failure domains.
+	locality *localityState
 }
 
 // NewPool returns a pool without endpoints.
 func NewPool(config Config) *Pool {
 	config.setDefaults()
 	return &Pool{
+		locality:        newLocality(&config),
 		config:          config,
 		endpoints:       make(map[string]*endpointState),
 		entryCount:      1,
@@ -73,11 +78,13 @@
 	p.expireRests(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
+	p.setDomains()
 }
 
 // SetEntryCount sets how many entries share the endpoints.
 func (p *Pool) SetEntryCount(n int) {
 	p.entryCount = max(n, 1)
+	p.entryCountKnown = n > 0
 }
 
 // SetRateLimitShare sets the share of this entry in rate limits.
@@ -113,6 +120,7 @@
 	endpoint.setReport(report)
 	p.recordReportedSlowdown(endpoint, report)
 	p.setQuota(endpoint, report)
+	p.recordReportForLocality(endpoint, report)
 	return true
 }
 
@@ -132,12 +140,14 @@
 		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, releaseRate), ExpectedWait: wait, Unavailable: p.Unavailable(now)}
 	}
 	p.waiting = append(p.waiting, req)
+	p.recordKept()
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
 }
 
 // TryStart starts a request if a slot is free for it now.
 func (p *Pool) TryStart(now time.Time, req *Request) (Decision, bool) {
 	if p.blockedByWaiting(now, req) {
+		p.setKeptByQueue()
 		return Decision{}, false
 	}
 	freeSlots := p.freeSlots(now)
@@ -163,11 +173,12 @@
 
 // start records that a request is sent to an endpoint.
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
-	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens}
+	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens, stream: req.Stream}
 	endpoint.quota.remaining--
 	p.takeToken(endpoint)
 	p.addUsage(now, req)
 	p.partition.add(now, req)
+	p.recordStartForLocality(endpoint, req)
 }
 
 // usageHalfLife is the time after which the usage of an organisation is halved.
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -39,6 +39,14 @@
 	// MinVersion is the oldest version of the weights at the endpoint that is chosen, beside
 	// that of the pool; 0 for none.
 	MinVersion uint64
+	// Moved marks a request that is moved off an endpoint before its response has begun. Like one
+	// that is resumed it takes any slot.
+	Moved bool
+	// Stream marks a request whose response is a stream, of which each event is recorded as
+	// progress.
+	Stream bool
+	// Kilobytes is the expected size of request and response.
+	Kilobytes float64
 	// ExcludedEndpoints lists the IDs of endpoints that must not run the request.
 	ExcludedEndpoints []string
 }
--- a/routing/admission/score.go
+++ b/routing/admission/score.go
@@ -31,12 +31,12 @@
 	slowDelay = 0.5
 )
 
-// expectedDelay returns the score of an endpoint for a request, in seconds. random is from 0 up
-// to 1.
-func (p *Pool) expectedDelay(now time.Time, req *Request, endpoint *endpointState, load float64, prefill time.Duration, closing bool, random float64) float64 {
+// expectedDelay returns the score of an endpoint for a request, in seconds. byRegion says that other
+// regions have a delay of their own. random is from 0 up to 1.
+func (p *Pool) expectedDelay(now time.Time, req *Request, endpoint *endpointState, load float64, prefill time.Duration, closing, byRegion bool, random float64) float64 {
 	delay := numberOrZero(fullDelay*(load/float64(endpoint.Slots))) + maxRandomDelay*random
 	delay += (prefill + max(endpoint.excessRoundTrip(), endpoint.expectedFirstResponseDelay(now))).Seconds()
-	if endpoint.Region != p.config.Region {
+	if byRegion && endpoint.Region != p.config.Region {
 		delay += otherRegionDelay
 	}
 	delay += numberOrZero(p.slownessDelay(now, req, endpoint))
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -23,6 +23,9 @@
 
 // slotReleaseRate estimates how many slots per second become free for this entry.
 func (p *Pool) slotReleaseRate(now time.Time) float64 {
+	if own := p.ownReleaseRate(now); own > 0 {
+		return own
+	}
 	total := 0.0
 	for _, endpoint := range p.endpoints {
 		if !p.eligible(now, endpoint) {
@@ -52,13 +55,14 @@
 			ahead++
 		}
 	}
+	ahead = p.aheadWithOffers(now, req, ahead, releaseRate)
 	wait := queueWait(ahead, p.spareRate(now, releaseRate, req.Rank))
 	if !now.Add(wait).After(req.SoftDeadline) || req.Resumed {
 		return wait
 	}
 	// The request will be late, and then follows all requests that are on time,
 	// including those that have not arrived yet.
-	return queueWait(len(p.waiting)+1, p.spareRate(now, releaseRate, maxRank))
+	return queueWait(p.aheadWithOffers(now, req, len(p.waiting)+1, releaseRate), p.spareRate(now, releaseRate, maxRank))
 }
 
 // maxRank is greater than every rank.
@@ -146,6 +150,7 @@
 	freeSlots := p.freeSlots(now)
 	stillWaiting := p.waiting[:0]
 	for _, req := range p.waiting {
+		p.setPosition(len(stillWaiting) + 1)
 		endpoint := p.chooseEndpoint(now, req, freeSlots)
 		if endpoint == nil {
 			stillWaiting = append(stillWaiting, req)
@@ -156,6 +161,7 @@
 		freeSlots = p.freeSlots(now)
 	}
 	p.waiting = stillWaiting
+	p.setPosition(0)
 	return assignments
 }
 
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -41,6 +41,7 @@
 	// StopGrace is the time between the stop signal and the kill.
 	StopGrace time.Duration
 	Admission DirectAdmission
+	Locality  DirectLocality
 	Telemetry Telemetry
 }
 
@@ -109,6 +110,7 @@
 			{Name: "version_bound", Default: "8s", Value: emptyAsDefault{Duration(&direct.VersionBound, time.Second, maxVersionBound), "8s"}, Doc: "Time after the declaration of a version within which no request begins on an older one."},
 		}},
 		admissionSection(&direct.Admission),
+		localitySection(&direct.Locality),
 		telemetrySection(&direct.Telemetry),
 	}
 }
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -74,6 +74,10 @@
 	{MetricVersionCorrections, Counter, "reports", []string{TagService}, directOnly, "Load reports that named an older version of the weights than the entry took the endpoint to have."},
 	{MetricRateLimitedEndpoints, Gauge, "endpoints", []string{TagService}, directOnly, "At entries: listed endpoints that announce a limit on their requests per second; absent while none did."},
 	{MetricUnavailableEndpoints, Gauge, "endpoints", []string{TagService, TagReason}, directOnly, "At entries: listed endpoints that get no requests, by the reason: leaving (by its responses), draining (by the list), resting (asked for a pause), broken (circuit breaker), not_run (turned a request away), closed (by its agent), unreported, outdated (weights) or rate_limited; absent without any. Read when the page is served."},
+	{MetricRequestsSentAway, Counter, "requests", []string{TagService, TagFailureDomain}, directOnly, "At entries with locality enabled: requests that were sent to another failure domain because the wait in their own was longer than the cost."},
+	{MetricBytesSentAway, Counter, "bytes", []string{TagService, TagFailureDomain}, directOnly, "At entries with locality enabled: expected bytes of these requests and their responses."},
+	{MetricRequestsKept, Counter, "requests", []string{TagService, TagReason}, directOnly, "At entries with locality enabled: requests that were queued, by what kept them in their own failure domain on arrival: no_offer, part_used (the entry's part of all offers), cost (above the wait), no_endpoint (none there may take the request) or queue (others go before)."},
+	{MetricOfferedSlots, Gauge, "slots", []string{TagService, TagFailureDomain}, directOnly, "At entries with locality enabled: part of this entry in the free slots that another failure domain offers."},
 	{MetricLeaving, Gauge, "0 or 1", nil, agentOnly, "Whether the agent announces that it leaves."},
 }
 
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -58,6 +58,10 @@
 	MetricAttemptsByVersion       = "attempts_by_version_total"
 	MetricOutdatedCancellations   = "outdated_cancellations_total"
 	MetricVersionCorrections      = "version_corrections_total"
+	MetricRequestsSentAway        = "requests_sent_away_total"
+	MetricBytesSentAway           = "bytes_sent_away_total"
+	MetricRequestsKept            = "requests_kept_total"
+	MetricOfferedSlots            = "offered_slots"
 	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
 	MetricUnavailableEndpoints    = "unavailable_endpoints"
 )
@@ -74,6 +78,8 @@
 	TagFault   = "fault"
 	TagService = "service"
 	TagReason  = "reason"
+	// TagFailureDomain is a failure domain of a deployment.
+	TagFailureDomain = "failure_domain"
 	// TagVersion is a version of weights, TagBasis what the time is from which its bound
 	// counts, TagRelation how it compares with the minimum version.
 	TagVersion  = "version"
