Log the slowdown of a choice and name what keeps requests at home

Cause: with use_slowdown no log line told which slowdown a choice used, and a request kept because no endpoint elsewhere may take it counted as no_offer.

Change: request ended and attempt failed have the slowdown of the endpoint at the choice; the reason no_endpoint is given where a failure domain offers and none of its endpoints may take the request.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -129,6 +129,9 @@
 	if e.VersionSource != "" {
 		fields = append(fields, "version_source", string(e.VersionSource))
 	}
+	if e.Slowdown > 0 {
+		fields = append(fields, "slowdown", e.Slowdown)
+	}
 	return append(fields, localityFields(e)...)
 }
 
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -60,6 +60,11 @@
 	}
 	metadata.Rest, _ = time.ParseDuration(h.Get("Rest"))
 	metadata.Leaving = h.Get("Leaves") != ""
+	if slowdown, err := strconv.ParseFloat(h.Get("Slow"), 64); err == nil {
+		metadata.Slowdown = slowdown
+	} else if h.Get("Slow") != "" {
+		metadata.SlowdownError = SlowdownMalformed
+	}
 	return metadata
 }
 
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -38,6 +38,8 @@
 	// oldest one allowed; both are 0 for services without weights.
 	LoadedVersion uint64
 	MinVersion    uint64
+	// Slowdown is that of the endpoint, 1 if it is unknown; 0 if the pool does not use slowdowns.
+	Slowdown float64
 	// Left says that the endpoint is outside the failure domain of the entry, by a decision of
 	// locality: a request was expected to wait there for OwnWait, and leaving was to cost LeaveCost.
 	Left               bool
@@ -65,6 +67,9 @@
 		Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots,
 		LoadedVersion: endpoint.loadedVersionAt(now, &p.config), MinVersion: p.minVersion,
 	}
+	if p.config.UseSlowdown {
+		estimate.Slowdown = endpoint.slowdown(now)
+	}
 	if l := p.locality; l != nil && l.left {
 		estimate.Left, estimate.OwnWait, estimate.LeaveCost = true, l.ownWait, l.cost
 	}
--- a/routing/admission/locality.go
+++ b/routing/admission/locality.go
@@ -427,8 +427,8 @@
 		return
 	}
 	verdict := l.verdict
-	if verdict == locality.MayLeave {
-		verdict = locality.KeptNoEndpoint
+	if verdict == locality.KeptNoOffer {
+		verdict = p.verdictWithoutEndpoints()
 	}
 	if l.activity.Kept == nil {
 		l.activity.Kept = make(map[locality.Verdict]int)
@@ -436,6 +436,22 @@
 	l.activity.Kept[verdict]++
 }
 
+// verdictWithoutEndpoints returns what kept a request for which no endpoint elsewhere could be
+// considered, as none that may take it had a slot.
+func (p *Pool) verdictWithoutEndpoints() locality.Verdict {
+	l := p.locality
+	verdict := locality.KeptNoOffer
+	for i := range l.domains {
+		if i != l.own {
+			verdict = lessRestrictive(verdict, l.router.MayLeave(i, maxExpectedWait, 0))
+		}
+	}
+	if verdict == locality.MayLeave {
+		return locality.KeptNoEndpoint
+	}
+	return verdict
+}
+
 // TakeLocalityActivity returns what was decided about sending requests outside the failure domain
 // since the last call; ok is false if the pool does not decide about it.
 func (p *Pool) TakeLocalityActivity() (activity LocalityActivity, ok bool) {
--- a/routing/admission/locality_test.go
+++ b/routing/admission/locality_test.go
@@ -97,6 +97,21 @@
 	assert.Equal(t, len(activity.Sent), 0)
 }
 
+// Guards against a reason that says that nothing is offered while the request may not use what is.
+func TestRequestThatMayUseNoEndpointElsewhereIsKeptByThat(t *testing.T) {
+	p := localityPool(0)
+	req := newRequest(at(1), 0)
+	for _, domain := range []string{"near", "far"} {
+		for i := range 4 {
+			req.ExcludedEndpoints = append(req.ExcludedEndpoints, fmt.Sprintf("%s-%d", domain, i))
+		}
+	}
+	assert.Equal(t, p.Submit(at(1), req).Verdict, Enqueue)
+	assert.Equal(t, p.Submit(at(2), newRequest(at(2), 0)).Verdict, Enqueue)
+	activity, _ := p.TakeLocalityActivity()
+	assert.DeepEqual(t, activity.Kept, map[locality.Verdict]int{locality.KeptNoEndpoint: 1, locality.KeptByQueue: 1})
+}
+
 // Guards against a link that is cut: reports end, and the failure domain offers nothing.
 func TestNoRequestLeavesForAFailureDomainWithoutReports(t *testing.T) {
 	p := localityPool(0)
