Test the part of an offer over random loads, delays and lost reports

Cause: the parts and the rule that no request leaves while a sound endpoint at home can start it were tested in a few loads only.

Change: TestPartsHoldForRandomLoads draws loads, prices, delays, uneven delays and losses of reports; all load tests check both rules at each sending.

--- a/routing/admission/localityload_test.go
+++ b/routing/admission/localityload_test.go
@@ -21,6 +21,10 @@
 	reportDelay time.Duration
 	// unevenDelay makes the reports that some entries get older by up to this much.
 	unevenDelay time.Duration
+	// lost is the fraction of the reports that are lost.
+	lost float64
+	// duration is simDuration if it is 0.
+	duration time.Duration
 	// drained is a failure domain that is evacuated, -1 for none.
 	drained int
 	// cut is a failure domain whose engines neither get requests nor send reports from simCutAt on,
@@ -36,6 +40,9 @@
 	// beyondPart counts the requests that left while the part of the offer was used up, leftAfterCut
 	// those for a failure domain that is cut since 0.75 s.
 	beyondPart, leftAfterCut int
+	// needless counts the requests that left although a sound endpoint of their own failure domain
+	// could start them.
+	needless int
 	// reversals counts the windows of 0.5 s in which two failure domains sent one another requests.
 	reversals, windows int
 	// offerChanges counts the offers that began or ended at all entries.
@@ -67,6 +74,7 @@
 
 type simRequest struct {
 	id       uint64
+	req      *Request
 	entry    *simEntry
 	domain   int
 	arrived  time.Time
@@ -141,7 +149,11 @@
 		}
 	}
 	var due [3]float64
-	for s.now.Sub(epoch) < simDuration {
+	duration := load.duration
+	if duration == 0 {
+		duration = simDuration
+	}
+	for s.now.Sub(epoch) < duration {
 		s.finishRequests()
 		s.report()
 		for domain := range due {
@@ -207,6 +219,9 @@
 			if entry.domain != e.domain && sinceStart%simReport != 0 || sinceStart%simOwnReport != 0 {
 				continue
 			}
+			if s.load.lost > 0 && s.random.Float64() < s.load.lost {
+				continue
+			}
 			s.reports = append(s.reports, simReportInTransit{at: s.now.Add(entry.delay), entry: entry, engine: e, running: len(e.running), waiting: len(e.waiting), demand: demand})
 		}
 	}
@@ -243,6 +258,7 @@
 		s.result.requests[domain]++
 	}
 	req := &Request{ID: r.id, Rank: rank, ArrivedAt: s.now, SoftDeadline: r.hard, HardDeadline: r.hard, TotalTokens: 100, ExpectedServiceTime: simMeanService, Stream: true, Kilobytes: 3.5}
+	r.req = req
 	switch decision := entry.pool.Submit(s.now, req); decision.Verdict {
 	case Start:
 		s.send(r, decision.EndpointID, decision.Estimate)
@@ -281,6 +297,9 @@
 		router := pool.locality.router
 		state := pool.endpoints[engineID].locality
 		pool.updateLocality(s.now)
+		if pool.chooseWithin(s.now, r.req, pool.freeSlots(s.now), soundOwn) != nil {
+			s.result.needless++
+		}
 		if float64(pool.locality.sums[state.domain].Uncovered) > router.Offer(state.domain) {
 			s.result.beyondPart++
 		}
@@ -331,6 +350,7 @@
 	r := runDomains(l, 1)
 	t.Logf("%s, loads %v, locality %v: left %.3f, on time %.3f, %d of %d windows with requests both ways, %.2f offers began or ended a second at an entry", name, l.loads, l.enabled, r.share(r.left), r.share(r.onTime), r.reversals, r.windows, r.changes())
 	assert.Equal(t, r.beyondPart, 0)
+	assert.Equal(t, r.needless, 0)
 	return r
 }
 
@@ -390,3 +410,23 @@
 	assert.Assert(t, r.leftFor[2][1] > 0)
 	assert.Equal(t, r.leftAfterCut, 0)
 }
+
+// Guards against entries that send more than their part of an offer, or requests that could start at
+// home, for loads, delays and losses of reports in which no case above is.
+func TestPartsHoldForRandomLoads(t *testing.T) {
+	random := rand.New(rand.NewPCG(5, 5))
+	left := 0
+	for i := range 8 {
+		load := noFault([3]float64{0.4 + random.Float64(), 0.4 + random.Float64(), 0.4 + 1.5*random.Float64()}, true)
+		load.duration = simWarmUp + 3*time.Second
+		load.price = time.Duration(random.Int64N(int64(5 * time.Millisecond)))
+		load.reportDelay = time.Duration(random.Int64N(int64(300 * time.Millisecond)))
+		load.unevenDelay = time.Duration(1 + random.Int64N(int64(300*time.Millisecond)))
+		load.lost = 0.3 * random.Float64()
+		r := runDomains(load, uint64(i))
+		assert.Equal(t, r.beyondPart, 0, "%+v", load)
+		assert.Equal(t, r.needless, 0, "%+v", load)
+		left += r.left[0] + r.left[1] + r.left[2]
+	}
+	assert.Assert(t, left > 100, "%d left", left)
+}
