Choose at home before the sums of failure domains are computed

Cause: with locality each choice computed the sums of all failure domains first, and looked at the endpoints of all for a request that starts at home.

Change: endpoints at home are considered first, by the sums of the last report; those elsewhere and the sums follow only if none can start the request. A new endpoint list updates the sums.

--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -54,7 +54,7 @@
 	}
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
-		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
+		if p.isElsewhere(endpoint, within) || !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
 			continue
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
--- a/routing/admission/choose_benchmark_test.go
+++ b/routing/admission/choose_benchmark_test.go
@@ -42,29 +42,35 @@
 	return p
 }
 
-// BenchmarkChooseOutsideFailureDomain is BenchmarkChooseEndpoint with locality, for a request whose
-// own failure domain is full and that another one takes.
-func BenchmarkChooseOutsideFailureDomain(b *testing.B) {
+// BenchmarkChooseFailureDomain is BenchmarkChooseEndpoint with locality, for a request that starts in
+// its own failure domain and for one whose own failure domain is full and that another one takes.
+func BenchmarkChooseFailureDomain(b *testing.B) {
 	for _, endpoints := range []int{34, 108} {
-		b.Run(fmt.Sprint(endpoints), func(b *testing.B) {
-			p := benchmarkPool(endpoints)
-			p.config.Locality = LocalityConfig{Enabled: true, FailureDomain: "r0"}
-			p.locality = newLocality(&p.config)
-			for _, id := range p.sortedIDs {
-				endpoint := p.endpoints[id]
-				endpoint.FailureDomain = endpoint.Region
-				if endpoint.Region == "r0" {
-					endpoint.report.Running = endpoint.Slots
-				}
+		for _, ownFull := range []bool{false, true} {
+			benchmarkFailureDomain(b, endpoints, ownFull)
+		}
+	}
+}
+
+func benchmarkFailureDomain(b *testing.B, endpoints int, ownFull bool) {
+	b.Run(fmt.Sprintf("%d/ownFull=%v", endpoints, ownFull), func(b *testing.B) {
+		p := benchmarkPool(endpoints)
+		p.config.Locality = LocalityConfig{Enabled: true, FailureDomain: "r0"}
+		p.locality = newLocality(&p.config)
+		for _, id := range p.sortedIDs {
+			endpoint := p.endpoints[id]
+			endpoint.FailureDomain = endpoint.Region
+			if endpoint.Region == "r0" && ownFull {
+				endpoint.report.Running = endpoint.Slots
 			}
-			p.setDomains()
-			req := newRequest(at(1), 0)
-			b.ReportAllocs()
-			for b.Loop() {
-				if p.chooseEndpoint(at(1), req, p.freeSlots(at(1))).Region == "r0" {
-					b.Fatal("stayed")
-				}
+		}
+		p.setDomains(at(0))
+		req := newRequest(at(1), 0)
+		b.ReportAllocs()
+		for b.Loop() {
+			if p.chooseEndpoint(at(1), req, p.freeSlots(at(1))).Region != "r0" != ownFull {
+				b.Fatal("wrong failure domain")
 			}
-		})
-	}
+		}
+	})
 }
--- a/routing/admission/locality.go
+++ b/routing/admission/locality.go
@@ -73,7 +73,7 @@
 }
 
 // setDomains sets the failure domains of the listed endpoints.
-func (p *Pool) setDomains() {
+func (p *Pool) setDomains(now time.Time) {
 	l := p.locality
 	if l == nil {
 		return
@@ -89,6 +89,7 @@
 	for _, endpoint := range p.endpoints {
 		endpoint.locality.domain = slices.Index(l.domains, endpoint.FailureDomain)
 	}
+	p.updateLocality(now)
 }
 
 // recordReportForLocality records what a report says beyond the load.
@@ -236,12 +237,21 @@
 	if req.Resumed || req.Moved {
 		return p.chooseWithin(now, req, freeSlots, everywhere)
 	}
+	// Most requests start at home, by the sums of the last report.
+	asked := !l.router.OwnIsTooSmall() && len(req.ExcludedEndpoints) == 0 && req.MinVersion <= p.minVersion
+	if asked {
+		if endpoint := p.chooseWithin(now, req, freeSlots, soundOwn); endpoint != nil {
+			return endpoint
+		}
+	}
 	p.updateLocality(now)
 	if l.router.OwnIsTooSmall() || locality.TooSmallWithout(p.excludedOwnSlots(now, req), l.ownUsable, l.ownSlots) {
 		return p.chooseWithin(now, req, freeSlots, everywhereAlike)
 	}
-	if endpoint := p.chooseWithin(now, req, freeSlots, soundOwn); endpoint != nil {
-		return endpoint
+	if !asked {
+		if endpoint := p.chooseWithin(now, req, freeSlots, soundOwn); endpoint != nil {
+			return endpoint
+		}
 	}
 	l.ownWait = p.waitInOwnDomain(now, req)
 	endpoint := p.chooseWithin(now, req, freeSlots, ownAndOffers)
@@ -270,12 +280,18 @@
 	return excluded
 }
 
-// inScope reports whether a choice may take an endpoint that can start the request now.
+// isElsewhere reports whether a choice leaves an endpoint out by its failure domain alone.
+func (p *Pool) isElsewhere(endpoint *endpointState, within scope) bool {
+	return within == soundOwn && endpoint.locality.domain != p.locality.own
+}
+
+// inScope reports whether a choice may take an endpoint that can start the request now and for which
+// isElsewhere is false.
 func (p *Pool) inScope(now time.Time, req *Request, endpoint *endpointState, within scope) bool {
 	l := p.locality
 	switch within {
 	case soundOwn:
-		return endpoint.locality.domain == l.own && !endpoint.muchSlower(now, &p.config) && !endpoint.agentSilent(now, &p.config)
+		return !endpoint.muchSlower(now, &p.config) && !endpoint.agentSilent(now, &p.config)
 	case ownAndOffers:
 		if endpoint.locality.domain == l.own {
 			return true
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -78,7 +78,7 @@
 	p.expireRests(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
-	p.setDomains()
+	p.setDomains(now)
 }
 
 // SetEntryCount sets how many entries share the endpoints.
