--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -136,7 +136,10 @@
 	if e.VersionSource != "" {
 		fields = append(fields, "version_source", string(e.VersionSource))
 	}
-	return fields
+	if e.Slowdown > 0 {
+		fields = append(fields, "slowdown", e.Slowdown)
+	}
+	return append(fields, localityFields(e)...)
 }
 
 // attemptOutcome returns the outcome that a failed attempt counts as in the state of
--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -49,6 +49,7 @@
 	m := &attemptMove{gateway: g, req: req, attempt: ctx, cancel: cancel, hasSpare: req.sparedRetry}
 	m.template = req.admissionRequest(time.Now(), false)
 	m.template.ExcludedEndpoints = append([]string{grant.EndpointID}, req.excludedEndpoints()...)
+	m.template.Moved = true
 	m.begun.Store(begun)
 	return m
 }
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -15,6 +15,8 @@
 type Config struct {
 	Name   string // Name of the entry.
 	Region string
+	// FailureDomain is that of the entry, within its region.
+	FailureDomain string
 	// DatagramAddr (IP:port) receives load reports; agents listen on the same
 	// port of their instances.
 	DatagramAddr string
@@ -31,7 +33,13 @@
 	ColdExtra  float64
 	// FleetKey signs the configuration sent to agents.
 	FleetKey []byte
-	Seed     uint64
+	// UseSlowdown says that the choice of an endpoint uses how slow endpoints say they are.
+	UseSlowdown bool
+	// Locality makes entries decide by waits, offers and costs when requests are sent outside the
+	// failure domain; LocalityPricePerKB is the wait that a kilobyte is worth then.
+	Locality           bool
+	LocalityPricePerKB time.Duration
+	Seed               uint64
 }
 
 // Deps are the dependencies of a Gateway. All are required.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -41,6 +41,8 @@
 	// rateLimitNews has a value when a rate limit has changed.
 	rateLimitNews chan struct{}
 	crashes       *crashDetector
+	// slowdownErrors knows which errors in figures of slowdown were logged.
+	slowdownErrors *slowdownErrors
 	// answerBy is set while the gateway drains: the time by which all requests have ended.
 	answerBy  atomic.Pointer[time.Time]
 	rejecting atomic.Bool
@@ -80,7 +82,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
@@ -105,7 +107,7 @@
 			endpointByAgent[addr.Addr()] = e
 		}
 		endpointsByService[e.Service] = append(endpointsByService[e.Service], admission.Endpoint{
-			ID: e.ID, Region: e.Region, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
+			ID: e.ID, Region: e.Region, FailureDomain: e.FailureDomain, Slots: e.Slots, LoadedVersion: e.LoadedVersion, Draining: e.Draining, Leaving: e.Leaving, StartedUnixMS: e.StartedUnixMS,
 			ColdRecord: coldRecord(view, e.ID),
 			Evacuated:  view.IsEvacuated(e.FailureDomain),
 		})
@@ -179,19 +181,22 @@
 	}
 	svc.firstResponseNanos.Store(int64(initialFirstResponse))
 	svc.perTokenNanos.Store(int64(initialPerToken))
+	svc.perTokenMilliBytes.Store(initialBytesPerToken * 1000)
 	if entryCount := g.entryCount.Load(); entryCount > 0 {
 		svc.retryBudget.setEntryCount(int(entryCount))
 	}
 	config := admission.Config{
 		Region:       g.config.Region,
 		AgentReports: s.Engine != nil,
+		UseSlowdown:  g.config.UseSlowdown,
+		Locality:     g.localityConfig(),
 		Rand:         newRand(g.config.Seed, uint64(len(s.Name))),
 	}
 	if s.Engine != nil {
 		config.PrefillTokensPerSecond = s.Engine.PrefillTokensPerSecond
 	}
 	pool := admission.NewPool(config)
-	pool.SetEntryCount(int(max(g.entryCount.Load(), 1)))
+	pool.SetEntryCount(int(g.entryCount.Load()))
 	pool.SetRateLimitShare(svc.rateLimitShare.get(time.Now(), g.entryCount.Load()))
 	svc.gate = admission.NewGate(pool, time.Now)
 	return svc
--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -35,7 +35,7 @@
 		},
 		{
 			Name: telemetry.MetricEvacuatedDomains,
-			Tags: []string{telemetry.TagDomain},
+			Tags: []string{telemetry.TagFailureDomain},
 			Read: g.readEvacuated,
 		},
 		{
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -158,6 +158,7 @@
 		ExcludedEndpoints:   r.excludedEndpoints(),
 		Requeued:            r.requeued,
 		Regions:             r.residency.allowed,
+		MeanFirstResponse:   time.Duration(r.service.firstResponseNanos.Load()),
 	}
 	req.HardDeadline = r.arrivedAt.Add(r.route.LatencyTarget + lateQueueTime)
 	if resumed {
@@ -170,6 +171,7 @@
 	if req.HardDeadline.Before(now) {
 		req.HardDeadline = now
 	}
+	r.describeForLocality(&req)
 	return req
 }
 
--- a/routing/admission/choose_bench_test.go
+++ b/routing/admission/choose_bench_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// BenchmarkChooseEndpoint chooses among 34 engines with 12 slots, as on the deployment with
+// BenchmarkChooseWarmEndpoint chooses among 34 engines with 12 slots, as on the deployment with
 // cold endpoints.
-func BenchmarkChooseEndpoint(b *testing.B) {
+func BenchmarkChooseWarmEndpoint(b *testing.B) {
 	var ids []string
 	for i := range 34 {
 		ids = append(ids, fmt.Sprintf("engine-%02d", i))
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -11,7 +11,9 @@
 type Endpoint struct {
 	ID     string
 	Region string
-	Slots  int
+	// FailureDomain is that of the endpoint, within its region.
+	FailureDomain string
+	Slots         int
 	// LoadedVersion is the version of the weights that is completely loaded, 0 for
 	// none.
 	LoadedVersion uint64
@@ -54,6 +56,7 @@
 	organisation core.OrganisationID
 	tokens       float64
 	cold         coldCharge
+	stream       bool
 }
 
 // endpointState is the state of an endpoint in a Pool.
@@ -69,7 +72,9 @@
 	firstResponse    firstResponseDelay
 	quota            quota
 	// cold is nil for services whose endpoints are never cold.
-	cold *coldState
+	cold     *coldState
+	speed    speed
+	locality endpointLocality
 	// addedAt is when the endpoint was first listed.
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -17,6 +17,8 @@
 	waiting   []*Request
 	// entryCount is the number of entries that share the endpoints.
 	entryCount int
+	// entryCountKnown says that entryCount was set.
+	entryCountKnown bool
 	// minVersion is the oldest version of the weights on which a request may
 	// start.
 	minVersion      uint64
@@ -42,12 +44,15 @@
 	reserved []*core.RegionSet
 	// evacuating says that an endpoint is evacuated.
 	evacuating bool
+	// locality is nil if the pool does not decide about failure domains.
+	locality *localityState
 }
 
 // NewPool returns a pool without endpoints.
 func NewPool(config Config) *Pool {
 	config.setDefaults()
 	return &Pool{
+		locality:        newLocality(&config),
 		config:          config,
 		endpoints:       make(map[string]*endpointState),
 		entryCount:      1,
@@ -85,11 +90,13 @@
 	p.listCold(now)
 	p.sortedIDs = slices.Sorted(maps.Keys(p.endpoints))
 	p.partition.setEndpoints(endpoints)
+	p.setDomains(now)
 }
 
 // SetEntryCount sets how many entries share the endpoints.
 func (p *Pool) SetEntryCount(n int) {
 	p.entryCount = max(n, 1)
+	p.entryCountKnown = n > 0
 }
 
 // SetRateLimitShare sets the share of this entry in rate limits.
@@ -123,8 +130,10 @@
 		return false
 	}
 	endpoint.setReport(report)
+	p.recordReportedSlowdown(endpoint, report)
 	p.setQuota(endpoint, report)
 	p.applyColdStart(endpoint, report)
+	p.recordReportForLocality(endpoint, report)
 	return true
 }
 
@@ -149,12 +158,14 @@
 		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, req, releaseRate), ExpectedWait: wait, Unavailable: p.unavailableTo(now, req.Regions)}
 	}
 	p.waiting = append(p.waiting, req)
+	p.recordKept()
 	return Decision{Verdict: Enqueue, ExpectedWait: wait}
 }
 
 // TryStart starts a request if a slot is free for it now.
 func (p *Pool) TryStart(now time.Time, req *Request) (Decision, bool) {
 	if p.blockedByWaiting(now, req) {
+		p.setKeptByQueue()
 		return Decision{}, false
 	}
 	freeSlots := p.freeSlots(now, req.Regions)
@@ -182,12 +193,13 @@
 
 // start records that a request is sent to an endpoint.
 func (p *Pool) start(now time.Time, endpoint *endpointState, req *Request) {
-	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens, organisation: req.Organisation, tokens: req.usage()}
+	endpoint.inFlight[req.ID] = inFlightRequest{sentAt: now, promptTokens: req.PromptTokens, organisation: req.Organisation, tokens: req.usage(), stream: req.Stream}
 	endpoint.quota.remaining--
 	p.takeToken(now, endpoint)
 	p.chargeCold(now, endpoint, req.ID)
 	p.addUsage(now, req)
 	p.partition.add(now, req)
+	p.recordStartForLocality(endpoint, req)
 }
 
 // usageHalfLife is the time after which the usage of an organisation is halved.
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -27,12 +27,15 @@
 // slotReleaseRate estimates how many slots per second become free for this entry in a set of
 // regions.
 func (p *Pool) slotReleaseRate(now time.Time, regions *core.RegionSet) float64 {
+	if own := p.ownReleaseRate(now); own > 0 && regions == nil {
+		return own
+	}
 	total := 0.0
 	for _, endpoint := range p.endpoints {
 		if !regions.Contains(endpoint.Region) || !p.eligible(now, endpoint) {
 			continue
 		}
-		rate := float64(endpoint.Slots) / p.meanServiceTime.Seconds() / float64(p.entryCount)
+		rate := float64(endpoint.Slots) / endpoint.slowdown(now) / p.meanServiceTime.Seconds() / float64(p.entryCount)
 		if limited, ok := p.limitedRate(endpoint); ok {
 			rate = min(rate, limited)
 		}
@@ -59,13 +62,14 @@
 			ahead++
 		}
 	}
+	ahead = p.aheadWithOffers(now, req, ahead, releaseRate)
 	wait := queueWait(ahead, p.spareRate(now, releaseRate, req.Rank, req.Regions))
 	if !now.Add(wait).After(req.SoftDeadline) || req.Resumed {
 		return wait
 	}
 	// The request will be late, and then follows all requests that are on time,
 	// including those that have not arrived yet.
-	return queueWait(p.waitingFor(req.Regions)+1, p.spareRate(now, releaseRate, maxRank, req.Regions))
+	return queueWait(p.aheadWithOffers(now, req, p.waitingFor(req.Regions)+1, releaseRate), p.spareRate(now, releaseRate, maxRank, req.Regions))
 }
 
 // maxRank is greater than every rank.
@@ -154,6 +158,7 @@
 	freeSlots := p.freeSlots(now, nil)
 	stillWaiting := p.waiting[:0]
 	for _, req := range p.waiting {
+		p.setPosition(len(stillWaiting) + 1)
 		freeForRequest := freeSlots
 		if req.Regions != nil {
 			freeForRequest = p.freeSlots(now, req.Regions)
@@ -168,6 +173,7 @@
 		freeSlots = p.freeSlots(now, nil)
 	}
 	p.waiting = stillWaiting
+	p.setPosition(0)
 	return assignments
 }
 
--- a/settings/direct_test.go
+++ b/settings/direct_test.go
@@ -52,8 +52,8 @@
 	assert.Equal(t, entry.CallerAddr, "10.1.0.40:8005")
 	assert.Equal(t, entry.VersionBound, 8*time.Second)
 	assert.Equal(t, entry.StopGrace, 8*time.Second)
-	assert.Equal(t, entry.ColdExcess, 1.5)
-	assert.Equal(t, entry.ColdExtra, 5.0)
+	assert.Equal(t, entry.Admission.ColdExcess, 1.5)
+	assert.Equal(t, entry.Admission.ColdExtra, 5.0)
 	assert.DeepEqual(t, entry.Regions, map[string]string{"a-1": "a", "b-1": "b"})
 	values := templateValues()
 	delete(values, "listen.http")
@@ -77,8 +77,8 @@
 	assert.Equal(t, loaded.VersionBound, 8*time.Second)
 	assert.Equal(t, loaded.StopGrace, 8*time.Second)
 	assert.Equal(t, loaded.RetryRatio, 0.2)
-	assert.Equal(t, loaded.ColdExcess, 1.0)
-	assert.Equal(t, loaded.ColdExtra, 0.0)
+	assert.Equal(t, loaded.Admission.ColdExcess, 1.0)
+	assert.Equal(t, loaded.Admission.ColdExtra, 0.0)
 }
 
 func TestErrorNamesKeyOfInvalidValue(t *testing.T) {
@@ -93,3 +93,26 @@
 		assert.Assert(t, settingsErr.Key != "", key)
 	}
 }
+
+// Guards against deployments that get a switch which they did not ask for.
+func TestSwitchesAreOffByDefault(t *testing.T) {
+	s, err := loadDirect(t, renderTemplate(t, templateValues()))
+	assert.NilError(t, err)
+	assert.Assert(t, !s.Admission.UseSlowdown && !s.Locality.Enabled)
+	assert.Equal(t, s.Locality.PricePerKB(), 500*time.Microsecond)
+}
+
+func TestSwitchesAreReadFromTheirSections(t *testing.T) {
+	s, err := loadDirect(t, renderTemplate(t, templateValues())+"use_slowdown = true\n\n[locality]\nenabled = true\nprice_ms_per_kb = 30\n")
+	assert.NilError(t, err)
+	assert.Assert(t, s.Admission.UseSlowdown && s.Locality.Enabled)
+	assert.Equal(t, s.Locality.PricePerKB(), 30*time.Millisecond)
+}
+
+func TestPriceThatIsNoPositiveNumberIsRefused(t *testing.T) {
+	for _, price := range []string{"-1", "NaN", "Inf", "1e9", "cheap"} {
+		_, err := loadDirect(t, renderTemplate(t, templateValues())+"\n[locality]\nprice_ms_per_kb = "+price+"\n")
+		var settingsError *settings.Error
+		assert.Assert(t, errors.As(err, &settingsError), price)
+	}
+}
