--- a/routing/admission/localityload_test.go
+++ b/routing/admission/localityload_test.go
@@ -297,7 +297,7 @@
 		router := pool.locality.router
 		state := pool.endpoints[engineID].locality
 		pool.updateLocality(s.now)
-		if pool.chooseWithin(s.now, r.req, pool.freeSlots(s.now), soundOwn) != nil {
+		if pool.chooseWithin(s.now, r.req, pool.freeSlots(s.now, nil), soundOwn) != nil {
 			s.result.needless++
 		}
 		if float64(pool.locality.sums[state.domain].Uncovered) > router.Offer(state.domain) {
--- a/routing/admission/score_test.go
+++ b/routing/admission/score_test.go
@@ -118,8 +118,8 @@
 			if random.IntN(4) == 0 {
 				req.ExcludedEndpoints = []string{"e00", "e03"}
 			}
-			endpoint := p.chooseEndpoint(now, req, p.freeSlots(now))
-			expected := old.chooseByUtilisation(now, req, old.freeSlots(now))
+			endpoint := p.chooseEndpoint(now, req, p.freeSlots(now, nil))
+			expected := old.chooseByUtilisation(now, req, old.freeSlots(now, nil))
 			if expected == nil {
 				none++
 				assert.Assert(t, endpoint == nil, "seed %d, choice %d", seed, i)
--- a/routing/admission/slowdown_test.go
+++ b/routing/admission/slowdown_test.go
@@ -84,7 +84,7 @@
 		}
 		p.Done(now, decision.EndpointID, req.ID, Served)
 	}
-	rate := p.slotReleaseRate(now)
+	rate := p.slotReleaseRate(now, nil)
 	assert.Assert(t, math.Abs(rate-8/2.5) < 0.05, "%v slots a second", rate)
 }
 
--- a/routing/admission/unservable.go
+++ b/routing/admission/unservable.go
@@ -7,7 +7,7 @@
 const unservableWait = 300 * time.Millisecond
 
 // unservable reports whether a request would wait for endpoints none of which is likely to take
-// it: none is eligible or will be in a moment, and none only rests or is cold. Such a request is refused at once
+// it: none is eligible, and none only rests or is cold, after which it is. Such a request is refused at once
 // while endpoints are evacuated, as nothing tells when they will be in use again, and if it may use
 // some regions only. A resumed request waits, since its caller has a part of the response.
 func (p *Pool) unservable(now time.Time, req *Request) bool {
@@ -18,8 +18,8 @@
 		if !req.Regions.Contains(endpoint.Region) {
 			continue
 		}
-		switch reason := p.unavailability(now, endpoint); {
-		case usableSoon(reason), reason == UnavailableResting, reason == UnavailableCold:
+		switch p.unavailability(now, endpoint) {
+		case "", UnavailableResting, UnavailableCold:
 			return false
 		}
 	}
