Bound what callers make an entry of the own path hold

The listener of callers is wrapped by internal/ingress here too, with the settings callers_memory (20 MiB) and max_connections of [limits]. Bodies had no time limit and now have that of the call. A JSON body of 1 MiB of empty messages took twenty times its size while it was decoded: messages are decoded one at a time, and only what the prompt is made of is kept. A request that is refused for want of memory gets 503 with the code callers_memory.

On both paths the budget is raised to four times the largest body and 2 MiB, so that one legal request always fits.

A legal head of 16 KiB in lines of four bytes is served on both paths. TestEveryDeclaredMetricIsReported takes caller_limits_total as one that may stay 0 in a fleet without faults.

--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -56,6 +56,8 @@
 		Policy:               entrySettings.Policy,
 		MaxWaiting:           entrySettings.Limits.MaxWaiting,
 		MaxBody:              entrySettings.Limits.MaxBodyBytes,
+		CallerMemory:         int(entrySettings.Limits.CallersBytes),
+		MaxConns:             entrySettings.Limits.MaxConns,
 		HeaderTimeout:        entrySettings.Limits.HeaderTimeout,
 		ShutdownGrace:        entrySettings.Limits.ShutdownGrace,
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -1,13 +1,51 @@
 package entry
 
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+)
+
 // chatRequest is the body of a chat or plain completion request, in the
 // format common among model servers. Unknown fields are ignored.
 type chatRequest struct {
-	Model     string        `json:"model"`
-	Messages  []chatMessage `json:"messages"`
-	Prompt    string        `json:"prompt"` // Used if Messages is empty.
-	MaxTokens int           `json:"max_tokens"`
-	Stream    bool          `json:"stream"`
+	Model     string       `json:"model"`
+	Messages  conversation `json:"messages"`
+	Prompt    string       `json:"prompt"` // Used if Messages is empty.
+	MaxTokens int          `json:"max_tokens"`
+	Stream    bool         `json:"stream"`
+}
+
+// conversation is what the prompt is made of: the contents of the messages. They are decoded one at
+// a time, as a list of empty messages takes twenty times its bytes.
+type conversation struct {
+	count    int
+	contents string // Joined by line ends.
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *conversation) UnmarshalJSON(data []byte) error {
+	*c = conversation{}
+	if bytes.Equal(data, []byte("null")) {
+		return nil
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if start, err := decoder.Token(); err != nil || start != json.Delim('[') {
+		return &json.UnmarshalTypeError{Value: "no array", Field: "messages"}
+	}
+	var contents strings.Builder
+	for ; decoder.More(); c.count++ {
+		var m chatMessage
+		if err := decoder.Decode(&m); err != nil {
+			return err
+		}
+		if c.count > 0 {
+			contents.WriteByte('\n')
+		}
+		contents.WriteString(m.Content)
+	}
+	c.contents = contents.String()
+	return nil
 }
 
 // chatMessage is one message of a conversation.
--- a/entry/codes.go
+++ b/entry/codes.go
@@ -20,4 +20,5 @@
 	CodeMethodNotAllowed  = "method_not_allowed"
 	CodeVersionGone       = "version_gone"
 	CodeRetriesExceeded   = "retries_exceeded"
+	CodeCallersMemory     = "callers_memory"
 )
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 
 	"github.com/snipestep/snipestep/endpoint"
 	"github.com/snipestep/snipestep/routing"
@@ -75,14 +74,10 @@
 }
 
 func promptOf(req chatRequest) string {
-	if len(req.Messages) == 0 {
+	if req.Messages.count == 0 {
 		return req.Prompt
 	}
-	contents := make([]string, 0, len(req.Messages))
-	for _, m := range req.Messages {
-		contents = append(contents, m.Content)
-	}
-	return strings.Join(contents, "\n")
+	return req.Messages.contents
 }
 
 func sinkFor(w http.ResponseWriter, req chatRequest, id string) tokenSink {
--- a/entry/config.go
+++ b/entry/config.go
@@ -33,6 +33,8 @@
 	MaxWaiting int
 	// MaxBody bounds a caller's request body, in bytes.
 	MaxBody int64
+	// CallerMemory and MaxConns bound what callers hold, see ingress.Config; 0 means the defaults.
+	CallerMemory, MaxConns int
 	// CallTimeout bounds a call, counted from its arrival.
 	CallTimeout time.Duration
 	// ClaimShards is the number of claim logs; it must be equal at every entry.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/ingress"
 	"github.com/snipestep/snipestep/operator"
 	"github.com/snipestep/snipestep/problem"
 	"github.com/snipestep/snipestep/wire"
@@ -104,8 +105,12 @@
 	mux := http.NewServeMux()
 	callers := &callerHandler{svc: e.calls, now: e.deps.Now}
 	callers.register(mux)
-	mux.Handle("/", operator.NewHandler(e.operators, e.operatorTokens))
+	mux.Handle("/", passOnAtOnce(operator.NewHandler(e.operators, e.operatorTokens)))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := ingress.FromContext(r.Context()).BeginRequest(r.Header); err != nil {
+			writeMemoryRefusal(w)
+			return
+		}
 		if e.leaving.Load() {
 			problem.Write(w, problemOf(leavingRefusal()))
 			return
@@ -114,6 +119,29 @@
 	})
 }
 
+// passOnAtOnce wraps the operators' interface, whose requests lose nothing once their header was
+// read.
+func passOnAtOnce(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := ingress.FromContext(r.Context()).PassOn(); err != nil {
+			writeMemoryRefusal(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// writeMemoryRefusal refuses a request for which callers hold too much memory.
+func writeMemoryRefusal(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	problem.Write(w, problemOf(memoryRefusal()))
+}
+
+// memoryRefusal says that a request was not run since callers hold too much memory.
+func memoryRefusal() *RefusedError {
+	return &RefusedError{Status: http.StatusServiceUnavailable, Code: CodeCallersMemory, Detail: "callers hold too much memory", RetryAfter: time.Second}
+}
+
 // Run serves until ctx ends and then shuts down gracefully: it refuses new
 // calls and waits up to Config.ShutdownGrace for the running ones. It blocks
 // until everything has stopped.
@@ -128,8 +156,16 @@
 	} {
 		e.tasks.Go(func() { task(e.runCtx) })
 	}
+	report := ingress.NewReport(e.deps.Logger, e.deps.Scope)
+	e.tasks.Go(func() { report.Run(e.runCtx) })
+	callers := ingress.NewListener(listener, ingress.Config{
+		Memory: e.cfg.CallerMemory, MaxConns: e.cfg.MaxConns, Report: report,
+		MaxHeadBytes: func() int { return maxHeaderBytes },
+		MaxBodyBytes: func() int64 { return e.cfg.MaxBody },
+	})
+	e.server.ConnState, e.server.ConnContext = callers.ConnState, callers.ConnContext
 	failed := make(chan error, 1)
-	go func() { failed <- e.server.Serve(listener) }()
+	go func() { failed <- e.server.Serve(callers) }()
 	close(e.ready)
 	e.deps.Logger.Info("entry is serving", "http", e.cfg.HTTPAddr)
 	select {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -13,6 +13,7 @@
 
 	"github.com/snipestep/snipestep/fleet"
 	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/ingress"
 	"github.com/snipestep/snipestep/internal/mediatype"
 	"github.com/snipestep/snipestep/problem"
 	"github.com/snipestep/snipestep/routing"
@@ -92,14 +93,28 @@
 	if !mediatype.Is(r.Header, mediatype.JSON) {
 		return nil, newRefusal(http.StatusUnsupportedMediaType, CodeContentType, "the body must be application/json")
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.svc.cfg.MaxBody))
+	conn := ingress.FromContext(r.Context())
+	control := http.NewResponseController(w)
+	// It fails only if the writer has no connection, as in tests that record the response.
+	_ = control.SetReadDeadline(time.Now().Add(h.svc.cfg.CallTimeout))
+	body, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, h.svc.cfg.MaxBody), r.ContentLength)
+	if err == nil {
+		// The call's message holds a copy.
+		err = errors.Join(conn.HoldBody(2*len(body)), conn.PassOn())
+	}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.Is(err, ingress.ErrMemory):
+		w.Header().Set("Connection", "close")
+		return nil, memoryRefusal()
+	case errors.As(err, &tooLarge):
 		return nil, newRefusal(http.StatusRequestEntityTooLarge, CodeBodyTooLarge, tooLarge.Error())
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, newRefusal(http.StatusRequestTimeout, CodeDeadline, "the body came too slowly")
+	case err != nil:
 		return nil, newRefusal(http.StatusBadRequest, CodeBadRequest, "the body ended early")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/entry/telemetry_test.go
+++ b/entry/telemetry_test.go
@@ -37,7 +37,7 @@
 	telemetry.MetricQuarantinedFingerprints, telemetry.MetricStrikes, telemetry.MetricDatagramsRejected,
 	telemetry.MetricStoreErrors, telemetry.MetricRunningCalls, telemetry.MetricQueuedCalls, telemetry.MetricPreemptions,
 	telemetry.MetricEndpointErrors, telemetry.MetricCorruptChunks, telemetry.MetricChunkFaults,
-	telemetry.MetricLeaving, telemetry.MetricProtocolFaults,
+	telemetry.MetricLeaving, telemetry.MetricProtocolFaults, telemetry.MetricCallerLimits,
 }
 
 func TestEveryDeclaredMetricIsReported(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -193,13 +193,18 @@
 	return req.arrivedAt.Add(limit)
 }
 
+// maxBodyBytes returns the size of the largest body.
+func maxBodyBytes(limits directory.Limits) int64 {
+	if limits.MaxBodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return limits.MaxBodyBytes
+}
+
 // readBody reads the complete body. It refuses a body that has not arrived by the
 // request's deadline.
 func readBody(req *request, w http.ResponseWriter, r *http.Request, limits directory.Limits) *refusal {
-	maxBytes := limits.MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
+	maxBytes := maxBodyBytes(limits)
 	if r.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -69,6 +69,7 @@
 	callers := ingress.NewListener(callerListener, ingress.Config{
 		Memory: s.CallerMemory, MaxConns: s.MaxConns, Report: report, HeaderCopies: headerCopies,
 		MaxHeadBytes: func() int { return s.Gateway.limits().MaxHeaderBytes },
+		MaxBodyBytes: func() int64 { return maxBodyBytes(s.Gateway.limits()) },
 	})
 	// No timeouts here: closeOverdue enforces those of the current document.
 	callerServer := &http.Server{
--- a/internal/crowdtest/kinds_test.go
+++ b/internal/crowdtest/kinds_test.go
@@ -5,6 +5,8 @@
 import (
 	"strings"
 	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 const (
@@ -205,3 +207,17 @@
 
 func TestDirectIdleConnections(t *testing.T) { idleConnections(t, startDirect) }
 func TestOwnIdleConnections(t *testing.T)    { idleConnections(t, startOwn) }
+
+// Guards against the refusal of a legal request while nothing else presses: its header section has the
+// largest size, in lines of four bytes as far as there are names.
+func legalHeadServed(t *testing.T, start startFunc) {
+	e := start(t, 0)
+	const body = `{"n":1}`
+	head := e.requestLines(e.path, len(body))
+	rest := legalHead - len(head) - len("\r\n")
+	head += "xxxxx"[:rest%4] + "x:\n" + strings.Repeat("ab:\n", (rest-rest%4-3)/4) + "\r\n"
+	assert.NilError(t, e.serves(head+body))
+}
+
+func TestDirectLegalHeadIsServed(t *testing.T) { legalHeadServed(t, startDirect) }
+func TestOwnLegalHeadIsServed(t *testing.T)    { legalHeadServed(t, startOwn) }
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -13,6 +13,8 @@
 	// DefaultHeadBytes bounds a header section while no document sets a limit.
 	DefaultHeadBytes = 64 << 10
 
+	// maxHeaderCharge is more than what one legal header section and its copy are charged.
+	maxHeaderCharge = 2 << 20
 	// uncountedBytes is the part of the charge of each connection that is not counted, so that
 	// ordinary requests are not refused because others hold much.
 	uncountedBytes = 8 << 10
@@ -60,6 +62,10 @@
 type Config struct {
 	// Memory bounds the charge of all connections together; 0 means DefaultMemory.
 	Memory int
+	// MaxBodyBytes returns the size of the largest body, nil if no handler reads one. Memory is
+	// raised so that two such bodies, each with the copy that is made while it grows, and a
+	// header section fit.
+	MaxBodyBytes func() int64
 	// MaxConns bounds the open connections; 0 means DefaultMaxConns.
 	MaxConns int
 	// MaxHeadBytes returns the largest header section; 0 means DefaultHeadBytes.
--- a/internal/ingress/listener.go
+++ b/internal/ingress/listener.go
@@ -142,7 +142,7 @@
 		if c.state == stateEvicted {
 			return ErrMemory
 		}
-		if grown := counted - c.counted; grown <= 0 || l.total+grown <= l.config.Memory {
+		if grown := counted - c.counted; grown <= 0 || l.total+grown <= l.memory() {
 			l.total += grown
 			c.counted = counted
 			if grown < 0 {
@@ -160,6 +160,14 @@
 	}
 }
 
+// memory returns the bound of the charge of all connections.
+func (l *Listener) memory() int {
+	if l.config.MaxBodyBytes == nil {
+		return l.config.Memory
+	}
+	return max(l.config.Memory, 4*int(l.config.MaxBodyBytes())+maxHeaderCharge)
+}
+
 // releasing reports whether an evicted connection still has to release its charge. The caller holds
 // mu.
 func (l *Listener) releasing() bool {
--- a/settings/direct.go
+++ b/settings/direct.go
@@ -59,10 +59,8 @@
 	minLinkMbps     = 0.01
 	maxLinkMbps     = 1e6
 	maxCallerConns  = 1 << 20
-	// minCallersMiB holds two bodies of the largest size on known deployments, 4 MiB, each with the
-	// copy that is made while it grows, and one header section.
-	minCallersMiB = 18
-	maxCallersMiB = 1 << 16
+	minCallersMiB   = 1
+	maxCallersMiB   = 1 << 16
 )
 
 // LoadDirect reads the settings of snipestep-direct. It returns *Error.
@@ -108,7 +106,7 @@
 			{Name: "stop_grace", Default: "8s", Value: emptyAsDefault{Duration(&direct.StopGrace, time.Second, maxStopGrace), "8s"}, Doc: "Time from the signal to stop until the process is killed."},
 		}},
 		{Name: "memory", Doc: "For entries: what may be held in memory.", Keys: []Key{
-			{Name: "callers_mib", Default: "20", Value: emptyAsDefault{Int(&direct.CallersMiB, minCallersMiB, maxCallersMiB), "20"}, Doc: "Header sections and bodies of requests that all callers together make the entry hold, in MiB; the first 8 KiB of each connection do not count. At least four times max_body_bytes of the document and 2 MiB."},
+			{Name: "callers_mib", Default: "20", Value: emptyAsDefault{Int(&direct.CallersMiB, minCallersMiB, maxCallersMiB), "20"}, Doc: "Header sections and bodies of requests that all callers together make the entry hold, in MiB; the first 8 KiB of each connection do not count. It is raised to four times max_body_bytes of the document and 2 MiB."},
 		}},
 		{Name: "store", Doc: "The platform's store.", Keys: []Key{
 			{Name: "address", Required: true, Value: Address(&direct.StoreAddr), Doc: "TCP address of the store."},
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -38,6 +38,10 @@
 	MaxBodyBytes int64
 	// MaxWaiting limits the calls waiting for an endpoint.
 	MaxWaiting int
+	// CallersBytes limits what all callers together make the entry hold, MaxConns their
+	// connections, 0 for the default of package ingress.
+	CallersBytes int64
+	MaxConns     int
 	// HeaderTimeout is the longest time to read a request's header.
 	HeaderTimeout time.Duration
 	// ShutdownGrace is the longest time that running calls may take to finish at
--- a/settings/entry_loader.go
+++ b/settings/entry_loader.go
@@ -95,6 +95,8 @@
 	minBodyBytes    = 1 << 10
 	maxBodyBytes    = 64 << 20
 	maxWaitingCalls = 1_000_000
+	minCallersBytes = 1 << 20
+	maxCallersBytes = 1 << 36
 )
 
 func (l *entryLoader) limitSection() Section {
@@ -103,6 +105,8 @@
 		Name: "limits",
 		Doc:  "Bounds of what the entry takes.",
 		Keys: []Key{
+			{Name: "callers_memory", Default: "20MiB", Value: Size(&limits.CallersBytes, minCallersBytes, maxCallersBytes), Doc: "Header sections and bodies of requests that all callers together make the entry hold; the first 8 KiB of each connection do not count. It is raised to four times max_body and 2 MiB."},
+			{Name: "max_connections", Default: "0", Value: Int(&limits.MaxConns, 0, maxCallerConns), Doc: "Most connections of callers; 0 for the process's limit of descriptors less 1,024, and at least half of it."},
 			{Name: "max_body", Default: "1MiB", Value: Size(&limits.MaxBodyBytes, minBodyBytes, maxBodyBytes), Doc: "Largest body of a caller's request."},
 			{Name: "max_waiting", Default: "4096", Value: Int(&limits.MaxWaiting, 1, maxWaitingCalls), Doc: "Most calls that wait for an endpoint at this entry."},
 			{Name: "header_timeout", Default: "5s", Value: Duration(&limits.HeaderTimeout, 100*time.Millisecond, time.Minute), Doc: "Longest time to read the header of a request."},
