Give a caller that shuts down its sending side no empty answer

A caller that shuts down its sending side and waits for the answer cancels the request's context. finishBuffered and abort then returned, and net/http sent an empty 200 for a request that may have run, or the end of a stream that was cut. Both panic with http.ErrAbortHandler now, so that the connection ends without an answer, or without the end of the stream.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -186,11 +186,14 @@
 }
 
 // finishBuffered ends a request for which no endpoint gave a successful response:
-// it forwards the last response, if any, else refuses the request.
+// it forwards the last response, if any, else refuses the request. It panics with
+// http.ErrAbortHandler if the caller has left.
 func (g *Gateway) finishBuffered(w http.ResponseWriter, r *http.Request, req *request, response *bufferedResponse, err error) {
 	if r.Context().Err() != nil {
 		g.finish(req, "left", 0, "runs", req.runs, "body_bytes", len(req.body))
-		return
+		// A caller that has only shut down its sending side would take what net/http sends on
+		// return, an empty 200, for the answer.
+		panic(http.ErrAbortHandler)
 	}
 	if response != nil {
 		g.writeResponse(w, req, response)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -307,7 +307,8 @@
 	g, req := s.gateway, s.req
 	if r.Context().Err() != nil || errors.Is(err, errCallerGone) {
 		g.finish(req, "left", 0, "events", s.eventCount, "body_bytes", len(req.body))
-		return
+		// A caller that has only shut down its sending side would take the stream for complete.
+		panic(http.ErrAbortHandler)
 	}
 	if !s.headerSent {
 		g.refuse(s.w, req, finalRefusal(req, err))
