Merge the bounds for callers of the own path

The entry of the own path bounds what callers make it hold, and a caller that shuts down its sending side gets no empty answer; see docs/design/untrusted-callers.md.

--- a/entry/config.go
+++ b/entry/config.go
@@ -34,6 +34,8 @@
 	MaxWaiting int
 	// MaxBody bounds a caller's request body, in bytes.
 	MaxBody int64
+	// CallerMemory and MaxConns bound what callers hold, see ingress.Config; 0 means the defaults.
+	CallerMemory, MaxConns int
 	// CallTimeout bounds a call, counted from its arrival.
 	CallTimeout time.Duration
 	// AnswerBytes bounds the memory for the answers of all calls together.
