Add [memory] answers_mib for agents and entries of the own path

The limit of the memory for answers was a constant of 32 MiB, also for agents with less or much more memory.

--- a/cmd/snipestep-agent/main.go
+++ b/cmd/snipestep-agent/main.go
@@ -60,6 +60,7 @@
 		OriginRegion:            agentSettings.OriginRegion,
 		Policy:                  agentSettings.Policy,
 		ShutdownGrace:           agentSettings.ShutdownGrace,
+		AnswerBytes:             agentSettings.AnswerMiB << 20,
 		IdleFetchBytesPerSecond: float64(agentSettings.Weights.IdleBitsPerSecond) / bitsPerByte,
 		BusyFetchBytesPerSecond: float64(agentSettings.Weights.BusyBitsPerSecond) / bitsPerByte,
 	}
--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -56,6 +56,7 @@
 		Policy:               entrySettings.Policy,
 		MaxWaiting:           entrySettings.Limits.MaxWaiting,
 		MaxBody:              entrySettings.Limits.MaxBodyBytes,
+		AnswerBytes:          entrySettings.AnswerMiB << 20,
 		HeaderTimeout:        entrySettings.Limits.HeaderTimeout,
 		ShutdownGrace:        entrySettings.Limits.ShutdownGrace,
 	}
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -18,6 +18,8 @@
 	// a shutdown.
 	ShutdownGrace time.Duration
 	Telemetry     Telemetry
+	// AnswerMiB limits the memory for the answers of all calls together.
+	AnswerMiB int
 }
 
 // AgentEndpoint describes the endpoint beside an agent.
--- a/settings/agent_loader.go
+++ b/settings/agent_loader.go
@@ -74,6 +74,7 @@
 		l.fleetSection(),
 		l.endpointSection(),
 		l.weightSection(),
+		memorySection(&l.agent.AnswerMiB),
 		telemetrySection(&l.agent.Telemetry),
 	}
 }
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -19,7 +19,9 @@
 	OriginRegion         string
 	Platform             EntryPlatform
 	Limits               EntryLimits
-	Telemetry            Telemetry
+	// AnswerMiB limits the memory for the answers of all calls together.
+	AnswerMiB int
+	Telemetry Telemetry
 	// InitialDocument is written as the first generation if the key-value
 	// service holds no configuration.
 	InitialDocument *fleet.Document
--- a/settings/entry_loader.go
+++ b/settings/entry_loader.go
@@ -43,6 +43,7 @@
 		l.operatorSection(),
 		l.platformSection(),
 		l.limitSection(),
+		memorySection(&l.entry.AnswerMiB),
 		telemetrySection(&l.entry.Telemetry),
 	}
 	return append(fixedSections, l.document.sections()...)
