--- a/cmd/snipestep-entry/main.go
+++ b/cmd/snipestep-entry/main.go
@@ -58,6 +58,7 @@
 		MaxBody:              entrySettings.Limits.MaxBodyBytes,
 		CallerMemory:         int(entrySettings.Limits.CallersBytes),
 		MaxConns:             entrySettings.Limits.MaxConns,
+		AnswerBytes:          entrySettings.AnswerMiB << 20,
 		HeaderTimeout:        entrySettings.Limits.HeaderTimeout,
 		ShutdownGrace:        entrySettings.Limits.ShutdownGrace,
 	}
