--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -27,6 +27,7 @@
 )
 
 func runEntry(ctx context.Context, s *settings.Direct, deployment *directory.Directory, follower *platform.Follower, t *telemetry.Telemetry) error {
+	limitMemory(s)
 	go follower.Run(ctx)
 	g := gateway.New(gateway.Config{
 		Name:               s.InstanceID,
