review: answers are cut when a replica is silent before it ends them

Cause: the gateway moves a stream for silence after its last event; the next replica has nothing to add, which the gateway takes for a failure. Done: review/6, a script: replicas are silent for 1.2 s at the end of each fourth answer while entries are stopped in turn.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Build first: the build line of deploy/system.toml, then review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/snipestep-direct ] && [ -x target/review-standin-2 ] || exit 2
-exec target/review-standin-2 crash-after-event review/6
+exec target/review-standin-2 silent-end review/6
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,6 +34,7 @@
 		"crash-light-traffic": crashInLightTraffic,
 		"held-requests":       heldRequests,
 		"leave":               leave,
+		"silent-end":          silentEnd,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 CASE FOLDER")
