--- a/review/standin-2/consumer.go
+++ b/review/standin-2/consumer.go
@@ -17,6 +17,9 @@
 // attempts numbers the consumer attempts.
 var attempts atomic.Int64
 
+// sent is the record of what consumers send.
+var sent *record
+
 func newAttemptID() string {
 	return fmt.Sprintf("%016x", 0x1c41d07be2a30000+attempts.Add(1))
 }
@@ -61,6 +64,7 @@
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
+	sent.line("a consumer sends %s %s%s to %s as %s, part list %q", method, routeHost, path, entry.http, a.attempt, header["Snipestep-Prefix-Hash"])
 	response, err := client.Do(request)
 	if err != nil {
 		a.err, a.took = err, time.Since(began)
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -45,6 +45,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
+	sent = rec
 	lock, err := takeBlock()
 	if err != nil {
 		rec.say("the case could not run: %v", err)
