Take the end of a connection for that of an answer only after the whole request

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a response without a length or chunks ends with its connection. Linux reports a reset once, to the call that meets it first. If that is the write of the upload, the next read finds a plain end of the stream, and net/http takes it for the end of the body before the failed write has closed the connection. An end in order (FIN) during the upload was taken for the end of the body as well.

Change: connguard.Conn sees both directions. It follows how much of the request was written and which error ended the writing. When the stream ends after a part of a response, it waits for a write under way, which it interrupts, and passes the end on only if the request was written whole and no write failed; else reads get *BrokenResponseError, which counts as a lost connection. A response with a length or chunks is complete by them as before: net/http does not read on after them.

Early answers that are complete by a length or chunks still arrive, with the connection open or ended in order; that held before too.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strings"
 	"time"
@@ -152,7 +151,7 @@
 func (g *Gateway) roundTrip(ctx context.Context, r *http.Request, req *request, endpoint *directory.Endpoint, lastEventID string) (*http.Response, *connguard.Progress, error) {
 	for lost, metAgain := 0, 0; ; {
 		progress := connguard.NewProgress(req.metadata.ID, &req.exchanges)
-		endpointRequest := g.newEndpointRequest(httptrace.WithClientTrace(ctx, progress.Trace()), r, req, endpoint, lastEventID)
+		endpointRequest := g.newEndpointRequest(connguard.WithProgress(ctx, progress), r, req, endpoint, lastEventID)
 		response, err := g.deps.Transport.RoundTrip(endpointRequest)
 		if err == nil || !progress.LostIdleConn() || ctx.Err() != nil {
 			return response, progress, err
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -46,7 +46,8 @@
 type Deps struct {
 	Directory   *directory.Directory
 	HeaderCodec HeaderCodec
-	// Transport sends requests to endpoints.
+	// Transport sends requests to endpoints. The gateway checks its responses, see
+	// connguard.Transport.
 	Transport http.RoundTripper
 	// Now is the clock of the directory's declared versions.
 	Now    func() time.Time
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/loadreport"
 	"github.com/snipestep/snipestep/routing/admission"
@@ -82,6 +83,7 @@
 
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
+	deps.Transport = connguard.NewTransport(deps.Transport)
 	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.services.Store(&map[string]*service{})
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -82,7 +82,13 @@
 // the given endpoints.
 func newFixture(t *testing.T, endpoints ...http.HandlerFunc) *fixture {
 	t.Helper()
-	f := newOfflineFixture()
+	return newFixtureOver(t, connguard.Wrap(new(net.Dialer).DialContext), endpoints...)
+}
+
+// newFixtureOver is newFixture with connections to endpoints that dial opens.
+func newFixtureOver(t *testing.T, dial connguard.DialFunc, endpoints ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := newOfflineFixtureOver(dial)
 	for _, handler := range endpoints {
 		server := httptest.NewServer(handler)
 		t.Cleanup(server.Close)
@@ -96,10 +102,14 @@
 
 // newOfflineFixture is newFixture without endpoints and without a server.
 func newOfflineFixture() *fixture {
+	return newOfflineFixtureOver(connguard.Wrap(new(net.Dialer).DialContext))
+}
+
+func newOfflineFixtureOver(dial connguard.DialFunc) *fixture {
 	logger := slog.New(slog.DiscardHandler)
 	d := directory.New(logger)
 	g := New(Config{Name: "e", Region: "r", RetryRatio: 1, RetryBurst: 1000, VersionBound: 8 * time.Second, Seed: 1}, Deps{
-		Directory: d, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DialContext: connguard.Wrap(new(net.Dialer).DialContext), DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
+		Directory: d, HeaderCodec: testHeaderCodec{}, Now: time.Now, Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: testHeaderBytes}, Logger: logger, Scope: tally.NoopScope,
 	})
 	f := &fixture{gateway: g, directory: d}
 	document := &directory.Document{Version: 1, RequiresKeys: true, Services: map[string]*directory.Service{"s": {Name: "s"}}}
--- /dev/null
+++ b/internal/connguard/brokenresponse.go
@@ -0,0 +1,42 @@
+package connguard
+
+import (
+	"fmt"
+	"io"
+)
+
+// BrokenKind says what makes a response no answer.
+type BrokenKind string
+
+// BrokenEnd is a connection that ended, and the response with it, before the request was written
+// whole.
+const BrokenEnd BrokenKind = "connection_end"
+
+// BrokenResponseError reports bytes of a server that are no response, or only a part of one.
+type BrokenResponseError struct {
+	Kind BrokenKind
+	// Detail is the broken part, without control characters.
+	Detail string
+	// Cause is nil if there is none beside the response itself.
+	Cause error
+}
+
+// Error implements error.
+func (e *BrokenResponseError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("broken response (%s): %s", e.Kind, e.Detail)
+	}
+	return fmt.Sprintf("broken response (%s): %s: %v", e.Kind, e.Detail, e.Cause)
+}
+
+// Unwrap returns the cause. A response that its connection cut short is one that ended unexpectedly.
+func (e *BrokenResponseError) Unwrap() []error {
+	var causes []error
+	if e.Cause != nil {
+		causes = append(causes, e.Cause)
+	}
+	if e.Kind == BrokenEnd {
+		causes = append(causes, io.ErrUnexpectedEOF)
+	}
+	return causes
+}
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -14,21 +18,28 @@
 var ErrNotIdle = eris.New("server closed the connection or sent bytes before the request")
 
 // Conn is a connection on which bytes count as a response only after a request was
-// written.
+// written, and whose end counts as that of a response only if the request was written whole.
 type Conn struct {
 	net.Conn
 	// number tells the connections of the process apart, from 1.
 	number uint64
 
 	mu      sync.Mutex // Guards the fields below.
-	changed *sync.Cond // Signals changes of reading and closed.
+	changed *sync.Cond // Signals changes of reading, writing and closed.
 	reading bool       // A Read waits for bytes.
+	writing bool       // A Write is under way.
 	closed  bool
 	// claimant is the request that got the connection and wrote nothing yet.
 	claimant *Progress
 	notIdle  bool // The connection carries no more requests.
 	requests int  // Requests that were written, the current one included.
 	recent   recentIDs
+
+	// Of the newest request: what was written of it, the error that ended the writing, and the bytes
+	// read since it began.
+	upload        upload
+	writeErr      error
+	responseBytes int64
 }
 
 // lastNumber is the number of the newest connection of the process.
@@ -81,11 +92,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.claimant == nil {
-		return n, err
+	if c.claimant != nil {
+		c.notIdle = true
+		return 0, ErrNotIdle
 	}
-	c.notIdle = true
-	return 0, ErrNotIdle
+	c.responseBytes += int64(n)
+	if errors.Is(err, io.EOF) && c.requests > 0 && c.responseBytes > 0 {
+		return n, c.endOfResponse()
+	}
+	return n, err
+}
+
+// endOfResponse returns io.EOF for a connection that ended in order after the request was written
+// whole, else *BrokenResponseError. The end of the stream alone does not tell: the kernel reports a
+// reset once, and if that was to a write, reads find a plain end. It is called with mu held.
+func (c *Conn) endOfResponse() error {
+	if c.writing {
+		// A write that waits for the peer ends; one that has written everything succeeds.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+	}
+	for c.writing {
+		c.changed.Wait()
+	}
+	if c.writeErr == nil && c.upload.complete() {
+		return io.EOF
+	}
+	return &BrokenResponseError{Kind: BrokenEnd, Detail: "connection ended before the request was written whole", Cause: c.writeErr}
 }
 
 // Write implements net.Conn.
@@ -93,7 +125,9 @@
 	if err := c.beginWrite(); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.endWrite(p[:n], err)
+	return n, err
 }
 
 // beginWrite reports a request that must not be written. The request then counts as
@@ -109,14 +143,29 @@
 	}
 	if c.claimant != nil {
 		c.requests++
+		c.upload = upload{bodyLeft: c.claimant.bodyBytes}
+		c.writeErr, c.responseBytes = nil, 0
 		c.claimant.recordWrite(c)
 		c.claimant.use.Store(int64(c.requests))
 		c.claimant.sent.Store(true)
 		c.claimant = nil
 	}
+	c.writing = true
 	return nil
 }
 
+// endWrite records what a write wrote and how it ended.
+func (c *Conn) endWrite(written []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upload.advance(written)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // Only endOfResponse sets a deadline.
+		c.writeErr = err
+	}
+	c.writing = false
+	c.changed.Broadcast()
+}
+
 // retire closes the connection. A request that gets it later is not written.
 func (c *Conn) retire() {
 	c.mu.Lock()
--- a/internal/connguard/doc.go
+++ b/internal/connguard/doc.go
@@ -7,6 +7,11 @@
 // request shows that the two sides disagree on which request comes next: Progress.Retire
 // then keeps the connection from carrying any further request.
 //
+// The end of such a connection is the end of a response that has neither a length nor chunks. It
+// counts as one only if the connection ended in order after the request was written whole; a
+// response with a length or chunks is complete by them, at any time. A Transport connects the two
+// sides: it tells a connection how long the request is.
+//
 // An ID in a response tells to which request it belongs, unless the server wrote the response to
 // an earlier attempt of the same request once more. So a connection carries a request at most
 // once: see Exchanges.
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -1,6 +1,7 @@
 package connguard
 
 import (
+	"context"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,8 @@
 	// id and exchanges are those of the request, empty and nil for none.
 	id        string
 	exchanges *Exchanges
+	// bodyBytes is the length of the request's body. Transport sets it.
+	bodyBytes int64
 
 	connRequested atomic.Bool
 	connReused    atomic.Bool
@@ -29,6 +32,14 @@
 	return &Progress{id: id, exchanges: exchanges}
 }
 
+// progressKey is the key of a request's progress in its context.
+type progressKey struct{}
+
+// WithProgress returns a context for a request that a Transport sends: its progress is p.
+func WithProgress(ctx context.Context, p *Progress) context.Context {
+	return context.WithValue(httptrace.WithClientTrace(ctx, p.Trace()), progressKey{}, p)
+}
+
 // wasWrittenOn is called with the connection's mutex held, as is recordWrite.
 func (p *Progress) wasWrittenOn(c *Conn) bool {
 	return (p.exchanges != nil && p.exchanges.contains(c)) || (p.id != "" && c.recent.contains(p.id))
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
@@ -94,7 +93,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &TransportError{Cause: err}
 	}
-	httpRequest, err := c.newHTTPRequest(httptrace.WithClientTrace(ctx, progress.Trace()), request)
+	httpRequest, err := c.newHTTPRequest(connguard.WithProgress(ctx, progress), request)
 	if err != nil {
 		return nil, &TransportError{Cause: err}
 	}
--- a/internal/httpcall/config.go
+++ b/internal/httpcall/config.go
@@ -20,8 +20,8 @@
 type Config struct {
 	// BaseURL is scheme, IP and port, e.g. "http://127.0.0.1:8080".
 	BaseURL string
-	// Client sends the requests; nil uses a client without proxies. Redirects
-	// are never followed.
+	// Client sends the requests; nil uses a client without proxies. Its responses are
+	// checked, see connguard.Transport. Redirects are never followed.
 	Client *http.Client
 	// Timeout limits Do and Call; 0 leaves the limit to the context.
 	Timeout time.Duration
@@ -44,6 +44,7 @@
 	if c.Client != nil {
 		client = *c.Client
 	}
+	client.Transport = connguard.NewTransport(client.Transport)
 	client.CheckRedirect = refuseRedirect
 	return &client
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -17,6 +17,7 @@
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/intent"
 	"github.com/snipestep/snipestep/internal/bearer"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/internal/httpcall"
 	"github.com/snipestep/snipestep/problem"
 )
@@ -43,7 +44,9 @@
 	if client == nil {
 		client = defaultClient
 	}
-	return &Client{servers: servers, token: token, httpClient: client}
+	checked := *client
+	checked.Transport = connguard.NewTransport(client.Transport)
+	return &Client{servers: servers, token: token, httpClient: &checked}
 }
 
 // Propose requests a plan for an intent. Nothing changes until the plan is
--- a/operator/transport.go
+++ b/operator/transport.go
@@ -1,6 +1,10 @@
 package operator
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/snipestep/snipestep/internal/connguard"
+)
 
 // maxHeaderBytes limits the head of a response, interim ones included.
 const maxHeaderBytes = 64 << 10
@@ -14,5 +18,6 @@
 	}
 	transport = transport.Clone()
 	transport.MaxResponseHeaderBytes = maxHeaderBytes
+	transport.DialContext = connguard.Wrap(transport.DialContext)
 	return &http.Client{Transport: transport}
 }
