Take a status code below 100 for no answer

What callers saw: an endpoint in trouble sent an answer whose status was 000. On the path through agents and at httpcall it was an answer, with its body; a command of an operator took it for a success, a confirmation too. At the gateway the handler panicked in WriteHeader and the connection was aborted: the caller got none, but a request that may be repeated wasn't, and the endpoint counted as one that had served.

Cause: net/http takes any status of three characters that is a number, such as 000, 099 and +99, and nothing looked at it.

The store, the origin and an engine refused them as any status other than success.

Change: connguard.Transport, through which all readers go, checks the head before it returns a response. A broken one is an error, so that it is dealt with as an endpoint that broke off: another endpoint where the request may be repeated, else 502 or a cut connection; what it says in its header is not read. Its connection is closed and carries nothing more: net/http offers a connection to the next request before a response without a body is returned, so a request that gets it now waits until that response was checked.

--- a/internal/connguard/brokenresponse.go
+++ b/internal/connguard/brokenresponse.go
@@ -8,9 +8,13 @@
 // BrokenKind says what makes a response no answer.
 type BrokenKind string
 
-// BrokenEnd is a connection that ended, and the response with it, before the request was written
-// whole.
-const BrokenEnd BrokenKind = "connection_end"
+const (
+	// BrokenEnd is a connection that ended, and the response with it, before the request was written
+	// whole.
+	BrokenEnd BrokenKind = "connection_end"
+	// BrokenStatus is a status code below 100.
+	BrokenStatus BrokenKind = "status_code"
+)
 
 // BrokenResponseError reports bytes of a server that are no response, or only a part of one.
 type BrokenResponseError struct {
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -25,12 +25,16 @@
 	number uint64
 
 	mu      sync.Mutex // Guards the fields below.
-	changed *sync.Cond // Signals changes of reading, writing and closed.
+	changed *sync.Cond // Signals changes of reading, writing, closed and unchecked.
 	reading bool       // A Read waits for bytes.
 	writing bool       // A Write is under way.
 	closed  bool
 	// claimant is the request that got the connection and wrote nothing yet.
 	claimant *Progress
+	// unchecked is the request whose response is still to be checked. net/http gives the connection
+	// away before that if the response has no body.
+	unchecked *Progress
+
 	notIdle  bool // The connection carries no more requests.
 	requests int  // Requests that were written, the current one included.
 	recent   recentIDs
@@ -67,12 +71,13 @@
 
 // claim registers the request that is about to be written. It blocks until the
 // transport has used up all that it read before: it then waits for more, or
-// closes the connection because of bytes that belong to no request. A request that was
+// closes the connection because of bytes that belong to no request. It blocks also until the
+// response before was checked, which takes no I/O. A request that was
 // written on the connection before, or that has the ID of a recent one, is not written.
 func (c *Conn) claim(claimant *Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.reading && !c.closed {
+	for (!c.reading || c.unchecked != nil) && !c.closed {
 		c.changed.Wait()
 	}
 	c.claimant = claimant
@@ -145,6 +150,9 @@
 		c.requests++
 		c.upload = upload{bodyLeft: c.claimant.bodyBytes}
 		c.writeErr, c.responseBytes = nil, 0
+		if c.claimant.checked {
+			c.unchecked = c.claimant
+		}
 		c.claimant.recordWrite(c)
 		c.claimant.use.Store(int64(c.requests))
 		c.claimant.sent.Store(true)
@@ -166,6 +174,16 @@
 	c.changed.Broadcast()
 }
 
+// accept lets other requests claim the connection after the response to p.
+func (c *Conn) accept(p *Progress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unchecked == p {
+		c.unchecked = nil
+		c.changed.Broadcast()
+	}
+}
+
 // retire closes the connection. A request that gets it later is not written.
 func (c *Conn) retire() {
 	c.mu.Lock()
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -14,8 +14,10 @@
 	// id and exchanges are those of the request, empty and nil for none.
 	id        string
 	exchanges *Exchanges
-	// bodyBytes is the length of the request's body. Transport sets it.
+	// bodyBytes is the length of the request's body, and checked says that a Transport will check
+	// the response: Transport sets both.
 	bodyBytes int64
+	checked   bool
 
 	connRequested atomic.Bool
 	connReused    atomic.Bool
@@ -118,6 +120,13 @@
 	return p.metAgain.Load()
 }
 
+// accept lets the request's connection carry another request: the response was checked.
+func (p *Progress) accept() {
+	if conn := p.conn.Load(); conn != nil {
+		conn.accept(p)
+	}
+}
+
 // Retire keeps the request's connection from carrying another request, also if net/http has
 // put it back already: it does so before it returns a response without a body.
 func (p *Progress) Retire() {
--- a/internal/connguard/transport.go
+++ b/internal/connguard/transport.go
@@ -33,7 +33,18 @@
 		request = request.WithContext(WithProgress(request.Context(), progress))
 	}
 	progress.bodyBytes = max(request.ContentLength, 0)
-	return t.base.RoundTrip(request)
+	progress.checked = true
+	response, err := t.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response.StatusCode); err != nil {
+		progress.Retire()
+		_ = response.Body.Close()
+		return nil, err
+	}
+	progress.accept()
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections of the base that carry no request.
