Take a response with a malformed field name for no answer

What callers saw: an endpoint in trouble sent a head in which the name of a field held a blank ("X Plain: 1") or ended with one ("X-Plain : 1", "Content-Length : 2", "Transfer-Encoding : chunked"). At the gateway it was a 200 with that line dropped, at httpcall an answer with the line in its header, and the body was read as if the line were not there. The same for a line of an interim response or a trailer, and for the store, the origin, an engine and an operator's commands.

Cause: textproto keeps names with blanks, for servers that send them by mistake, and net/http reads neither a length nor a coding from such a line. Whoever reads it as the field that it resembles finds another body.

Change: checkHead also checks that each name is a token (RFC 9110, section 5.1), by httpguts of golang.org/x/net, which was an indirect dependency. Interim responses are checked as they arrive, trailers at the end of the body; a connection carries no other request before that. net/http counts interim responses towards the bound on a head only while nobody looks at them, so connguard counts them: the bound of 64 KiB stays. Lines that net/http refuses have a kind of their own. A stream whose trailer is broken is broken off: its events were passed on.

--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,9 +13,12 @@
 	"github.com/snipestep/snipestep/internal/fakes"
 )
 
-// brokenHeads returns answers with a broken head. ID in them stands for that of the request.
+// brokenHeads returns answers with a broken head or trailer. ID in them stands for that of the
+// request.
 func brokenHeads() map[string]string {
-	return fakes.BrokenStatuses("Id: ID\r\n")
+	answers := fakes.BrokenHeads("Id: ID\r\n", runEvent)
+	maps.Copy(answers, fakes.BrokenTrailers("Id: ID\r\n", runEvent))
+	return answers
 }
 
 // requestsUntilSetAside is after how many failures in a row an endpoint gets no more requests.
@@ -67,6 +71,10 @@
 				second := startRawEndpoint(t, answerAfter(""))
 				f.addWhenReached(broken, second)
 				response, body, err := f.send(t, path, nil)
+				if path == "/stream/" && strings.HasSuffix(name, "trailer") {
+					assert.Assert(t, err != nil, "the stream looks complete: %q", body)
+					return
+				}
 				assert.NilError(t, err)
 				if want == "" {
 					assert.Equal(t, response.StatusCode, http.StatusBadGateway)
--- a/internal/connguard/brokenresponse.go
+++ b/internal/connguard/brokenresponse.go
@@ -14,6 +14,12 @@
 	BrokenEnd BrokenKind = "connection_end"
 	// BrokenStatus is a status code below 100.
 	BrokenStatus BrokenKind = "status_code"
+	// BrokenFieldName is a line of a head or a trailer with bytes before its colon that are no field
+	// name.
+	BrokenFieldName BrokenKind = "field_name"
+	// BrokenFieldLine is a line of a head or a trailer that net/http refuses: it has no colon, or
+	// other bytes that a field must not have.
+	BrokenFieldLine BrokenKind = "field_line"
 )
 
 // BrokenResponseError reports bytes of a server that are no response, or only a part of one.
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -184,6 +184,13 @@
 	}
 }
 
+// bytesRead returns how many bytes were read since the newest request was written.
+func (c *Conn) bytesRead() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.responseBytes
+}
+
 // retire closes the connection. A request that gets it later is not written.
 func (c *Conn) retire() {
 	c.mu.Lock()
--- a/internal/connguard/head.go
+++ b/internal/connguard/head.go
@@ -1,16 +1,61 @@
 package connguard
 
-import "strconv"
+import (
+	"errors"
+	"net/http"
+	"net/textproto"
+	"strconv"
 
-// minStatus is the lowest status code (RFC 9110, section 15). net/http takes any number of three
-// digits, and one of two digits with a sign.
-const minStatus = 100
+	"golang.org/x/net/http/httpguts"
+)
 
-// checkHead returns *BrokenResponseError for a status code that is none. net/http refuses the other
-// malformed ones.
-func checkHead(status int) error {
+const (
+	// minStatus is the lowest status code (RFC 9110, section 15). net/http takes any number of three
+	// digits, and one of two digits with a sign.
+	minStatus = 100
+	// maxInterimBytes bounds the interim responses before a final one. It is the bound on the head of
+	// a response that all transports here have; net/http counts both together only while nobody
+	// looks at interim responses. maxInterims of the shortest ones, of 17 bytes, take as much: it
+	// serves connections that Wrap did not open.
+	maxInterimBytes = 64 << 10
+	maxInterims     = maxInterimBytes / 17
+	// maxDetailBytes bounds what an error quotes of a response.
+	maxDetailBytes = 64
+)
+
+// checkHead returns *BrokenResponseError for the head of a final or interim response that is none.
+// net/http refuses the other malformed ones.
+func checkHead(status int, header http.Header) error {
 	if status < minStatus {
 		return &BrokenResponseError{Kind: BrokenStatus, Detail: strconv.Itoa(status)}
 	}
+	return checkFieldNames(header)
+}
+
+// checkFieldNames returns *BrokenResponseError if a field of a head or a trailer has a name that is
+// no token (RFC 9110, section 5.1). net/http keeps names that hold blanks or end with one: whoever
+// reads the line as the field that it resembles, such as a length, finds another body.
+func checkFieldNames(header http.Header) error {
+	for name, values := range header {
+		// A trailer that was only announced has no value.
+		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
+			return &BrokenResponseError{Kind: BrokenFieldName, Detail: quote(name)}
+		}
+	}
 	return nil
 }
+
+// brokenLine returns *BrokenResponseError for an error of net/http about a line of a head or a
+// trailer, else err.
+func brokenLine(err error) error {
+	var malformed textproto.ProtocolError
+	if errors.As(err, &malformed) {
+		return &BrokenResponseError{Kind: BrokenFieldLine, Detail: quote(string(malformed))}
+	}
+	return err
+}
+
+// quote returns text without control characters, cut to maxDetailBytes.
+func quote(text string) string {
+	return strconv.Quote(text[:min(len(text), maxDetailBytes)])
+}
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -2,11 +2,18 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
+// ErrInterimTooLong reports interim responses that take as much as a head may.
+var ErrInterimTooLong = eris.New("interim responses are too long")
+
 // Progress records whether the transport requested a connection for a request, which one it
 // got, and whether it wrote to it. It serves one attempt of a request; the zero value serves a
 // request whose responses are not told apart by an ID.
@@ -26,6 +33,7 @@
 	metAgain      atomic.Bool
 	use           atomic.Int64
 	firstByteAt   atomic.Pointer[time.Time]
+	interims      atomic.Int64
 }
 
 // NewProgress returns the progress of an attempt of a request whose responses carry id. exchanges
@@ -72,6 +80,9 @@
 			}
 			p.sent.Store(true)
 		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			return p.checkInterim(http.Header(header))
+		},
 		GotFirstResponseByte: func() {
 			now := time.Now()
 			p.firstByteAt.Store(&now)
@@ -79,6 +90,18 @@
 	}
 }
 
+// checkInterim returns an error, which ends the connection, for an interim response with a broken
+// head and for too many of them.
+func (p *Progress) checkInterim(header http.Header) error {
+	if conn := p.conn.Load(); conn != nil && conn.bytesRead() > maxInterimBytes {
+		return ErrInterimTooLong
+	}
+	if p.interims.Add(1) > maxInterims {
+		return ErrInterimTooLong
+	}
+	return checkFieldNames(header)
+}
+
 // Sent reports whether bytes may have been sent, by a transport that calls the trace hooks.
 func (p *Progress) Sent() bool {
 	return p.sent.Load()
--- a/internal/connguard/transport.go
+++ b/internal/connguard/transport.go
@@ -1,6 +1,9 @@
 package connguard
 
-import "net/http"
+import (
+	"net/http"
+	"slices"
+)
 
 // Transport sends requests through another transport and takes only sound responses for answers.
 // Errors for others wrap *BrokenResponseError; reads of a body return it too. Whatever reads
@@ -36,13 +39,17 @@
 	progress.checked = true
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
-		return nil, err
+		return nil, brokenLine(err)
 	}
-	if err := checkHead(response.StatusCode); err != nil {
+	if err := checkHead(response.StatusCode, response.Header); err != nil {
 		progress.Retire()
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if response.Body != http.NoBody && slices.Contains(response.TransferEncoding, "chunked") {
+		response.Body = &trailerBody{ReadCloser: response.Body, response: response, progress: progress}
+		return response, nil
+	}
 	progress.accept()
 	return response, nil
 }
--- a/internal/fakes/earlyserver.go
+++ b/internal/fakes/earlyserver.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,7 @@
 	answer   func(*http.Request) string
 	running  sync.WaitGroup
 	closing  chan struct{}
+	conns    atomic.Int64
 	// resets has, by the peer's address, a channel that is closed once the connection was reset.
 	resets sync.Map
 }
@@ -56,6 +58,7 @@
 			if err != nil {
 				return
 			}
+			s.conns.Add(1)
 			s.running.Go(func() { s.serve(conn) })
 		}
 	})
@@ -67,6 +70,11 @@
 	return s.listener.Addr().String()
 }
 
+// Conns returns the number of connections so far.
+func (s *EarlyServer) Conns() int64 {
+	return s.conns.Load()
+}
+
 // Close ends all connections and waits until they have ended.
 func (s *EarlyServer) Close() {
 	close(s.closing)
--- a/operator/brokenhead_test.go
+++ b/operator/brokenhead_test.go
@@ -12,7 +12,7 @@
 
 // Guards against an answer with a broken head that a command takes for one, such as a confirmation.
 func TestBrokenHeadIsNoAnswer(t *testing.T) {
-	for answerName, answer := range fakes.BrokenStatuses("") {
+	for answerName, answer := range fakes.BrokenHeads("", "null") {
 		for clientName, client := range map[string]*http.Client{"default": nil, "own": {}} {
 			for callName, call := range endlessCalls {
 				t.Run(answerName+"/"+clientName+"/"+callName, func(t *testing.T) {
