Log and count broken responses

A broken response was an error without a name of its own: an agent wrote no line at all about an attempt that failed, and no counter told broken responses from lost connections.

Change: snipestep_broken_responses_total counts them by fault, for all servers that a process reads from. The gateway's line "attempt failed" names the fault beside the request, the endpoint and what was broken; agents write "endpoint sent a broken response" with the attempt and the fault. The error of a broken interim response is kept, as net/http may return that of a write that failed because the connection was closed for it.

--- a/agent/components.go
+++ b/agent/components.go
@@ -115,7 +115,7 @@
 
 func (a *Agent) newRunner() runner {
 	if a.deps.Engine != nil {
-		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched, counters: &a.counters, answers: a.answers}
+		return &modelRunner{engine: a.deps.Engine, state: a.state, sched: a.sched, counters: &a.counters, answers: a.answers, logger: a.deps.Logger}
 	}
-	return &plainRunner{service: a.cfg.Instance.Service, client: a.deps.PlainService, state: a.state, sched: a.sched, counters: &a.counters}
+	return &plainRunner{service: a.cfg.Instance.Service, client: a.deps.PlainService, state: a.state, sched: a.sched, counters: &a.counters, logger: a.deps.Logger}
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/snipestep/snipestep/core"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/telemetry"
 	"github.com/snipestep/snipestep/wire"
 )
@@ -20,6 +21,7 @@
 	s := telemetry.NewSampler(a.deps.Scope)
 	a.sampleCalls(s)
 	a.sampleNetwork(s)
+	connguard.SampleBrokenResponses(s)
 	s.Gauge(telemetry.MetricConfigGeneration, nil, func() float64 { return float64(a.documents.Generation()) })
 	s.Gauge(telemetry.MetricSessions, nil, func() float64 { return float64(len(a.listener.Sessions())) })
 	s.Gauge(telemetry.MetricWeightsVerified, nil, a.verifiedRatio)
--- a/agent/modelrunner.go
+++ b/agent/modelrunner.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -22,6 +23,7 @@
 	sched    *scheduler
 	counters *counters
 	answers  *heldbytes.Budget
+	logger   *slog.Logger
 }
 
 // run implements runner.
@@ -147,6 +149,7 @@
 
 // failureEvent converts an engine's error to the attempt's final event.
 func (m *modelRunner) failureEvent(ctx context.Context, j *job, err error) *wire.CallEvent {
+	logBrokenResponse(m.logger, j, err)
 	var notStarted *endpoint.NotStartedError
 	if errors.As(err, &notStarted) {
 		restAfter(m.sched, err)
--- a/agent/plainrunner.go
+++ b/agent/plainrunner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"github.com/snipestep/snipestep/endpoint"
@@ -21,6 +22,7 @@
 	state    *endpointState
 	sched    *scheduler
 	counters *counters
+	logger   *slog.Logger
 }
 
 // run implements runner.
@@ -43,6 +45,7 @@
 }
 
 func (p *plainRunner) failureEvent(ctx context.Context, j *job, err error) *wire.CallEvent {
+	logBrokenResponse(p.logger, j, err)
 	var notStarted *endpoint.NotStartedError
 	if errors.As(err, &notStarted) {
 		restAfter(p.sched, err)
--- a/cmd/snipestep-direct/main.go
+++ b/cmd/snipestep-direct/main.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/snipestep/snipestep/directory"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/internal/daemon"
 	"github.com/snipestep/snipestep/platform"
 	"github.com/snipestep/snipestep/settings"
@@ -99,6 +100,9 @@
 	follower.InitialVersionAge = max(s.VersionBound-staleVersionGrace, 0)
 	go watchSettings(ctx, path, s, store, t.Logger)
 	go reportDroppedLines(ctx, t.Scope, out)
+	sampler := telemetry.NewSampler(t.Scope)
+	connguard.SampleBrokenResponses(sampler)
+	go sampler.Run(ctx)
 	if role == "entry" {
 		err = runEntry(ctx, s, deployment, follower, t)
 	} else {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/snipestep/snipestep/backing"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/telemetry"
 )
 
@@ -44,6 +45,7 @@
 // sampler returns the sampler of the entry's metrics. The sockets must be open.
 func (e *Entry) sampler() *telemetry.Sampler {
 	s := telemetry.NewSampler(e.deps.Scope)
+	connguard.SampleBrokenResponses(s)
 	for rank := range core.RankCount {
 		s.Gauge(telemetry.MetricWaitingCalls, rankTag(core.Rank(rank)), func() float64 {
 			return float64(e.dispatcher.waitingByRank[rank].Load())
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/routing/admission"
 )
@@ -95,6 +96,10 @@
 		"request", req.metadata.ID, "fingerprint", req.fingerprintText(), "endpoint", attempt.grant.EndpointID, "begun", mayHaveRun, "error", errorText(err),
 		"after_ms", time.Since(attempt.sentAt).Milliseconds(), "set_aside", breakerOpened,
 	}
+	var broken *connguard.BrokenResponseError
+	if errors.As(err, &broken) {
+		fields = append(fields, "fault", string(broken.Kind))
+	}
 	fields = append(fields, attempt.exchangeFields(req)...)
 	req.logger.Info("attempt failed", append(fields, estimateFields(attempt.grant.Estimate)...)...)
 }
--- a/gateway/brokenhead_test.go
+++ b/gateway/brokenhead_test.go
@@ -68,9 +68,17 @@
 				t.Parallel()
 				broken := startRawEndpoint(t, answerOnce(text, new(atomic.Int64)))
 				f := newRawFixture(t, 2, broken)
+				var log logRecorder
+				f.gateway.deps.Logger = log.logger()
 				second := startRawEndpoint(t, answerAfter(""))
 				f.addWhenReached(broken, second)
 				response, body, err := f.send(t, path, nil)
+				failure := log.lines(t, "attempt failed")[0]
+				assert.Equal(t, failure["endpoint"], "i-0")
+				assert.Equal(t, failure["request"], "42")
+				// net/http refuses these statuses with an error of no type.
+				refused := strings.Contains(failure["error"].(string), "malformed HTTP status code")
+				assert.Assert(t, failure["fault"] != nil || refused, "the line does not tell what was broken: %v", failure["error"])
 				if path == "/stream/" && strings.HasSuffix(name, "trailer") {
 					assert.Assert(t, err != nil, "the stream looks complete: %q", body)
 					return
--- a/internal/connguard/brokenresponse.go
+++ b/internal/connguard/brokenresponse.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
+
+	"github.com/snipestep/snipestep/telemetry"
 )
 
 // BrokenKind says what makes a response no answer.
@@ -31,6 +34,25 @@
 	Cause error
 }
 
+// brokenCounts counts the broken responses that the process has met.
+var brokenCounts = map[BrokenKind]*atomic.Int64{
+	BrokenEnd: new(atomic.Int64), BrokenStatus: new(atomic.Int64), BrokenFieldName: new(atomic.Int64), BrokenFieldLine: new(atomic.Int64),
+}
+
+// newBrokenResponse counts a broken response and returns its error.
+func newBrokenResponse(kind BrokenKind, detail string, cause error) *BrokenResponseError {
+	brokenCounts[kind].Add(1)
+	return &BrokenResponseError{Kind: kind, Detail: detail, Cause: cause}
+}
+
+// SampleBrokenResponses adds the number of broken responses of all servers, by their kind, to the
+// metrics of a sampler.
+func SampleBrokenResponses(s *telemetry.Sampler) {
+	for kind, count := range brokenCounts {
+		s.Counter(telemetry.MetricBrokenResponses, map[string]string{telemetry.TagFault: string(kind)}, count.Load)
+	}
+}
+
 // Error implements error.
 func (e *BrokenResponseError) Error() string {
 	if e.Cause == nil {
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -44,6 +44,7 @@
 	upload        upload
 	writeErr      error
 	responseBytes int64
+	endErr        error // What endOfResponse returned, nil before.
 }
 
 // lastNumber is the number of the newest connection of the process.
@@ -103,7 +104,10 @@
 	}
 	c.responseBytes += int64(n)
 	if errors.Is(err, io.EOF) && c.requests > 0 && c.responseBytes > 0 {
-		return n, c.endOfResponse()
+		if c.endErr == nil {
+			c.endErr = c.endOfResponse()
+		}
+		return n, c.endErr
 	}
 	return n, err
 }
@@ -122,7 +126,7 @@
 	if c.writeErr == nil && c.upload.complete() {
 		return io.EOF
 	}
-	return &BrokenResponseError{Kind: BrokenEnd, Detail: "connection ended before the request was written whole", Cause: c.writeErr}
+	return newBrokenResponse(BrokenEnd, "connection ended before the request was written whole", c.writeErr)
 }
 
 // Write implements net.Conn.
@@ -149,7 +153,7 @@
 	if c.claimant != nil {
 		c.requests++
 		c.upload = upload{bodyLeft: c.claimant.bodyBytes}
-		c.writeErr, c.responseBytes = nil, 0
+		c.writeErr, c.endErr, c.responseBytes = nil, nil, 0
 		if c.claimant.checked {
 			c.unchecked = c.claimant
 		}
--- a/internal/connguard/head.go
+++ b/internal/connguard/head.go
@@ -27,7 +27,7 @@
 // net/http refuses the other malformed ones.
 func checkHead(status int, header http.Header) error {
 	if status < minStatus {
-		return &BrokenResponseError{Kind: BrokenStatus, Detail: strconv.Itoa(status)}
+		return newBrokenResponse(BrokenStatus, strconv.Itoa(status), nil)
 	}
 	return checkFieldNames(header)
 }
@@ -39,7 +39,7 @@
 	for name, values := range header {
 		// A trailer that was only announced has no value.
 		if len(values) > 0 && !httpguts.ValidHeaderFieldName(name) {
-			return &BrokenResponseError{Kind: BrokenFieldName, Detail: quote(name)}
+			return newBrokenResponse(BrokenFieldName, quote(name), nil)
 		}
 	}
 	return nil
@@ -50,7 +50,7 @@
 func brokenLine(err error) error {
 	var malformed textproto.ProtocolError
 	if errors.As(err, &malformed) {
-		return &BrokenResponseError{Kind: BrokenFieldLine, Detail: quote(string(malformed))}
+		return newBrokenResponse(BrokenFieldLine, quote(string(malformed)), nil)
 	}
 	return err
 }
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -34,6 +34,9 @@
 	use           atomic.Int64
 	firstByteAt   atomic.Pointer[time.Time]
 	interims      atomic.Int64
+	// brokenInterim is the error of an interim response. net/http may return that of a write instead,
+	// which fails as the connection is closed for it.
+	brokenInterim atomic.Pointer[error]
 }
 
 // NewProgress returns the progress of an attempt of a request whose responses carry id. exchanges
@@ -99,7 +102,11 @@
 	if p.interims.Add(1) > maxInterims {
 		return ErrInterimTooLong
 	}
-	return checkFieldNames(header)
+	err := checkFieldNames(header)
+	if err != nil {
+		p.brokenInterim.Store(&err)
+	}
+	return err
 }
 
 // Sent reports whether bytes may have been sent, by a transport that calls the trace hooks.
--- a/internal/connguard/trailerbody.go
+++ b/internal/connguard/trailerbody.go
@@ -11,18 +11,30 @@
 	io.ReadCloser
 	response *http.Response
 	progress *Progress
+	err      error // Ended the reading.
 }
 
 // Read implements io.Reader. At the end it returns *BrokenResponseError if the trailer is none.
 func (b *trailerBody) Read(p []byte) (int, error) {
+	if b.err != nil {
+		return 0, b.err
+	}
 	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.err = b.end(err)
+	}
+	return n, b.err
+}
+
+// end returns the error for the end of the body, and decides what becomes of the connection.
+func (b *trailerBody) end(err error) error {
 	if !errors.Is(err, io.EOF) {
-		return n, brokenLine(err)
+		return brokenLine(err)
 	}
 	if err := checkFieldNames(b.response.Trailer); err != nil {
 		b.progress.Retire()
-		return n, err
+		return err
 	}
 	b.progress.accept()
-	return n, err
+	return err
 }
--- a/internal/connguard/transport.go
+++ b/internal/connguard/transport.go
@@ -39,6 +39,9 @@
 	progress.checked = true
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
+		if broken := progress.brokenInterim.Load(); broken != nil {
+			return nil, *broken
+		}
 		return nil, brokenLine(err)
 	}
 	if err := checkHead(response.StatusCode, response.Header); err != nil {
--- a/telemetry/metrics.go
+++ b/telemetry/metrics.go
@@ -13,6 +13,7 @@
 	// report the chunk metrics of snipestep-agent too.
 	directOnly     = []string{ProgramDirect}
 	entryAndDirect = []string{ProgramEntry, ProgramDirect}
+	everywhere     = []string{ProgramEntry, ProgramAgent, ProgramDirect}
 )
 
 // Metrics lists every metric of the programs.
@@ -60,6 +61,7 @@
 	{MetricFirstResponseTime, Histogram, "seconds", []string{TagRank}, directOnly, "Time from such a request to its first event or whole answer."},
 	{MetricQueueWait, Histogram, "seconds", []string{TagRank}, directOnly, "Time that such a request waited for a place."},
 	{MetricDirectRetries, Counter, "attempts", []string{TagCode}, directOnly, "Further attempts of such requests: not_run by the last endpoint, begun there, moved off it, or withdrawn, as the endpoint became unavailable before it got the request."},
+	{MetricBrokenResponses, Counter, "responses", []string{TagFault}, everywhere, "Bytes of a server that were no response, or a part of one, by what was broken: connection_end (the connection ended, and a response without a length with it, before the request was written whole), status_code (below 100), field_name (no token, in a head or a trailer) or field_line (another malformed line)."},
 	{MetricConnectionsMetAgain, Counter, "connections", nil, directOnly, "Connections closed because the request that got them, or one with its ID, had been written there before."},
 	{MetricCallerLimits, Counter, "connections", []string{TagLimit}, entryAndDirect, "Connections of callers that were refused or closed at a limit: head_bytes (one header section), memory (what all hold together), connections, or write_time (an answer that is not read)."},
 	{MetricDroppedLogLines, Gauge, "lines", nil, directOnly, "Log lines dropped since the start because their rate or queue was over its bound."},
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -67,6 +67,7 @@
 	MetricRateLimitedEndpoints    = "rate_limited_endpoints"
 	MetricUnavailableEndpoints    = "unavailable_endpoints"
 	MetricEvacuatedDomains        = "evacuated_failure_domains"
+	MetricBrokenResponses         = "broken_responses_total"
 	MetricWithdrawnAttempts       = "withdrawn_attempts_total"
 	MetricColdEndpoints           = "cold_endpoints"
 	MetricColdDivisor             = "cold_rate_entries"
