Test cut uploads that are repeated, and resets at any moment

The tests of the fix force the order in which a write and a read meet a reset, and let requests run once. These add the other endpoint where a request may be repeated, 502 and no second run where it may not, and the order as the kernel has it.

--- a/gateway/earlyanswer_test.go
+++ b/gateway/earlyanswer_test.go
@@ -54,6 +54,27 @@
 	}
 }
 
+// Guards against a repeatable request that ends with the endpoint that broke off, and against
+// another one that runs twice.
+func TestRequestWhoseUploadWasCutIsRepeatedWhereItMayBe(t *testing.T) {
+	for path, status := range map[string]int{"/once/": http.StatusBadGateway, "/again/": http.StatusOK, "/stream/": http.StatusOK} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			second := startRawEndpoint(t, answerAfter(""))
+			var f *fixture
+			f = newEarlyFixture(t, fakes.EarlyReset, func(r *http.Request) string {
+				f.addEndpoint(second.address)
+				return earlyHead(200, "\r\nid: ")(r)
+			})
+			response, body, err := f.send(t, path, withUpload)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, status)
+			assert.Equal(t, second.runs.Load() == 1, status == http.StatusOK)
+			assert.Assert(t, status != http.StatusOK || body == runEvent, "got %q", body)
+		})
+	}
+}
+
 // Guards against the loss of an early answer whose end its length or chunks tell.
 func TestEarlyAnswerWithAnEndOfItsOwnIsForwarded(t *testing.T) {
 	for name, rest := range map[string]string{
--- a/internal/fakes/earlyserver.go
+++ b/internal/fakes/earlyserver.go
@@ -125,11 +125,11 @@
 //
 // The kernel reports a reset once, to the first call that meets it: here that is a write, which
 // returns only after the next read or the end of the connection. Without this order a test meets it
-// in some tries only.
+// in some tries only. Connections to other servers are left as they are.
 func (s *EarlyServer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := new(net.Dialer).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+	if err != nil || address != s.Address() {
+		return conn, err
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok && s.end != EarlyReset {
 		return conn, tcp.SetWriteBuffer(earlyBufferBytes)
--- a/internal/httpcall/earlyanswer_test.go
+++ b/internal/httpcall/earlyanswer_test.go
@@ -12,6 +12,22 @@
 	"github.com/snipestep/snipestep/internal/httpcall"
 )
 
+// resetTries is the number of calls in which a reset meets a write or a read first by chance.
+const resetTries = 150
+
+// Guards against the same where the order of the two sides is the kernel's.
+func TestAnswerCutByAResetAtAnyMoment(t *testing.T) {
+	server, err := fakes.StartEarlyServer(fakes.EarlyReset, func(*http.Request) string { return "HTTP/1.1 200 OK\r\n\r\npart" })
+	assert.NilError(t, err)
+	defer server.Close()
+	client := httpcall.New(httpcall.Config{BaseURL: "http://" + server.Address()})
+	for range resetTries {
+		_, err := client.Do(t.Context(), httpcall.Request{Method: http.MethodPut, Path: "/", Body: make([]byte, 1<<20), NoReplay: true}, 1<<10)
+		var failure *httpcall.TransportError
+		assert.Check(t, errors.As(err, &failure), "got %v", err)
+	}
+}
+
 // Guards against the beginning of an answer without a length that passes for all of it, since the
 // end of its connection was read while the request was still being written; and against the loss of
 // an early answer that is complete.
