Name the counter of broken responses among those that may stay 0

Cause: TestEveryDeclaredMetricIsReported wants a value above 0 of each metric but those that count faults, which a sound fleet has none of.

Change: the counter is in the list, as that of protocol faults is. The test still wants it reported by the entry and the agent.

--- a/entry/telemetry_test.go
+++ b/entry/telemetry_test.go
@@ -38,6 +38,7 @@
 	telemetry.MetricStoreErrors, telemetry.MetricRunningCalls, telemetry.MetricQueuedCalls, telemetry.MetricPreemptions,
 	telemetry.MetricEndpointErrors, telemetry.MetricCorruptChunks, telemetry.MetricChunkFaults,
 	telemetry.MetricLeaving, telemetry.MetricProtocolFaults, telemetry.MetricHeldAnswerBytes, telemetry.MetricCallerLimits,
+	telemetry.MetricBrokenResponses,
 }
 
 func TestEveryDeclaredMetricIsReported(t *testing.T) {
