Retire a connection whose response is left before it was checked

Cause, by reading: a request that gets a connection waits until the response before was checked. If a body in chunks is closed before its end, or a call fails, nothing checks it any more; that no request waits for ever then depends on net/http, which closes such connections today.

Change: Transport closes them itself.

Measured: no test fails without it, as net/http closes them. The tests of connguard and httpcall pass with the race detector, those of gateway, platform, operator, endpoint, agent and backing without it.

--- a/internal/connguard/trailerbody.go
+++ b/internal/connguard/trailerbody.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 )
 
 // trailerBody is the body of a response in chunks, which a trailer may follow.
@@ -12,6 +13,7 @@
 	response *http.Response
 	progress *Progress
 	err      error // Ended the reading.
+	accepted atomic.Bool
 }
 
 // Read implements io.Reader. At the end it returns *BrokenResponseError if the trailer is none.
@@ -36,5 +38,15 @@
 		return err
 	}
 	b.progress.accept()
+	b.accepted.Store(true)
 	return err
 }
+
+// Close implements io.Closer. A connection on which a response was left before its end carries nothing
+// more, whatever net/http does with it: a request that waits for the check would wait for ever.
+func (b *trailerBody) Close() error {
+	if !b.accepted.Load() {
+		b.progress.Retire()
+	}
+	return b.ReadCloser.Close()
+}
--- a/internal/connguard/transport.go
+++ b/internal/connguard/transport.go
@@ -39,6 +39,7 @@
 	progress.checked = true
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
+		progress.Retire() // Else a request that waits for the check would wait for ever.
 		if broken := progress.brokenInterim.Load(); broken != nil {
 			return nil, *broken
 		}
