--- a/internal/connguard/head.go
+++ b/internal/connguard/head.go
@@ -15,10 +15,12 @@
 	minStatus = 100
 	// maxInterimBytes bounds the interim responses before a final one. It is the bound on the head of
 	// a response that all transports here have; net/http counts both together only while nobody
-	// looks at interim responses. maxInterims of the shortest ones, of 17 bytes, take as much: it
-	// serves connections that Wrap did not open.
+	// looks at interim responses.
 	maxInterimBytes = 64 << 10
-	maxInterims     = maxInterimBytes / 17
+	// minHeadBytes is the size of a head without fields and reason phrase, and fieldLineBytes that of
+	// a field line without name and value.
+	minHeadBytes   = int64(len("HTTP/1.1 100 \r\n\r\n"))
+	fieldLineBytes = int64(len(": \r\n"))
 	// maxDetailBytes bounds what an error quotes of a response.
 	maxDetailBytes = 64
 )
@@ -45,6 +47,17 @@
 	return nil
 }
 
+// fieldBytes returns the size of a header's field lines.
+func fieldBytes(header http.Header) int64 {
+	size := int64(0)
+	for name, values := range header {
+		for _, value := range values {
+			size += fieldLineBytes + int64(len(name)+len(value))
+		}
+	}
+	return size
+}
+
 // brokenLine returns *BrokenResponseError for an error of net/http about a line of a head or a
 // trailer, else err.
 func brokenLine(err error) error {
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -33,7 +33,7 @@
 	metAgain      atomic.Bool
 	use           atomic.Int64
 	firstByteAt   atomic.Pointer[time.Time]
-	interims      atomic.Int64
+	interimBytes  atomic.Int64
 	// brokenInterim is the error of an interim response. net/http may return that of a write instead,
 	// which fails as the connection is closed for it.
 	brokenInterim atomic.Pointer[error]
@@ -96,10 +96,12 @@
 // checkInterim returns an error, which ends the connection, for an interim response with a broken
 // head and for too many of them.
 func (p *Progress) checkInterim(header http.Header) error {
-	if conn := p.conn.Load(); conn != nil && conn.bytesRead() > maxInterimBytes {
-		return ErrInterimTooLong
+	// The size without blanks and the reason phrase serves connections that Wrap did not open.
+	size := p.interimBytes.Add(minHeadBytes + fieldBytes(header))
+	if conn := p.conn.Load(); conn != nil {
+		size = conn.bytesRead()
 	}
-	if p.interims.Add(1) > maxInterims {
+	if size > maxInterimBytes {
 		return ErrInterimTooLong
 	}
 	err := checkFieldNames(header)
