Follow the uploads to an engine without a guard on its connections

What in the guard costs the time was not traced.

Change: connguard.Follow gives connections that know how much of a request was written, and nothing else of the guard: no wait for the reading side and no look for bytes before a request.

The test of a chunk whose answer is cut passes.

--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -23,6 +23,8 @@
 	net.Conn
 	// number tells the connections of the process apart, from 1.
 	number uint64
+	// followed says that only the end of responses is guarded, see Follow.
+	followed bool
 
 	mu      sync.Mutex // Guards the fields below.
 	changed *sync.Cond // Signals changes of reading, writing, closed and unchecked.
@@ -64,6 +66,20 @@
 	}
 }
 
+// Follow returns dial with connections that guard the end of responses only: a request isn't kept
+// from connections on which bytes arrived before it.
+func Follow(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		followed := newConn(conn)
+		followed.followed = true
+		return followed, nil
+	}
+}
+
 func newConn(conn net.Conn) *Conn {
 	c := &Conn{Conn: conn, number: lastNumber.Add(1)}
 	c.changed = sync.NewCond(&c.mu)
@@ -78,6 +94,10 @@
 func (c *Conn) claim(claimant *Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.followed {
+		c.claimant = claimant
+		return
+	}
 	for (!c.reading || c.unchecked != nil) && !c.closed {
 		c.changed.Wait()
 	}
@@ -98,7 +118,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	if c.claimant != nil {
+	if c.claimant != nil && !c.followed {
 		c.notIdle = true
 		return 0, ErrNotIdle
 	}
@@ -144,7 +164,7 @@
 func (c *Conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.claimant != nil && (c.closed || hasUnread(c.Conn)) {
+	if c.claimant != nil && !c.followed && (c.closed || hasUnread(c.Conn)) {
 		c.notIdle = true
 	}
 	if c.notIdle {
@@ -154,7 +174,7 @@
 		c.requests++
 		c.upload = upload{bodyLeft: c.claimant.bodyBytes}
 		c.writeErr, c.endErr, c.responseBytes = nil, nil, 0
-		if c.claimant.checked {
+		if c.claimant.checked && !c.followed {
 			c.unchecked = c.claimant
 		}
 		c.claimant.recordWrite(c)
