Let the stand-in of the agents' test read the whole request

Its server answered after the head. net/http writes such a request in two pieces; if it refuses the answer between them, it may return the failure of the second write, which names no fault. The attempt is broken all the same.

Change: the server reads the whole request first. The checks are as before.

--- a/agent/brokenresponse_test.go
+++ b/agent/brokenresponse_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -24,10 +26,18 @@
 	for name, answer := range fakes.BrokenNames(lines, "body") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			server, err := fakes.StartEarlyServer(fakes.EarlyOpen, func(*http.Request) string { return answer })
-			assert.NilError(t, err)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				// An answer before the whole request may show as a failed write only.
+				_, _ = io.Copy(io.Discard, r.Body)
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(conn, answer)
+					_, _ = io.Copy(io.Discard, conn)
+					_ = conn.Close()
+				}
+			}))
 			defer server.Close()
-			config := endpoint.HTTPConfig{BaseURL: "http://" + server.Address()}
+			config := endpoint.HTTPConfig{BaseURL: server.URL}
 			sched := newScheduler(routing.QueueConfig{Slots: 1}, time.Now)
 			go sched.run(t.Context())
 			state := newEndpointState("a", 1)
