Drop a removed endpoint at once after a cut watch

The store may cut a watch at any time.

Cause: any single failed call counted as an outage of the store, after which a removed endpoint is kept for two seconds, since the records of endpoints that live may have expired meanwhile.

Change: only a store that may have been away for a second or longer leaves records missing: they expire after three check-in intervals, of 1.2 s. A cut connection shows that the store was there until then; other failed calls count from their start. The grace after a return from an older copy no longer depends on what the watch saw. "store regained" logs the length of the gap.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -15,6 +15,11 @@
 // written again within 2 s of its end.
 const missingGrace = 2 * time.Second
 
+// minOutage is the shortest outage of the store after which endpoints may be missing that are alive.
+// A record expires after three check-in intervals without one, of 1.2 s on all known
+// deployments. A shorter gap is that of a watch that was cut, as the store may at any time, and drops none.
+const minOutage = time.Second
+
 // Directory holds the current View. Reads take no lock. Writers are serialised
 // by mu. Subscribers are called while mu is locked, and must neither block nor call
 // the Directory.
@@ -25,6 +30,8 @@
 	mu          sync.Mutex
 	subscribers []func(*View)
 	uptime      storeUptime
+	// downSince is since when the store may have been away, while StoreUp is not set.
+	downSince time.Time
 	// storeAnsweredAt and storeAwayUntil bound the times of versions that reports name
 	// before the store does.
 	storeAnsweredAt time.Time
@@ -229,15 +236,15 @@
 }
 
 // DropEndpoint removes an endpoint that is no longer listed. During an outage of
-// the store and for missingGrace after it, the endpoint is only marked as missing;
-// ExpireMissing removes it later. DropEndpoint reports whether it removed the endpoint.
+// the store of at least minOutage and for missingGrace after it, the endpoint is only marked as
+// missing; ExpireMissing removes it later. DropEndpoint reports whether it removed the endpoint.
 func (d *Directory) DropEndpoint(now time.Time, id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current.Load().Endpoints[id] == nil {
 		return false
 	}
-	if !d.current.Load().StoreUp || d.uptime.sinceRecovery(now) < missingGrace {
+	if d.isStoreAway(now) || d.uptime.sinceRecovery(now) < missingGrace {
 		if _, marked := d.missing[id]; !marked {
 			d.missing[id] = d.uptime.beforeLastRecovery
 			d.logger.Info("endpoint missing after an outage of the store", "endpoint", id, "kept", missingGrace)
@@ -256,8 +263,8 @@
 	defer d.mu.Unlock()
 	if d.current.Load().StoreUp {
 		d.uptime.lost(now)
-		d.uptime.recovered(now)
 	}
+	d.uptime.recovered(now)
 	for id := range d.missing {
 		d.missing[id] = d.uptime.beforeLastRecovery
 	}
@@ -297,19 +304,29 @@
 	}
 }
 
-// SetStoreUp records whether the store answers.
-func (d *Directory) SetStoreUp(now time.Time, up bool, cause error) {
+// SetStoreUp records whether the store answers. If it does not, since is when it may have gone away,
+// else when it answered.
+func (d *Directory) SetStoreUp(since time.Time, up bool, cause error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current.Load().StoreUp == up {
 		return
 	}
-	if up {
-		d.uptime.recovered(now)
-		d.logger.Info("store regained")
-	} else {
-		d.uptime.lost(now)
+	if !up {
+		d.downSince = since
 		d.logger.Warn("store lost, serving on the last known view", "error", cause)
+	} else {
+		outage := d.isStoreAway(since)
+		if outage {
+			d.uptime.lost(d.downSince)
+			d.uptime.recovered(since)
+		}
+		d.logger.Info("store regained", "away_ms", since.Sub(d.downSince).Milliseconds(), "records_may_be_missing", outage)
 	}
 	d.update(func(v *View) { v.StoreUp = up })
 }
+
+// isStoreAway reports whether the store has been away for long enough that records may be missing.
+func (d *Directory) isStoreAway(now time.Time) bool {
+	return !d.current.Load().StoreUp && now.Sub(d.downSince) >= minOutage
+}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -217,6 +217,34 @@
 	assert.Assert(t, d.View().Endpoints["left"] == nil, "still in use 15 s after it left")
 }
 
+// Guards against endpoints that stay in use after their removal because a watch was cut, and against
+// the loss of those whose records expired while the store was away.
+func TestOnlyAnOutageOfASecondKeepsMissingEndpoints(t *testing.T) {
+	for downMS, kept := range map[int]bool{100: false, 999: false, 1000: true, 5000: true} {
+		d := newDirectory()
+		d.PutEndpoint(&directory.Endpoint{ID: "a"})
+		d.SetStoreUp(at(0), false, errStoreUnavailable)
+		d.SetStoreUp(at(downMS), true, nil)
+		d.DropEndpoint(at(downMS+1999), "a")
+		assert.Equal(t, d.View().Endpoints["a"] != nil, kept, "%d ms", downMS)
+	}
+}
+
+// Guards against the loss of endpoints whose records an older copy of the store lacks, if it
+// returned after less than a second.
+func TestStoreThatIsRestoredWithinASecondKeepsMissingEndpoints(t *testing.T) {
+	d := newDirectory()
+	d.PutEndpoint(&directory.Endpoint{ID: "a"})
+	d.SetStoreUp(at(0), false, errStoreUnavailable)
+	d.RestartMissingGrace(at(400))
+	d.DropEndpoint(at(400), "a")
+	d.SetStoreUp(at(500), true, nil)
+	d.ExpireMissing(at(2300))
+	assert.Assert(t, d.View().Endpoints["a"] != nil)
+	d.ExpireMissing(at(2400))
+	assert.Assert(t, d.View().Endpoints["a"] == nil)
+}
+
 // Guards against the loss of endpoints that had no time to be listed again because
 // another outage followed.
 func TestEndpointMissingAfterAnOutageIsKeptThroughTheNextOne(t *testing.T) {
--- a/directory/storeuptime.go
+++ b/directory/storeuptime.go
@@ -15,10 +15,10 @@
 	u.recoveredAt = now
 }
 
-// lost records the start of an outage.
+// lost records the start of an outage, which may be before the last recovery.
 func (u *storeUptime) lost(now time.Time) {
 	if !u.recoveredAt.IsZero() {
-		u.beforeLastRecovery += u.sinceRecovery(now)
+		u.beforeLastRecovery += max(u.sinceRecovery(now), 0)
 	}
 }
 
