Absolve parts of prompts at the end of an answer

Cause: the first event absolved all parts of the prompt, and a crash after it blamed none of them.

Change: a whole answer absolves the parts of its prompt. Functions that told of begins are renamed for answers; the tests follow the names.

--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -122,8 +122,7 @@
 		return response, true, nil
 	}
 	if response.status < http.StatusInternalServerError {
-		g.recordBegin(req)
-		g.recordServed(req)
+		g.recordAnswer(req)
 	}
 	req.service.observeFirstResponse(time.Since(attempt.sentAt))
 	req.firstResponseAt = time.Now()
--- a/gateway/crashingendpoint_test.go
+++ b/gateway/crashingendpoint_test.go
@@ -33,6 +33,8 @@
 	fixture *fixture
 	// keepIDs says that an endpoint keeps its ID when it starts again.
 	keepIDs bool
+	// lateParts says that an endpoint sends an event before deadlyPart crashes it.
+	lateParts bool
 	// beforeCrash, if set, is called before each crash.
 	beforeCrash func()
 
@@ -63,10 +65,11 @@
 		if err != nil {
 			return
 		}
+		hasDeadlyPart := strings.Contains(r.Header.Get("Parts"), deadlyPart)
 		switch {
-		case string(body) == deadlyBody || strings.Contains(r.Header.Get("Parts"), deadlyPart):
-		case string(body) == lateDeadlyBody:
+		case string(body) == lateDeadlyBody || (hasDeadlyPart && e.lateParts):
 			writeNextEvent(w, r)
+		case string(body) == deadlyBody || hasDeadlyPart:
 		default:
 			respondWith(soundResponse)(w, r)
 			return
--- a/gateway/partblame_test.go
+++ b/gateway/partblame_test.go
@@ -18,6 +18,8 @@
 	t       *testing.T
 	entries []*Gateway
 	crashes uint64
+	// late makes endpoints crash after the answer has begun.
+	late bool
 }
 
 func newBlamingFleet(t *testing.T, entries int) *blamingFleet {
@@ -38,14 +40,14 @@
 	return req
 }
 
-// begin sends a request that an endpoint begins to answer, and reports whether it was sent.
+// begin sends a request that an endpoint answers, and reports whether it was sent.
 func (f *blamingFleet) begin(entry int, parts ...string) bool {
 	f.t.Helper()
 	req := f.request(entry, parts...)
 	if f.entries[entry].checkParts(req) != nil {
 		return false
 	}
-	f.entries[entry].recordBegin(req)
+	f.entries[entry].recordAnswer(req)
 	f.exchange()
 	return true
 }
@@ -59,7 +61,7 @@
 		return false
 	}
 	f.crashes++
-	f.entries[entry].recordPartCrash(req, f.crashes)
+	f.entries[entry].recordPartCrash(req, f.crashes, f.late)
 	f.exchange()
 	return true
 }
@@ -73,7 +75,7 @@
 			entry := (int(f.crashes) + i) % len(f.entries)
 			req := f.request(entry, draw())
 			g := f.entries[entry]
-			g.recordPartCrash(req, f.crashes)
+			g.recordPartCrash(req, f.crashes, f.late)
 			news, _ := g.strikes.Requests.Strike(f.crashes*100+uint64(i), f.crashes, false)
 			g.strikeNews.add(news)
 		}
@@ -207,7 +209,7 @@
 		f := newBlamingFleet(t, 5)
 		for range 20 * parts {
 			entry := random.IntN(len(f.entries))
-			f.entries[entry].recordBegin(f.request(entry, draw()))
+			f.entries[entry].recordAnswer(f.request(entry, draw()))
 		}
 		f.crashAll(endpoints, waiting, draw)
 		for part := range parts {
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -41,10 +41,10 @@
 	return nil
 }
 
-// recordPartCrash records strikes against the parts that may be to blame for a crash before
-// the answer began.
-func (g *Gateway) recordPartCrash(req *request, crash uint64) {
-	suspects, weak := req.service.parts.recordCrash(req)
+// recordPartCrash records strikes against the parts that may be to blame for a crash before a request
+// was answered; late says that its answer had begun.
+func (g *Gateway) recordPartCrash(req *request, crash uint64, late bool) {
+	suspects, weak := req.service.parts.recordCrash(req, late)
 	for _, fingerprint := range suspects {
 		news, verdict := g.strikes.Parts.StrikePart(fingerprint, crash, len(suspects) > 1, weak)
 		if len(news) == 0 {
@@ -55,22 +55,22 @@
 		part := req.metadata.SharedParts[slices.Index(req.partFingerprints, fingerprint)]
 		req.logger.Info("part of a prompt may have crashed an endpoint",
 			"request", req.metadata.ID, "part", part, "fingerprint", fingerprintText(fingerprint),
-			"crash", strikes.CrashText(crash), "suspects", len(suspects), "weak", weak, "strikes", len(verdict.Crashes))
+			"crash", strikes.CrashText(crash), "suspects", len(suspects), "weak", weak, "late", late, "strikes", len(verdict.Crashes))
 		if verdict.Refused {
 			g.startQuarantine(verdict, "own")
 		}
 	}
 }
 
-// contradict turns the strikes of other entries against parts that have begun here lately into
+// contradict turns the strikes of other entries against parts that were answered here lately into
 // absolutions, and reports whether there are any. An entry blames several parts of a prompt if it
-// knows of none that it has begun; one that knows better tells the others. A strike against a
-// single part stands: it may have turned deadly after its last begin here.
+// knows of none that was answered; one that knows better tells the others. A strike against a
+// single part stands: it may have turned deadly after its last answer here.
 func (g *Gateway) contradict(received loadreport.Strikes) bool {
 	contradicted := false
 	for i := range received {
 		strike := &received[i]
-		if strike.Part && strike.Shared && !strike.Absolved && g.hasBegunLately(strike.Fingerprint) {
+		if strike.Part && strike.Shared && !strike.Absolved && g.isAnsweredLately(strike.Fingerprint) {
 			strike.Absolved = true
 			contradicted = true
 		}
@@ -78,20 +78,22 @@
 	return contradicted
 }
 
-// hasBegunLately reports whether requests with a part have begun here, without an unusual silence
+// isAnsweredLately reports whether requests with a part were answered here, without an unusual silence
 // since. The fingerprint of a part names its service.
-func (g *Gateway) hasBegunLately(part uint64) bool {
+func (g *Gateway) isAnsweredLately(part uint64) bool {
 	for _, service := range *g.services.Load() {
-		if service.parts.hasBegunLately(part) {
+		if service.parts.isAnsweredLately(part) {
 			return true
 		}
 	}
 	return false
 }
 
-// recordBegin absolves the parts of a request that an endpoint has begun to answer.
-func (g *Gateway) recordBegin(req *request) {
-	req.service.parts.recordBegin(req)
+// recordAnswer absolves the request and the parts of its prompt: an endpoint has answered it whole.
+// The first event absolves nothing, as a part may crash endpoints after it.
+func (g *Gateway) recordAnswer(req *request) {
+	g.absolveRequest(req)
+	req.service.parts.recordAnswer(req)
 	for _, fingerprint := range req.partFingerprints {
 		absolved := g.strikes.Parts.Absolve(fingerprint)
 		if len(absolved) == 0 {
--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -44,6 +44,35 @@
 	assert.Assert(t, endpoints.crashCount() <= maxCrashesBeforePartQuarantine, "%d endpoints crashed", endpoints.crashCount())
 }
 
+// Guards against a part that crashes endpoints after the first event of its answers: that event is no
+// sign that the endpoint outlives the answer.
+func TestPartThatCrashesEndpointsAfterAnEventIsQuarantined(t *testing.T) {
+	f := newFixture(t)
+	endpoints := newCrashingEndpoints(t, f, 3)
+	endpoints.lateParts = true
+	send := func(body string, parts ...string) (status int, err error) {
+		response, _, err := f.send(t, "/stream/", withParts(body, parts...))
+		endpoints.restartCrashed()
+		return response.StatusCode, err
+	}
+	sound := func(i int) {
+		status, err := send(fmt.Sprint("sound request ", i), "common", fmt.Sprint("part ", i%5))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for i := range 20 {
+		sound(i)
+	}
+	for i := range 20 {
+		_, _ = send(fmt.Sprint("request ", i), "common", deadlyPart)
+		sound(i)
+	}
+	assert.Assert(t, endpoints.crashCount() <= maxCrashesBeforePartQuarantine, "%d endpoints crashed", endpoints.crashCount())
+	status, err := send("request", "common", deadlyPart)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // Guards against blame for the parts beside a deadly one when no sound request comes between
 // its crashes.
 func TestPartBesideADeadlyOneIsNotQuarantined(t *testing.T) {
--- a/gateway/parttracker.go
+++ b/gateway/parttracker.go
@@ -16,26 +16,28 @@
 	return &partTracker{history: routing.NewPartHistory()}
 }
 
-// recordBegin records that an endpoint began to answer a request.
-func (t *partTracker) recordBegin(req *request) {
+// recordAnswer records that an endpoint has answered a request whole.
+func (t *partTracker) recordAnswer(req *request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.history.RecordBegin(req.partFingerprints)
+	t.history.RecordAnswer(req.partFingerprints)
 }
 
-// hasBegunLately reports whether requests with a part have begun lately.
-func (t *partTracker) hasBegunLately(part uint64) bool {
+// isAnsweredLately reports whether requests with a part were answered lately.
+func (t *partTracker) isAnsweredLately(part uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.history.HasBegunLately(part)
+	return t.history.IsAnsweredLately(part)
 }
 
-// recordCrash records a crash before the answer to a request began. It returns the parts that may be
-// to blame, and whether that suspicion is weak.
-func (t *partTracker) recordCrash(req *request) (suspects []uint64, weak bool) {
+// recordCrash records a crash before a request was answered; late says that its answer had begun. It
+// returns the parts that may be to blame, and whether that suspicion is weak.
+func (t *partTracker) recordCrash(req *request, late bool) (suspects []uint64, weak bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspects, weak = t.history.Suspects(req.partFingerprints)
-	t.history.RecordCrash(req.partFingerprints)
-	return suspects, weak
+	defer t.history.RecordCrash(req.partFingerprints)
+	if late {
+		return t.history.LateSuspects(req.partFingerprints), true
+	}
+	return t.history.Suspects(req.partFingerprints)
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -72,9 +72,7 @@
 		return
 	}
 	crash := strikes.CrashOf(attempt.endpoint.ID, attempt.endpoint.StartedUnixMS)
-	if !attempt.answering {
-		g.recordPartCrash(req, crash)
-	}
+	g.recordPartCrash(req, crash, attempt.answering)
 	news, verdict := g.strikes.Requests.Strike(req.fingerprint, crash, attempt.answering)
 	if len(news) == 0 {
 		return
@@ -96,8 +94,8 @@
 	return listed == nil || listed.Draining
 }
 
-// recordServed absolves a request that an endpoint ran to its end.
-func (g *Gateway) recordServed(req *request) {
+// absolveRequest absolves a request that an endpoint ran to its end.
+func (g *Gateway) absolveRequest(req *request) {
 	absolved := g.strikes.Requests.Absolve(req.fingerprint)
 	if len(absolved) == 0 {
 		return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -310,7 +310,7 @@
 // complete ends a stream whose endpoint has sent all events.
 func (s *stream) complete(attempt *endpointAttempt) error {
 	s.sendHeader(attempt)
-	s.gateway.recordServed(s.req)
+	s.gateway.recordAnswer(s.req)
 	attempt.end(admission.Served)
 	if s.req.runs == 0 && !s.req.firstResponseAt.IsZero() {
 		s.req.service.observeStreamDuration(time.Since(s.req.firstResponseAt), s.req.metadata.LengthHint)
--- a/gateway/streamattempt.go
+++ b/gateway/streamattempt.go
@@ -90,7 +90,6 @@
 	a.move.stop(ErrEventTimeout)
 	a.reader, a.first = reader, first
 	attempt.answering = true
-	s.gateway.recordBegin(s.req)
 	s.req.service.observeFirstResponse(time.Since(attempt.sentAt))
 	return nil
 }
--- a/gateway/strikeexchange.go
+++ b/gateway/strikeexchange.go
@@ -75,7 +75,7 @@
 	if contradicted {
 		absolved := slices.DeleteFunc(news, func(s loadreport.Strike) bool { return !s.Absolved })
 		g.strikeNews.add(absolved)
-		g.deps.Logger.Info("strikes against parts of prompts that begin here contradicted", "from", from, "strikes", len(absolved))
+		g.deps.Logger.Info("strikes against parts of prompts that are answered here contradicted", "from", from, "strikes", len(absolved))
 	}
 	for _, verdict := range quarantined {
 		g.startQuarantine(verdict, "other entries")
--- a/routing/parthistory_test.go
+++ b/routing/parthistory_test.go
@@ -19,7 +19,7 @@
 // beginOthers records begins of requests with other parts.
 func beginOthers(h *PartHistory, count int) {
 	for range count {
-		h.RecordBegin([]uint64{999})
+		h.RecordAnswer([]uint64{999})
 	}
 }
 
@@ -28,10 +28,10 @@
 	h := NewPartHistory()
 	const common, deadly = 1, 2
 	assert.Equal(t, len(strongSuspects(h, []uint64{common, deadly})), 0, "the entry has just started")
-	h.RecordBegin([]uint64{common})
+	h.RecordAnswer([]uint64{common})
 	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
 	assert.DeepEqual(t, strongSuspects(h, []uint64{deadly, common}), []uint64{deadly})
-	beginOthers(h, minBegun)
+	beginOthers(h, minAnswered)
 	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
 	assert.DeepEqual(t, strongSuspects(h, []uint64{3, 4}), []uint64{3, 4})
 }
@@ -40,10 +40,10 @@
 func TestPartThatStoppedBeginningIsSuspected(t *testing.T) {
 	h := NewPartHistory()
 	const common, deadly = 1, 2
-	h.RecordBegin([]uint64{common, deadly})
+	h.RecordAnswer([]uint64{common, deadly})
 	beginOthers(h, minSilence-1)
 	assert.Equal(t, len(strongSuspects(h, []uint64{common, deadly})), 0)
-	h.RecordBegin([]uint64{common})
+	h.RecordAnswer([]uint64{common})
 	assert.DeepEqual(t, strongSuspects(h, []uint64{common, deadly}), []uint64{deadly})
 }
 
@@ -52,11 +52,11 @@
 func TestPartThatStoppedBeginningAWhileAgoIsSuspectedWeakly(t *testing.T) {
 	h := NewPartHistory()
 	const common, deadly = 1, 2
-	h.RecordBegin([]uint64{common, deadly})
+	h.RecordAnswer([]uint64{common, deadly})
 	beginOthers(h, weakSilence-1)
 	suspects, _ := h.Suspects([]uint64{common, deadly})
 	assert.Equal(t, len(suspects), 0)
-	h.RecordBegin([]uint64{common})
+	h.RecordAnswer([]uint64{common})
 	suspects, weak := h.Suspects([]uint64{common, deadly})
 	assert.Assert(t, weak)
 	assert.DeepEqual(t, suspects, []uint64{deadly})
@@ -65,7 +65,7 @@
 	h.RecordCrash([]uint64{deadly})
 	suspects, _ = h.Suspects([]uint64{deadly})
 	assert.Equal(t, len(suspects), 1, "its own crashes speak for nothing else")
-	for range weakSilence/minBegunPerCrash + 1 {
+	for range weakSilence/minAnsweredPerCrash + 1 {
 		h.RecordCrash([]uint64{999})
 	}
 	suspects, _ = h.Suspects([]uint64{deadly})
@@ -77,7 +77,7 @@
 func TestPartOfAllPromptsIsNeverSuspected(t *testing.T) {
 	h := NewPartHistory()
 	for range 10 * minSilence {
-		h.RecordBegin([]uint64{1})
+		h.RecordAnswer([]uint64{1})
 	}
 	suspects, _ := h.Suspects([]uint64{1})
 	assert.Equal(t, len(suspects), 0)
@@ -100,7 +100,7 @@
 	for range rounds {
 		h := NewPartHistory()
 		for range 20 * parts {
-			h.RecordBegin([]uint64{draw()})
+			h.RecordAnswer([]uint64{draw()})
 		}
 		crashesOf := map[uint64]int{}
 		for range endpoints {
@@ -127,7 +127,7 @@
 func TestPartHistoryIsBounded(t *testing.T) {
 	h := NewPartHistory()
 	for part := range uint64(2 * maxRememberedParts) {
-		h.RecordBegin([]uint64{part + 1})
+		h.RecordAnswer([]uint64{part + 1})
 	}
-	assert.Equal(t, h.begunAt.Len(), maxRememberedParts)
+	assert.Equal(t, h.answeredAt.Len(), maxRememberedParts)
 }
