Judge parts of prompts by the odds of their crashes

Cause: an entry suspected a part only after ten to fifty requests of its own, and the crashes before that counted for nothing.

Change: each crash strikes the part that was answered longest ago. Weak strikes refuse it if its crashes would meet it by chance less than once in a thousand times, by the fate of the other requests at the entry; half of the crashes count if they came within a second. A suspicion is not strong while other requests crash endpoints too.

TestStreamThatBrokeMidwayBlamesNoPart asked that a crash after an event records nothing against a part. The users' rule counts such crashes, so TestStreamThatBrokeMidwayRefusesNoPart asks that it strikes weakly, only the part that was not answered, and refuses nothing. TestPartThatStopped- BeginningAWhileAgoIsSuspectedWeakly held the fixed numbers; TestChanceOf- CrashesFallsWithAnswersToOthers holds the odds in their place.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,7 @@
 	deps.Transport = connguard.NewTransport(deps.Transport)
 	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
+	g.strikes.JudgeByChance(g.chanceOf, maxChance)
 	g.services.Store(&map[string]*service{})
 	g.endpointByAgent.Store(&map[netip.Addr]*directory.Endpoint{})
 	g.stopped, g.endRequests = context.WithCancelCause(context.Background())
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -20,6 +20,9 @@
 	// since a mistake refuses sound callers.
 	partTrialAfter  = 20 * time.Second
 	partTrialSpread = 20 * time.Second
+	// maxChance is the chance below which weak strikes refuse a part. A crash of all endpoints is expected
+	// some times a year, with a few hundred parts in use.
+	maxChance = 1e-3
 )
 
 // partQuarantineConfig returns the configuration of the strikes against parts of prompts.
@@ -89,6 +92,24 @@
 	return false
 }
 
+// chanceOf returns how likely it is that so many crashes met requests with a part by chance. The
+// fingerprint of a part names its service, which only its requests tell: the largest chance counts as long as
+// none came here.
+func (g *Gateway) chanceOf(part uint64, crashes int) float64 {
+	largest := 0.0
+	for _, service := range *g.services.Load() {
+		chance, known := service.parts.chance(part, crashes)
+		if known {
+			return chance
+		}
+		largest = max(largest, chance)
+	}
+	if largest == 0 {
+		return 1 // Nothing was answered or has crashed here.
+	}
+	return largest
+}
+
 // recordAnswer absolves the request and the parts of its prompt: an endpoint has answered it whole.
 // The first event absolves nothing, as a part may crash endpoints after it.
 func (g *Gateway) recordAnswer(req *request) {
--- a/gateway/partquarantine_test.go
+++ b/gateway/partquarantine_test.go
@@ -132,8 +132,9 @@
 	assert.Assert(t, news[0].Absolved && news[0].Part)
 }
 
-// Guards against blame for the last part of a prompt or of a stream that had begun.
-func TestStreamThatBrokeMidwayBlamesNoPart(t *testing.T) {
+// Guards against the refusal of the last part of a prompt, or of one that was in a stream that broke
+// off twice: such a crash is weak evidence, of which two are not enough.
+func TestStreamThatBrokeMidwayRefusesNoPart(t *testing.T) {
 	f := newFixture(t)
 	endpoints := newCrashingEndpoints(t, f, 3)
 	_, _, err := f.send(t, "/stream/", withParts("sound", "common"))
@@ -141,7 +142,16 @@
 	_, _, err = f.send(t, "/stream/", withParts(lateDeadlyBody, "common", "rare"))
 	assert.Assert(t, err != nil, "the answer looks complete")
 	assert.Equal(t, endpoints.crashCount(), 2)
+	struck := 0
 	for _, strike := range f.gateway.strikeNews.take() {
-		assert.Assert(t, !strike.Part)
+		if strike.Part {
+			assert.Equal(t, strike.Fingerprint, routing.PartFingerprint("s", "rare"), "others were answered with the other part")
+			assert.Assert(t, strike.Weak)
+			struck++
+		}
 	}
+	assert.Equal(t, struck, 2)
+	response, _, err := f.send(t, "/stream/", withParts("sound", "common", "rare"))
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
 }
--- a/gateway/parttracker.go
+++ b/gateway/parttracker.go
@@ -30,6 +30,16 @@
 	return t.history.IsAnsweredLately(part)
 }
 
+// chance returns routing.PartHistory.Chance, and whether the part is known; 0 if no part is.
+func (t *partTracker) chance(part uint64, crashes int) (chance float64, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.history.IsEmpty() {
+		return 0, false
+	}
+	return t.history.Chance(part, crashes), t.history.Knows(part)
+}
+
 // recordCrash records a crash before a request was answered; late says that its answer had begun. It
 // returns the parts that may be to blame, and whether that suspicion is weak.
 func (t *partTracker) recordCrash(req *request, late bool) (suspects []uint64, weak bool) {
--- a/routing/parthistory.go
+++ b/routing/parthistory.go
@@ -19,11 +19,11 @@
 	// is suspected, unless another part of its prompt was answered. It tells a new part from
 	// one that is only new to a process that has just started.
 	minAnswered = 50
-	// weakSilence is the same as minSilence for a weak suspicion, which needs other crashes to
-	// be rare.
-	weakSilence = 10
+	// weakSilence is the same as minSilence for a weak suspicion. Chance judges it.
+	weakSilence = 1
 	// minAnsweredPerCrash is how many requests without a part must have been answered for each that
-	// crashed an endpoint, since the last answer on the part, for a weak suspicion.
+	// crashed an endpoint, since the last answer on the part, for a suspicion that is not weak: else endpoints
+	// crash for another reason too.
 	minAnsweredPerCrash = 4
 )
 
@@ -76,11 +76,12 @@
 
 // Suspects returns the parts of a prompt that may be to blame for a crash before its
 // answer began: those with the longest silence, if that is unusual. Several parts have
-// the same silence if they were never answered or always together. A shorter silence is a weak
-// suspicion, unless requests without the part crash endpoints too.
+// the same silence if they were never answered or always together. With a shorter silence, or if requests
+// without the part crash endpoints too, it is a weak suspicion, of which Chance says how many make a proof.
 func (h *PartHistory) Suspects(parts []uint64) (suspects []uint64, weak bool) {
 	if h.answered >= minAnswered || slices.ContainsFunc(parts, h.answeredAt.Contains) {
-		if suspects = h.mostSilent(parts, minSilence); len(suspects) > 0 {
+		suspects = h.mostSilent(parts, minSilence)
+		if len(suspects) > 0 && !slices.ContainsFunc(suspects, h.othersCrash) {
 			return suspects, false
 		}
 	}
@@ -91,11 +92,33 @@
 // LateSuspects is Suspects for a crash after the answer has begun. The suspicion is weak: more
 // requests run at an endpoint than wait there, so that more are there by chance.
 func (h *PartHistory) LateSuspects(parts []uint64) []uint64 {
-	suspects := h.mostSilent(parts, weakSilence)
-	if slices.ContainsFunc(suspects, func(part uint64) bool { return !h.crashesAlone(part) }) {
-		return nil
-	}
-	return suspects
+	return h.mostSilent(parts, weakSilence)
+}
+
+// Chance returns how likely it is that a number of endpoints crash, each while a request with a part is
+// there, and none answers one meanwhile, if the part is sound. Then its requests crash with their
+// endpoints as often as those without it, in traffic of any rate.
+func (h *PartHistory) Chance(part uint64, crashes int) float64 {
+	answered, crashed := h.others(part)
+	// One crash more keeps a few answers without a crash from being a proof.
+	share := float64(crashed+1) / float64(crashed+answered+1)
+	return math.Pow(share, float64(crashes))
+}
+
+// othersCrash reports whether many requests without a part crashed endpoints since its last answer.
+func (h *PartHistory) othersCrash(part uint64) bool {
+	answered, crashed := h.others(part)
+	return answered < minAnsweredPerCrash*crashed
+}
+
+// Knows reports whether requests with a part were answered or crashed endpoints.
+func (h *PartHistory) Knows(part uint64) bool {
+	return h.answeredAt.Contains(part) || h.crashedWith.Contains(part)
+}
+
+// IsEmpty reports whether no part is known.
+func (h *PartHistory) IsEmpty() bool {
+	return h.answeredAt.Len()+h.crashedWith.Len() == 0
 }
 
 // mostSilent returns the parts with the longest silence, if that is least or more.
@@ -115,13 +138,6 @@
 	return silent
 }
 
-// crashesAlone reports whether many requests without a part were answered since its last answer, and
-// few of them crashed an endpoint instead.
-func (h *PartHistory) crashesAlone(part uint64) bool {
-	answered, crashed := h.others(part)
-	return answered >= weakSilence && answered >= minAnsweredPerCrash*crashed
-}
-
 // others returns how many requests without a part were answered since its last answer, and how many
 // crashed an endpoint instead.
 func (h *PartHistory) others(part uint64) (answered, crashed uint64) {
--- a/routing/parthistory_test.go
+++ b/routing/parthistory_test.go
@@ -48,28 +48,38 @@
 }
 
 // Guards against a part that turns deadly and crashes endpoint after endpoint until hundreds of
-// other requests have begun at an entry that gets a few a second.
-func TestPartThatStoppedBeginningAWhileAgoIsSuspectedWeakly(t *testing.T) {
+// other requests were answered at an entry that gets a few a second.
+func TestPartThatWasAnsweredAWhileAgoIsSuspectedWeakly(t *testing.T) {
 	h := NewPartHistory()
 	const common, deadly = 1, 2
 	h.RecordAnswer([]uint64{common, deadly})
-	beginOthers(h, weakSilence-1)
 	suspects, _ := h.Suspects([]uint64{common, deadly})
-	assert.Equal(t, len(suspects), 0)
+	assert.Equal(t, len(suspects), 0, "it was answered last")
 	h.RecordAnswer([]uint64{common})
 	suspects, weak := h.Suspects([]uint64{common, deadly})
 	assert.Assert(t, weak)
 	assert.DeepEqual(t, suspects, []uint64{deadly})
+	assert.DeepEqual(t, h.LateSuspects([]uint64{common, deadly}), []uint64{deadly})
+}
 
-	h.RecordCrash([]uint64{common, deadly})
+// Guards against blame by weak suspicions alone: other requests must be answered meanwhile, and must
+// not crash endpoints as well.
+func TestChanceOfCrashesFallsWithAnswersToOthers(t *testing.T) {
+	h := NewPartHistory()
+	const deadly = 2
+	h.RecordAnswer([]uint64{deadly})
+	assert.Equal(t, h.Chance(deadly, 8), 1.0, "no other request was answered")
+	beginOthers(h, 7)
+	assert.Equal(t, h.Chance(deadly, 3), 1.0/512)
+	h.RecordCrash([]uint64{deadly})
 	h.RecordCrash([]uint64{deadly})
-	suspects, _ = h.Suspects([]uint64{deadly})
-	assert.Equal(t, len(suspects), 1, "its own crashes speak for nothing else")
-	for range weakSilence/minAnsweredPerCrash + 1 {
+	assert.Equal(t, h.Chance(deadly, 3), 1.0/512, "its own crashes speak for nothing else")
+	for range 8 {
 		h.RecordCrash([]uint64{999})
 	}
-	suspects, _ = h.Suspects([]uint64{deadly})
-	assert.Equal(t, len(suspects), 0, "other requests crash endpoints too")
+	assert.Equal(t, h.Chance(deadly, 1), 9.0/16, "other requests crash endpoints too")
+	h.RecordAnswer([]uint64{deadly})
+	assert.Equal(t, h.Chance(deadly, 8), 1.0)
 }
 
 // Guards against the quarantine of a part that most prompts share when all endpoints stand
--- a/strikes/ledger.go
+++ b/strikes/ledger.go
@@ -21,6 +21,13 @@
 	return l
 }
 
+// JudgeByChance makes weak strikes refuse a part only if chanceOf returns maxChance or less for their
+// number: how likely it is that so many crashes met requests with the part by chance. It is called before the
+// ledger is used; chanceOf must not call the ledger.
+func (l *Ledger) JudgeByChance(chanceOf func(fingerprint uint64, crashes int) float64, maxChance float64) {
+	l.Parts.chanceOf, l.Parts.maxChance = chanceOf, maxChance
+}
+
 // Merge records the strikes of another process. It returns those that were new, and the
 // verdicts on the requests and parts that they put into quarantine.
 func (l *Ledger) Merge(received loadreport.Strikes) (news loadreport.Strikes, quarantined []Verdict) {
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -24,6 +24,11 @@
 
 	// crashes holds all crashes that are known, nil for none. Its lock is taken while mu is held.
 	crashes *crashLog
+	// chanceOf returns how likely it is that a number of crashes met requests with a part by chance, nil
+	// if weak strikes are not judged by it. It is called while mu is held.
+	chanceOf func(fingerprint uint64, crashes int) float64
+	// maxChance is the chance above which weak strikes refuse nothing.
+	maxChance float64
 
 	mu         sync.Mutex
 	quarantine *routing.Quarantine
@@ -83,12 +88,26 @@
 	}
 	v.Remaining, v.Refused = r.quarantine.Refused(now, fingerprint)
 	v.OnTrial = r.quarantine.OnTrial(now, fingerprint)
-	if r.quarantine.RestsOnWeakStrikes(now, fingerprint) && !r.isInMostCrashes(now, fingerprint) {
+	if r.quarantine.RestsOnWeakStrikes(now, fingerprint) && (!r.isInMostCrashes(now, fingerprint) || r.isByChance(now, fingerprint)) {
 		v.Refused, v.OnTrial, v.Remaining = false, false, 0
 	}
 	return v
 }
 
+// isByChance reports whether the crashes may have met requests with a part by chance. Crashes that come
+// together may have one cause, and count half.
+func (r *Register) isByChance(now time.Time, fingerprint uint64) bool {
+	if r.chanceOf == nil {
+		return false
+	}
+	strikes := r.quarantine.Strikes(now, fingerprint)
+	crashes := len(strikes)
+	if first, last := span(strikes); last.Sub(first) < crashSpan {
+		crashes = (crashes + 1) / 2
+	}
+	return r.chanceOf(fingerprint, crashes) > r.maxChance
+}
+
 // crashSpan is how far around the strikes of a part other crashes count: endpoints that crash
 // together for another reason do so within it.
 const crashSpan = time.Second
@@ -100,7 +119,13 @@
 	if r.crashes == nil || len(strikes) == 0 {
 		return true
 	}
-	first, last := strikes[0].At, strikes[0].At
+	first, last := span(strikes)
+	return 2*len(strikes) >= r.crashes.count(first.Add(-crashSpan), last.Add(crashSpan))
+}
+
+// span returns the times of the first and the last of some strikes.
+func span(strikes []routing.Strike) (first, last time.Time) {
+	first, last = strikes[0].At, strikes[0].At
 	for _, s := range strikes {
 		if s.At.Before(first) {
 			first = s.At
@@ -109,7 +134,7 @@
 			last = s.At
 		}
 	}
-	return 2*len(strikes) >= r.crashes.count(first.Add(-crashSpan), last.Add(crashSpan))
+	return first, last
 }
 
 // Strike records that a request was running at a crash; late says that its answer had
