Free the slot of a next attempt that moves before it begins

Found on reading the change of streams that move: a next attempt whose endpoint closes before its first event took a slot for a further one, which stayed taken until the request ended, beside the slot that was then searched for. Not seen in a run. The slot is freed. The cases of an event that arrives in a move are one switch.

go test -race -count=2 ./gateway passes.

--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -68,7 +68,7 @@
 }
 
 // start moves the attempt at once if there is a slot elsewhere, else as soon as there is one. It
-// reports whether the attempt was cancelled.
+// reports whether it took a slot.
 func (m *attemptMove) start(cause error) (moved bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/gateway/openingattempt.go
+++ b/gateway/openingattempt.go
@@ -57,17 +57,20 @@
 // receive says what to do with an event of the endpoint. Each event ends a move that the endpoint's
 // silence has caused.
 func (m *attemptMove) receive(eventID string) eventUse {
-	m.stop(ErrEventTimeout)
 	m.mu.Lock()
-	if o := m.opening; o != nil && o.next != nil {
-		m.mu.Unlock()
+	defer m.mu.Unlock()
+	if errors.Is(m.cause, ErrEventTimeout) {
+		m.endSearch()
+	}
+	switch o := m.opening; {
+	case o == nil:
+	case o.next != nil:
 		return dropEvent
-	} else if o != nil && !errors.Is(o.cause, ErrEventTimeout) {
-		m.mu.Unlock()
+	case !errors.Is(o.cause, ErrEventTimeout):
 		return holdEvent
+	default:
+		m.abandonOpening()
 	}
-	defer m.mu.Unlock()
-	m.abandonOpening()
 	if eventID != "" {
 		m.lastEventID = eventID
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -148,6 +148,8 @@
 	if next != nil {
 		return next, false
 	}
+	// The attempt may have been about to move itself. Its slot would stay taken until the request ends.
+	s.req.releasePlaced()
 	// An endpoint that has nothing to add says that the other one has sent all events, or has failed.
 	// The end at the other one tells.
 	return nil, !errors.Is(err, ErrNoEventResumed) && s.mayContinue(ctx, mayHaveRun, err)
