Tell other entries of parts that are refused by the odds

Cause: an entry judges the odds of a part's crashes by its own answers.

Change: once a second an entry confirms the parts that it has refused by the odds for a second: their strikes are sent once more, not weak, and replace the weak ones. The tests of light traffic are one table, with two deadly parts and the restart of an entry among its plays.

--- a/gateway/partblame_test.go
+++ b/gateway/partblame_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -94,6 +95,15 @@
 	f.exchange()
 }
 
+// confirm is what entries do once a second.
+func (f *blamingFleet) confirm() {
+	f.t.Helper()
+	for _, g := range f.entries {
+		g.confirmParts()
+	}
+	f.exchange()
+}
+
 // exchange passes on all new strikes until there are none.
 func (f *blamingFleet) exchange() {
 	f.t.Helper()
@@ -204,222 +214,140 @@
 	assert.Assert(t, reached <= maxCrashesBeforePartQuarantine, "%d requests were sent", reached)
 }
 
-// Guards against the quarantine of sound parts when all endpoints crash at once for another reason:
-// at each some requests wait, of which weak strikes are recorded at several entries.
-func TestCrashOfAllEndpointsQuarantinesFewPartsOfSeveralEntries(t *testing.T) {
-	const (
-		rounds    = 200
-		parts     = 100
-		endpoints = 11
-		waiting   = 5
-	)
-	random := rand.New(rand.NewPCG(1, 2))
+// crashOfAll crashes eleven endpoints at once, with a number of requests at each, after answers to
+// others, and returns how many parts some entry refuses.
+func crashOfAll(t *testing.T, random *rand.Rand, late bool, requests, answers int) (refused int) {
+	t.Helper()
+	const parts, endpoints = 100, 11
 	draw := func() string { return strconv.Itoa(int(random.ExpFloat64() * parts / 5)) }
-	quarantined := 0
-	for range rounds {
-		f := newBlamingFleet(t, 5)
-		for range 20 * parts {
-			entry := random.IntN(len(f.entries))
-			f.entries[entry].recordAnswer(f.request(entry, draw()))
-		}
-		f.crashAll(endpoints, waiting, draw)
-		for part := range parts {
-			if f.entries[0].strikes.Parts.Verdict(routing.PartFingerprint("s", strconv.Itoa(part))).Refused {
-				quarantined++
-			}
-		}
-	}
-	assert.Assert(t, quarantined <= rounds/10, "%d parts in %d crashes of all endpoints", quarantined, rounds)
-}
-
-// maxLateRequests is how many requests with a deadly part may reach endpoints, one a second: until the
-// fifth crash, for the 3 s of stable_ms after it, and three more.
-const maxLateRequests = 5 + 3 + 3
-
-// lightTraffic is sent to a fleet of entries in turn: requests with one part of a few, and beside them
-// such with deadly parts.
-type lightTraffic struct {
-	*blamingFleet
-	random *rand.Rand
-	// shared is a part of all prompts, empty for none.
-	shared string
-	// sound and deadly are how many requests of each kind are sent in a round.
-	sound, deadly int
-	// reached counts the requests with each deadly part that were sent on.
-	reached map[string]int
-	refused int
-}
-
-func (l *lightTraffic) parts(part string) []string {
-	if l.shared == "" {
-		return []string{part}
+	f := newBlamingFleet(t, 5)
+	f.late = late
+	for range answers {
+		entry := random.IntN(len(f.entries))
+		f.entries[entry].recordAnswer(f.request(entry, draw()))
 	}
-	return []string{l.shared, part}
+	f.crashAll(endpoints, requests, draw)
+	f.confirm()
+	f.confirm()
+	return f.refusedParts(parts)
 }
 
-// play sends a number of rounds with some deadly parts in turn.
-func (l *lightTraffic) play(rounds int, deadly ...string) {
-	l.t.Helper()
-	l.reached = make(map[string]int)
-	for i := range rounds {
-		l.now = l.now.Add(time.Second)
-		for range l.sound {
-			if !l.begin(l.random.IntN(len(l.entries)), l.parts(strconv.Itoa(l.random.IntN(60)))...) {
-				l.refused++
-			}
-		}
-		for j := range l.deadly {
-			part := deadly[(i*l.deadly+j)%len(deadly)]
-			if l.crash((i*l.deadly+j)%len(l.entries), l.parts(part)...) {
-				l.reached[part]++
-			}
+// Guards against the quarantine of sound parts when all endpoints crash at once for another reason:
+// at each some requests wait or run, of which weak strikes are recorded at several entries.
+func TestCrashOfAllEndpointsQuarantinesFewPartsOfSeveralEntries(t *testing.T) {
+	const rounds = 200
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, at := range []struct {
+		late              bool
+		requests, answers int
+	}{{false, 5, 2000}, {true, 16, 0}, {true, 16, 20}, {true, 16, 200}, {true, 16, 2000}} {
+		refused := 0
+		for range rounds {
+			refused += crashOfAll(t, random, at.late, at.requests, at.answers)
 		}
+		assert.Check(t, refused <= rounds/10, "%+v: %d parts in %d crashes of all endpoints", at, refused, rounds)
 	}
 }
 
 // refusedParts returns how many of the given number of sound parts some entry refuses.
-func (f *blamingFleet) refusedParts(parts int) int {
-	refused := 0
+func (f *blamingFleet) refusedParts(parts int) (refused int) {
 	for part := range parts {
-		for entry := range f.entries {
-			if f.entries[entry].strikes.Parts.Verdict(routing.PartFingerprint("s", strconv.Itoa(part))).Refused {
-				refused++
-				break
-			}
+		fingerprint := routing.PartFingerprint("s", strconv.Itoa(part))
+		if slices.ContainsFunc(f.entries, func(g *Gateway) bool { return g.strikes.Parts.Verdict(fingerprint).Refused }) {
+			refused++
 		}
 	}
 	return refused
 }
 
-// Guards against blame for sound parts when all endpoints crash at once and cut all answers that run
-// there, many at each.
-func TestCrashOfAllEndpointsWithRunningAnswersQuarantinesFewParts(t *testing.T) {
-	const (
-		rounds    = 200
-		parts     = 100
-		endpoints = 11
-		running   = 16
-	)
-	random := rand.New(rand.NewPCG(3, 4))
-	draw := func() string { return strconv.Itoa(int(random.ExpFloat64() * parts / 5)) }
-	for _, before := range []int{0, 20, 200, 2000} {
-		quarantined := 0
-		for range rounds {
-			f := newBlamingFleet(t, 5)
-			f.late = true
-			for range before {
-				entry := random.IntN(len(f.entries))
-				f.entries[entry].recordAnswer(f.request(entry, draw()))
+// Guards against blame for sound parts when endpoints crash one after the other for another reason, as
+// with a bad version, with some share of all requests or with each.
+func TestCrashesOfAnyRequestBlameFewParts(t *testing.T) {
+	// A part in ten crashes of eleven endpoints, as above.
+	const rounds, crashes, parts, maxBlamePerCrash = 100, 40, 60, 1.0 / 110
+	for _, share := range []float64{0.1, 0.5, 0.9, 1} {
+		for _, late := range []bool{false, true} {
+			blamed := 0
+			for seed := range uint64(rounds) {
+				f := newBlamingFleet(t, 5)
+				f.late = late
+				random := rand.New(rand.NewPCG(seed, 5))
+				for f.crashes < crashes {
+					f.now = f.now.Add(250 * time.Millisecond)
+					if f.crashes%4 == 0 {
+						f.confirm()
+					}
+					send := f.begin
+					if random.Float64() < share {
+						send = f.crash
+					}
+					send(random.IntN(len(f.entries)), "common", strconv.Itoa(random.IntN(parts)))
+				}
+				assert.NilError(t, f.entries[0].checkParts(f.request(0, "common")), "the part of all prompts")
+				blamed += f.refusedParts(parts)
 			}
-			f.crashAll(endpoints, running, draw)
-			quarantined += f.refusedParts(parts)
+			assert.Check(t, float64(blamed) <= rounds*crashes*maxBlamePerCrash, "share %.1f, late %v: %d parts", share, late, blamed)
 		}
-		t.Logf("%d answers before: %d parts in %d crashes of all endpoints", before, quarantined, rounds)
-		assert.Assert(t, quarantined <= rounds/10, "%d answers before: %d parts in %d crashes of all endpoints", before, quarantined, rounds)
 	}
 }
 
-// crashWithAnyRequest lets a share of all requests meet a crash of an endpoint that has another cause, and
-// returns how many parts are refused at the end.
-func crashWithAnyRequest(t *testing.T, seed uint64, late bool, share float64, crashes uint64) int {
-	t.Helper()
-	const parts = 60
-	f := newBlamingFleet(t, 5)
-	f.late = late
-	random := rand.New(rand.NewPCG(seed, 5))
-	for f.crashes < crashes {
-		f.now = f.now.Add(250 * time.Millisecond)
-		entry, part := random.IntN(len(f.entries)), strconv.Itoa(random.IntN(parts))
-		if random.Float64() < share {
-			f.crash(entry, "common", part)
-		} else {
-			f.begin(entry, "common", part)
-		}
-	}
-	assert.NilError(t, f.entries[0].checkParts(f.request(0, "common")), "the part of all prompts")
-	return f.refusedParts(parts)
+// deadlyTraffic is sent to five entries: each second some sound requests, with one part of sixty, and one
+// with each deadly part.
+type deadlyTraffic struct {
+	late bool
+	// shared are the parts of all prompts.
+	shared []string
+	sound  int
+	deadly []string
+	// restarts says that an entry restarts after five seconds.
+	restarts bool
 }
 
-// crashesOfAnyRequest is the number of crashes of a round, maxBlamePerCrash how many sound parts one may
-// cost: as many as in the tests above, a part in ten crashes of eleven endpoints.
-const (
-	crashesOfAnyRequest = 40
-	maxBlamePerCrash    = 1.0 / 110
-)
-
-func assertCrashesBlameFewParts(t *testing.T, late bool) {
+// play returns how many requests with a deadly part were sent on at most.
+func (d deadlyTraffic) play(t *testing.T, seed uint64) int {
 	t.Helper()
-	const rounds = 100
-	for _, share := range []float64{0.1, 0.5, 0.9, 1} {
-		blamed := 0
-		for seed := range uint64(rounds) {
-			blamed += crashWithAnyRequest(t, seed, late, share, crashesOfAnyRequest)
+	f := newBlamingFleet(t, 5)
+	f.late = d.late
+	random := rand.New(rand.NewPCG(seed, 1))
+	reached := make([]int, len(d.deadly))
+	for i := range 45 {
+		f.now = f.now.Add(time.Second)
+		f.confirm()
+		if d.restarts && i == 5 {
+			f.entries[2] = f.newEntry()
+			f.entries[2].strikes.Merge(f.entries[0].strikes.Snapshot())
 		}
-		t.Logf("share %.1f: %d parts in %d crashes", share, blamed, rounds*crashesOfAnyRequest)
-		assert.Check(t, float64(blamed) <= rounds*crashesOfAnyRequest*maxBlamePerCrash, "share %.1f: %d parts", share, blamed)
-	}
-}
-
-// Guards against blame for sound parts when endpoints crash one after the other for another reason while
-// they answer, as with a bad version: with some share of all requests, or with each.
-func TestCrashesAfterAnEventOfAnyRequestBlameFewParts(t *testing.T) {
-	assertCrashesBlameFewParts(t, true)
-}
-
-// Guards against the same by endpoints that crash before the first event.
-func TestCrashesBeforeAnEventOfAnyRequestBlameFewParts(t *testing.T) {
-	assertCrashesBlameFewParts(t, false)
-}
-
-// Guards against two parts that crash endpoints at the same time, so that neither is at nearly all crashes.
-func TestTwoDeadlyPartsAreQuarantined(t *testing.T) {
-	for _, sound := range []int{4, 30} {
-		worst := 0
-		for seed := range uint64(100) {
-			l := &lightTraffic{blamingFleet: newBlamingFleet(t, 5), random: rand.New(rand.NewPCG(seed, 6)), shared: "common", sound: sound, deadly: 2}
-			l.play(40, deadlyPart, "other deadly part")
-			worst = max(worst, l.reached[deadlyPart], l.reached["other deadly part"])
-			assert.Equal(t, l.refused, 0, "sound requests were refused")
+		for range d.sound {
+			part := strconv.Itoa(random.IntN(60))
+			assert.Assert(t, f.begin(random.IntN(len(f.entries)), append(d.shared, part)...), "a sound request was refused")
+		}
+		for j, part := range d.deadly {
+			if f.crash((i*len(d.deadly)+j)%len(f.entries), append(d.shared, part)...) {
+				reached[j]++
+			}
 		}
-		t.Logf("%d sound: up to %d requests", sound, worst)
-		assert.Assert(t, worst <= maxLateRequests, "%d sound: %d requests were sent", sound, worst)
 	}
+	return slices.Max(reached)
 }
 
-// Guards against a part that crashes endpoints in light traffic, or just after a start, without an end:
-// entries that wait for tens of other requests suspect it after minutes.
+// Guards against a part that crashes endpoints in light traffic, or just after a start, without an end, as
+// entries wait for tens of other requests before they suspect it.
 func TestDeadlyPartIsQuarantinedInLightTraffic(t *testing.T) {
-	for _, late := range []bool{false, true} {
-		for _, shared := range []string{"", "common"} {
-			for _, sound := range []int{1, 2, 4} {
-				worst := 0
-				for seed := range uint64(100) {
-					l := &lightTraffic{blamingFleet: newBlamingFleet(t, 5), random: rand.New(rand.NewPCG(seed, 1)), shared: shared, sound: sound, deadly: 1}
-					l.late = late
-					l.play(40, deadlyPart)
-					worst = max(worst, l.reached[deadlyPart])
-					assert.Equal(t, l.refused, 0, "sound requests were refused")
-				}
-				t.Logf("late %v, shared %q, %d sound: up to %d requests", late, shared, sound, worst)
-				assert.Assert(t, worst <= maxLateRequests, "late %v, shared %q, %d sound: %d requests were sent", late, shared, sound, worst)
-			}
+	// One request a second until the fifth crash, for the 3 s of stable_ms after it, and three more.
+	const maxRequests = 5 + 3 + 3
+	one, two := []string{deadlyPart}, []string{deadlyPart, "other deadly part"}
+	plays := []deadlyTraffic{{sound: 4, deadly: two}, {sound: 30, deadly: two}, {sound: 4, deadly: one, restarts: true}}
+	for _, sound := range []int{1, 2, 4} {
+		for _, late := range []bool{false, true} {
+			plays = append(plays, deadlyTraffic{late: late, sound: sound, deadly: one},
+				deadlyTraffic{late: late, sound: sound, deadly: one, shared: []string{"common"}})
 		}
 	}
-}
-
-// Guards against an entry that restarts and sends on requests with a part that the others refuse: it learns
-// their strikes, but has answered nothing itself.
-func TestDeadlyPartIsQuarantinedWhileAnEntryRestarts(t *testing.T) {
-	worst := 0
-	for seed := range uint64(100) {
-		l := &lightTraffic{blamingFleet: newBlamingFleet(t, 5), random: rand.New(rand.NewPCG(seed, 7)), sound: 4, deadly: 1}
-		l.play(5, deadlyPart)
-		reached := l.reached[deadlyPart]
-		l.entries[2] = l.newEntry()
-		l.entries[2].strikes.Merge(l.entries[0].strikes.Snapshot())
-		l.play(40, deadlyPart)
-		worst = max(worst, reached+l.reached[deadlyPart])
-		assert.Equal(t, l.refused, 0, "sound requests were refused")
+	for _, d := range plays {
+		most := 0
+		for seed := range uint64(100) {
+			most = max(most, d.play(t, seed))
+		}
+		assert.Check(t, most <= maxRequests, "%+v: %d requests were sent", d, most)
 	}
-	assert.Assert(t, worst <= maxLateRequests, "%d requests were sent", worst)
 }
--- a/gateway/partquarantine.go
+++ b/gateway/partquarantine.go
@@ -110,6 +110,17 @@
 	return largest
 }
 
+// confirmParts tells the other entries of the parts that this one refuses by the odds. It is called
+// regularly.
+func (g *Gateway) confirmParts() {
+	confirmed := g.strikes.Parts.Confirm()
+	if len(confirmed) == 0 {
+		return
+	}
+	g.strikeNews.add(confirmed)
+	g.deps.Logger.Info("weak strikes against parts of prompts confirmed by the odds", "strikes", len(confirmed))
+}
+
 // recordAnswer absolves the request and the parts of its prompt: an endpoint has answered it whole.
 // The first event absolves nothing, as a part may crash endpoints after it.
 func (g *Gateway) recordAnswer(req *request) {
--- a/gateway/strikeexchange.go
+++ b/gateway/strikeexchange.go
@@ -32,6 +32,7 @@
 			g.sendToRelays(ctx, conn, g.strikeNews.take(), newsRelays)
 		case <-snapshots.C:
 			g.metrics.updateQuarantined(g.strikes.Quarantined())
+			g.confirmParts()
 			g.sendToRelays(ctx, conn, g.strikes.Snapshot(), snapshotRelays)
 		}
 	}
--- a/loadreport/strikes.go
+++ b/loadreport/strikes.go
@@ -24,7 +24,8 @@
 	Late bool
 	// Shared says that several parts of the prompt were equally suspect.
 	Shared bool
-	// Weak says that the part had begun not long before.
+	// Weak says that the part may have been there by chance. A strike that is sent once more without it is
+	// confirmed.
 	Weak bool
 	// Absolved says that the request ran to its end since, so that the strike is void.
 	Absolved bool
--- a/routing/quarantine.go
+++ b/routing/quarantine.go
@@ -83,11 +83,16 @@
 }
 
 // RecordStrikes records all strikes that another entry knows against a fingerprint and
-// returns the new ones. Several may quarantine a request although each alone has expired.
+// returns the new ones, and those that were weak and are not any more. Several may quarantine a request
+// although each alone has expired.
 func (q *Quarantine) RecordStrikes(now time.Time, fingerprint uint64, reported []Strike) []Strike {
 	strikes := q.activeStrikes(now, fingerprint)
-	var added []Strike
+	var added, confirmed []Strike
 	for _, s := range reported {
+		if i := slices.IndexFunc(strikes, func(known Strike) bool { return known.Crash == s.Crash }); i >= 0 && strikes[i].Weak && !s.Weak {
+			strikes[i].Weak = false
+			confirmed = append(confirmed, strikes[i])
+		}
 		if hasCrash(strikes, s.Crash) || hasCrash(added, s.Crash) || hasCrash(q.cleared[fingerprint], s.Crash) {
 			continue
 		}
@@ -99,13 +104,36 @@
 	all := q.unexpired(slices.Concat(strikes, added))
 	added = slices.DeleteFunc(added, func(s Strike) bool { return !hasCrash(all, s.Crash) })
 	if len(added) == 0 || !q.active(now, all) {
-		return nil
+		return confirmed
 	}
 	if len(strikes) == 0 {
 		q.evict(now)
 	}
 	q.strikes[fingerprint] = all
-	return added
+	return append(confirmed, added...)
+}
+
+// WeakFingerprints returns the fingerprints that only weak strikes, with others, may quarantine.
+func (q *Quarantine) WeakFingerprints(now time.Time) []uint64 {
+	var weak []uint64
+	for fingerprint := range q.strikes {
+		if q.RestsOnWeakStrikes(now, fingerprint) {
+			weak = append(weak, fingerprint)
+		}
+	}
+	return weak
+}
+
+// Confirm makes the weak strikes of a fingerprint count as others, and returns them.
+func (q *Quarantine) Confirm(fingerprint uint64) []Strike {
+	var confirmed []Strike
+	for i := range q.strikes[fingerprint] {
+		if s := &q.strikes[fingerprint][i]; s.Weak {
+			s.Weak = false
+			confirmed = append(confirmed, *s)
+		}
+	}
+	return confirmed
 }
 
 // unexpired sorts the strikes of a fingerprint by time, and drops those that had expired
--- a/routing/strike.go
+++ b/routing/strike.go
@@ -14,7 +14,7 @@
 	// Shared says that the strike is against one of several parts of a prompt that were
 	// equally suspect. Such a strike counts half: the crash has one cause.
 	Shared bool
-	// Weak says that the part may have been there by chance, as it had begun not long before.
-	// Four such strikes count as three others.
+	// Weak says that the part may have been there by chance, as PartHistory.Suspects says. Four such
+	// strikes count as three others, if PartHistory.Chance is small.
 	Weak bool
 }
--- a/strikes/register.go
+++ b/strikes/register.go
@@ -32,6 +32,8 @@
 
 	mu         sync.Mutex
 	quarantine *routing.Quarantine
+	// refusedByOdds holds the parts that weak strikes refused at the last call of Confirm.
+	refusedByOdds map[uint64]bool
 }
 
 // Verdict is what the strikes of a request or part amount to.
@@ -137,6 +139,34 @@
 	return first, last
 }
 
+// Confirm makes the weak strikes against parts that they refuse count as others, and returns them to pass
+// on: another process may have had too few answers to judge by the odds. A part must be refused at two calls
+// in a row, as crashes that come together are told one after the other.
+func (r *Register) Confirm() loadreport.Strikes {
+	if r.count.Load() == 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	refused := make(map[uint64]bool)
+	var confirmed loadreport.Strikes
+	for _, fingerprint := range r.quarantine.WeakFingerprints(now) {
+		if !r.verdict(now, fingerprint).Refused {
+			continue
+		}
+		refused[fingerprint] = true
+		if !r.refusedByOdds[fingerprint] {
+			continue
+		}
+		for _, s := range r.quarantine.Confirm(fingerprint) {
+			confirmed = append(confirmed, r.outgoing(now, s))
+		}
+	}
+	r.refusedByOdds = refused
+	return confirmed
+}
+
 // Strike records that a request was running at a crash; late says that its answer had
 // begun. It returns the strike to pass on if it was new, and the verdict.
 func (r *Register) Strike(fingerprint, crash uint64, late bool) (loadreport.Strikes, Verdict) {
@@ -144,7 +174,7 @@
 }
 
 // StrikePart is Strike for a part of prompts; shared says that other parts of the prompt were
-// equally suspect, weak that it had begun not long before.
+// equally suspect, weak that the part may have been there by chance.
 func (r *Register) StrikePart(fingerprint, crash uint64, shared, weak bool) (loadreport.Strikes, Verdict) {
 	return r.record(routing.Strike{Fingerprint: fingerprint, Crash: CrashText(crash), Shared: shared, Weak: weak})
 }
