--- a/gateway/openingattempt_test.go
+++ b/gateway/openingattempt_test.go
@@ -10,29 +10,55 @@
 	"gotest.tools/v3/assert"
 )
 
-// startMovingStream starts a stream whose endpoint sends some events and calls rest once goOn is
-// closed, unless its request ends before. next is the other endpoint.
-func startMovingStream(t *testing.T, sent int, rest, next http.HandlerFunc) *heldStream {
+// movingStream is a stream of four events that moves while its endpoint waits.
+type movingStream struct {
+	// sent is the number of events before the endpoint waits, and rest what it does then, before it ends
+	// the response unless staysOpen is set.
+	sent      int
+	rest      http.HandlerFunc
+	staysOpen bool
+	// next is the endpoint to which the stream moves. It answers after rest if isLate is set, else rest
+	// comes after its answer if answersFirst is set.
+	next                 http.HandlerFunc
+	isLate, answersFirst bool
+	// refuses says that next does not go on.
+	refuses bool
+	// closesOnly says that the case does not arise when the endpoint is silent.
+	closesOnly bool
+}
+
+// play moves the stream for a cause, and returns what the caller got.
+func (m movingStream) play(t *testing.T, cause string) string {
 	t.Helper()
 	h := &heldStream{goOn: make(chan struct{}), resumed: make(chan struct{}, 1), answers: make(chan string, 1)}
+	ended := make(chan struct{})
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Id", r.Header.Get("Id"))
 		if r.Header.Get("Last") != "" {
-			next(w, r)
+			if m.isLate {
+				<-ended
+			}
+			m.next(w, r)
 			h.resumed <- struct{}{}
 			return
 		}
-		_, _ = io.WriteString(w, eventStream(sent))
-		_ = http.NewResponseController(w).Flush()
+		sendEvents(eventStream(m.sent))(w, r)
 		select {
 		case <-h.goOn:
-			rest(w, r)
+			func() {
+				defer close(ended)
+				m.rest(w, r)
+			}()
+			if m.staysOpen {
+				<-r.Context().Done()
+			}
 		case <-r.Context().Done():
 		}
 	}
 	h.fixture = newFixture(t, handler, handler)
 	h.service = (*h.gateway.services.Load())["s"]
 	h.free = countFree(h.service)
+	h.service.retryBudget = budgetOf(2)
 	go func() {
 		_, body, err := h.send(t, "/stream/", nil)
 		if err != nil {
@@ -41,10 +67,19 @@
 		h.answers <- body
 	}()
 	h.first = h.awaitMove()
-	for h.move().lastEvent() != strconv.Itoa(sent) {
+	for h.move().lastEvent() != strconv.Itoa(m.sent) {
 		time.Sleep(time.Millisecond)
 	}
-	return h
+	h.causes()[cause]()
+	if m.answersFirst {
+		<-h.resumed
+	}
+	close(h.goOn)
+	body := <-h.answers
+	if !m.refuses {
+		assert.Equal(t, h.taken(), 0) // An endpoint that refuses is left out for a while.
+	}
+	return body
 }
 
 // lastEvent returns the ID of the last event that was forwarded.
@@ -54,11 +89,7 @@
 	return m.lastEventID
 }
 
-// eventsFrom returns the events of a stream of four after the first n.
-func eventsFrom(n int) string {
-	return eventStream(4)[len(eventStream(n)):]
-}
-
+// sendEvents returns a handler that sends events.
 func sendEvents(events string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, events)
@@ -66,99 +97,34 @@
 	}
 }
 
-// stall waits until the request is cancelled.
-func stall(w http.ResponseWriter, r *http.Request) {
-	_ = http.NewResponseController(w).Flush()
-	<-r.Context().Done()
-}
-
-// Guards against a complete answer that is cut because its endpoint is silent, or changes its
-// weights, between the last event and the end: the next endpoint has nothing to add.
-func TestStreamEndsWholeAtItsEndpointWhenTheNextHasNothingToAdd(t *testing.T) {
-	for _, cause := range moveCauses {
-		t.Run(cause, func(t *testing.T) {
-			h := startMovingStream(t, 4, sendEvents(""), sendEvents(""))
-			h.causes()[cause]()
-			<-h.resumed
-			close(h.goOn)
-			assert.Equal(t, <-h.answers, eventStream(4))
-			assert.Equal(t, h.taken(), 0)
-		})
-	}
-}
-
-// Guards against a stream that is cut, or gets an event twice, when its endpoint goes on while the
-// next one is asked.
-func TestStreamGoesOnAtItsEndpointWhileTheNextOneIsSilent(t *testing.T) {
-	for _, cause := range moveCauses {
-		t.Run(cause, func(t *testing.T) {
-			h := startMovingStream(t, 2, sendEvents(eventsFrom(2)), stall)
-			h.causes()[cause]()
-			close(h.goOn)
-			assert.Equal(t, <-h.answers, eventStream(4))
-			assert.Equal(t, h.taken(), 0)
-		})
-	}
-}
-
-// Guards against events of two runs that are joined: the endpoint that changes its weights sends on
-// until the next one does.
-func TestMovedStreamHasEachEventOnce(t *testing.T) {
-	sent := make(chan struct{})
-	h := startMovingStream(t, 2, func(w http.ResponseWriter, r *http.Request) {
-		sendEvents(eventsFrom(2))(w, r)
-		close(sent)
+// Guards against streams that are cut, lose events or get them twice when they move: their endpoint may be
+// sound, and silent before the end only, and the next one may have nothing to add or fail.
+func TestMovedStreamIsWholeWhicheverEndpointGoesOn(t *testing.T) {
+	nothing, others := sendEvents(""), sendEvents(eventStream(4)[len(eventStream(2)):])
+	breakOff := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	stall := func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).Flush()
 		<-r.Context().Done()
-	}, func(w http.ResponseWriter, r *http.Request) {
-		<-sent
-		streamEvents(4, 0)(w, r)
-	})
-	h.causes()["the endpoint closes"]()
-	close(h.goOn)
-	assert.Equal(t, <-h.answers, eventStream(4))
-	assert.Equal(t, h.taken(), 0)
-}
-
-// Guards against a stream that is cut when its endpoint crashes while the next one is asked.
-func TestStreamMovesWhenItsEndpointBreaksOffMeanwhile(t *testing.T) {
-	for _, cause := range moveCauses {
-		t.Run(cause, func(t *testing.T) {
-			broken := make(chan struct{})
-			h := startMovingStream(t, 2, func(http.ResponseWriter, *http.Request) {
-				close(broken)
-				panic(http.ErrAbortHandler)
-			}, func(w http.ResponseWriter, r *http.Request) {
-				<-broken
-				streamEvents(4, 0)(w, r)
+	}
+	for name, m := range map[string]movingStream{
+		"the next one has nothing to add":  {sent: 4, rest: nothing, next: nothing, answersFirst: true},
+		"the next one is silent":           {sent: 2, rest: others, next: stall},
+		"the first one breaks off":         {sent: 2, rest: breakOff, next: streamEvents(4, 0), isLate: true},
+		"both send the events":             {sent: 2, rest: others, staysOpen: true, next: streamEvents(4, 0), isLate: true, closesOnly: true},
+		"the next one does not run it":     {sent: 2, rest: others, next: rejectNotRun, refuses: true},
+		"the next one breaks off, is late": {sent: 2, rest: others, next: breakOff, isLate: true, refuses: true, closesOnly: true},
+	} {
+		for _, cause := range moveCauses {
+			if m.closesOnly && cause != "the endpoint closes" {
+				continue
+			}
+			t.Run(name+", "+cause, func(t *testing.T) {
+				assert.Equal(t, m.play(t, cause), eventStream(4))
 			})
-			h.causes()[cause]()
-			close(h.goOn)
-			assert.Equal(t, <-h.answers, eventStream(4))
-			assert.Equal(t, h.taken(), 0)
-		})
+		}
 	}
 }
 
-// Guards against events that are lost when the next endpoint does not take a stream, while its
-// own one has gone on.
-func TestEventsThatWereHeldBackAreSentWhenTheNextEndpointFails(t *testing.T) {
-	held, failed := make(chan struct{}), make(chan struct{})
-	h := startMovingStream(t, 2, func(w http.ResponseWriter, r *http.Request) {
-		sendEvents(eventsFrom(2))(w, r)
-		close(held)
-		<-failed
-	}, func(w http.ResponseWriter, r *http.Request) {
-		<-held
-		rejectNotRun(w, r)
-	})
-	h.service.retryBudget = budgetOf(2)
-	h.causes()["the endpoint closes"]()
-	close(h.goOn)
-	<-h.resumed
-	close(failed)
-	assert.Equal(t, <-h.answers, eventStream(4))
-}
-
 // Guards against endpoints that send without end while the next attempt begins.
 func TestEventsThatAreHeldBackAreBounded(t *testing.T) {
 	a := &streamAttempt{}
