--- a/gateway/partblame_test.go
+++ b/gateway/partblame_test.go
@@ -333,7 +333,7 @@
 // Guards against a part that crashes endpoints in light traffic, or just after a start, without an end, as
 // entries wait for tens of other requests before they suspect it.
 func TestDeadlyPartIsQuarantinedInLightTraffic(t *testing.T) {
-	// One request a second until the fifth crash, for the 3 s of stable_ms after it, and three more.
+	// One request a second until the fifth crash, for the 3 s after it that the users allow, and three more.
 	const maxRequests = 5 + 3 + 3
 	one, two := []string{deadlyPart}, []string{deadlyPart, "other deadly part"}
 	plays := []deadlyTraffic{{sound: 4, deadly: two}, {sound: 30, deadly: two}, {sound: 4, deadly: one, restarts: true}}
