Log silent agents, obstacles of moves and ends of cancelled connections

Logs did not tell whether a request at an endpoint that stands still was to move, what kept it, or what its endpoint gets once it is cancelled. "attempt failed" has agent_silent, agent_silent_at_end, move_wanted_ms and move_obstacle now; three metrics count requests at silent agents, callers who left there, and connections of cancelled requests. No decision changes.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -108,6 +108,8 @@
 		fields = append(fields, "fault", string(broken.Kind))
 	}
 	fields = append(fields, attempt.exchangeFields(req)...)
+	fields = append(fields, "agent_silent_at_end", req.service.agentSilent(time.Now(), attempt.grant.EndpointID))
+	fields = append(fields, attempt.move.fields(attempt.sentAt)...)
 	req.logger.Info("attempt failed", append(fields, estimateFields(attempt.grant.Estimate)...)...)
 }
 
@@ -142,7 +144,7 @@
 		reportAgeMS = e.ReportAge.Milliseconds()
 	}
 	fields := []any{
-		"load", e.Load, "report_age_ms", reportAgeMS, "free", e.FreeSlots,
+		"load", e.Load, "report_age_ms", reportAgeMS, "agent_silent", e.AgentSilent, "free", e.FreeSlots,
 		"endpoint_version", e.LoadedVersion, "min_version", e.MinVersion,
 	}
 	if e.VersionSource != "" {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,6 +56,8 @@
 	endpoint *directory.Endpoint
 	response *http.Response
 	metadata ResponseMetadata
+	// move is that of the attempt, nil if it may not move.
+	move *attemptMove
 	// progress is that of the last connection that the attempt got, nil before.
 	progress *connguard.Progress
 	sentAt   time.Time
@@ -151,6 +153,7 @@
 func (g *Gateway) roundTrip(ctx context.Context, r *http.Request, req *request, endpoint *directory.Endpoint, lastEventID string) (*http.Response, *connguard.Progress, error) {
 	for lost, metAgain := 0, 0; ; {
 		progress := connguard.NewProgress(req.metadata.ID, &req.exchanges)
+		progress.OnConnectionEnd(g.metrics.recordCancelledConnection)
 		endpointRequest := g.newEndpointRequest(connguard.WithProgress(ctx, progress), r, req, endpoint, lastEventID)
 		response, err := g.deps.Transport.RoundTrip(endpointRequest)
 		if err == nil || !progress.LostIdleConn() || ctx.Err() != nil {
--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -54,6 +54,34 @@
 	opening *openingAttempt
 	// exhausted says that the route allows no further attempt.
 	exhausted bool
+	// wantedAt is when a move was wanted first, zero if none was; obstacle is why the last try to
+	// move did not succeed.
+	wantedAt time.Time
+	obstacle moveObstacle
+}
+
+// moveObstacle is why an attempt did not move, empty if nothing kept it.
+type moveObstacle string
+
+// The obstacles.
+const (
+	obstacleSlot    moveObstacle = "no_slot"
+	obstacleRetry   moveObstacle = "no_retry"
+	obstacleAttempt moveObstacle = "no_attempts"
+)
+
+// fields returns the log fields that tell whether the attempt was to move, after which time, and what
+// kept it.
+func (m *attemptMove) fields(sentAt time.Time) []any {
+	if m == nil {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.wantedAt.IsZero() {
+		return nil
+	}
+	return []any{"move_wanted_ms", m.wantedAt.Sub(sentAt).Milliseconds(), "move_obstacle", string(m.obstacle)}
 }
 
 // newMove returns the move of an attempt at the endpoint of a grant. begun says that the caller
@@ -72,15 +100,24 @@
 func (m *attemptMove) start(cause error) (moved bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ended || m.placed != nil || m.cause != nil || m.opening != nil || m.exhausted {
+	if m.ended || m.placed != nil || m.cause != nil || m.opening != nil {
+		return false
+	}
+	if m.wantedAt.IsZero() {
+		m.wantedAt = time.Now()
+	}
+	if m.exhausted {
+		m.obstacle = obstacleAttempt
 		return false
 	}
 	if grant := m.req.service.gate.TryAcquire(m.request(cause)); grant != nil {
 		return m.place(grant, cause)
 	}
 	if !m.req.service.retryBudget.has(m.retriesFor(cause)) {
+		m.obstacle = obstacleRetry
 		return false
 	}
+	m.obstacle = obstacleSlot
 	m.startSearch(cause, m.place)
 	return false
 }
@@ -171,9 +208,11 @@
 // one unless that goes on until the next one has begun. It is called with mu held.
 func (m *attemptMove) place(grant *admission.Grant, cause error) bool {
 	if !m.takeRetries(cause) {
+		m.obstacle = obstacleRetry
 		grant.Done(admission.Cancelled)
 		return false
 	}
+	m.obstacle = ""
 	if m.opener != nil {
 		return m.open(grant, cause)
 	}
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -93,14 +93,16 @@
 func (g *Gateway) tryBuffered(ctx context.Context, r *http.Request, req *request, grant *admission.Grant) (*bufferedResponse, bool, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	var move *attemptMove
 	if req.route.Kind == directory.Idempotent && req.runs == 0 && req.route.MaxRuns > 1 && !req.deadline.IsZero() {
-		move := newMove(attemptCtx, cancel, g, req, grant, false)
+		move = newMove(attemptCtx, cancel, g, req, grant, false)
 		defer req.endMove(move)
 		limit := time.Duration(firstAttemptShare * float64(req.timeLeft(time.Now())))
 		timer := time.AfterFunc(limit, func() { move.start(context.DeadlineExceeded) })
 		defer timer.Stop()
 	}
 	attempt, mayHaveRun, err := g.send(attemptCtx, r, req, grant, "")
+	attempt.move = move
 	if err != nil {
 		err = moveCause(attemptCtx, err)
 		g.recordFailedAttempt(ctx, req, attempt, mayHaveRun, attemptOutcome(ctx, err), err)
@@ -181,7 +183,7 @@
 // http.ErrAbortHandler if the caller has left.
 func (g *Gateway) finishBuffered(w http.ResponseWriter, r *http.Request, req *request, response *bufferedResponse, err error) {
 	if r.Context().Err() != nil {
-		g.finish(req, "left", 0, "runs", req.runs, "body_bytes", len(req.body))
+		g.finish(req, outcomeLeft, 0, "runs", req.runs, "body_bytes", len(req.body))
 		// A caller that has only shut down its sending side would take what net/http sends on
 		// return, an empty 200, for the answer.
 		panic(http.ErrAbortHandler)
--- a/gateway/livegauges.go
+++ b/gateway/livegauges.go
@@ -33,6 +33,11 @@
 			Tags: []string{telemetry.TagService, telemetry.TagReason},
 			Read: g.readUnavailable,
 		},
+		{
+			Name: telemetry.MetricAtSilentAgents,
+			Tags: []string{telemetry.TagService},
+			Read: g.readAtSilentAgents,
+		},
 		{
 			Name: telemetry.MetricEvacuatedDomains,
 			Tags: []string{telemetry.TagFailureDomain},
@@ -108,6 +113,18 @@
 	}
 }
 
+// readAtSilentAgents reports the requests of each service at endpoints whose agents are silent.
+func (g *Gateway) readAtSilentAgents(report func(value float64, tagValues ...string)) {
+	now := time.Now()
+	for name, s := range *g.services.Load() {
+		requests := 0
+		s.gate.Inspect(func(p *admission.Pool) { requests = p.AtSilentAgents(now) })
+		if requests > 0 {
+			report(float64(requests), name)
+		}
+	}
+}
+
 // readEvacuated reports the evacuated failure domains.
 func (g *Gateway) readEvacuated(report func(value float64, tagValues ...string)) {
 	for domain := range g.deps.Directory.View().Evacuated {
--- a/gateway/livegauges_test.go
+++ b/gateway/livegauges_test.go
@@ -209,3 +209,28 @@
 		assert.Assert(t, strings.Contains(kept, fmt.Sprintf("# TYPE snipestep_%s gauge", name)), name)
 	}
 }
+
+// Guards against requests at endpoints that stand still being told neither on the metrics page nor in
+// the log.
+func TestRequestAtASilentAgentIsTold(t *testing.T) {
+	f := newVersionFixture(t, time.Hour)
+	f.listEndpoint(t, 1, respondWith("response"))
+	s := (*f.gateway.services.Load())["lm"]
+	heard := func(age time.Duration) {
+		s.gate.Update(func(p *admission.Pool) {
+			p.Report("i-0", admission.Report{ReceivedAt: time.Now().Add(-age), LoadedVersion: 1})
+		})
+	}
+	grant, err := s.gate.Acquire(t.Context(), admission.Request{HardDeadline: time.Now().Add(time.Minute)})
+	assert.NilError(t, err)
+	heard(0)
+	assert.DeepEqual(t, f.liveGauge(t, telemetry.MetricAtSilentAgents), map[string]float64{})
+	heard(time.Hour)
+	assert.DeepEqual(t, f.liveGauge(t, telemetry.MetricAtSilentAgents), map[string]float64{"lm": 1})
+
+	req := &request{logger: f.log.logger(), service: s, lastEndpointID: grant.EndpointID}
+	f.gateway.recordFailedAttempt(t.Context(), req, &endpointAttempt{grant: grant, cancel: func() {}}, true, admission.Cancelled, context.Canceled)
+	assert.Equal(t, f.log.lines(t, "attempt failed")[0]["agent_silent_at_end"], true)
+	f.gateway.finish(req, outcomeLeft, 0)
+	assert.Equal(t, f.counter(telemetry.MetricLeftAtSilentAgents, map[string]string{telemetry.TagService: "lm"}), int64(1))
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/snipestep/snipestep/internal/connguard"
 	"github.com/snipestep/snipestep/routing/admission"
 	"github.com/snipestep/snipestep/telemetry"
 )
@@ -54,6 +55,14 @@
 	m.scope.Tagged(map[string]string{telemetry.TagReason: string(reason)}).Counter(telemetry.MetricWithdrawnAttempts).Inc(1)
 }
 
+func (m *metrics) recordCancelledConnection(end connguard.ConnectionEnd) {
+	m.scope.Tagged(map[string]string{telemetry.TagEnd: string(end)}).Counter(telemetry.MetricCancelledConnections).Inc(1)
+}
+
+func (m *metrics) recordLeftAtSilentAgent(service string) {
+	m.scope.Tagged(map[string]string{telemetry.TagService: service}).Counter(telemetry.MetricLeftAtSilentAgents).Inc(1)
+}
+
 func (m *metrics) recordColdWithdrawal() {
 	m.scope.Counter(telemetry.MetricColdWithdrawals).Inc(1)
 }
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -132,4 +132,10 @@
 	fields = append(fields, estimateFields(req.loadAtChoice)...)
 	g.deps.Logger.Info("request ended", append(fields, extra...)...)
 	g.metrics.recordRequest(req.rankLabel(), outcome, duration)
+	if outcome == outcomeLeft && req.service.agentSilent(time.Now(), req.lastEndpointID) {
+		g.metrics.recordLeftAtSilentAgent(req.service.name)
+	}
 }
+
+// outcomeLeft says that the caller disconnected before its response was complete.
+const outcomeLeft = "left"
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -29,6 +29,16 @@
 	perTokenMilliBytes atomic.Int64
 }
 
+// agentSilent reports whether the agent of an endpoint has stopped sending reports. A request that
+// has found no service has no endpoint.
+func (s *service) agentSilent(now time.Time, endpointID string) (silent bool) {
+	if s == nil {
+		return false
+	}
+	s.gate.Inspect(func(p *admission.Pool) { silent = p.AgentSilent(now, endpointID) })
+	return silent
+}
+
 // incarnationOf returns the incarnation of an endpoint in the pools.
 func incarnationOf(e *directory.Endpoint) admission.Incarnation {
 	return admission.Incarnation{ID: e.ID, StartedUnixMS: e.StartedUnixMS}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -166,7 +166,7 @@
 // reason to abandon a response.
 func (s *stream) onSilence(move *attemptMove) func() {
 	if !s.req.mayRunAgain() {
-		return func() {}
+		move.exhausted = true
 	}
 	return func() { move.start(ErrEventTimeout) }
 }
@@ -328,7 +328,7 @@
 func (s *stream) abort(r *http.Request, err error) {
 	g, req := s.gateway, s.req
 	if r.Context().Err() != nil || errors.Is(err, errCallerGone) {
-		g.finish(req, "left", 0, "events", s.eventCount, "body_bytes", len(req.body))
+		g.finish(req, outcomeLeft, 0, "events", s.eventCount, "body_bytes", len(req.body))
 		// A caller that has only shut down its sending side would take the stream for complete.
 		panic(http.ErrAbortHandler)
 	}
--- a/gateway/streamattempt.go
+++ b/gateway/streamattempt.go
@@ -47,6 +47,7 @@
 	unregisterUnstarted := g.unstarted.add(grant, req, a.cancel, nil)
 	defer unregisterUnstarted()
 	a.attempt, mayHaveRun, err = g.send(a.ctx, r, req, grant, lastEventID)
+	a.attempt.move = a.move
 	if err == nil {
 		if mayMove {
 			a.unregister = g.migratable.add(grant, req, a.cancel, a.move)
--- a/internal/connguard/conn.go
+++ b/internal/connguard/conn.go
@@ -36,6 +36,8 @@
 	// unchecked is the request whose response is still to be checked. net/http gives the connection
 	// away before that if the response has no body.
 	unchecked *Progress
+	// exchange is the request that was written last, until its response was read whole.
+	exchange *Progress
 
 	notIdle  bool // The connection carries no more requests.
 	requests int  // Requests that were written, the current one included.
@@ -178,6 +180,7 @@
 			c.unchecked = c.claimant
 		}
 		c.claimant.recordWrite(c)
+		c.exchange = c.claimant
 		c.claimant.use.Store(int64(c.requests))
 		c.claimant.sent.Store(true)
 		c.claimant = nil
@@ -223,11 +226,25 @@
 	_ = c.Close()
 }
 
+// endExchange records that the response to p was read whole.
+func (c *Conn) endExchange(p *Progress) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.exchange == p {
+		c.exchange = nil
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	exchange := c.exchange
+	c.exchange = nil
 	c.changed.Broadcast()
 	c.mu.Unlock()
+	if exchange != nil && exchange.isCancelled() && exchange.onConnectionEnd != nil {
+		exchange.onConnectionEnd(EndInOrder)
+	}
 	return c.Conn.Close()
 }
--- a/internal/connguard/progress.go
+++ b/internal/connguard/progress.go
@@ -25,6 +25,9 @@
 	// the response: Transport sets both.
 	bodyBytes int64
 	checked   bool
+	// contextErr is that of the request's context, nil if no Transport sends the request.
+	contextErr      func() error
+	onConnectionEnd func(ConnectionEnd) // Nil for none.
 
 	connRequested atomic.Bool
 	connReused    atomic.Bool
--- a/internal/connguard/transport.go
+++ b/internal/connguard/transport.go
@@ -37,6 +37,7 @@
 	}
 	progress.bodyBytes = max(request.ContentLength, 0)
 	progress.checked = true
+	progress.contextErr = request.Context().Err
 	response, err := t.base.RoundTrip(request)
 	if err != nil {
 		progress.Retire() // Else a request that waits for the check would wait for ever.
@@ -50,6 +51,11 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if response.Body == http.NoBody {
+		progress.endExchange()
+	} else {
+		response.Body = &exchangeBody{ReadCloser: response.Body, progress: progress}
+	}
 	if response.Body != http.NoBody && slices.Contains(response.TransferEncoding, "chunked") {
 		response.Body = &trailerBody{ReadCloser: response.Body, response: response, progress: progress}
 		return response, nil
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -38,6 +38,8 @@
 	// oldest one allowed; both are 0 for services without weights.
 	LoadedVersion uint64
 	MinVersion    uint64
+	// AgentSilent says that the agent of the endpoint had stopped sending reports.
+	AgentSilent bool
 	// Slowdown is that of the endpoint, 1 if it is unknown; 0 if the pool does not use slowdowns.
 	Slowdown float64
 	// Left says that the endpoint is outside the failure domain of the entry, by a decision of
@@ -66,6 +68,7 @@
 	estimate := LoadEstimate{
 		Load: endpoint.load(now, &p.config, p.entryCount, p.unreportedWeight(freeSlots)), ReportAge: -1, FreeSlots: freeSlots,
 		LoadedVersion: endpoint.loadedVersionAt(now, &p.config), MinVersion: p.minVersion,
+		AgentSilent: endpoint.agentSilent(now, &p.config),
 	}
 	if p.config.UseSlowdown {
 		estimate.Slowdown = endpoint.slowdown(now)
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -69,6 +69,9 @@
 	MetricEvacuatedDomains        = "evacuated_failure_domains"
 	MetricBrokenResponses         = "broken_responses_total"
 	MetricWithdrawnAttempts       = "withdrawn_attempts_total"
+	MetricCancelledConnections    = "cancelled_connections_total"
+	MetricAtSilentAgents          = "requests_at_silent_agents"
+	MetricLeftAtSilentAgents      = "callers_left_at_silent_agents_total"
 	MetricColdEndpoints           = "cold_endpoints"
 	MetricColdDivisor             = "cold_rate_entries"
 	MetricColdWithdrawals         = "cold_withdrawals_total"
@@ -87,6 +90,7 @@
 	TagService = "service"
 	TagReason  = "reason"
 	TagLimit   = "limit"
+	TagEnd     = "end"
 	// TagFailureDomain is a failure domain of a deployment.
 	TagFailureDomain = "failure_domain"
 	// TagVersion is a version of weights, TagBasis what the time is from which its bound
