Send one request at a time to an endpoint that is silent with its agent

Callers waited at endpoints whose instances were frozen: requests were sent there for seconds after the last report.

Cause: silence of an agent only made its endpoint the last choice, which a busy fleet takes, and the estimated load of an endpoint that stands still falls. The class of the fault: missing evidence counts as good news.

An endpoint is unresponsive if its agent has been silent for 0.45 s and the endpoint itself has sent nothing for 0.5 s. It gets one request of an entry at a time, whose response tells whether it may get more, so that an endpoint whose agent alone has died serves as before. Silence during a pause of the entry itself does not count.

TestEndpointThatIsSilentWithItsAgentGetsNoRequests failed in two of four cases before.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -278,6 +278,7 @@
 		s.gate.Update(func(p *admission.Pool) {
 			p.SetMinVersion(minVersion)
 			p.SetSuspended(suspended)
+			p.Tick(time.Now())
 		})
 		g.logColdChanges(s)
 		g.versions.observe(now, view, name, minVersion)
--- a/routing/admission/coldness_test.go
+++ b/routing/admission/coldness_test.go
@@ -307,6 +307,8 @@
 	p.SetColdStart(at(20), false, sharedrate.ColdRule{}, 0)
 	assert.Equal(t, p.ColdEndpoints(at(20)), 0)
 	assert.Equal(t, tryAll(p, at(20)), 8)
+	reportStart(p, at(1990), "a", 0)
+	reportStart(p, at(1990), "b", 0)
 	assert.Equal(t, len(p.Unavailable(at(2000))), 0)
 	assert.Equal(t, len(p.ColdChanges(at(2000))), 0)
 }
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -79,6 +79,8 @@
 	addedAt time.Time
 	// lastProgress is when the endpoint last sent a part of a response.
 	lastProgress time.Time
+	// respondedAt is when the endpoint last sent a part of a response, or a whole one of any kind.
+	respondedAt time.Time
 	// notRunAt is when the endpoint did not run a request, zero since the last report and
 	// where responses report the load.
 	notRunAt time.Time
--- a/routing/admission/firstresponsedelay.go
+++ b/routing/admission/firstresponsedelay.go
@@ -82,6 +82,7 @@
 		return false
 	}
 	endpoint.lastProgress = now
+	endpoint.respondedAt = now
 	req, ok := endpoint.inFlight[requestID]
 	if !ok || req.responseStarted {
 		return false
--- a/routing/admission/outcome.go
+++ b/routing/admission/outcome.go
@@ -51,6 +51,9 @@
 		endpoint.endedSinceReport++
 		endpoint.quota.remaining += p.stochasticRound(min(p.demandShare(endpoint.report.Demand)*quotaOvercommit, 1))
 	}
+	if outcome == Served || outcome == NotRun {
+		endpoint.respondedAt = now
+	}
 	switch outcome {
 	case Served:
 		p.endProbing(endpoint, req.sentAt)
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -38,6 +38,9 @@
 	cold  coldEndpoints
 	// suspended is how long the machine has been suspended since the process started.
 	suspended time.Duration
+	// tickedAt is the time of the last Tick, resumedAt that of the last one after a pause of the
+	// process; zero if there was none.
+	tickedAt, resumedAt time.Time
 	// restrictedArrivals measures the arrival rates of requests that may use some regions only.
 	restrictedArrivals map[restrictedClass]*restrictedArrivals
 	// reserved lists the sets of regions that the request that is being placed may not use.
--- a/routing/admission/silence_test.go
+++ b/routing/admission/silence_test.go
@@ -28,6 +28,36 @@
 			p.Report("a", Report{ReceivedAt: at(test.reportedAt), LoadedVersion: 1, Running: 1})
 			_, started := p.TryStart(at(600), newRequest(at(600), 0))
 			assert.Equal(t, started, test.starts)
+			assert.Equal(t, p.Unavailable(at(600))[UnavailableUnresponsive], boolToInt(!test.starts))
 		})
 	}
 }
+
+// Guards against an endpoint that gets nothing for ever because its agent has died while it had no
+// requests, and against many requests that are sent to see whether it responds.
+func TestOneRequestTellsWhetherASilentEndpointResponds(t *testing.T) {
+	p := enginePool(1, "a")
+	trial := newRequest(at(5000), 0)
+	assert.Equal(t, p.Submit(at(5000), trial).Verdict, Start)
+	_, started := p.TryStart(at(5001), newRequest(at(5001), 0))
+	assert.Assert(t, !started)
+	p.RecordProgress(at(5100), "a", trial.ID)
+	_, started = p.TryStart(at(5101), newRequest(at(5101), 0))
+	assert.Assert(t, started)
+}
+
+// Guards against an entry that was paused itself, and takes all endpoints for silent until it has read
+// the reports that have arrived meanwhile.
+func TestSilenceDuringAPauseOfTheEntryDoesNotCount(t *testing.T) {
+	p := enginePool(1, "a")
+	p.Tick(at(0))
+	p.Submit(at(1), newRequest(at(1), 0))
+	for _, now := range []int{3000, 3001, 3200, 3400} { // From 3001 on, the loop that ticks goes on too.
+		if now > 3000 {
+			p.Tick(at(now))
+		}
+		assert.Equal(t, p.Unavailable(at(now))[UnavailableUnresponsive], 0, "after %d ms", now)
+	}
+	p.Tick(at(3500))
+	assert.Equal(t, p.Unavailable(at(3500))[UnavailableUnresponsive], 1)
+}
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -29,6 +29,9 @@
 	UnavailableClosed Unavailability = "closed"
 	// UnavailableUnreported: it is new, and its agent may still report.
 	UnavailableUnreported Unavailability = "unreported"
+	// UnavailableUnresponsive: neither its agent nor the endpoint itself has been heard for a while,
+	// and this entry's requests there are without a response.
+	UnavailableUnresponsive Unavailability = "unresponsive"
 	// UnavailableOutdated: it has no version of the weights, or one below the minimum.
 	UnavailableOutdated Unavailability = "outdated"
 	// UnavailableRegion: the request may not be sent to its region. This is no state of the
@@ -64,6 +67,8 @@
 		return UnavailableClosed
 	case endpoint.report.ReceivedAt.IsZero() && now.Sub(endpoint.addedAt) < firstReportTimeout:
 		return UnavailableUnreported
+	case p.awaitsResponse(now, endpoint):
+		return UnavailableUnresponsive
 	}
 	if version := endpoint.loadedVersionAt(now, &p.config); version == 0 || version < p.minVersion {
 		return UnavailableOutdated
