Move requests off unresponsive endpoints before others get slots

Cause: an attempt without an answer tried every 250 ms whether a slot was free that no waiting request claims, and under load none is: requests that came later got them. It began to try after 1.2 s, half of such a caller's time, and not at all if no retry was left at that moment. The class of the fault: who has waited longest queues last.

Attempts at an endpoint that turns unresponsive are moved at once, and again every 0.1 s if no retry is left: streams with and without an event, and idempotent requests. They queue for a slot before all but resumed streams. A search for a slot that another cause has begun is replaced. The log tells when an endpoint is unresponsive, and no longer so.

TestRequestAtAFrozenEndpointMovesBeforeLaterRequests failed in two of three cases before.

--- a/gateway/attemptmove.go
+++ b/gateway/attemptmove.go
@@ -12,7 +12,7 @@
 )
 
 // moveRetryInterval is the pause between two attempts to find a slot for a request whose answer
-// has not begun, which does not queue a second time.
+// has not begun at an endpoint that may be sound: it does not queue a second time.
 const moveRetryInterval = 250 * time.Millisecond
 
 // attemptMove moves one attempt of a request to another endpoint. It takes a slot there before it
@@ -100,9 +100,10 @@
 func (m *attemptMove) start(cause error) (moved bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.ended || m.placed != nil || m.cause != nil || m.opening != nil {
+	if m.ended || m.placed != nil || m.opening != nil || (m.cause != nil && !m.supersedes(cause)) {
 		return false
 	}
+	m.endSearch()
 	if m.wantedAt.IsZero() {
 		m.wantedAt = time.Now()
 	}
@@ -122,6 +123,12 @@
 	return false
 }
 
+// supersedes reports whether a search for a cause replaces the present one: that of a stranded request
+// queues before others, as that of a stream whose endpoint closes does already. It is called with mu held.
+func (m *attemptMove) supersedes(cause error) bool {
+	return errors.Is(cause, errUnresponsive) && !errors.Is(m.cause, errUnresponsive) && !errors.Is(m.cause, errMigrated)
+}
+
 // startSearch is called with mu held. found gets the slot, with mu held.
 func (m *attemptMove) startSearch(cause error, found func(*admission.Grant, error) bool) {
 	ctx, stop := context.WithCancel(m.attempt)
@@ -177,10 +184,10 @@
 }
 
 // awaitSlot returns a slot, nil if there is none now. A stream that has begun queues for one
-// before all other requests.
+// before all other requests, and so does a request at an unresponsive endpoint.
 func (m *attemptMove) awaitSlot(ctx context.Context, cause error) *admission.Grant {
 	req := m.request(cause)
-	if !req.Resumed {
+	if !req.Resumed && !req.Stranded {
 		return m.req.service.gate.TryAcquire(req)
 	}
 	grant, err := m.req.service.gate.Acquire(ctx, req)
@@ -198,7 +205,8 @@
 		req.MinVersion = m.gateway.imminentVersion(m.req.service.name)
 	}
 	req.Resumed = m.begun.Load()
-	if req.Resumed {
+	req.Stranded = errors.Is(cause, errUnresponsive)
+	if req.Resumed || req.Stranded {
 		req.HardDeadline = m.req.resumeDeadline(time.Now())
 	}
 	return req
--- a/gateway/attemptregistry.go
+++ b/gateway/attemptregistry.go
@@ -29,6 +29,8 @@
 	// chosenVersion is the version of the weights that was loaded at the endpoint when it
 	// was chosen, 0 for a service without weights.
 	chosenVersion uint64
+	// since is when the attempt was registered.
+	since time.Time
 	// move moves the attempt to another endpoint, nil if it may not.
 	move *attemptMove
 }
@@ -53,7 +55,7 @@
 	if r.attempts[endpointID] == nil {
 		r.attempts[endpointID] = make(map[*request]registeredAttempt)
 	}
-	r.attempts[endpointID][req] = registeredAttempt{cancel: cancel, chosenVersion: grant.Estimate.LoadedVersion, move: move}
+	r.attempts[endpointID][req] = registeredAttempt{cancel: cancel, chosenVersion: grant.Estimate.LoadedVersion, since: time.Now(), move: move}
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/gateway/buffered.go
+++ b/gateway/buffered.go
@@ -94,9 +94,12 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var move *attemptMove
-	if req.route.Kind == directory.Idempotent && req.runs == 0 && req.route.MaxRuns > 1 && !req.deadline.IsZero() {
+	if req.route.Kind == directory.Idempotent && req.mayRunAgain() {
 		move = newMove(attemptCtx, cancel, g, req, grant, false)
 		defer req.endMove(move)
+		defer g.movable.add(grant, req, cancel, move)()
+	}
+	if move != nil && req.runs == 0 && !req.deadline.IsZero() {
 		limit := time.Duration(firstAttemptShare * float64(req.timeLeft(time.Now())))
 		timer := time.AfterFunc(limit, func() { move.start(context.DeadlineExceeded) })
 		defer timer.Stop()
@@ -135,7 +138,7 @@
 
 // moveCause returns why an attempt was cancelled for its move, else err.
 func moveCause(attemptCtx context.Context, err error) error {
-	if cause := context.Cause(attemptCtx); errors.Is(cause, context.DeadlineExceeded) {
+	if cause := context.Cause(attemptCtx); errors.Is(cause, context.DeadlineExceeded) || errors.Is(cause, ErrEventTimeout) {
 		return cause
 	}
 	return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,11 @@
 	// without a first event.
 	migratable *attemptRegistry
 	unstarted  *attemptRegistry
+	// movable holds all attempts that may move off an endpoint that turns unresponsive.
+	movable *attemptRegistry
+	// unresponsive holds the endpoints that are unresponsive, with the time since which they are; only
+	// superviseAttempts uses it.
+	unresponsive map[string]time.Time
 	// strikes holds the strikes against requests and parts of prompts, strikeNews those
 	// to pass on.
 	strikes *strikes.Ledger
@@ -84,7 +89,7 @@
 // New returns a gateway that is subscribed to the directory.
 func New(config Config, deps Deps) *Gateway {
 	deps.Transport = connguard.NewTransport(deps.Transport)
-	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
+	g := &Gateway{config: config, deps: deps, metrics: newMetrics(deps.Scope), versions: newVersionMonitor(deps.Scope, deps.Logger), random: newRandomSource(config.Seed), migratable: newAttemptRegistry(), unstarted: newAttemptRegistry(), movable: newAttemptRegistry(), unresponsive: make(map[string]time.Time), strikeNews: newStrikeNews(), answers: heldbytes.NewBudget(heldbytes.DefaultLimit), trials: newTrialGate(), rateLimitNews: make(chan struct{}, 1), retired: make(map[string]*service), crashes: newCrashDetector(), slowdownErrors: newSlowdownErrors(), engineLists: make(map[string]encodedEngineList), startedAt: time.Now(), startedAtBoot: deps.Now(), clocks: loadreport.NewClockExchange(deps.Now()), coldEntries: sharedrate.NewEntryCount(time.Now())}
 	g.strikes = strikes.NewLedger(quarantineConfig(g.random), partQuarantineConfig(g.random), time.Now)
 	g.strikes.JudgeByChance(g.chanceOf, maxChance)
 	g.services.Store(&map[string]*service{})
@@ -237,21 +242,21 @@
 	return g.minVersion(g.deps.Now(), g.deps.Directory.View(), serviceName, margin)
 }
 
-// versionCheckInterval is how often VersionBound is enforced.
-const versionCheckInterval = 100 * time.Millisecond
+// superviseInterval is how often VersionBound is enforced and unresponsive endpoints are looked for.
+const superviseInterval = 100 * time.Millisecond
 
-// Run receives load reports and enforces VersionBound until ctx ends.
+// Run receives load reports and supervises attempts until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
 	defer loops.Wait()
-	loops.Go(func() { g.enforceVersions(ctx) })
+	loops.Go(func() { g.superviseAttempts(ctx) })
 	return g.receiveLoadReports(ctx)
 }
 
-// enforceVersions raises the minimum version of each service when it is due and
-// cancels queued requests at outdated endpoints.
-func (g *Gateway) enforceVersions(ctx context.Context) {
-	ticker := time.NewTicker(versionCheckInterval)
+// superviseAttempts raises the minimum version of each service when it is due, cancels queued
+// requests at outdated endpoints, and moves requests off unresponsive ones.
+func (g *Gateway) superviseAttempts(ctx context.Context) {
+	ticker := time.NewTicker(superviseInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -259,6 +264,7 @@
 			return
 		case <-ticker.C:
 			g.enforceVersionsAt(g.deps.Now(), g.deps.Directory.View())
+			g.moveOffUnresponsive(time.Now())
 		}
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -179,7 +179,7 @@
 	return req
 }
 
-// resumeDeadline returns until when a stream that runs may wait for a slot elsewhere.
+// resumeDeadline returns until when a request that was sent may wait for a slot elsewhere.
 func (r *request) resumeDeadline(now time.Time) time.Time {
 	if r.deadline.IsZero() {
 		return now.Add(resumeQueueTime)
--- a/gateway/streamattempt.go
+++ b/gateway/streamattempt.go
@@ -43,6 +43,9 @@
 	a.move = newMove(a.ctx, a.cancel, g, req, grant, s.headerSent)
 	a.move.stream = ctx
 	mayMove := req.mayRunAgain()
+	if mayMove {
+		a.unregister = g.movable.add(grant, req, a.cancel, a.move)
+	}
 	a.silence = time.AfterFunc(s.firstEventTimeout(), s.onSilence(a.move))
 	unregisterUnstarted := g.unstarted.add(grant, req, a.cancel, nil)
 	defer unregisterUnstarted()
@@ -50,7 +53,8 @@
 	a.attempt.move = a.move
 	if err == nil {
 		if mayMove {
-			a.unregister = g.migratable.add(grant, req, a.cancel, a.move)
+			unregisterMovable, unregisterMigratable := a.unregister, g.migratable.add(grant, req, a.cancel, a.move)
+			a.unregister = func() { unregisterMovable(); unregisterMigratable() }
 		}
 		err = s.readFirst(a)
 	}
--- /dev/null
+++ b/gateway/unresponsive.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/snipestep/snipestep/routing/admission"
+)
+
+// errUnresponsive cancels an attempt at an endpoint that has fallen silent together with its agent, as
+// when their instance is frozen.
+var errUnresponsive = eris.Wrap(ErrEventTimeout, "endpoint is silent with its agent")
+
+// strandedAfter is how long an attempt lasts at least before it leaves an unresponsive endpoint: a full
+// engine with prompts ahead sends a first event within half of it. It lets the single request that
+// tells whether the endpoint responds get its response.
+const strandedAfter = 500 * time.Millisecond
+
+// moveOffUnresponsive moves the attempts that may move off unresponsive endpoints. It is called again
+// and again: an attempt for which no retry is left now may move later.
+func (g *Gateway) moveOffUnresponsive(now time.Time) {
+	for name, s := range *g.services.Load() {
+		for _, endpointID := range g.movable.endpointsOf(name) {
+			unresponsive, estimate := false, admission.LoadEstimate{}
+			s.gate.Inspect(func(p *admission.Pool) {
+				if unresponsive = p.Unresponsive(now, endpointID); unresponsive {
+					estimate = p.Estimate(now, endpointID)
+				}
+			})
+			if !unresponsive {
+				continue
+			}
+			moved, staying := g.movable.moveStranded(endpointID, now.Add(-strandedAfter))
+			if _, known := g.unresponsive[endpointID]; known {
+				continue
+			}
+			g.unresponsive[endpointID] = now
+			fields := []any{"endpoint", endpointID, "moved", moved, "staying", staying}
+			g.deps.Logger.Warn("endpoint is unresponsive", append(fields, estimateFields(estimate)...)...)
+		}
+	}
+	g.logResponsive(now)
+}
+
+// logResponsive logs the endpoints that are no longer unresponsive, or no longer listed.
+func (g *Gateway) logResponsive(now time.Time) {
+	for endpointID, since := range g.unresponsive {
+		unresponsive := false
+		for _, s := range *g.services.Load() {
+			s.gate.Inspect(func(p *admission.Pool) { unresponsive = unresponsive || p.Unresponsive(now, endpointID) })
+		}
+		if !unresponsive {
+			delete(g.unresponsive, endpointID)
+			g.deps.Logger.Info("endpoint is no longer unresponsive", "endpoint", endpointID, "after_ms", now.Sub(since).Milliseconds())
+		}
+	}
+}
+
+// moveStranded moves the attempts of an endpoint that began before a time. It returns how many were
+// moved at once and how many stay as long as there is no slot or no retry for them.
+func (r *attemptRegistry) moveStranded(endpointID string, before time.Time) (moved, staying int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, attempt := range r.attempts[endpointID] {
+		switch {
+		case !attempt.since.Before(before):
+		case attempt.move.start(errUnresponsive):
+			moved++
+		default:
+			staying++
+		}
+	}
+	return moved, staying
+}
--- a/gateway/unresponsive_test.go
+++ b/gateway/unresponsive_test.go
@@ -85,7 +85,7 @@
 				for range slots {
 					running <- gate.TryAcquire(admission.Request{ExcludedEndpoints: []string{"frozen"}})
 				}
-				go f.gateway.enforceVersions(ctx)
+				go f.gateway.superviseAttempts(ctx)
 				go every(ctx, reportInterval, func() { report("sound") })
 				go every(ctx, slotInterval, func() { (<-running).Done(admission.Served) })
 				// Later requests wait for each slot, and hold it as long as those before.
--- a/gateway/versionmonitor_test.go
+++ b/gateway/versionmonitor_test.go
@@ -76,11 +76,11 @@
 		const dueAfter = 2 * time.Second
 		f := newVersionFixture(t, versionSafetyMargin+dueAfter)
 		f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now()))
-		go f.gateway.enforceVersions(t.Context())
-		time.Sleep(dueAfter - versionCheckInterval)
+		go f.gateway.superviseAttempts(t.Context())
+		time.Sleep(dueAfter - superviseInterval)
 		synctest.Wait()
 		assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 1.0)
-		time.Sleep(versionCheckInterval)
+		time.Sleep(superviseInterval)
 		synctest.Wait()
 		assert.Equal(t, f.gauge(t, telemetry.MetricMinVersion), 2.0)
 		assert.Equal(t, f.gauge(t, telemetry.MetricDeclaredVersionAge), dueAfter.Seconds())
@@ -97,7 +97,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const bound = 10 * time.Second
 		f := newVersionFixture(t, bound)
-		go f.gateway.enforceVersions(t.Context())
+		go f.gateway.superviseAttempts(t.Context())
 		f.directory.SetDeclaration("m", versiontest.Declared(2, time.Now()))
 		time.Sleep(time.Minute)
 		synctest.Wait()
--- a/routing/admission/decision.go
+++ b/routing/admission/decision.go
@@ -62,6 +62,15 @@
 	VersionFromList VersionSource = "list"
 )
 
+// Estimate returns the present estimate for an endpoint, the zero value if it is not listed.
+func (p *Pool) Estimate(now time.Time, endpointID string) LoadEstimate {
+	endpoint := p.endpoints[endpointID]
+	if endpoint == nil {
+		return LoadEstimate{}
+	}
+	return p.loadEstimate(now, endpoint, p.freeSlots(now, nil))
+}
+
 // loadEstimate returns the present estimate for an endpoint. freeSlots is the
 // number of free slots at all endpoints.
 func (p *Pool) loadEstimate(now time.Time, endpoint *endpointState, freeSlots int) LoadEstimate {
--- a/routing/admission/gate.go
+++ b/routing/admission/gate.go
@@ -142,7 +142,7 @@
 // deadline it keeps waiting only if a slot is expected before the hard deadline.
 func (g *Gate) wait(ctx context.Context, req *Request, enqueuedAt time.Time, assigned chan Assignment) (*Grant, error) {
 	deadline := req.HardDeadline
-	if !req.Resumed && req.SoftDeadline.Before(deadline) && req.SoftDeadline.After(enqueuedAt) {
+	if !req.goesFirst() && req.SoftDeadline.Before(deadline) && req.SoftDeadline.After(enqueuedAt) {
 		deadline = req.SoftDeadline
 	}
 	for {
--- a/routing/admission/pool.go
+++ b/routing/admission/pool.go
@@ -143,7 +143,7 @@
 // Submit decides on a new request. An enqueued request leaves the pool by
 // Dispatch or Remove.
 func (p *Pool) Submit(now time.Time, req *Request) Decision {
-	if !req.Requeued {
+	if !req.Requeued && !req.Stranded {
 		p.recordArrival(now, req)
 	}
 	if decision, ok := p.TryStart(now, req); ok {
@@ -157,7 +157,7 @@
 		return Decision{Verdict: Refuse, Reason: ReasonNoEndpoint, ExpectedWait: unservableWait, Unavailable: p.unavailableTo(now, req.Regions)}
 	}
 	wait := p.expectedWait(now, req, releaseRate)
-	if !req.Resumed && now.Add(wait).After(req.HardDeadline) {
+	if !req.goesFirst() && now.Add(wait).After(req.HardDeadline) {
 		return Decision{Verdict: Refuse, Reason: p.refusalReason(now, req, releaseRate), ExpectedWait: wait, Unavailable: p.unavailableTo(now, req.Regions)}
 	}
 	p.waiting = append(p.waiting, req)
--- a/routing/admission/request.go
+++ b/routing/admission/request.go
@@ -45,6 +45,9 @@
 	// Moved marks a request that is moved off an endpoint before its response has begun. Like one
 	// that is resumed it takes any slot.
 	Moved bool
+	// Stranded marks a request that is moved off an unresponsive endpoint. It precedes all but resumed
+	// ones: its caller has waited longest, and nothing comes where it is.
+	Stranded bool
 	// Stream marks a request whose response is a stream, of which each event is recorded as
 	// progress.
 	Stream bool
@@ -61,11 +64,17 @@
 	return max(r.TotalTokens, 1)
 }
 
+// goesFirst reports whether a request precedes all new ones, however late it is.
+func (r *Request) goesFirst() bool {
+	return r.Resumed || r.Stranded
+}
+
 // class orders requests: lower values start first.
 type class uint8
 
 const (
 	classResumed class = iota
+	classStranded
 	classOnTime
 	classLate
 )
@@ -74,6 +83,8 @@
 	switch {
 	case r.Resumed:
 		return classResumed
+	case r.Stranded:
+		return classStranded
 	case now.After(r.SoftDeadline):
 		return classLate
 	default:
--- a/routing/admission/silence.go
+++ b/routing/admission/silence.go
@@ -30,6 +30,12 @@
 	return endpoint.agentSilent(now, &p.config) && now.Sub(endpoint.respondedAt) > livenessWindow && !p.pausedLately(now)
 }
 
+// Unresponsive reports whether an endpoint seems to stand still.
+func (p *Pool) Unresponsive(now time.Time, endpointID string) bool {
+	endpoint := p.endpoints[endpointID]
+	return endpoint != nil && p.unresponsive(now, endpoint)
+}
+
 // awaitsResponse reports whether an endpoint is unresponsive and has a request of this entry, whose
 // response tells whether it may get more.
 func (p *Pool) awaitsResponse(now time.Time, endpoint *endpointState) bool {
--- a/routing/admission/waiting.go
+++ b/routing/admission/waiting.go
@@ -64,7 +64,7 @@
 	}
 	ahead = p.aheadWithOffers(now, req, ahead, releaseRate)
 	wait := queueWait(ahead, p.spareRate(now, releaseRate, req.Rank, req.Regions))
-	if !now.Add(wait).After(req.SoftDeadline) || req.Resumed {
+	if !now.Add(wait).After(req.SoftDeadline) || req.goesFirst() {
 		return wait
 	}
 	// The request will be late, and then follows all requests that are on time,
