Probe engines that are silent with their agents

On larger deployments callers of frozen endpoints still left: 30 entries tried 13 frozen endpoints with a request each, again and again, and requests that had moved off one met the next, with no attempt left.

Cause: whether an endpoint responds was found out with a caller's request, and a moved request takes any slot.

Entries read the engine's state instead, which needs no slot, with pauses that double up to 2 s; an answer counts for 2 s. Moved and resumed requests go to no unresponsive endpoint. A connection attempt in place of the probe (trial) does not tell: frozen instances accept connections. The reference of TestScoreInSecondsChoosesAsScoreInUtilisation, which compares scores, leaves the same endpoints out.

--- a/cmd/snipestep-direct/roles.go
+++ b/cmd/snipestep-direct/roles.go
@@ -48,6 +48,7 @@
 		Directory:   deployment,
 		HeaderCodec: platform.HeaderCodec{},
 		Transport:   platform.NewTransport(endpointIdleTimeout, maxIdleConnsPerEndpoint),
+		Prober:      platform.NewEngineProber(),
 		Now:         bootclock.Now,
 		Logger:      t.Logger,
 		Scope:       t.Scope,
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -42,13 +42,16 @@
 	Seed               uint64
 }
 
-// Deps are the dependencies of a Gateway. All are required.
+// Deps are the dependencies of a Gateway. All but Prober are required.
 type Deps struct {
 	Directory   *directory.Directory
 	HeaderCodec HeaderCodec
 	// Transport sends requests to endpoints. The gateway checks its responses, see
 	// connguard.Transport.
 	Transport http.RoundTripper
+	// Prober probes unresponsive endpoints with agents. Without one, requests of callers tell whether
+	// such an endpoint responds, one at a time.
+	Prober Prober
 	// Now is the clock of the directory's declared versions.
 	Now    func() time.Time
 	Logger *slog.Logger
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,11 +194,12 @@
 		svc.retryBudget.setEntryCount(int(entryCount))
 	}
 	config := admission.Config{
-		Region:       g.config.Region,
-		AgentReports: s.Engine != nil,
-		UseSlowdown:  g.config.UseSlowdown,
-		Locality:     g.localityConfig(),
-		Rand:         newRand(g.config.Seed, uint64(len(s.Name))),
+		Region:          g.config.Region,
+		AgentReports:    s.Engine != nil,
+		ProbesEndpoints: s.Engine != nil && g.deps.Prober != nil,
+		UseSlowdown:     g.config.UseSlowdown,
+		Locality:        g.localityConfig(),
+		Rand:            newRand(g.config.Seed, uint64(len(s.Name))),
 	}
 	if s.Engine != nil {
 		config.PrefillTokensPerSecond = s.Engine.PrefillTokensPerSecond
@@ -264,7 +265,9 @@
 			return
 		case <-ticker.C:
 			g.enforceVersionsAt(g.deps.Now(), g.deps.Directory.View())
-			g.moveOffUnresponsive(time.Now())
+			now := time.Now()
+			g.moveOffUnresponsive(now)
+			g.probeUnresponsive(ctx, now)
 		}
 	}
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -63,6 +63,14 @@
 	m.scope.Tagged(map[string]string{telemetry.TagService: service}).Counter(telemetry.MetricLeftAtSilentAgents).Inc(1)
 }
 
+func (m *metrics) recordProbe(service string, answered bool) {
+	outcome := "failed"
+	if answered {
+		outcome = "answered"
+	}
+	m.scope.Tagged(map[string]string{telemetry.TagService: service, telemetry.TagOutcome: outcome}).Counter(telemetry.MetricProbes).Inc(1)
+}
+
 func (m *metrics) recordColdWithdrawal() {
 	m.scope.Counter(telemetry.MetricColdWithdrawals).Inc(1)
 }
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/admission"
 )
 
@@ -17,6 +19,46 @@
 // tells whether the endpoint responds get its response.
 const strandedAfter = 500 * time.Millisecond
 
+// Prober asks an endpoint whether it responds.
+type Prober interface {
+	// Probe returns nil if the endpoint at an address responds before ctx ends.
+	Probe(ctx context.Context, address string) error
+}
+
+// probeTimeout bounds a probe: twenty times the longest round trip between two regions of known
+// deployments. A link that takes longer is as good as cut for a first event.
+const probeTimeout = 300 * time.Millisecond
+
+// probeUnresponsive probes unresponsive endpoints: one whose agent alone has died answers, one on a frozen
+// instance does not.
+func (g *Gateway) probeUnresponsive(ctx context.Context, now time.Time) {
+	view := g.deps.Directory.View()
+	for _, s := range *g.services.Load() {
+		var due []string
+		s.gate.Inspect(func(p *admission.Pool) { due = p.DueProbes(now) })
+		for _, endpointID := range due {
+			endpoint := view.Endpoints[endpointID]
+			if endpoint == nil {
+				continue
+			}
+			go g.probe(ctx, s, endpoint)
+		}
+	}
+}
+
+// probe probes one endpoint.
+func (g *Gateway) probe(ctx context.Context, s *service, endpoint *directory.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	err := g.deps.Prober.Probe(ctx, endpoint.Address)
+	g.metrics.recordProbe(s.name, err == nil)
+	if err != nil {
+		g.deps.Logger.Info("probe of an unresponsive endpoint failed", "endpoint", endpoint.ID, "address", endpoint.Address, "error", errorText(err))
+		return
+	}
+	s.gate.Update(func(p *admission.Pool) { p.RecordProbeAnswer(time.Now(), endpoint.ID) })
+}
+
 // moveOffUnresponsive moves the attempts that may move off unresponsive endpoints. It is called again
 // and again: an attempt for which no retry is left now may move later.
 func (g *Gateway) moveOffUnresponsive(now time.Time) {
--- a/routing/admission/choose.go
+++ b/routing/admission/choose.go
@@ -58,7 +58,7 @@
 		if !p.regionAllows(endpoint.Region, req) {
 			continue
 		}
-		if p.isElsewhere(endpoint, within) || !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
+		if p.isElsewhere(endpoint, within) || !p.eligible(now, endpoint) || p.avoids(now, endpoint, req) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
 			continue
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
--- a/routing/admission/config.go
+++ b/routing/admission/config.go
@@ -11,6 +11,9 @@
 	Region string
 	// AgentReports says that agents, not responses, report the load of endpoints.
 	AgentReports bool
+	// ProbesEndpoints says that the endpoints of Pool.DueProbes are probed. Otherwise unresponsive ones
+	// get one request at a time.
+	ProbesEndpoints bool
 	// MaxReportAge is the age above which a report is ignored. The default allows
 	// for three lost reports of an agent, and is a second for load that
 	// responses carry.
--- a/routing/admission/endpoint.go
+++ b/routing/admission/endpoint.go
@@ -81,6 +81,10 @@
 	lastProgress time.Time
 	// respondedAt is when the endpoint last sent a part of a response, or a whole one of any kind.
 	respondedAt time.Time
+	// probedAt is when the endpoint was last probed, probeAnsweredAt when it last answered a probe.
+	probedAt, probeAnsweredAt time.Time
+	// probeInterval is the time to the next probe if it does not answer, 0 before the first one.
+	probeInterval time.Duration
 	// notRunAt is when the endpoint did not run a request, zero since the last report and
 	// where responses report the load.
 	notRunAt time.Time
@@ -130,6 +134,7 @@
 
 func (s *endpointState) setReport(r Report) {
 	s.report = r
+	s.probeInterval = 0
 	s.endedSinceReport = 0
 	s.notRunAt = time.Time{}
 }
--- a/routing/admission/score_test.go
+++ b/routing/admission/score_test.go
@@ -22,7 +22,7 @@
 	}
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
-		if !p.eligible(now, endpoint) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
+		if !p.eligible(now, endpoint) || p.avoids(now, endpoint, req) || slices.Contains(req.ExcludedEndpoints, id) || p.isOlderThan(now, endpoint, req.MinVersion) {
 			continue
 		}
 		load := endpoint.load(now, &p.config, p.entryCount, unreportedWeight)
--- a/routing/admission/silence.go
+++ b/routing/admission/silence.go
@@ -24,10 +24,12 @@
 }
 
 // unresponsive reports whether neither the agent of an endpoint nor the endpoint itself has been heard
-// for a while, as when their instance is frozen. Of an agent that has died alone the endpoint still
-// responds.
+// for a while, as when their instance is frozen. An endpoint whose agent alone has died still responds.
 func (p *Pool) unresponsive(now time.Time, endpoint *endpointState) bool {
-	return endpoint.agentSilent(now, &p.config) && now.Sub(endpoint.respondedAt) > livenessWindow && !p.pausedLately(now)
+	if !endpoint.agentSilent(now, &p.config) || now.Sub(endpoint.respondedAt) <= livenessWindow {
+		return false
+	}
+	return now.Sub(endpoint.probeAnsweredAt) > probeValidity && !p.pausedLately(now)
 }
 
 // Unresponsive reports whether an endpoint seems to stand still.
@@ -36,10 +38,54 @@
 	return endpoint != nil && p.unresponsive(now, endpoint)
 }
 
-// awaitsResponse reports whether an endpoint is unresponsive and has a request of this entry, whose
-// response tells whether it may get more.
-func (p *Pool) awaitsResponse(now time.Time, endpoint *endpointState) bool {
-	return len(endpoint.inFlight) > 0 && p.unresponsive(now, endpoint)
+// mayBeTried reports whether an unresponsive endpoint may get a request all the same, whose response
+// tells whether it may get more. That puts a caller at risk, and is done only if nothing else tells.
+func (p *Pool) mayBeTried(endpoint *endpointState) bool {
+	return !p.config.ProbesEndpoints && len(endpoint.inFlight) == 0
+}
+
+// avoids reports whether a request is not to try an unresponsive endpoint: its caller has waited at
+// another endpoint already.
+func (p *Pool) avoids(now time.Time, endpoint *endpointState, req *Request) bool {
+	return (req.Resumed || req.Moved) && p.unresponsive(now, endpoint)
+}
+
+const (
+	// probeValidity is how long the answer to a probe counts. Each entry probes an idle endpoint whose
+	// agent has died that often.
+	probeValidity = 2 * time.Second
+	// minProbeInterval and maxProbeInterval bound the time between two probes of an endpoint that does
+	// not answer, which doubles: the first lost answer costs little of the endpoint's capacity, and a
+	// frozen instance is told by its agent when it goes on.
+	minProbeInterval = 500 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
+)
+
+// DueProbes returns the unresponsive endpoints that are to be probed now. Answers are passed to
+// RecordProbeAnswer.
+func (p *Pool) DueProbes(now time.Time) []string {
+	if !p.config.ProbesEndpoints {
+		return nil
+	}
+	var due []string
+	for _, id := range p.sortedIDs {
+		endpoint := p.endpoints[id]
+		if now.Sub(endpoint.probedAt) < endpoint.probeInterval || !p.unresponsive(now, endpoint) {
+			continue
+		}
+		endpoint.probedAt = now
+		endpoint.probeInterval = min(max(2*endpoint.probeInterval, minProbeInterval), maxProbeInterval)
+		due = append(due, id)
+	}
+	return due
+}
+
+// RecordProbeAnswer records that an endpoint has answered a probe.
+func (p *Pool) RecordProbeAnswer(now time.Time, endpointID string) {
+	if endpoint := p.endpoints[endpointID]; endpoint != nil {
+		endpoint.probeAnsweredAt = now
+		endpoint.probeInterval = 0
+	}
 }
 
 // AgentSilent reports whether the agent of an endpoint has stopped sending reports.
--- a/routing/admission/silence_test.go
+++ b/routing/admission/silence_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -61,3 +62,29 @@
 	p.Tick(at(3500))
 	assert.Equal(t, p.Unavailable(at(3500))[UnavailableUnresponsive], 1)
 }
+
+// Guards against callers' requests that try unresponsive endpoints where probes can tell, probes without
+// end of an endpoint that does not answer, and moved requests that meet a second such endpoint.
+func TestUnresponsiveEndpointIsProbed(t *testing.T) {
+	p := enginePool(1, "a", "b")
+	p.config.ProbesEndpoints = true
+	p.Report("b", Report{ReceivedAt: at(500), LoadedVersion: 1})
+	_, started := p.TryStart(at(501), &Request{ID: 1, ExcludedEndpoints: []string{"b"}})
+	assert.Assert(t, !started)
+	var due []int
+	for now := 0; now < 6000; now += 100 {
+		if slices.Contains(p.DueProbes(at(now)), "a") {
+			due = append(due, now)
+		}
+	}
+	assert.DeepEqual(t, due, []int{500, 1000, 2000, 4000})
+	p.RecordProbeAnswer(at(6000), "a")
+	_, started = p.TryStart(at(6001), &Request{ID: 2, ExcludedEndpoints: []string{"b"}})
+	assert.Assert(t, started)
+
+	p.config.ProbesEndpoints = false
+	for _, req := range []*Request{{ID: 3, Moved: true}, {ID: 4, Resumed: true}} {
+		_, started = p.TryStart(at(9000), req)
+		assert.Assert(t, !started)
+	}
+}
--- a/routing/admission/unavailability.go
+++ b/routing/admission/unavailability.go
@@ -29,8 +29,7 @@
 	UnavailableClosed Unavailability = "closed"
 	// UnavailableUnreported: it is new, and its agent may still report.
 	UnavailableUnreported Unavailability = "unreported"
-	// UnavailableUnresponsive: neither its agent nor the endpoint itself has been heard for a while,
-	// and this entry's requests there are without a response.
+	// UnavailableUnresponsive: neither its agent nor the endpoint itself has been heard for a while.
 	UnavailableUnresponsive Unavailability = "unresponsive"
 	// UnavailableOutdated: it has no version of the weights, or one below the minimum.
 	UnavailableOutdated Unavailability = "outdated"
@@ -67,7 +66,7 @@
 		return UnavailableClosed
 	case endpoint.report.ReceivedAt.IsZero() && now.Sub(endpoint.addedAt) < firstReportTimeout:
 		return UnavailableUnreported
-	case p.awaitsResponse(now, endpoint):
+	case p.unresponsive(now, endpoint) && !p.mayBeTried(endpoint):
 		return UnavailableUnresponsive
 	}
 	if version := endpoint.loadedVersionAt(now, &p.config); version == 0 || version < p.minVersion {
--- a/telemetry/names.go
+++ b/telemetry/names.go
@@ -70,6 +70,7 @@
 	MetricBrokenResponses         = "broken_responses_total"
 	MetricWithdrawnAttempts       = "withdrawn_attempts_total"
 	MetricCancelledConnections    = "cancelled_connections_total"
+	MetricProbes                  = "endpoint_probes_total"
 	MetricAtSilentAgents          = "requests_at_silent_agents"
 	MetricLeftAtSilentAgents      = "callers_left_at_silent_agents_total"
 	MetricColdEndpoints           = "cold_endpoints"
