Let saved retries be used at once

Cause: each of 30 entries may use a thirtieth of the burst at once, two retries, although the calls of the last ten seconds allow the service over a thousand. The class of the fault: a limit on a window that is kept as one on a moment.

An entry may use a quarter of what its calls of the last ten seconds allow, on top of its share of the burst. TestRetryBudgetFollowsEntryCount counts the saved part too, exactly.

--- a/gateway/retrybudget.go
+++ b/gateway/retrybudget.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/snipestep/snipestep/routing"
 )
@@ -11,6 +12,12 @@
 	// the entries. The rest is a reserve for entries that restart, since each begins
 	// with a full share again.
 	plannedBudgetShare = 0.6
+	// savedRetryShare is the fraction of the retries that the calls of the last retryWindow allow which
+	// may be used at once: when an instance freezes, all its requests move together. With
+	// plannedBudgetShare it stays below what is allowed.
+	savedRetryShare = 0.25
+	// retryWindow is the time over which retries are limited, in all known deployments.
+	retryWindow = 10 * time.Second
 	// initialEntryCount is the assumed number of entries until agents report it:
 	// when all entries are killed, each begins with a new budget.
 	initialEntryCount = 8
@@ -25,10 +32,17 @@
 	burst      float64
 	entryCount int
 	share      *routing.RetryBudget // Of this entry.
+	calls      *routing.CallWindow
+	now        func() time.Time
 }
 
 func newRetryBudget(ratio, burst float64) *retryBudget {
-	b := &retryBudget{ratio: ratio, burst: burst}
+	return newRetryBudgetAt(ratio, burst, time.Now)
+}
+
+// newRetryBudgetAt is newRetryBudget with a clock.
+func newRetryBudgetAt(ratio, burst float64, now func() time.Time) *retryBudget {
+	b := &retryBudget{ratio: ratio, burst: burst, calls: routing.NewCallWindow(now(), retryWindow), now: now}
 	b.setEntryCount(initialEntryCount)
 	return b
 }
@@ -41,17 +55,24 @@
 		return
 	}
 	b.entryCount = n
-	config := routing.RetryBudgetConfig{Ratio: b.ratio * plannedBudgetShare, Burst: b.burst * plannedBudgetShare / float64(n)}
 	if b.share == nil {
-		b.share = routing.NewRetryBudget(config)
+		b.share = routing.NewRetryBudget(b.config())
 		return
 	}
-	b.share.SetConfig(config)
+	b.share.SetConfig(b.config())
+}
+
+// config returns the limits of this entry's share as of now. It is called with mu held.
+func (b *retryBudget) config() routing.RetryBudgetConfig {
+	saved := savedRetryShare * b.ratio * float64(b.calls.Total(b.now()))
+	return routing.RetryBudgetConfig{Ratio: b.ratio * plannedBudgetShare, Burst: b.burst*plannedBudgetShare/float64(b.entryCount) + saved}
 }
 
 func (b *retryBudget) recordRequest() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.calls.Add(b.now())
+	b.share.SetConfig(b.config())
 	b.share.RecordCall()
 }
 
@@ -64,6 +85,7 @@
 func (b *retryBudget) take(n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.share.SetConfig(b.config())
 	return b.share.TakeRetries(n)
 }
 
