Drop calls that ended while their agent was paused

The own path has the fault of cancelled requests too: an agent that stood still reads a call first and its end after it, and the endpoint gets the call in between.

Cause: the end of a call follows it in the same session, and nothing tells that it is there already. An agent finds out whether it was paused; in the second after a pause it asks the entry for a sign of life on the session before it runs a call, which arrives behind all that the entry has sent before, and drops the call if its stream has ended. Calls at other times are not delayed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -8,6 +8,7 @@
 	"github.com/snipestep/snipestep/configuration"
 	"github.com/snipestep/snipestep/core"
 	"github.com/snipestep/snipestep/fleet"
+	"github.com/snipestep/snipestep/internal/bootclock"
 	"github.com/snipestep/snipestep/internal/heldbytes"
 	"github.com/snipestep/snipestep/weights/swarm"
 	"github.com/snipestep/snipestep/wire"
@@ -38,6 +39,7 @@
 	tasks         *tasks
 	counters      counters
 	answers       *heldbytes.Budget
+	pauses        pauseDetector
 
 	faults    wire.ProtocolFaults
 	listener  *wire.Listener
@@ -63,6 +65,7 @@
 		fenceGuard: &fenceGuard{},
 		tasks:      newTasks(),
 		answers:    heldbytes.NewBudget(cfg.AnswerBytes),
+		pauses:     pauseDetector{now: bootclock.Now},
 		ready:      make(chan struct{}),
 		killed:     make(chan struct{}),
 	}
@@ -82,6 +85,7 @@
 		return err
 	}
 	a.tasks.start(a.sched.run)
+	a.tasks.start(a.pauses.run)
 	a.tasks.start(a.reporter.run)
 	a.tasks.start(a.controller.watchEndpoint)
 	a.tasks.start(a.configSync.run)
@@ -133,10 +137,10 @@
 }
 
 // handleStream handles one stream that an entry opened.
-func (a *Agent) handleStream(ctx context.Context, _ *wire.Session, stream *wire.Stream, header *wire.StreamHeader) {
+func (a *Agent) handleStream(ctx context.Context, session *wire.Session, stream *wire.Stream, header *wire.StreamHeader) {
 	switch req := header.GetRequest().(type) {
 	case *wire.StreamHeader_Call:
-		a.callServer.serve(ctx, stream, header)
+		a.callServer.serve(ctx, session, stream, header)
 	case *wire.StreamHeader_Order:
 		a.countOrder(req.Order, a.controller.handleOrder(stream, req.Order))
 	case *wire.StreamHeader_Status:
--- a/agent/callserver.go
+++ b/agent/callserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -28,16 +29,22 @@
 	policy      string
 	counters    *counters
 	answers     *heldbytes.Budget
+	pauses      *pauseDetector
+	logger      *slog.Logger
 	activeCalls activeCalls
 	lastJobID   atomic.Uint64
 }
 
 // serve runs one attempt to its end. It blocks until the final event is sent
 // or the entry closes the stream.
-func (c *callServer) serve(ctx context.Context, stream *wire.Stream, header *wire.StreamHeader) {
+func (c *callServer) serve(ctx context.Context, session *wire.Session, stream *wire.Stream, header *wire.StreamHeader) {
 	c.activeCalls.begin()
 	defer c.activeCalls.end()
 	req := header.GetCall()
+	if c.endedInPause(session, stream) {
+		c.logger.Info("call ended while the agent was paused", "attempt", req.GetAttempt(), "entry", string(session.Peer))
+		return
+	}
 	ctx = telemetry.Extract(ctx, header.GetTraceparent())
 	ctx, span := c.tracer.Start(ctx, "agent.call", trace.WithAttributes(
 		attribute.String("attempt", req.GetAttempt()),
@@ -56,6 +63,12 @@
 	}
 }
 
+// endedInPause reports whether the entry has closed the stream of a call that arrived while the process was
+// paused: the call is read first, and would reach the endpoint before its end is read.
+func (c *callServer) endedInPause(session *wire.Session, stream *wire.Stream) bool {
+	return c.pauses.pausedLately() && (session.CatchUp() != nil || stream.Ended())
+}
+
 // answerOwner is the owner of all answers: an agent has one endpoint.
 const answerOwner = "endpoint"
 
--- a/agent/components.go
+++ b/agent/components.go
@@ -74,6 +74,8 @@
 		policy:   a.cfg.Policy,
 		counters: &a.counters,
 		answers:  a.answers,
+		pauses:   &a.pauses,
+		logger:   a.deps.Logger,
 	}
 	return nil
 }
--- a/wire/session.go
+++ b/wire/session.go
@@ -142,6 +142,13 @@
 	return stream.Recv(response)
 }
 
+// CatchUp blocks until all that the peer has sent before it answers was received, which takes a round
+// trip.
+func (s *Session) CatchUp() error {
+	_, err := s.mux.Ping()
+	return err
+}
+
 // Done is closed when the session has ended.
 func (s *Session) Done() <-chan struct{} {
 	return s.ctx.Done()
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
@@ -43,6 +44,16 @@
 	return protodelim.UnmarshalOptions{MaxSize: MaxMessageSize}.UnmarshalFrom(s.reader, m)
 }
 
+// Ended reports whether the peer has closed the stream and all that it sent was read. It does not wait,
+// and is not called while another goroutine receives.
+func (s *Stream) Ended() bool {
+	if s.conn.SetReadDeadline(time.Unix(1, 0)) != nil {
+		return true
+	}
+	_, err := s.reader.Peek(1)
+	return s.conn.SetReadDeadline(time.Time{}) != nil || (err != nil && !errors.Is(err, yamux.ErrTimeout))
+}
+
 // RecvHeld is Recv for a message with a part of an answer. Room is taken as its bytes arrive, not by its
 // declared length, and for the decoded copy, whose size stays counted in held. Without room it
 // returns heldbytes.ErrNoRoom, and the stream cannot be read any further.
