--- a/gateway/service.go
+++ b/gateway/service.go
@@ -39,6 +39,12 @@
 	return silent
 }
 
+// isUnresponsive reports whether an endpoint seems to stand still.
+func (s *service) isUnresponsive(now time.Time, endpointID string) (unresponsive bool) {
+	s.gate.Inspect(func(p *admission.Pool) { unresponsive = p.Unresponsive(now, endpointID) })
+	return unresponsive
+}
+
 // incarnationOf returns the incarnation of an endpoint in the pools.
 func incarnationOf(e *directory.Endpoint) admission.Incarnation {
 	return admission.Incarnation{ID: e.ID, StartedUnixMS: e.StartedUnixMS}
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -64,33 +64,33 @@
 func (g *Gateway) moveOffUnresponsive(now time.Time) {
 	for name, s := range *g.services.Load() {
 		for _, endpointID := range g.movable.endpointsOf(name) {
-			unresponsive, estimate := false, admission.LoadEstimate{}
-			s.gate.Inspect(func(p *admission.Pool) {
-				if unresponsive = p.Unresponsive(now, endpointID); unresponsive {
-					estimate = p.Estimate(now, endpointID)
-				}
-			})
-			if !unresponsive {
-				continue
-			}
-			moved, staying := g.movable.moveStranded(endpointID, now.Add(-strandedAfter))
-			if _, known := g.unresponsive[endpointID]; known {
-				continue
+			if s.isUnresponsive(now, endpointID) {
+				moved, staying := g.movable.moveStranded(endpointID, now.Add(-strandedAfter))
+				g.logUnresponsive(now, s, endpointID, moved, staying)
 			}
-			g.unresponsive[endpointID] = now
-			fields := []any{"endpoint", endpointID, "moved", moved, "staying", staying}
-			g.deps.Logger.Warn("endpoint is unresponsive", append(fields, estimateFields(estimate)...)...)
 		}
 	}
 	g.logResponsive(now)
 }
 
+// logUnresponsive logs an endpoint that has become unresponsive, and what became of its attempts then.
+func (g *Gateway) logUnresponsive(now time.Time, s *service, endpointID string, moved, staying int) {
+	if _, known := g.unresponsive[endpointID]; known {
+		return
+	}
+	g.unresponsive[endpointID] = now
+	var estimate admission.LoadEstimate
+	s.gate.Inspect(func(p *admission.Pool) { estimate = p.Estimate(now, endpointID) })
+	fields := []any{"service", s.name, "endpoint", endpointID, "moved", moved, "staying", staying}
+	g.deps.Logger.Warn("endpoint is unresponsive", append(fields, estimateFields(estimate)...)...)
+}
+
 // logResponsive logs the endpoints that are no longer unresponsive, or no longer listed.
 func (g *Gateway) logResponsive(now time.Time) {
 	for endpointID, since := range g.unresponsive {
 		unresponsive := false
 		for _, s := range *g.services.Load() {
-			s.gate.Inspect(func(p *admission.Pool) { unresponsive = unresponsive || p.Unresponsive(now, endpointID) })
+			unresponsive = unresponsive || s.isUnresponsive(now, endpointID)
 		}
 		if !unresponsive {
 			delete(g.unresponsive, endpointID)
--- a/gateway/unresponsive_test.go
+++ b/gateway/unresponsive_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/snipestep/snipestep/directory"
 	"github.com/snipestep/snipestep/routing/admission"
+	"github.com/snipestep/snipestep/telemetry"
 )
 
 // frozenTransport serves endpoints of which the first stands still.
@@ -129,3 +131,43 @@
 		}
 	}
 }
+
+// fakeProber answers probes, or fails them.
+type fakeProber struct {
+	err    error
+	probes atomic.Int64
+}
+
+// Probe implements Prober.
+func (p *fakeProber) Probe(context.Context, string) error {
+	p.probes.Add(1)
+	return p.err
+}
+
+// Guards against an endpoint whose agent alone has died getting no requests, and against probes and
+// changes of its state that are not told.
+func TestProbeTellsWhetherASilentEndpointGetsRequests(t *testing.T) {
+	for outcome, err := range map[string]error{"answered": nil, "failed": context.DeadlineExceeded} {
+		t.Run(outcome, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newVersionFixture(t, time.Hour)
+				prober := &fakeProber{err: err}
+				f.gateway.deps.Prober = prober
+				f.directory.PutEndpoint(&directory.Endpoint{ID: "i-0", Service: "lm", Address: "127.0.0.1:1", Region: "r", Slots: 4, LoadedVersion: 1})
+				s := f.gateway.newService(f.directory.View().Document.Services["lm"])
+				f.gateway.services.Store(&map[string]*service{"lm": s}) // The fixture's has no prober.
+				f.gateway.applyView(f.directory.View())
+				s.gate.Update(func(p *admission.Pool) {
+					p.Report("i-0", admission.Report{ReceivedAt: time.Now(), LoadedVersion: 1})
+				})
+				go f.gateway.superviseAttempts(t.Context())
+				time.Sleep(900 * time.Millisecond) // A second probe follows after 1 s.
+				_, acquireErr := s.gate.Acquire(t.Context(), admission.Request{ArrivedAt: time.Now(), HardDeadline: time.Now()})
+				assert.Equal(t, acquireErr == nil, err == nil)
+				assert.Equal(t, prober.probes.Load(), int64(1))
+				tags := map[string]string{telemetry.TagService: "lm", telemetry.TagOutcome: outcome}
+				assert.Equal(t, f.counter(telemetry.MetricProbes, tags), int64(1))
+			})
+		})
+	}
+}
