Probe only endpoints that would be used

A probe went to any endpoint that is silent with its agent, also to one that leaves, drains, asks for a pause, or stands in an evacuated failure domain, to which nothing may be sent.

DueProbes asks for the one reason that a probe can change. The test lists endpoints that leave, drain and are evacuated, and fails without the change.

--- a/routing/admission/silence.go
+++ b/routing/admission/silence.go
@@ -61,8 +61,8 @@
 	maxProbeInterval = 2 * time.Second
 )
 
-// DueProbes returns the unresponsive endpoints that are to be probed now. Answers are passed to
-// RecordProbeAnswer.
+// DueProbes returns the endpoints that are to be probed now: those that get no requests only because they
+// are unresponsive. Answers are passed to RecordProbeAnswer.
 func (p *Pool) DueProbes(now time.Time) []string {
 	if !p.config.ProbesEndpoints {
 		return nil
@@ -70,7 +70,7 @@
 	var due []string
 	for _, id := range p.sortedIDs {
 		endpoint := p.endpoints[id]
-		if now.Sub(endpoint.probedAt) < endpoint.probeInterval || !p.unresponsive(now, endpoint) {
+		if now.Sub(endpoint.probedAt) < endpoint.probeInterval || p.unavailability(now, endpoint) != UnavailableUnresponsive {
 			continue
 		}
 		endpoint.probedAt = now
--- a/routing/admission/silence_test.go
+++ b/routing/admission/silence_test.go
@@ -78,6 +78,12 @@
 		}
 	}
 	assert.DeepEqual(t, due, []int{500, 1000, 2000, 4000})
+	for _, unused := range []Endpoint{{Draining: true}, {Leaving: true}, {Evacuated: true}} {
+		unused.ID, unused.Region, unused.Slots, unused.LoadedVersion = "a", "r", 4, 1
+		p.endpoints["a"].Endpoint = unused
+		assert.Equal(t, len(p.DueProbes(at(6000))), 0, "nothing is sent to an endpoint that is not used")
+	}
+	p.endpoints["a"].Endpoint = Endpoint{ID: "a", Region: "r", Slots: 4, LoadedVersion: 1}
 	p.RecordProbeAnswer(at(6000), "a")
 	_, started = p.TryStart(at(6001), &Request{ID: 2, ExcludedEndpoints: []string{"b"}})
 	assert.Assert(t, started)
