Start the agent of tests again if its port was taken

In 960 runs of one test in sixteen processes two hung in the same way: the agent's port was taken between freeAddr and Listen, Run returned an error, and the fixture waited for Ready for ever. It waits for either now, and starts the agent at other ports.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -79,8 +79,21 @@
 	return f
 }
 
-// startAgent starts an agent at the engine and opens a session to it.
+// startAgent starts an agent at the engine and opens a session to it. Another process may take one of
+// the free ports before the agent listens; then it is started at others.
 func (f *fixture) startAgent() {
+	f.t.Helper()
+	for !f.runAgent() {
+		f.stop()
+	}
+	var err error
+	f.session, err = wire.Dial(f.t.Context(), (&net.Dialer{}).DialContext, f.agent.cfg.Instance.SessionAddr,
+		wire.Identity{Instance: "e1", FleetKey: testKey}, func(context.Context, *wire.Session, *wire.Stream, *wire.StreamHeader) {})
+	assert.NilError(f.t, err)
+}
+
+// runAgent runs an agent at the engine. It reports whether the agent is ready, false if a port was taken.
+func (f *fixture) runAgent() bool {
 	f.t.Helper()
 	origin := backing.NewHTTPOrigin(backing.HTTPConfig{BaseURL: "http://127.0.0.1:1"})
 	a, err := New(Config{
@@ -94,10 +107,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.agent, f.stop, f.runEnded = a, cancel, make(chan error, 1)
 	go func(ended chan<- error) { ended <- a.Run(ctx) }(f.runEnded)
-	<-a.Ready()
-	f.session, err = wire.Dial(f.t.Context(), (&net.Dialer{}).DialContext, a.cfg.Instance.SessionAddr,
-		wire.Identity{Instance: "e1", FleetKey: testKey}, func(context.Context, *wire.Session, *wire.Stream, *wire.StreamHeader) {})
-	assert.NilError(f.t, err)
+	select {
+	case <-a.Ready():
+		return true
+	case err := <-f.runEnded:
+		assert.ErrorContains(f.t, err, "address already in use")
+		return false
+	}
 }
 
 // stopAgent kills the agent.
--- a/agent/withdrawn_test.go
+++ b/agent/withdrawn_test.go
@@ -53,7 +53,9 @@
 	f := newFixture(t, 4, 0)
 	m := f.addModel("v1")
 	f.serveModel(m)
-	f.agent.pauses.tick(f.agent.pauses.now().Add(time.Hour)) // The agent was paused until now.
+	now := f.agent.pauses.now()
+	f.agent.pauses.tick(now) // It may not have ticked yet.
+	f.agent.pauses.tick(now.Add(time.Hour))
 	conn := &heldConn{}
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		var err error
